--- /dev/null
+++ b/Makefile
@@ -0,0 +1,49 @@
+# One place for every command a newcomer needs; each sets up what it uses.
+VENV ?= .venv
+PY := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+SOURCES := packages standins bench tools testkit
+
+.PHONY: setup demo test lint types unit faults bench load perf capacity clean
+
+setup: $(STAMP)
+
+$(STAMP): constraints.txt requirements.txt packages/core/pyproject.toml packages/clients/pyproject.toml packages/daemon/pyproject.toml packages/cli/pyproject.toml
+	python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet -c constraints.txt setuptools wheel
+	$(PY) -m pip install --quiet --no-build-isolation -c constraints.txt -r requirements.txt
+	touch $(STAMP)
+
+demo: setup
+	$(PY) -m tools.demo --example ravi-canal-hire
+	$(PY) -m tools.demo --example pokana-coop
+
+test: lint types unit faults
+
+lint: setup
+	$(VENV)/bin/ruff format --check $(SOURCES)
+	$(VENV)/bin/ruff check $(SOURCES)
+
+types: setup
+	$(VENV)/bin/mypy
+
+unit: setup
+	$(PY) -m pytest -q -n 4
+
+faults: setup
+	$(PY) -m tools.faults
+
+bench: setup
+	$(PY) -m bench.policy
+
+load: setup
+	$(PY) -m bench.load
+
+perf: setup
+	$(PY) -m bench.perf
+
+capacity: setup
+	$(PY) -m bench.capacity
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the policy, the program and its control cost."""
--- /dev/null
+++ b/packages/cli/calicopath_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Let operators check, apply and follow configuration from a terminal."""
--- /dev/null
+++ b/packages/cli/calicopath_cli/__main__.py
@@ -0,0 +1,224 @@
+"""Parse the operators' command line."""
+
+from __future__ import annotations
+
+import getpass
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated, Any
+
+import typer
+import uvloop
+
+from calicopath_cli.commands import apply as apply_command
+from calicopath_cli.commands import audit as audit_command
+from calicopath_cli.commands import check as check_command
+from calicopath_cli.commands import endpoints, objects
+from calicopath_cli.commands import status as status_command
+from calicopath_cli.exceptions import (
+    EXIT_FAILED,
+    EXIT_INTERRUPTED,
+    CommandError,
+    InvalidInput,
+)
+from calicopath_cli.utils.operator import Options
+from calicopath_cli.utils.output import OutputFormat
+from calicopath_core.exceptions import CalicopathError
+from calicopath_core.structure.endpoints import EndpointState
+from calicopath_core.structure.keys import (
+    PIPELINE_PREFIX,
+    TEMPLATE_PREFIX,
+    pipeline_key,
+    template_key,
+)
+from calicopath_core.structure.stages import StageKind
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+APP_HELP = (
+    'Check and apply configuration, drain and stop endpoints, and see what is in force.\n\n'
+    'Exit codes: 0 done; 1 failed, nothing changed; 2 wrong arguments or configuration, nothing '
+    'changed; 3 somebody else changed the same object; 4 not known whether the change was '
+    'accepted; 5 accepted, but not in force on every box in the time given; 130 interrupted.'
+)
+PLATFORM_HELP = "URL of the platform's object API."
+WHO_HELP = 'Name that the audit trail records; the login name if not given.'
+OUTPUT_HELP = 'Form of the output: text for people, json for scripts.'
+CHECK_HELP = 'Check files or folders without a platform; report every problem at once.'
+APPLY_HELP = 'Check files or folders and write what differs from what is in force.'
+STATUS_HELP = 'Show the boxes, and on how many of them each of the last changes is in force.'
+AUDIT_HELP = 'Show who changed what and when.'
+TEMPLATE_HELP = 'List, show and delete templates.'
+PIPELINE_HELP = "List, show and delete workspaces' pipelines."
+ENDPOINT_HELP = 'Add, drain, stop and list endpoints.'
+ADD_HELP = 'Add an endpoint, or take one back that was drained, stopped or deleted.'
+DRAIN_HELP = 'Give an endpoint no new work; calls in progress end as usual.'
+STOP_HELP = 'Take an endpoint out of service; calls in progress end as usual.'
+WAIT_HELP = 'Wait so many seconds until the change is in force on every live box.'
+LAST_HELP = 'How many of the newest to show.'
+KEY_HELP = 'Only changes below this key, as in endpoints/drafting-1.'
+
+app = typer.Typer(
+    help=APP_HELP, no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False
+)
+template_app = typer.Typer(help=TEMPLATE_HELP, no_args_is_help=True)
+pipeline_app = typer.Typer(help=PIPELINE_HELP, no_args_is_help=True)
+endpoint_app = typer.Typer(help=ENDPOINT_HELP, no_args_is_help=True)
+app.add_typer(template_app, name='template')
+app.add_typer(pipeline_app, name='pipeline')
+app.add_typer(endpoint_app, name='endpoint')
+
+Paths = Annotated[list[Path], typer.Argument(help='YAML files, or folders of them.')]
+Wait = Annotated[float | None, typer.Option('--wait', help=WAIT_HELP, min=0.0)]
+Last = Annotated[int, typer.Option('--last', help=LAST_HELP, min=1)]
+
+
+@app.callback()
+def shared(
+    context: typer.Context,
+    platform: Annotated[str, typer.Option(envvar='CALICOPATH_PLATFORM', help=PLATFORM_HELP)] = '',
+    who: Annotated[str, typer.Option(envvar='CALICOPATH_WHO', help=WHO_HELP)] = '',
+    output: Annotated[
+        OutputFormat, typer.Option(envvar='CALICOPATH_OUTPUT', help=OUTPUT_HELP)
+    ] = OutputFormat.TEXT,
+) -> None:
+    """Take the options that all commands share."""
+    context.obj = Options(platform, who or getpass.getuser(), output)
+
+
+def run(work: Coroutine[Any, Any, None]) -> None:
+    """Run a command that talks to the platform."""
+    try:
+        uvloop.run(work)
+    except KeyboardInterrupt:
+        print('calicopath: interrupted', file=sys.stderr)
+        raise typer.Exit(EXIT_INTERRUPTED) from None
+
+
+def options_of(context: typer.Context) -> Options:
+    """Return the shared options of a command that needs the platform."""
+    options: Options = context.obj
+    if not options.platform:
+        raise InvalidInput('--platform or CALICOPATH_PLATFORM is required')
+    return options
+
+
+@app.command(help=CHECK_HELP)
+def check(context: typer.Context, paths: Paths) -> None:
+    """Check files."""
+    check_command.check(paths, context.obj.output)
+
+
+@app.command(help=APPLY_HELP)
+def apply(context: typer.Context, paths: Paths, wait: Wait = None) -> None:
+    """Apply files."""
+    run(apply_command.apply(options_of(context), paths, wait))
+
+
+@app.command(help=STATUS_HELP)
+def status(context: typer.Context, last: Last = 10) -> None:
+    """Show boxes and changes."""
+    run(status_command.status(options_of(context), last))
+
+
+@app.command(help=AUDIT_HELP)
+def audit(
+    context: typer.Context,
+    key: Annotated[str, typer.Option(help=KEY_HELP)] = '',
+    last: Last = 50,
+) -> None:
+    """Show the audit trail."""
+    run(audit_command.audit(options_of(context), key, last))
+
+
+@template_app.command('list')
+def template_list(context: typer.Context) -> None:
+    """List the templates."""
+    run(objects.list_objects(options_of(context), TEMPLATE_PREFIX))
+
+
+@template_app.command('show')
+def template_show(context: typer.Context, name: str) -> None:
+    """Print a template."""
+    run(objects.show_object(options_of(context), template_key(name)))
+
+
+@template_app.command('delete')
+def template_delete(context: typer.Context, name: str, wait: Wait = None) -> None:
+    """Delete a template that no pipeline uses."""
+    run(objects.delete_object(options_of(context), template_key(name), wait))
+
+
+@pipeline_app.command('list')
+def pipeline_list(context: typer.Context) -> None:
+    """List the pipelines of all workspaces."""
+    run(objects.list_objects(options_of(context), PIPELINE_PREFIX))
+
+
+@pipeline_app.command('show')
+def pipeline_show(context: typer.Context, workspace: str, name: str) -> None:
+    """Print a workspace's pipeline."""
+    run(objects.show_object(options_of(context), pipeline_key(workspace, name)))
+
+
+@pipeline_app.command('delete')
+def pipeline_delete(context: typer.Context, workspace: str, name: str, wait: Wait = None) -> None:
+    """Delete a workspace's pipeline."""
+    run(objects.delete_object(options_of(context), pipeline_key(workspace, name), wait))
+
+
+@endpoint_app.command('list')
+def endpoint_list(context: typer.Context) -> None:
+    """List the endpoints."""
+    run(endpoints.list_endpoints(options_of(context)))
+
+
+@endpoint_app.command('add', help=ADD_HELP)
+def endpoint_add(
+    context: typer.Context,
+    name: str,
+    service: Annotated[str, typer.Option(help='Service that it answers for.')],
+    stage: Annotated[StageKind, typer.Option(help='Kind of stage that it runs.')],
+    address: Annotated[str, typer.Option(help='URL, as in http://127.0.0.1:9000.')],
+    failure_domain: Annotated[str, typer.Option(help='Failure domain where it stands.')],
+    concurrency: Annotated[int, typer.Option(help='Calls that it serves at once.')],
+    wait: Wait = None,
+) -> None:
+    """Add an endpoint."""
+    spec = {
+        'kind': 'endpoint',
+        'name': name,
+        'service': service,
+        'stage': stage.value,
+        'address': address,
+        'failure_domain': failure_domain,
+        'concurrency': concurrency,
+        'state': EndpointState.ACTIVE.value,
+    }
+    run(endpoints.add_endpoint(options_of(context), spec, wait))
+
+
+@endpoint_app.command('drain', help=DRAIN_HELP)
+def endpoint_drain(context: typer.Context, name: str, wait: Wait = None) -> None:
+    """Drain an endpoint."""
+    run(endpoints.set_state(options_of(context), name, EndpointState.DRAINING, wait))
+
+
+@endpoint_app.command('stop', help=STOP_HELP)
+def endpoint_stop(context: typer.Context, name: str, wait: Wait = None) -> None:
+    """Stop an endpoint."""
+    run(endpoints.set_state(options_of(context), name, EndpointState.STOPPED, wait))
+
+
+def main() -> None:
+    """Run the command line; every error is a message and an exit code."""
+    try:
+        app()
+    except CalicopathError as error:
+        print(f'calicopath: {error}', file=sys.stderr)
+        sys.exit(error.exit_code if isinstance(error, CommandError) else EXIT_FAILED)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/cli/calicopath_cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Carry out the operators' commands, one module each."""
--- /dev/null
+++ b/packages/cli/calicopath_cli/commands/apply.py
@@ -0,0 +1,75 @@
+"""Apply configuration files."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from calicopath_cli.commands.check import load_documents
+from calicopath_cli.utils.inforce import wait_in_force
+from calicopath_cli.utils.operator import Operator, Options, open_operator
+from calicopath_cli.utils.output import OutputFormat, print_json
+from calicopath_core.store.records import ChangeAction
+from calicopath_core.structure.keys import CONFIG_PREFIX
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from pathlib import Path
+
+    from calicopath_core.config.documents import Document
+    from calicopath_core.store.changes import Accepted
+
+
+class Current(NamedTuple):
+    """Hold what the platform has under a key."""
+
+    version: int
+    spec: dict[str, Any] | None
+
+
+async def apply(options: Options, paths: Sequence[Path], wait_s: float | None) -> None:
+    """Check files against what is in force and write what differs, each conditionally."""
+    async with open_operator(options) as operator:
+        current = await read_current(operator)
+        in_force = {key: item.spec for key, item in current.items() if item.spec is not None}
+        documents = load_documents(paths, in_force)
+        changed = [item for item in documents if in_force.get(item.key) != item.spec]
+        report(options, await apply_all(operator, changed, current, wait_s), documents)
+
+
+async def read_current(operator: Operator) -> dict[str, Current]:
+    """Read all configuration, deleted objects too."""
+    objects = await operator.store.list(CONFIG_PREFIX)
+    return {item.key: Current(item.version, item.value['spec']) for item in objects}
+
+
+async def apply_all(
+    operator: Operator,
+    documents: Sequence[Document],
+    current: dict[str, Current],
+    wait_s: float | None,
+) -> list[Accepted]:
+    """Write documents one by one; a conflict stops before the next."""
+    accepted = []
+    for document in documents:
+        known = current.get(document.key, Current(0, None))
+        change = await operator.change(
+            document.key, document.spec, ChangeAction.APPLY, known.version
+        )
+        if operator.options.output is OutputFormat.TEXT:
+            print(f'{change.key}: accepted as version {change.version}')
+        accepted.append(change)
+    if wait_s is not None:
+        for change in accepted:
+            found = await wait_in_force(operator, change, wait_s)
+            if operator.options.output is OutputFormat.TEXT:
+                print(f'{found.key}: in force on {found.in_force} of {found.boxes} boxes')
+    return accepted
+
+
+def report(options: Options, accepted: list[Accepted], documents: Sequence[Document]) -> None:
+    """Sum up what was done."""
+    unchanged = len(documents) - len(accepted)
+    if options.output is OutputFormat.JSON:
+        print_json({'accepted': [item._asdict() for item in accepted], 'unchanged': unchanged})
+        return
+    print(f'{len(accepted)} changed, {unchanged} unchanged')
--- /dev/null
+++ b/packages/cli/calicopath_cli/commands/endpoints.py
@@ -0,0 +1,77 @@
+"""Add, drain, stop and list endpoints."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from returns.result import Failure
+
+from calicopath_cli.commands.objects import find
+from calicopath_cli.exceptions import InvalidInput
+from calicopath_cli.utils.inforce import wait_in_force
+from calicopath_cli.utils.operator import Operator, Options, open_operator
+from calicopath_cli.utils.output import OutputFormat, print_json, print_rows
+from calicopath_core.config.parsers import parse_endpoint
+from calicopath_core.store.base import ABSENT
+from calicopath_core.store.records import ChangeAction
+from calicopath_core.structure.endpoints import EndpointState
+from calicopath_core.structure.keys import ENDPOINT_PREFIX, endpoint_key
+
+if TYPE_CHECKING:
+    from calicopath_core.store.changes import Accepted
+
+ACTIONS = {
+    EndpointState.DRAINING: ChangeAction.DRAIN,
+    EndpointState.STOPPED: ChangeAction.STOP,
+}
+
+
+async def list_endpoints(options: Options) -> None:
+    """List the endpoints with what operators want of them."""
+    async with open_operator(options) as operator:
+        objects = await operator.store.list(ENDPOINT_PREFIX)
+    specs = [item.value['spec'] for item in sorted(objects) if item.value['spec'] is not None]
+    headers = ('name', 'service', 'stage', 'state', 'failure_domain', 'concurrency', 'address')
+    rows = [[spec.get(name, 'active') for name in headers] for spec in specs]
+    print_rows(options.output, headers, rows)
+
+
+async def add_endpoint(options: Options, spec: dict[str, Any], wait_s: float | None) -> None:
+    """Add an endpoint, or take a deleted or stopped one back."""
+    checked = parse_endpoint(spec, spec['name'])
+    if isinstance(checked, Failure):
+        raise InvalidInput('\n'.join(str(problem) for problem in checked.failure()))
+    key = endpoint_key(spec['name'])
+    async with open_operator(options) as operator:
+        found = await operator.store.get(key)
+        if found is not None and (found.value['spec'] or {}).get('state') == EndpointState.ACTIVE:
+            raise InvalidInput(f'{key}: exists already')
+        version = found.version if found else ABSENT
+        accepted = await operator.change(key, spec, ChangeAction.ADD, version)
+        await report(operator, accepted, 'active', wait_s)
+
+
+async def set_state(
+    options: Options, name: str, state: EndpointState, wait_s: float | None
+) -> None:
+    """Drain an endpoint (no new work, calls in progress end) or stop it (out of service)."""
+    key = endpoint_key(name)
+    async with open_operator(options) as operator:
+        found = await find(operator, key)
+        spec = {**found.value['spec'], 'state': state.value}
+        accepted = await operator.change(key, spec, ACTIONS[state], found.version)
+        await report(operator, accepted, state.value, wait_s)
+
+
+async def report(operator: Operator, accepted: Accepted, state: str, wait_s: float | None) -> None:
+    """Say what was accepted and, if asked, where it is in force."""
+    result = {**accepted._asdict(), 'state': state}
+    if wait_s is not None:
+        found = await wait_in_force(operator, accepted, wait_s)
+        result.update(boxes=found.boxes, in_force=found.in_force)
+    if operator.options.output is OutputFormat.JSON:
+        print_json(result)
+        return
+    print(f'{accepted.key}: {state}, accepted as version {accepted.version}')
+    if wait_s is not None:
+        print(f'{accepted.key}: in force on {result["in_force"]} of {result["boxes"]} boxes')
--- /dev/null
+++ b/packages/cli/calicopath_cli/commands/objects.py
@@ -0,0 +1,74 @@
+"""List, show and delete templates and pipelines."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import yaml
+
+from calicopath_cli.exceptions import InvalidInput
+from calicopath_cli.utils.inforce import wait_in_force
+from calicopath_cli.utils.operator import Operator, Options, open_operator
+from calicopath_cli.utils.output import OutputFormat, print_json, print_rows
+from calicopath_core.store.records import ChangeAction
+from calicopath_core.structure.keys import PIPELINE_PREFIX
+
+if TYPE_CHECKING:
+    from calicopath_core.store.base import StoredObject
+
+
+async def list_objects(options: Options, prefix: str) -> None:
+    """List the objects below a prefix that are not deleted."""
+    async with open_operator(options) as operator:
+        objects = await operator.store.list(prefix)
+    rows = [
+        (item.key.removeprefix(prefix), item.version, item.value['change']['who'])
+        for item in sorted(objects)
+        if item.value['spec'] is not None
+    ]
+    print_rows(options.output, ('name', 'version', 'changed by'), rows)
+
+
+async def find(operator: Operator, key: str) -> StoredObject:
+    """Return an object; raise `InvalidInput` if there is none."""
+    found = await operator.store.get(key)
+    if found is None or found.value['spec'] is None:
+        raise InvalidInput(f'{key}: there is no such object')
+    return found
+
+
+async def show_object(options: Options, key: str) -> None:
+    """Print one object as a configuration file would have it."""
+    async with open_operator(options) as operator:
+        found = await find(operator, key)
+    if options.output is OutputFormat.JSON:
+        print_json({'key': key, 'version': found.version, **found.value})
+        return
+    print(yaml.safe_dump(found.value['spec'], allow_unicode=True, sort_keys=False), end='')
+
+
+async def delete_object(options: Options, key: str, wait_s: float | None) -> None:
+    """Delete one object, leaving a tombstone; templates in use cannot be deleted."""
+    async with open_operator(options) as operator:
+        found = await find(operator, key)
+        await refuse_if_used(operator, found)
+        accepted = await operator.change(key, None, ChangeAction.DELETE, found.version)
+        print(f'{key}: deleted as version {accepted.version}')
+        if wait_s is not None:
+            state = await wait_in_force(operator, accepted, wait_s)
+            print(f'{key}: in force on {state.in_force} of {state.boxes} boxes')
+
+
+async def refuse_if_used(operator: Operator, found: StoredObject) -> None:
+    """Raise `InvalidInput` if pipelines need a template."""
+    spec = found.value['spec']
+    if spec['kind'] != 'template':
+        return
+    pipelines = await operator.store.list(PIPELINE_PREFIX)
+    users = [
+        item.key.removeprefix(PIPELINE_PREFIX)
+        for item in pipelines
+        if item.value['spec'] is not None and item.value['spec']['template'] == spec['name']
+    ]
+    if users:
+        raise InvalidInput(f'{found.key}: used by {", ".join(sorted(users))}')
--- /dev/null
+++ b/packages/cli/calicopath_cli/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Hold small helpers of the command line."""
--- /dev/null
+++ b/packages/cli/calicopath_cli/utils/inforce.py
@@ -0,0 +1,80 @@
+"""Ask the boxes which versions are in force."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import aiohttp
+import msgspec
+
+from calicopath_cli.exceptions import NotInForce
+
+if TYPE_CHECKING:
+    from calicopath_cli.utils.operator import Operator
+    from calicopath_core.store.base import BoxRecord
+    from calicopath_core.store.changes import Accepted
+
+POLL_S = 0.1
+BOX_TIMEOUT_S = 2.0
+MAX_PARALLEL = 64
+
+
+class InForce(NamedTuple):
+    """Say on how many of the live boxes a change is in force, and which did not answer."""
+
+    key: str
+    version: int
+    boxes: int
+    in_force: int
+    silent: tuple[str, ...]
+
+
+async def ask_box(session: aiohttp.ClientSession, box: BoxRecord, path: str) -> Any:
+    """Return a box's JSON answer, or nothing if it gives none."""
+    timeout = aiohttp.ClientTimeout(total=BOX_TIMEOUT_S)
+    try:
+        async with session.get(f'http://{box.address}{path}', timeout=timeout) as answer:
+            return msgspec.json.decode(await answer.read())
+    except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
+        return None
+
+
+async def ask_boxes(operator: Operator, path: str) -> dict[str, Any]:
+    """Ask every box that is not leaving; silent ones give nothing."""
+    boxes = [box for box in await operator.boxes.boxes() if not box.leaving]
+    slots = asyncio.Semaphore(MAX_PARALLEL)
+
+    async def ask(box: BoxRecord) -> Any:
+        async with slots:
+            return await ask_box(operator.session, box, path)
+
+    answers = await asyncio.gather(*(ask(box) for box in boxes))
+    return {box.name: answer for box, answer in zip(boxes, answers, strict=True)}
+
+
+async def in_force(operator: Operator, key: str, version: int) -> InForce:
+    """Count the boxes on which at least `version` of `key` is in force."""
+    answers = await ask_boxes(operator, f'/admin/v1/config/{key}')
+    silent = tuple(name for name, answer in answers.items() if answer is None)
+    count = sum(
+        1 for answer in answers.values() if answer is not None and answer['version'] >= version
+    )
+    return InForce(key, version, len(answers), count, silent)
+
+
+async def wait_in_force(operator: Operator, accepted: Accepted, wait_s: float) -> InForce:
+    """Wait until a change is in force on every live box; raise `NotInForce`."""
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + wait_s
+    while True:
+        found = await in_force(operator, accepted.key, accepted.version)
+        if found.in_force == found.boxes:
+            return found
+        if loop.time() >= deadline:
+            silent = f'; no answer from {", ".join(found.silent)}' if found.silent else ''
+            raise NotInForce(
+                f'{found.key}: accepted as version {found.version}, in force on '
+                f'{found.in_force} of {found.boxes} boxes{silent}'
+            )
+        await asyncio.sleep(POLL_S)
--- /dev/null
+++ b/packages/clients/calicopath_clients/platform.py
@@ -0,0 +1,140 @@
+"""Adapt the platform's object API and box list."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+from urllib.parse import quote
+
+import aiohttp
+import msgspec
+
+from calicopath_core.store.base import (
+    BoxList,
+    BoxRecord,
+    ObjectStore,
+    StoredObject,
+    StoreUnavailable,
+    VersionConflict,
+    WriteUnknown,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+CONNECT_TIMEOUT_S = 1.0
+REQUEST_TIMEOUT_S = 2.0
+WATCH_SILENCE_S = 30.0
+"""A watch that sends nothing, not even its keep-alive line, for this long is given up."""
+
+STATUS_CONFLICT = 409
+STATUS_NOT_FOUND = 404
+STATUS_OK = 200
+
+CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+
+
+class HttpObjectStore(ObjectStore):
+    """Reach the object API over HTTP."""
+
+    def __init__(
+        self,
+        *,
+        url: str,
+        session: aiohttp.ClientSession,
+        timeout_s: float = REQUEST_TIMEOUT_S,
+    ) -> None:
+        self.url = url.rstrip('/')
+        self.session = session
+        self.timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+
+    def object_url(self, key: str) -> str:
+        """Return the URL of an object."""
+        return f'{self.url}/v1/objects/{quote(key)}'
+
+    async def read(self, url: str, params: dict[str, str] | None = None) -> Any:
+        """Return the JSON answer to a read, or nothing if there is no such object."""
+        try:
+            async with self.session.get(url, params=params, timeout=self.timeout) as response:
+                if response.status == STATUS_NOT_FOUND:
+                    return None
+                if response.status != STATUS_OK:
+                    raise StoreUnavailable(f'the object API answered {response.status}')
+                return msgspec.json.decode(await response.read())
+        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
+            raise StoreUnavailable(f'the object API cannot be read: {error!r}') from error
+
+    async def get(self, key: str) -> StoredObject | None:
+        """Return an object, or nothing."""
+        data = await self.read(self.object_url(key))
+        return None if data is None else stored_object(data)
+
+    async def list(self, prefix: str) -> list[StoredObject]:
+        """Return every object below `prefix`."""
+        data = await self.read(f'{self.url}/v1/objects', {'prefix': prefix})
+        if data is None:
+            raise StoreUnavailable('the object API has no list')
+        return [stored_object(item) for item in data['objects']]
+
+    async def put(self, key: str, value: dict[str, Any], expected_version: int) -> StoredObject:
+        """Write if the version is still the expected one."""
+        try:
+            async with self.session.put(
+                self.object_url(key),
+                params={'expected': str(expected_version)},
+                data=msgspec.json.encode(value),
+                timeout=self.timeout,
+            ) as response:
+                body = await response.read()
+        except CONNECT_ERRORS as error:
+            raise StoreUnavailable(f'the object API cannot be reached: {error!r}') from error
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise WriteUnknown(f'the answer to a write was lost: {error!r}') from error
+        if response.status == STATUS_CONFLICT:
+            raise VersionConflict(f'{key} is no longer at version {expected_version}')
+        if response.status != STATUS_OK:
+            raise WriteUnknown(f'the object API answered {response.status}')
+        return stored_object(msgspec.json.decode(body))
+
+    async def watch(self, prefix: str) -> AsyncIterator[StoredObject]:
+        """Yield objects below `prefix` as they change."""
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=WATCH_SILENCE_S
+        )
+        try:
+            async with self.session.get(
+                f'{self.url}/v1/watch', params={'prefix': prefix}, timeout=timeout
+            ) as response:
+                if response.status != STATUS_OK:
+                    raise StoreUnavailable(f'the object API answered {response.status}')
+                while line := await response.content.readline():
+                    if line.strip():
+                        yield stored_object(msgspec.json.decode(line))
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            raise StoreUnavailable(f'the watch ended: {error!r}') from error
+
+
+class HttpBoxList(BoxList):
+    """Read the box list over HTTP."""
+
+    def __init__(self, *, url: str, session: aiohttp.ClientSession) -> None:
+        self.url = url.rstrip('/')
+        self.session = session
+        self.timeout = aiohttp.ClientTimeout(
+            total=REQUEST_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
+        )
+
+    async def boxes(self) -> list[BoxRecord]:
+        """Return the boxes that the platform believes to exist."""
+        try:
+            async with self.session.get(f'{self.url}/v1/boxes', timeout=self.timeout) as response:
+                data = msgspec.json.decode(await response.read())
+                if response.status != STATUS_OK:
+                    raise StoreUnavailable(f'the box list answered {response.status}')
+        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
+            raise StoreUnavailable(f'the box list cannot be read: {error!r}') from error
+        return [BoxRecord(**item) for item in data['boxes']]
+
+
+def stored_object(data: dict[str, Any]) -> StoredObject:
+    """Return an object from its JSON form."""
+    return StoredObject(data['key'], data['version'], data['value'])
--- /dev/null
+++ b/packages/core/calicopath_core/backends/base.py
@@ -0,0 +1,94 @@
+"""Define the interfaces to endpoints and the errors of a call."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
+
+from calicopath_core.exceptions import CalicopathError
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from calicopath_core.structure.calls import (
+        GenerationCall,
+        GenerationEnd,
+        LoadReport,
+        StageCall,
+        StageOutput,
+        Token,
+    )
+    from calicopath_core.structure.endpoints import Endpoint
+
+
+class BackendError(CalicopathError):
+    """Report that a call gave no answer that may be used."""
+
+
+class NotStarted(BackendError):
+    """Report that a call provably did not run: it never reached the endpoint, or was declined.
+
+    `retry_after_s` is what the endpoint asked for, if it did.
+    """
+
+    def __init__(self, message: str, *, retry_after_s: float | None = None) -> None:
+        super().__init__(message)
+        self.retry_after_s = retry_after_s
+
+
+class MayHaveRun(BackendError):
+    """Report that a call may have run, in whole or in part."""
+
+
+class WrongAnswer(MayHaveRun):
+    """Report an answer that does not belong to the call, or is not a valid answer at all."""
+
+
+class StagePool(ABC):
+    """Call encoders, retrievers and rerankers."""
+
+    @abstractmethod
+    async def call(self, endpoint: Endpoint, call: StageCall) -> StageOutput:
+        """Run a stage; raise `NotStarted`, `MayHaveRun` or `WrongAnswer`."""
+
+
+class PlainService(ABC):
+    """Call the services beside the model engines."""
+
+    @abstractmethod
+    async def call(self, endpoint: Endpoint, call: StageCall) -> StageOutput:
+        """Run a stage; raise `NotStarted`, `MayHaveRun` or `WrongAnswer`."""
+
+
+class Engine(ABC):
+    """Generate tokens."""
+
+    @abstractmethod
+    def generate(
+        self, endpoint: Endpoint, call: GenerationCall
+    ) -> AsyncIterator[Token | GenerationEnd]:
+        """Yield tokens from `call.offset` on and then the end; raise as a stage call does."""
+
+    @abstractmethod
+    async def cancel(self, endpoint: Endpoint, call: GenerationCall) -> None:
+        """Ask an engine to stop a generation; a failure to do so is not reported."""
+
+
+class LoadReader(ABC):
+    """Read what endpoints report of their load."""
+
+    @abstractmethod
+    async def read(self, endpoint: Endpoint) -> LoadReport:
+        """Return the endpoint's own, lagging report; raise `BackendError`."""
+
+
+class Backends:
+    """Hold one adapter for each kind of endpoint."""
+
+    def __init__(
+        self, *, engine: Engine, pool: StagePool, service: PlainService, load: LoadReader
+    ) -> None:
+        self.engine = engine
+        self.pool = pool
+        self.service = service
+        self.load = load
--- /dev/null
+++ b/packages/core/calicopath_core/config/__init__.py
@@ -0,0 +1,1 @@
+"""Read and check templates, pipelines and endpoints."""
--- /dev/null
+++ b/packages/core/calicopath_core/config/documents.py
@@ -0,0 +1,167 @@
+"""Read configuration files and check all their documents together."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import yaml
+from returns.result import Failure, Result, Success
+
+from calicopath_core.config.parsers import parse_endpoint, parse_pipeline, parse_template
+from calicopath_core.config.plans import resolve_plan
+from calicopath_core.config.problems import Problem
+from calicopath_core.structure.keys import endpoint_key, pipeline_key, template_key
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Mapping
+    from pathlib import Path
+
+    from calicopath_core.structure.endpoints import Endpoint
+    from calicopath_core.structure.stages import PipelineSpec, Template
+
+KINDS = ('template', 'pipeline', 'endpoint')
+
+
+class Document(NamedTuple):
+    """Hold one configuration document and the store key it belongs under."""
+
+    key: str
+    spec: dict[str, Any]
+    source: str
+
+
+class RawDocument(NamedTuple):
+    """Hold one document as read, before it is checked."""
+
+    source: str
+    data: Any
+
+
+class DocumentSet:
+    """Check documents, alone and against each other, and against what is already in force."""
+
+    def __init__(self, *, in_force: Mapping[str, dict[str, Any]] | None = None) -> None:
+        self.problems: list[Problem] = []
+        self.documents: list[Document] = []
+        self.templates: dict[str, Template] = {}
+        self.pipelines: list[tuple[PipelineSpec, str]] = []
+        self.endpoints: dict[str, Endpoint] = {}
+        self.keys: set[str] = set()
+        for key, spec in (in_force or {}).items():
+            self.remember(key, spec)
+
+    def remember(self, key: str, spec: dict[str, Any]) -> None:
+        """Take note of an object in force, which new documents may refer to."""
+        if spec.get('kind') == 'template':
+            parse_template(spec, key).map(self.keep_template)
+        elif spec.get('kind') == 'endpoint':
+            parse_endpoint(spec, key).map(self.keep_endpoint)
+        elif spec.get('kind') == 'pipeline':
+            parse_pipeline(spec, key).map(lambda found: self.pipelines.append((found, key)))
+
+    def keep_template(self, template: Template) -> str:
+        """Hold a template and return its key."""
+        self.templates[template.name] = template
+        return template_key(template.name)
+
+    def keep_endpoint(self, endpoint: Endpoint) -> str:
+        """Hold an endpoint and return its key."""
+        self.endpoints[endpoint.name] = endpoint
+        return endpoint_key(endpoint.name)
+
+    def keep_pipeline(self, spec: PipelineSpec, source: str) -> str:
+        """Hold a pipeline in place of the one in force and return its key."""
+        key = pipeline_key(spec.workspace, spec.name)
+        self.pipelines = [
+            (known, origin)
+            for known, origin in self.pipelines
+            if (known.workspace, known.name) != (spec.workspace, spec.name)
+        ]
+        self.pipelines.append((spec, source))
+        return key
+
+    def add(self, raw: RawDocument) -> None:
+        """Check one document by itself."""
+        kind = raw.data.get('kind') if isinstance(raw.data, dict) else None
+        if kind not in KINDS:
+            message = f'must be one of {", ".join(KINDS)}'
+            self.problems.append(Problem(raw.source, 'kind', message))
+            return
+        parsers: dict[str, Callable[[], Result[str, list[Problem]]]] = {
+            'template': lambda: parse_template(raw.data, raw.source).map(self.keep_template),
+            'endpoint': lambda: parse_endpoint(raw.data, raw.source).map(self.keep_endpoint),
+            'pipeline': lambda: parse_pipeline(raw.data, raw.source).map(
+                lambda spec: self.keep_pipeline(spec, raw.source)
+            ),
+        }
+        result = parsers[kind]()
+        if isinstance(result, Failure):
+            self.problems.extend(result.failure())
+            return
+        key = result.unwrap()
+        if key in self.keys:
+            self.problems.append(Problem(raw.source, 'name', f'{key} is given twice'))
+        self.keys.add(key)
+        self.documents.append(Document(key, raw.data, raw.source))
+
+    def check_references(self) -> None:
+        """Check pipelines against templates, and stages against endpoints."""
+        services = {(item.service, item.kind) for item in self.endpoints.values()}
+        for spec, source in self.pipelines:
+            template = self.templates.get(spec.template)
+            if template is None:
+                message = f'unknown template {spec.template!r}'
+                self.problems.append(Problem(source, 'template', message))
+                continue
+            plan = resolve_plan(spec, template, source)
+            if isinstance(plan, Failure):
+                self.problems.extend(plan.failure())
+            for stage in template.stages:
+                if (stage.service, stage.kind) not in services:
+                    message = (
+                        f'stage {stage.name!r} needs {stage.kind.value} endpoints of service '
+                        f'{stage.service!r}, and there are none'
+                    )
+                    self.problems.append(Problem(source, 'template', message))
+
+    def finish(self) -> Result[list[Document], list[Problem]]:
+        """Return the documents in an order in which each may be applied, or all problems."""
+        self.check_references()
+        if self.problems:
+            return Failure(self.problems)
+        order = {'endpoint': 0, 'template': 1, 'pipeline': 2}
+        return Success(sorted(self.documents, key=lambda item: order[item.spec['kind']]))
+
+
+def read_files(paths: Iterable[Path]) -> Result[list[RawDocument], list[Problem]]:
+    """Read every YAML document of the given files; folders are read whole."""
+    documents: list[RawDocument] = []
+    problems: list[Problem] = []
+    for path in expand(paths):
+        try:
+            found = list(yaml.safe_load_all(path.read_text(encoding='utf-8')))
+        except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+            problems.append(Problem(str(path), 'file', ' '.join(str(error).split())))
+            continue
+        for index, data in enumerate(found):
+            if data is not None:
+                documents.append(RawDocument(f'{path}#{index + 1}', data))
+    return Failure(problems) if problems else Success(documents)
+
+
+def expand(paths: Iterable[Path]) -> list[Path]:
+    """Replace each folder by the YAML files in it, in order of name."""
+    files: list[Path] = []
+    for path in paths:
+        files.extend(sorted(path.glob('*.yaml')) if path.is_dir() else [path])
+    return files
+
+
+def check_documents(
+    documents: Iterable[RawDocument], in_force: Mapping[str, dict[str, Any]] | None = None
+) -> Result[list[Document], list[Problem]]:
+    """Check documents together with what is in force."""
+    checked = DocumentSet(in_force=in_force)
+    for raw in documents:
+        checked.add(raw)
+    return checked.finish()
--- /dev/null
+++ b/packages/core/calicopath_core/execution/__init__.py
@@ -0,0 +1,1 @@
+"""Run requests through the stages of their pipelines."""
--- /dev/null
+++ b/packages/core/calicopath_core/execution/executor.py
@@ -0,0 +1,232 @@
+"""Run requests from the door to their one final outcome."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING, Any, TypeVar
+
+from calicopath_core.backends.base import MayHaveRun, NotStarted
+from calicopath_core.execution.generation import GenerationRunner
+from calicopath_core.execution.run import Run, StageFailed
+from calicopath_core.execution.stages import CallRunner, StageContext, stage_budget
+from calicopath_core.store.base import StoreUnavailable
+from calicopath_core.store.claims import (
+    ClaimState,
+    Granted,
+    InvalidKey,
+    StoredClaim,
+    Taken,
+    parse_key,
+)
+from calicopath_core.structure.outcomes import (
+    Answered,
+    Failed,
+    FailureReason,
+    RefusalReason,
+    Refused,
+)
+from calicopath_core.structure.stages import StageKind
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from calicopath_core.execution.door import Door
+    from calicopath_core.execution.requests import PipelineRequest, TokenSink
+    from calicopath_core.store.claims import ClaimRegistry
+    from calicopath_core.structure.outcomes import Outcome
+    from calicopath_core.structure.stages import Plan
+
+T = TypeVar('T')
+
+STORE_RETRY_S = 2.0
+"""When to come back while the object store cannot be asked for a claim."""
+
+CLAIM_RETRY_S = 1.0
+"""When to ask again for the answer of a request that somebody else runs."""
+
+REASONS = {
+    FailureReason.OVERLOADED: RefusalReason.OVERLOADED,
+    FailureReason.NO_ENDPOINT: RefusalReason.NO_ENDPOINT,
+    FailureReason.ENDPOINT_FAILED: RefusalReason.NO_ENDPOINT,
+    FailureReason.DEADLINE_PASSED: RefusalReason.DEADLINE_PASSED,
+}
+"""How a stage's failure is called when nothing of the request ran."""
+
+
+class PipelineExecutor:
+    """Run a plan's stages in order under one deadline."""
+
+    def __init__(self, *, context: StageContext, door: Door, claims: ClaimRegistry) -> None:
+        self.context = context
+        self.door = door
+        self.claims = claims
+        self.calls = CallRunner(context=context)
+        self.generations = GenerationRunner(context=context)
+        self.late: set[asyncio.Task[Any]] = set()
+
+    async def run(self, request: PipelineRequest, plan: Plan, sink: TokenSink) -> Outcome:
+        """Return the request's one outcome; tokens go to `sink` as they come."""
+        run = Run(request=request, plan=plan, sink=sink)
+        outcome = await self.run_admitted(run)
+        took_s = self.context.clock.monotonic() - request.arrived
+        self.context.observer.on_outcome(plan, outcome, took_s, tuple(run.timings))
+        return outcome
+
+    async def run_admitted(self, run: Run) -> Outcome:
+        """Refuse at the door, or run with or without a claim."""
+        now = self.context.clock.monotonic()
+        refused = self.door.check(run.plan, run.request.priority, now, run.request.deadline)
+        if refused is not None:
+            return refused
+        if run.repeatable:
+            return await self.run_stages(run)
+        return await self.run_claimed(run)
+
+    async def run_claimed(self, run: Run) -> Outcome:
+        """Claim the request's key, run it, and keep its answer or give the key back."""
+        claimed = await self.claim(run)
+        if not isinstance(claimed, Granted):
+            return claimed
+        # Once claimed, the run goes on even if the caller hangs up: its answer is kept.
+        task = self.spawn(self.run_stages(run))
+        task.add_done_callback(lambda done: self.spawn(self.settle(run, claimed, done.result())))
+        return await asyncio.shield(task)
+
+    def spawn(self, work: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
+        """Run something to its end, whoever waits for it."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.late.add(task)
+        task.add_done_callback(self.late.discard)
+        return task
+
+    async def claim(self, run: Run) -> Granted | Outcome:
+        """Claim the key, or return the outcome of not getting it."""
+        request = run.request
+        if request.key is None:
+            return Refused(
+                RefusalReason.KEY_MISSING,
+                'a request that is not repeatable needs an idempotency key',
+                None,
+            )
+        try:
+            key = parse_key(
+                run.plan.workspace, run.plan.pipeline, request.key, self.context.clock.wall()
+            )
+        except InvalidKey as error:
+            return Refused(RefusalReason.KEY_INVALID, str(error), None)
+        left_s = request.deadline - self.context.clock.monotonic()
+        timeout_s = min(self.context.policy.claim_timeout_s, left_s)
+        try:
+            result = await self.claims.claim(key, request.body, timeout_s)
+        except StoreUnavailable as error:
+            return Refused(RefusalReason.STORE_UNAVAILABLE, str(error), STORE_RETRY_S)
+        if isinstance(result, Taken):
+            return taken_outcome(result.claim, run)
+        return result
+
+    async def settle(self, run: Run, granted: Granted, outcome: Outcome) -> None:
+        """Make the claim say what is known: the answer, that nothing happened, or neither."""
+        timeout_s = self.context.policy.claim_timeout_s
+        if not isinstance(outcome, Answered):
+            late = await self.late_answer(run)
+            outcome = late or outcome
+        with contextlib.suppress(StoreUnavailable):
+            if isinstance(outcome, Answered):
+                await self.claims.record(granted, answer_record(outcome), timeout_s)
+            elif run.unproved_effects == 0:
+                await self.claims.release(granted, timeout_s)
+
+    async def late_answer(self, run: Run) -> Answered | None:
+        """Wait for a last call that outlived the deadline, so that its answer can be kept."""
+        if run.late_call is None:
+            return None
+        try:
+            async with asyncio.timeout(self.context.policy.late_answer_s):
+                output = await run.late_call
+        except TimeoutError:
+            return None
+        except NotStarted:
+            run.unproved_effects -= 1
+            return None
+        except MayHaveRun:
+            return None
+        last = run.plan.stages[-1]
+        if len(run.timings) < len(run.plan.stages) - 1:
+            return None
+        run.take_output(last, output)
+        return whole_answer(run)
+
+    async def run_stages(self, run: Run) -> Outcome:
+        """Run the stages in order and turn what happens into an outcome."""
+        pools = {stage.name: self.context.pools.pool(stage.service) for stage in run.plan.stages}
+        run.expect_slots(dict(pools))
+        try:
+            async with asyncio.timeout_at(run.request.deadline):
+                for index, stage in enumerate(run.plan.stages):
+                    await self.run_stage(run, index, pools[stage.name].slowness())
+        except StageFailed as error:
+            return self.failure(run, error)
+        except TimeoutError:
+            passed = StageFailed(FailureReason.DEADLINE_PASSED, 'the deadline passed')
+            return self.failure(run, passed)
+        finally:
+            run.expect_no_more()
+        return whole_answer(run)
+
+    async def run_stage(self, run: Run, index: int, slowness: float) -> None:
+        """Run one stage within its share of the time left."""
+        budget = stage_budget(run, index, slowness)
+        if budget.stage.kind is StageKind.ENGINE:
+            await self.generations.run(run, budget)
+        else:
+            await self.calls.run(run, budget)
+
+    def failure(self, run: Run, error: StageFailed) -> Outcome:
+        """Refuse as not run only if every call that left is proved unstarted."""
+        if run.unproved_calls == 0 and error.reason in REASONS:
+            return Refused(REASONS[error.reason], error.detail, error.retry_after_s)
+        return Failed(error.reason, error.detail, error.retry_after_s, tuple(run.timings))
+
+
+def taken_outcome(claim: StoredClaim | None, run: Run) -> Outcome:
+    """Return what a second caller with the same key gets."""
+    if claim is None:
+        return Failed(
+            FailureReason.ALREADY_CLAIMED, 'the key is too old to tell whether it ran', None
+        )
+    if claim['body'] != run.request.body:
+        return Refused(
+            RefusalReason.KEY_REUSED, 'the key was used before with another request', None
+        )
+    if claim['state'] == ClaimState.STARTED:
+        return Failed(
+            FailureReason.ALREADY_CLAIMED, 'the request was started before', CLAIM_RETRY_S
+        )
+    answer = claim.get('answer')
+    if answer is None:
+        return Failed(
+            FailureReason.ANSWER_NOT_KEPT, 'the request ran; its answer was too large to keep', None
+        )
+    return Answered(
+        output=answer['output'],
+        results=answer['results'],
+        timings=(),
+        digest=answer['digest'],
+        replayed=True,
+    )
+
+
+def whole_answer(run: Run) -> Answered:
+    """Return the answer of a run whose stages have all been answered."""
+    return Answered(
+        output=run.input.get('output', ''),
+        results=run.input.get('results', {}),
+        timings=tuple(run.timings),
+        digest=run.plan.digest,
+    )
+
+
+def answer_record(answer: Answered) -> dict[str, Any]:
+    """Return the part of an answer that is kept with its claim."""
+    return {'output': answer.output, 'results': answer.results, 'digest': answer.digest}
--- /dev/null
+++ b/packages/core/calicopath_core/execution/run.py
@@ -0,0 +1,123 @@
+"""Hold the state of one request while its stages run."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from calicopath_core.exceptions import CalicopathError
+from calicopath_core.structure.calls import CallId, StageInput
+from calicopath_core.structure.stages import StageKind
+
+if TYPE_CHECKING:
+    import asyncio
+
+    from calicopath_core.execution.requests import PipelineRequest, TokenSink
+    from calicopath_core.routing.pools import ServicePool
+    from calicopath_core.structure.calls import StageOutput
+    from calicopath_core.structure.outcomes import FailureReason, StageTiming
+    from calicopath_core.structure.stages import Plan, StagePlan
+
+
+class StageFailed(CalicopathError):
+    """Report that a stage gave no answer and will not be tried again."""
+
+    def __init__(
+        self, reason: FailureReason, detail: str, *, retry_after_s: float | None = None
+    ) -> None:
+        super().__init__(detail)
+        self.reason = reason
+        self.detail = detail
+        self.retry_after_s = retry_after_s
+
+
+class Run:
+    """Follow a request through its stages.
+
+    `unproved_calls` counts the calls that left the box and are not proved unstarted: only
+    while it is zero may the request be refused as not run. `unproved_effects` counts those of
+    them that must not happen twice. `late_call` is such a call that outlives the deadline.
+    """
+
+    def __init__(self, *, request: PipelineRequest, plan: Plan, sink: TokenSink) -> None:
+        self.request = request
+        self.plan = plan
+        self.sink = sink
+        self.input = StageInput(text=request.text)
+        self.timings: list[StageTiming] = []
+        self.unproved_calls = 0
+        self.unproved_effects = 0
+        self.attempts = 0
+        self.first_token_at: float | None = None
+        self.late_call: asyncio.Task[StageOutput] | None = None
+        self.pending: dict[str, ServicePool] = {}
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether the whole request may be run again."""
+        return self.request.repeatable and self.plan.repeatable
+
+    def single_shot(self, stage: StagePlan) -> bool:
+        """Tell whether a stage must not be called again once a call may have run.
+
+        In a request marked not repeatable these are the calls of plain services, which have
+        effects outside; where the plan has none, they are all its calls.
+        """
+        if not stage.repeatable:
+            return True
+        if self.request.repeatable:
+            return False
+        return stage.kind is StageKind.SERVICE or not self.calls_services
+
+    @property
+    def calls_services(self) -> bool:
+        """Tell whether any stage calls a plain service."""
+        return any(stage.kind is StageKind.SERVICE for stage in self.plan.stages)
+
+    def next_call(self, stage: StagePlan) -> CallId:
+        """Return a fresh identity for a call."""
+        self.attempts += 1
+        return CallId(self.request.id, stage.name, self.attempts)
+
+    def on_sent(self, stage: StagePlan) -> None:
+        """Note that a call is about to leave the box."""
+        self.unproved_calls += 1
+        self.unproved_effects += self.single_shot(stage)
+
+    def on_not_started(self, stage: StagePlan) -> None:
+        """Note that a call is proved not to have started."""
+        self.unproved_calls -= 1
+        self.unproved_effects -= self.single_shot(stage)
+
+    def expect_slots(self, pools: dict[str, ServicePool]) -> None:
+        """Count this request, by stage name, among those that will ask the pools for slots."""
+        self.pending = pools
+        for pool in pools.values():
+            pool.expect(self.request.priority)
+
+    def got_slot(self, stage: StagePlan) -> None:
+        """Count this request out of those that a stage's pool still expects."""
+        pool = self.pending.pop(stage.name, None)
+        if pool is not None:
+            pool.unexpect(self.request.priority)
+
+    def expect_no_more(self) -> None:
+        """Count this request out of every pool that still expects it."""
+        for stage in self.plan.stages:
+            self.got_slot(stage)
+
+    def finish_stage(self, stage: StagePlan, output: StageOutput, timing: StageTiming) -> None:
+        """Hand a stage's output on to the next stages."""
+        self.timings.append(timing)
+        self.take_output(stage, output)
+
+    def take_output(self, stage: StagePlan, output: StageOutput) -> None:
+        """Merge a stage's output into the input of the next ones."""
+        if 'vector' in output:
+            self.input['vector'] = output['vector']
+        if 'documents' in output:
+            self.input['documents'] = output['documents']
+        if 'output' in output:
+            self.input['output'] = output['output']
+        if 'result' in output:
+            results = self.input.get('results', {})
+            self.input['results'] = {**results, stage.name: output['result']}
--- /dev/null
+++ b/packages/core/calicopath_core/limits/queue.py
@@ -0,0 +1,122 @@
+"""Order the calls that wait for an endpoint."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+if TYPE_CHECKING:
+    import asyncio
+    from collections.abc import Iterator
+
+
+class Waiter:
+    """Wait for a slot; `deadline` is on the monotonic clock, in seconds."""
+
+    def __init__(
+        self,
+        *,
+        workspace: str,
+        priority: int,
+        deadline: float,
+        future: asyncio.Future[Any],
+    ) -> None:
+        self.workspace = workspace
+        self.priority = priority
+        self.deadline = deadline
+        self.future = future
+
+    @property
+    def live(self) -> bool:
+        """Tell whether somebody still waits."""
+        return not self.future.done()
+
+
+class QueuedWaiter(NamedTuple):
+    """Order waiters of one workspace by deadline, then by arrival."""
+
+    deadline: float
+    number: int
+    waiter: Waiter
+
+
+class PriorityClass:
+    """Share slots between the workspaces of one priority by start-time fair queueing.
+
+    Each workspace has a virtual time that grows by one for every slot it gets; the workspace
+    with the least goes first. One that was idle starts at the class's current time, so that it
+    cannot save up slots.
+    """
+
+    def __init__(self) -> None:
+        self.queues: dict[str, list[QueuedWaiter]] = {}
+        self.virtual_times: dict[str, float] = {}
+        self.now = 0.0
+
+    def push(self, item: QueuedWaiter) -> None:
+        """Queue a waiter behind its workspace's earlier deadlines."""
+        workspace = item.waiter.workspace
+        if workspace not in self.queues:
+            self.queues[workspace] = []
+            self.virtual_times[workspace] = max(self.now, self.virtual_times.get(workspace, 0.0))
+        heapq.heappush(self.queues[workspace], item)
+
+    def pop(self) -> Waiter | None:
+        """Return the next waiter still alive, or nothing."""
+        while self.queues:
+            workspace = min(self.queues, key=lambda name: (self.virtual_times[name], name))
+            queue = self.queues[workspace]
+            waiter = heapq.heappop(queue).waiter
+            if not queue:
+                del self.queues[workspace]
+            if waiter.live:
+                self.now = self.virtual_times[workspace]
+                self.virtual_times[workspace] += 1.0
+                self.forget_idle()
+                return waiter
+        return None
+
+    def forget_idle(self) -> None:
+        """Drop idle workspaces whose virtual time has been passed."""
+        for name in list(self.virtual_times):
+            if name not in self.queues and self.virtual_times[name] <= self.now:
+                del self.virtual_times[name]
+
+    def waiters(self) -> Iterator[Waiter]:
+        """Yield the live waiters in no particular order."""
+        for queue in self.queues.values():
+            for item in queue:
+                if item.waiter.live:
+                    yield item.waiter
+
+
+class FairPriorityQueue:
+    """Serve higher priorities first, workspaces of a priority evenly, then early deadlines."""
+
+    def __init__(self) -> None:
+        self.classes: dict[int, PriorityClass] = {}
+        self.numbers = itertools.count()
+
+    def push(self, waiter: Waiter) -> None:
+        """Queue a waiter."""
+        group = self.classes.setdefault(waiter.priority, PriorityClass())
+        group.push(QueuedWaiter(waiter.deadline, next(self.numbers), waiter))
+
+    def pop(self) -> Waiter | None:
+        """Return the next waiter still alive, or nothing."""
+        for priority in sorted(self.classes, reverse=True):
+            waiter = self.classes[priority].pop()
+            if waiter is not None:
+                return waiter
+        return None
+
+    def ahead_of(self, priority: int) -> int:
+        """Count the live waiters that a newcomer of `priority` would queue behind."""
+        return sum(
+            1 for level, group in self.classes.items() if level >= priority for _ in group.waiters()
+        )
+
+    def __len__(self) -> int:
+        """Count the live waiters."""
+        return self.ahead_of(-1)
--- /dev/null
+++ b/packages/core/calicopath_core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choose endpoints."""
--- /dev/null
+++ b/packages/core/calicopath_core/routing/pools.py
@@ -0,0 +1,310 @@
+"""Hand out the slots of one service's endpoints."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from typing import TYPE_CHECKING, NamedTuple
+
+from calicopath_core.exceptions import CalicopathError
+from calicopath_core.limits.queue import FairPriorityQueue, Waiter
+from calicopath_core.routing.outliers import may_eject
+from calicopath_core.routing.replicas import Replica
+from calicopath_core.routing.selectors import Choice
+from calicopath_core.structure.endpoints import Endpoint, EndpointState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from calicopath_core.clock import Clock
+    from calicopath_core.limits.concurrency import ConcurrencyLimit
+    from calicopath_core.routing.selectors import Selector
+
+AVERAGE_WEIGHT = 0.05
+MIN_RETRY_AFTER_S = 0.1
+MAX_QUEUED = 10_000
+
+
+class PoolError(CalicopathError):
+    """Report that a call got no slot; it never left the box."""
+
+
+class NoEndpoint(PoolError):
+    """Report that a service has no active endpoint."""
+
+
+class NoRoom(PoolError):
+    """Report that no slot came free in time; `retry_after_s` says when one should."""
+
+    def __init__(self, message: str, *, retry_after_s: float) -> None:
+        super().__init__(message)
+        self.retry_after_s = retry_after_s
+
+
+class Ticket(NamedTuple):
+    """Ask for a slot; times are on the monotonic clock, in seconds.
+
+    `latest_start` is the time after which starting is no use. Endpoints in `exclude` are
+    taken only when there are no others.
+    """
+
+    workspace: str
+    priority: int
+    deadline: float
+    latest_start: float
+    expected_s: float
+    exclude: frozenset[str] = frozenset()
+    affinity: str | None = None
+
+
+class Slot:
+    """Hold a place at one endpoint until one of the ending methods is called."""
+
+    def __init__(
+        self, *, pool: ServicePool, replica: Replica, expected_s: float, queued_s: float
+    ) -> None:
+        self.pool = pool
+        self.replica = replica
+        self.expected_s = expected_s
+        self.queued_s = queued_s
+
+    @property
+    def endpoint(self) -> Endpoint:
+        """Return the endpoint to call."""
+        return self.replica.endpoint
+
+    def answered(self, *, first_response_s: float, served_s: float) -> None:
+        """Give the place back after an answer."""
+        self.replica.health.on_success()
+        self.replica.on_answer(
+            first_response_s=first_response_s, served_s=served_s, expected_s=self.expected_s
+        )
+        self.pool.learn(served_s)
+        self.pool.release(self.replica)
+
+    def failed(self) -> None:
+        """Give the place back after the endpoint failed."""
+        self.pool.note_failure(self.replica)
+        self.pool.release(self.replica)
+
+    def declined(self) -> None:
+        """Give the place back after the endpoint said that it is full."""
+        self.replica.limit.on_overload()
+        self.replica.health.on_neutral()
+        self.pool.release(self.replica)
+
+    def abandoned(self) -> None:
+        """Give the place back when nothing was learnt about the endpoint."""
+        self.replica.health.on_neutral()
+        self.pool.release(self.replica)
+
+
+class ServicePool:
+    """Give slots to calls: by choice while there is room, in order of the queue otherwise."""
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        clock: Clock,
+        selector: Selector,
+        new_limit: Callable[[Endpoint], ConcurrencyLimit],
+    ) -> None:
+        self.service = service
+        self.clock = clock
+        self.selector = selector
+        self.new_limit = new_limit
+        self.replicas: dict[str, Replica] = {}
+        self.queue = FairPriorityQueue()
+        self.pending: Counter[int] = Counter()
+        self.served_s: float | None = None
+        self.ejections = 0
+
+    def update(self, endpoints: Iterable[Endpoint]) -> None:
+        """Take over the endpoints that configuration gives; calls in flight go on."""
+        wanted = {endpoint.name: endpoint for endpoint in endpoints}
+        for name in list(self.replicas):
+            if name not in wanted:
+                self.remove(name)
+        for name, endpoint in wanted.items():
+            replica = self.replicas.get(name)
+            if replica is None or replica.endpoint.address != endpoint.address:
+                self.replicas[name] = Replica(endpoint=endpoint, limit=self.new_limit(endpoint))
+            else:
+                replica.endpoint = endpoint
+        self.pump()
+
+    def remove(self, name: str) -> None:
+        """Take an endpoint out; its slots still end as usual."""
+        replica = self.replicas.pop(name)
+        replica.endpoint = replica.endpoint._replace(state=EndpointState.STOPPED)
+
+    def active(self) -> list[Replica]:
+        """Return the endpoints that may get new work."""
+        return [
+            replica
+            for replica in self.replicas.values()
+            if replica.endpoint.state is EndpointState.ACTIVE
+        ]
+
+    def candidates(self) -> list[Replica]:
+        """Return the active endpoints that are healthy, or all of them if none is."""
+        now = self.clock.monotonic()
+        active = self.active()
+        healthy = [replica for replica in active if not replica.health.is_ejected(now)]
+        return healthy or active
+
+    async def acquire(self, ticket: Ticket) -> Slot:
+        """Return a slot; raise `NoEndpoint` or `NoRoom` at once when there will be none."""
+        asked = self.clock.monotonic()
+        if not self.active():
+            raise NoEndpoint(f'service {self.service!r} has no active endpoint')
+        if asked > ticket.latest_start:
+            raise self.no_room(ticket.priority)
+        if not self.queue.ahead_of(ticket.priority):
+            replica = self.choose(ticket)
+            if replica is not None:
+                return self.take(replica, ticket, queued_s=0.0)
+        replica = await self.wait_in_queue(ticket)
+        return Slot(
+            pool=self,
+            replica=replica,
+            expected_s=ticket.expected_s,
+            queued_s=self.clock.monotonic() - asked,
+        )
+
+    async def wait_in_queue(self, ticket: Ticket) -> Replica:
+        """Wait until `pump` gives us an endpoint."""
+        if len(self.queue) >= MAX_QUEUED:
+            raise self.no_room(ticket.priority)
+        future: asyncio.Future[Replica] = asyncio.get_running_loop().create_future()
+        self.queue.push(QueuedCall(ticket=ticket, future=future))
+        self.pump()
+        try:
+            async with asyncio.timeout_at(ticket.latest_start):
+                return await future
+        except TimeoutError:
+            self.give_back(future)
+            raise self.no_room(ticket.priority) from None
+        except asyncio.CancelledError:
+            self.give_back(future)
+            raise
+
+    def give_back(self, future: asyncio.Future[Replica]) -> None:
+        """Release a place that was handed out just as its waiter gave up."""
+        if future.done() and not future.cancelled() and future.exception() is None:
+            replica = future.result()
+            replica.health.on_neutral()
+            self.release(replica)
+
+    def choose(self, ticket: Ticket) -> Replica | None:
+        """Return the endpoint for a call, or nothing if none has room."""
+        with_room = [replica for replica in self.candidates() if replica.has_room()]
+        preferred = [replica for replica in with_room if replica.name not in ticket.exclude]
+        if not with_room:
+            return None
+        choice = Choice(now=self.clock.monotonic(), affinity=ticket.affinity)
+        return self.selector.choose(preferred or with_room, choice)
+
+    def take(self, replica: Replica, ticket: Ticket, queued_s: float) -> Slot:
+        """Occupy a place."""
+        self.occupy(replica)
+        return Slot(pool=self, replica=replica, expected_s=ticket.expected_s, queued_s=queued_s)
+
+    def occupy(self, replica: Replica) -> None:
+        """Count a call in flight."""
+        replica.in_flight += 1
+        replica.health.on_chosen()
+
+    def release(self, replica: Replica) -> None:
+        """Count a call out and serve whoever waits."""
+        replica.in_flight -= 1
+        self.pump()
+
+    def pump(self) -> None:
+        """Hand free places to the waiters, in the queue's order."""
+        if not self.active():
+            self.fail_waiters()
+            return
+        while any(replica.has_room() for replica in self.candidates()):
+            waiter = self.queue.pop()
+            if waiter is None:
+                return
+            assert isinstance(waiter, QueuedCall)
+            replica = self.choose(waiter.ticket)
+            assert replica is not None
+            self.occupy(replica)
+            waiter.future.set_result(replica)
+
+    def fail_waiters(self) -> None:
+        """Tell every waiter that no endpoint is left."""
+        while (waiter := self.queue.pop()) is not None:
+            error = NoEndpoint(f'service {self.service!r} has no active endpoint')
+            waiter.future.set_exception(error)
+
+    def note_failure(self, replica: Replica) -> None:
+        """Count a failure, and eject the endpoint if that is due and allowed."""
+        now = self.clock.monotonic()
+        active = self.active()
+        ejected = sum(other.health.ejected_until is not None for other in active)
+        allowed = may_eject(len(active), ejected)
+        if replica.health.on_failure(now, may_eject=allowed):
+            self.ejections += 1
+
+    def learn(self, served_s: float) -> None:
+        """Keep the average time that a call takes."""
+        if self.served_s is None:
+            self.served_s = served_s
+        self.served_s += (served_s - self.served_s) * AVERAGE_WEIGHT
+
+    def slowness(self) -> float:
+        """Return how many times longer than expected a call takes, by the median endpoint."""
+        values = sorted(replica.slowness for replica in self.candidates())
+        return values[len(values) // 2] if values else 1.0
+
+    def rate(self) -> float:
+        """Estimate the calls a second that this box gets answered (Little's law)."""
+        places = sum(replica.limit.value for replica in self.candidates())
+        if not self.served_s:
+            return float('inf')
+        return places / self.served_s
+
+    def free_places(self) -> int:
+        """Count the places free now."""
+        return sum(max(0, replica.limit.value - replica.in_flight) for replica in self.candidates())
+
+    def expect(self, priority: int) -> None:
+        """Count an admitted request that will ask for a slot."""
+        self.pending[priority] += 1
+
+    def unexpect(self, priority: int) -> None:
+        """Count off a request that got its slot, or never will."""
+        self.pending[priority] -= 1
+
+    def wait_estimate(self, priority: int) -> float:
+        """Estimate the seconds that a new request of `priority` will wait for a slot."""
+        ahead = sum(count for level, count in self.pending.items() if level >= priority)
+        waiting = ahead + 1 - self.free_places()
+        if waiting <= 0:
+            return 0.0
+        return waiting / self.rate()
+
+    def no_room(self, priority: int) -> NoRoom:
+        """Return the error for a call that cannot start in time."""
+        return NoRoom(
+            f'no endpoint of service {self.service!r} comes free in time',
+            retry_after_s=max(MIN_RETRY_AFTER_S, self.wait_estimate(priority)),
+        )
+
+
+class QueuedCall(Waiter):
+    """Wait for an endpoint with everything that the choice needs."""
+
+    def __init__(self, *, ticket: Ticket, future: asyncio.Future[Replica]) -> None:
+        super().__init__(
+            workspace=ticket.workspace,
+            priority=ticket.priority,
+            deadline=ticket.deadline,
+            future=future,
+        )
+        self.ticket = ticket
--- /dev/null
+++ b/packages/core/calicopath_core/store/feed.py
@@ -0,0 +1,82 @@
+"""Keep a box's view up with the platform, whatever its watch does."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+from calicopath_core.store.base import StoreError
+from calicopath_core.store.records import view_update
+from calicopath_core.structure.keys import CONFIG_PREFIX
+
+if TYPE_CHECKING:
+    from calicopath_core.clock import Clock
+    from calicopath_core.store.base import ObjectStore
+    from calicopath_core.store.view import ConfigView
+
+RELIST_S = 2.0
+"""How often the whole configuration is read again, which heals a watch that ended silently."""
+
+RETRY_S = 0.5
+"""How long to wait after the store failed."""
+
+
+class StoreFeed:
+    """Watch the configuration and read it whole from time to time.
+
+    The view takes only newer versions, so duplicates and crossed events do no harm.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: ObjectStore,
+        view: ConfigView,
+        clock: Clock,
+        relist_s: float = RELIST_S,
+        retry_s: float = RETRY_S,
+    ) -> None:
+        self.store = store
+        self.view = view
+        self.clock = clock
+        self.relist_s = relist_s
+        self.retry_s = retry_s
+        self.last_contact: float | None = None
+        self.healed = 0
+
+    @property
+    def synced(self) -> bool:
+        """Tell whether the view was read whole at least once."""
+        return self.last_contact is not None
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.follow())
+            group.create_task(self.relist_often())
+
+    async def follow(self) -> None:
+        """Apply watch events, starting a new watch whenever one ends."""
+        while True:
+            with contextlib.suppress(StoreError):
+                async for stored in self.store.watch(CONFIG_PREFIX):
+                    self.view.apply(view_update(stored))
+            await asyncio.sleep(self.retry_s)
+
+    async def relist_often(self) -> None:
+        """Read the whole configuration again and again."""
+        while True:
+            try:
+                await self.relist()
+            except StoreError:
+                await asyncio.sleep(self.retry_s)
+                continue
+            await asyncio.sleep(self.relist_s)
+
+    async def relist(self) -> None:
+        """Read the whole configuration once and count what the watch had missed."""
+        asked = self.clock.monotonic()
+        objects = await self.store.list(CONFIG_PREFIX)
+        self.healed += self.view.apply_all(view_update(stored) for stored in objects)
+        self.last_contact = asked
--- /dev/null
+++ b/packages/core/calicopath_core/store/view.py
@@ -0,0 +1,157 @@
+"""Hold the configuration in force on one box."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING, Any, NamedTuple, TypeVar
+
+from returns.result import Failure, Result, Success
+
+from calicopath_core.config.parsers import parse_endpoint, parse_pipeline, parse_template
+from calicopath_core.config.plans import resolve_plan
+from calicopath_core.config.problems import Problem
+from calicopath_core.structure.keys import (
+    ENDPOINT_PREFIX,
+    PIPELINE_PREFIX,
+    TEMPLATE_PREFIX,
+    pipeline_key,
+    template_key,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from calicopath_core.structure.endpoints import Endpoint
+    from calicopath_core.structure.stages import PipelineSpec, Plan, Template
+
+DIGEST_BYTES = 8
+
+T = TypeVar('T')
+
+
+class ViewEntry(NamedTuple):
+    """Hold one object's version and content; `spec` is empty for a tombstone."""
+
+    version: int
+    spec: dict[str, Any] | None
+
+
+class ViewUpdate(NamedTuple):
+    """Carry one object between boxes, or from the store to a box."""
+
+    key: str
+    version: int
+    spec: dict[str, Any] | None
+
+
+class PlanKey(NamedTuple):
+    """Identify a resolved plan by the versions it was made from."""
+
+    pipeline_version: int
+    template_version: int
+
+
+def entry_hash(key: str, version: int) -> int:
+    """Return the number that an entry adds to the view's digest."""
+    digest = hashlib.blake2b(f'{key}@{version}'.encode(), digest_size=DIGEST_BYTES)
+    return int.from_bytes(digest.digest(), 'big')
+
+
+class ConfigView:
+    """Apply each object only if it is newer than the one held, so that nothing reverts.
+
+    Tombstones stay, so that an old copy cannot bring a deleted object back. Two views with
+    equal digests hold the same versions of the same keys.
+    """
+
+    def __init__(self) -> None:
+        self.entries: dict[str, ViewEntry] = {}
+        self.digest = 0
+        self.endpoints: dict[str, Endpoint] = {}
+        self.templates: dict[str, Template] = {}
+        self.pipelines: dict[str, PipelineSpec] = {}
+        self.problems: dict[str, list[Problem]] = {}
+        self.plans: dict[str, tuple[PlanKey, Result[Plan, list[Problem]]]] = {}
+        self.listeners: list[Callable[[list[ViewUpdate]], None]] = []
+
+    def version(self, key: str) -> int:
+        """Return the version held of `key`, 0 if none."""
+        entry = self.entries.get(key)
+        return entry.version if entry else 0
+
+    def apply(self, update: ViewUpdate) -> bool:
+        """Take a newer object in; return whether it was newer."""
+        return self.apply_all([update]) == 1
+
+    def apply_all(self, updates: Iterable[ViewUpdate]) -> int:
+        """Take newer objects in, tell the listeners once, and return how many were newer."""
+        newer = [update for update in updates if self.take(update)]
+        if newer:
+            for listener in self.listeners:
+                listener(newer)
+        return len(newer)
+
+    def take(self, update: ViewUpdate) -> bool:
+        """Put one object in place if it is newer than the one held."""
+        held = self.version(update.key)
+        if update.version <= held:
+            return False
+        if held:
+            self.digest ^= entry_hash(update.key, held)
+        self.digest ^= entry_hash(update.key, update.version)
+        self.entries[update.key] = ViewEntry(update.version, update.spec)
+        self.parse(update.key, update.spec)
+        return True
+
+    def parse(self, key: str, spec: dict[str, Any] | None) -> None:
+        """Keep the typed form of an object; one that does not parse counts as absent."""
+        self.problems.pop(key, None)
+        if key.startswith(ENDPOINT_PREFIX):
+            self.keep(self.endpoints, key, spec, parse_endpoint)
+        elif key.startswith(TEMPLATE_PREFIX):
+            self.keep(self.templates, key, spec, parse_template)
+        elif key.startswith(PIPELINE_PREFIX):
+            self.plans.pop(key, None)
+            self.keep(self.pipelines, key, spec, parse_pipeline)
+
+    def keep(
+        self,
+        table: dict[str, T],
+        key: str,
+        spec: dict[str, Any] | None,
+        parser: Callable[[Any, str], Result[T, list[Problem]]],
+    ) -> None:
+        """Put a parsed object into its table, or take it out."""
+        table.pop(key, None)
+        if spec is None:
+            return
+        result = parser(spec, key)
+        if isinstance(result, Success):
+            table[key] = result.unwrap()
+        else:
+            self.problems[key] = result.failure()
+
+    def plan(self, workspace: str, name: str) -> Result[Plan, list[Problem]] | None:
+        """Return the plan of a pipeline, why it has none, or nothing if it is unknown."""
+        key = pipeline_key(workspace, name)
+        spec = self.pipelines.get(key)
+        if spec is None:
+            return None
+        versions = PlanKey(self.version(key), self.version(template_key(spec.template)))
+        cached = self.plans.get(key)
+        if cached and cached[0] == versions:
+            return cached[1]
+        result = self.make_plan(key, spec)
+        self.plans[key] = (versions, result)
+        return result
+
+    def make_plan(self, key: str, spec: PipelineSpec) -> Result[Plan, list[Problem]]:
+        """Fill the template that a pipeline names."""
+        template = self.templates.get(template_key(spec.template))
+        if template is None:
+            return Failure([Problem(key, 'template', f'unknown template {spec.template!r}')])
+        return resolve_plan(spec, template, key)
+
+    def knows_workspace(self, workspace: str) -> bool:
+        """Tell whether any pipeline belongs to `workspace`."""
+        return any(spec.workspace == workspace for spec in self.pipelines.values())
--- /dev/null
+++ b/packages/core/calicopath_core/structure/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the typed data that the rest of the system passes around."""
--- /dev/null
+++ b/packages/core/calicopath_core/structure/endpoints.py
@@ -0,0 +1,29 @@
+"""Describe the endpoints that answer stage calls."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from calicopath_core.structure.stages import StageKind
+
+
+class EndpointState(enum.StrEnum):
+    """Say what an operator wants of an endpoint."""
+
+    ACTIVE = 'active'
+    DRAINING = 'draining'
+    STOPPED = 'stopped'
+
+
+class Endpoint(NamedTuple):
+    """Describe one replica; `concurrency` is the number of calls it serves at once."""
+
+    name: str
+    service: str
+    kind: StageKind
+    address: str
+    failure_domain: str
+    concurrency: int
+    state: EndpointState = EndpointState.ACTIVE
--- /dev/null
+++ b/packages/daemon/calicopathd/box/__init__.py
@@ -0,0 +1,1 @@
+"""Put the parts of one box together."""
--- /dev/null
+++ b/packages/daemon/calicopathd/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Carry out the daemon's commands."""
--- /dev/null
+++ b/packages/daemon/calicopathd/config/__init__.py
@@ -0,0 +1,1 @@
+"""Check the daemon's settings."""
--- /dev/null
+++ b/packages/daemon/calicopathd/exceptions.py
@@ -0,0 +1,23 @@
+"""Define the errors of the daemon."""
+
+from __future__ import annotations
+
+from calicopath_core.exceptions import CalicopathError
+
+
+class SettingsError(CalicopathError):
+    """Report every setting that is wrong; each line of the message is one problem."""
+
+
+class StartError(CalicopathError):
+    """Report that the daemon cannot start."""
+
+
+class BadRequest(CalicopathError):
+    """Report a request that cannot be understood; nothing of it ran."""
+
+    def __init__(self, status: int, title: str, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
+        self.title = title
+        self.detail = detail
--- /dev/null
+++ b/packages/daemon/calicopathd/http/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers, operators' tools and monitoring over HTTP."""
--- /dev/null
+++ b/packages/daemon/calicopathd/http/parsing.py
@@ -0,0 +1,107 @@
+"""Read callers' requests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import msgspec
+
+from calicopath_core.config.parsers import MAX_DEADLINE_MS, MAX_PRIORITY
+from calicopath_core.execution.requests import PipelineRequest
+from calicopath_core.store.claims import body_digest
+from calicopathd.exceptions import BadRequest
+
+if TYPE_CHECKING:
+    from typing import Any
+
+    from calicopath_core.structure.outcomes import Answered
+    from calicopath_core.structure.stages import Plan
+
+STATUS_BAD_REQUEST = 400
+MAX_INPUT_CHARACTERS = 200_000
+MAX_KEY_CHARACTERS = 64
+KEY_HEADER = 'Idempotency-Key'
+
+
+class RequestBody(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Declare the JSON body of a request; see `docs/user-guide/callers.md`."""
+
+    input: str
+    deadline_ms: int | None = None
+    priority: int | None = None
+    repeatable: bool = True
+    stream: bool = False
+
+
+class Arrival(NamedTuple):
+    """Hold when and as what a request arrived; `at` is on the monotonic clock."""
+
+    request_id: str
+    at: float
+    key: str | None
+
+
+def parse_body(data: bytes) -> RequestBody:
+    """Read and check a body; raise `BadRequest`."""
+    try:
+        body = msgspec.json.decode(data, type=RequestBody)
+    except msgspec.MsgspecError as error:
+        raise BadRequest(STATUS_BAD_REQUEST, 'malformed body', str(error)) from error
+    problems = body_problems(body)
+    if problems:
+        raise BadRequest(STATUS_BAD_REQUEST, 'malformed body', '; '.join(problems))
+    return body
+
+
+def body_problems(body: RequestBody) -> list[str]:
+    """Return everything that is wrong with the values of a body."""
+    problems = []
+    if not body.input or len(body.input) > MAX_INPUT_CHARACTERS:
+        problems.append(f'input must have 1 to {MAX_INPUT_CHARACTERS} characters')
+    if body.deadline_ms is not None and body.deadline_ms > MAX_DEADLINE_MS:
+        problems.append(f'deadline_ms must be at most {MAX_DEADLINE_MS}')
+    if body.priority is not None and not 0 <= body.priority <= MAX_PRIORITY:
+        problems.append(f'priority must be between 0 and {MAX_PRIORITY}')
+    return problems
+
+
+def pipeline_request(body: RequestBody, plan: Plan, arrival: Arrival) -> PipelineRequest:
+    """Return a request with what its pipeline gives; callers may lower the priority only."""
+    deadline_s = plan.deadline_s
+    if body.deadline_ms is not None:
+        deadline_s = body.deadline_ms / 1000
+    priority = plan.priority
+    if body.priority is not None:
+        priority = min(priority, body.priority)
+    same = [plan.workspace, plan.pipeline, body.input, body.repeatable]
+    return PipelineRequest(
+        id=arrival.request_id,
+        text=body.input,
+        arrived=arrival.at,
+        deadline=arrival.at + deadline_s,
+        priority=priority,
+        repeatable=body.repeatable,
+        key=arrival.key,
+        body=body_digest(msgspec.json.encode(same)),
+    )
+
+
+def answer_body(answer: Answered, request_id: str) -> dict[str, Any]:
+    """Return the JSON form of a whole answer."""
+    return {
+        'request_id': request_id,
+        'output': answer.output,
+        'results': answer.results,
+        'replayed': answer.replayed,
+        'config_digest': answer.digest,
+        'stages': [
+            {
+                'stage': timing.stage,
+                'endpoint': timing.endpoint,
+                'attempts': timing.attempts,
+                'queued_ms': round(timing.queued_s * 1000, 1),
+                'served_ms': round(timing.served_s * 1000, 1),
+            }
+            for timing in answer.timings
+        ],
+    }
--- /dev/null
+++ b/packages/daemon/calicopathd/metrics.py
@@ -0,0 +1,87 @@
+"""Count what the daemon does, for Prometheus."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+from calicopath_core.execution.requests import CallResult, Observer
+
+if TYPE_CHECKING:
+    from calicopath_core.structure.outcomes import Outcome, StageTiming
+    from calicopath_core.structure.stages import Plan, StagePlan
+
+LATENCY_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0]
+
+OUTCOME_LABELS = {'Answered': 'answered', 'Refused': 'refused', 'Failed': 'failed'}
+
+
+class Metrics(Observer):
+    """Hold the metrics; labels are stages, services and outcomes, never workspaces or callers."""
+
+    def __init__(self, *, box: str) -> None:
+        self.registry = Registry()
+        const = {'box': box}
+        self.requests = Counter(
+            'calicopath_requests_total', 'Requests by outcome and reason.', const, self.registry
+        )
+        self.request_seconds = Histogram(
+            'calicopath_request_seconds',
+            'Time from arrival to the final answer.',
+            const,
+            self.registry,
+            buckets=LATENCY_BUCKETS,
+        )
+        self.first_token_seconds = Histogram(
+            'calicopath_first_token_seconds',
+            'Time from arrival to the first token.',
+            const,
+            self.registry,
+            buckets=LATENCY_BUCKETS,
+        )
+        self.calls = Counter(
+            'calicopath_calls_total',
+            'Calls to endpoints by service and result.',
+            const,
+            self.registry,
+        )
+        self.call_seconds = Counter(
+            'calicopath_call_seconds_total',
+            'Time that endpoints spent on calls, by service and result.',
+            const,
+            self.registry,
+        )
+        self.state = Gauge(
+            'calicopath_state', 'State of the box, by what is counted.', const, self.registry
+        )
+        self.calls_without_answer = 0
+
+    def on_call(self, stage: StagePlan, endpoint: str, served_s: float, result: CallResult) -> None:
+        """Note one call to an endpoint."""
+        labels = {'service': stage.service, 'result': result.value}
+        self.calls.inc(labels)
+        self.call_seconds.add(labels, served_s)
+
+    def on_first_token(self, plan: Plan, after_s: float) -> None:
+        """Note the time to the first token."""
+        self.first_token_seconds.observe({}, after_s)
+
+    def on_outcome(
+        self, plan: Plan, outcome: Outcome, took_s: float, timings: tuple[StageTiming, ...]
+    ) -> None:
+        """Note how a request ended."""
+        name = type(outcome).__name__
+        reason = getattr(outcome, 'reason', None)
+        self.requests.inc({'outcome': OUTCOME_LABELS[name], 'reason': reason or ''})
+        self.request_seconds.observe({'outcome': OUTCOME_LABELS[name]}, took_s)
+
+    def set_state(self, **values: float) -> None:
+        """Set figures of the box's state."""
+        for name, value in values.items():
+            self.state.set({'of': name}, value)
+
+    def render(self) -> tuple[bytes, dict[str, Any]]:
+        """Return the text form and its headers."""
+        return render(self.registry, ['text/plain'])
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,176 @@
+"""Stand in for the platform: object API with versions and watches, box list, faults.
+
+Faults are set by `POST /admin/faults`: `down` refuses everything, `slow_s` delays each answer,
+`lose_answers` closes the connection after a write took effect, `silent_watches` stops sending
+events without ending the watch.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from aiohttp import web
+
+from standins.common import json_response, new_app, parser, read_json, run
+
+if TYPE_CHECKING:
+    import argparse
+
+KEEP_ALIVE_S = 5.0
+
+
+class Faults:
+    """Hold the faults that are switched on."""
+
+    def __init__(self) -> None:
+        self.down = False
+        self.slow_s = 0.0
+        self.lose_answers = 0
+        self.silent_watches = False
+
+
+class PlatformStandIn:
+    """Keep objects in memory, with one version sequence for all keys."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, dict[str, Any]] = {}
+        self.version = 0
+        self.boxes: dict[str, dict[str, Any]] = {}
+        self.faults = Faults()
+        self.counts: Counter[str] = Counter()
+        self.watchers: dict[asyncio.Queue[dict[str, Any]], str] = {}
+
+    def app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = new_app()
+        app.router.add_get('/v1/objects', self.list)
+        app.router.add_get('/v1/objects/{key:.+}', self.get)
+        app.router.add_put('/v1/objects/{key:.+}', self.put)
+        app.router.add_get('/v1/watch', self.watch)
+        app.router.add_get('/v1/boxes', self.list_boxes)
+        app.router.add_put('/admin/boxes/{name}', self.put_box)
+        app.router.add_delete('/admin/boxes/{name}', self.delete_box)
+        app.router.add_post('/admin/faults', self.set_faults)
+        app.router.add_get('/admin/counts', self.get_counts)
+        return app
+
+    async def fault(self, request: web.Request, kind: str) -> None:
+        """Count a call and apply the faults that come before any effect."""
+        self.counts[kind] += 1
+        if self.faults.slow_s:
+            await asyncio.sleep(self.faults.slow_s)
+        if self.faults.down:
+            self.cut(request)
+
+    def cut(self, request: web.Request) -> None:
+        """Close the caller's connection without an answer."""
+        if request.transport is not None:
+            request.transport.close()
+        raise web.HTTPServiceUnavailable
+
+    async def get(self, request: web.Request) -> web.StreamResponse:
+        """Answer one object."""
+        await self.fault(request, 'read')
+        found = self.objects.get(request.match_info['key'])
+        return json_response(found) if found else json_response({'error': 'absent'}, 404)
+
+    async def list(self, request: web.Request) -> web.StreamResponse:
+        """Answer all objects below a prefix."""
+        await self.fault(request, 'read')
+        prefix = request.query['prefix']
+        found = [item for key, item in self.objects.items() if key.startswith(prefix)]
+        return json_response({'objects': found})
+
+    async def put(self, request: web.Request) -> web.StreamResponse:
+        """Write an object if its version is the expected one."""
+        key = request.match_info['key']
+        value = await read_json(request)
+        await self.fault(request, 'write')
+        held = self.objects.get(key)
+        version = held['version'] if held else 0
+        if version != int(request.query['expected']):
+            return json_response({'found': version}, 409)
+        self.version += 1
+        stored = {'key': key, 'version': self.version, 'value': value}
+        self.objects[key] = stored
+        self.publish(stored)
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            self.cut(request)
+        return json_response(stored)
+
+    def publish(self, stored: dict[str, Any]) -> None:
+        """Tell the watchers."""
+        if self.faults.silent_watches:
+            return
+        for queue, prefix in self.watchers.items():
+            if stored['key'].startswith(prefix):
+                queue.put_nowait(stored)
+
+    async def watch(self, request: web.Request) -> web.StreamResponse:
+        """Stream changes below a prefix until the caller leaves or the platform goes down."""
+        await self.fault(request, 'watch')
+        response = web.StreamResponse()
+        await response.prepare(request)
+        queue: asyncio.Queue[dict[str, Any]] = asyncio.Queue()
+        self.watchers[queue] = request.query['prefix']
+        try:
+            while not self.faults.down:
+                line = b'\n'
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(KEEP_ALIVE_S):
+                        line = msgspec.json.encode(await queue.get()) + b'\n'
+                if self.faults.down:
+                    break
+                await response.write(line)
+        finally:
+            del self.watchers[queue]
+        return response
+
+    async def list_boxes(self, request: web.Request) -> web.StreamResponse:
+        """Answer the box list."""
+        await self.fault(request, 'read')
+        return json_response({'boxes': list(self.boxes.values())})
+
+    async def put_box(self, request: web.Request) -> web.StreamResponse:
+        """Enter a box, as the platform does when it makes one."""
+        name = request.match_info['name']
+        self.boxes[name] = {'name': name, 'leaving': False, **await read_json(request)}
+        return json_response(self.boxes[name])
+
+    async def delete_box(self, request: web.Request) -> web.StreamResponse:
+        """Take a box out."""
+        self.boxes.pop(request.match_info['name'], None)
+        return json_response({})
+
+    async def set_faults(self, request: web.Request) -> web.StreamResponse:
+        """Switch faults on or off."""
+        for name, value in (await read_json(request)).items():
+            if not hasattr(self.faults, name):
+                return json_response({'error': f'no fault {name!r}'}, 400)
+            setattr(self.faults, name, value)
+        if self.faults.down:
+            self.end_watches()
+        return json_response(vars(self.faults))
+
+    def end_watches(self) -> None:
+        """Wake every watch so that it sees the platform down."""
+        for queue in self.watchers:
+            queue.put_nowait({})
+
+    async def get_counts(self, request: web.Request) -> web.StreamResponse:
+        """Answer the calls counted, a waiting watch as one."""
+        return json_response({**self.counts, 'waiting_watches': len(self.watchers)})
+
+
+def new_platform(args: argparse.Namespace) -> web.Application:
+    """Return the stand-in's application."""
+    return PlatformStandIn().app()
+
+
+if __name__ == '__main__':
+    run(parser(__doc__ or '').parse_args(), new_platform)
--- /dev/null
+++ b/testkit/__init__.py
@@ -0,0 +1,1 @@
+"""Help tests, the bench and the demo; never shipped."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the programs behind the commands of the Makefile."""
