Let boxes follow the platform through relays and each other; test adapters, daemon and commands

Cause: every box watched the platform, which counts each waiting watch, so calls grew with the fleet; a box cut from the platform heard nothing.

Change: members from box list and heartbeats, two relays a failure domain by rank, push to four neighbours, heartbeats with the versions taken in lately, repair by bucket digests, over pyzmq with bounded queues. Writes go by POST. 'add' reads the state as boxes do. Isolated boxes take no new requests; a restarted box may get its view from a ready peer.

Ruled out: pushing everything twice (about 17 KB/s at three changes a second, of a budget of 24); PATCH for writes (nothing gained over POST); random far peers (a new connection a second).

--- a/packages/cli/calicopath_cli/commands/endpoints.py
+++ b/packages/cli/calicopath_cli/commands/endpoints.py
@@ -12,7 +12,7 @@
 from calicopath_cli.utils.operator import Operator, Options, open_operator
 from calicopath_cli.utils.output import OutputFormat, print_json, print_rows
 from calicopath_core.config.parsers import parse_endpoint
-from calicopath_core.store.base import ABSENT
+from calicopath_core.store.base import ABSENT, StoredObject
 from calicopath_core.store.records import ChangeAction
 from calicopath_core.structure.endpoints import EndpointState
 from calicopath_core.structure.keys import ENDPOINT_PREFIX, endpoint_key
@@ -44,13 +44,19 @@
     key = endpoint_key(spec['name'])
     async with open_operator(options) as operator:
         found = await operator.store.get(key)
-        if found is not None and (found.value['spec'] or {}).get('state') == EndpointState.ACTIVE:
+        if found is not None and is_active(found):
             raise InvalidInput(f'{key}: exists already')
         version = found.version if found else ABSENT
         accepted = await operator.change(key, spec, ChangeAction.ADD, version)
         await report(operator, accepted, 'active', wait_s)
 
 
+def is_active(found: StoredObject) -> bool:
+    """Tell whether an endpoint is in service; one without a state is."""
+    parsed = parse_endpoint(found.value['spec'], found.key)
+    return parsed.map(lambda item: item.state is EndpointState.ACTIVE).value_or(False)
+
+
 async def set_state(
     options: Options, name: str, state: EndpointState, wait_s: float | None
 ) -> None:
--- a/packages/clients/calicopath_clients/platform.py
+++ b/packages/clients/calicopath_clients/platform.py
@@ -76,9 +76,13 @@
         return [stored_object(item) for item in data['objects']]
 
     async def put(self, key: str, value: dict[str, Any], expected_version: int) -> StoredObject:
-        """Write if the version is still the expected one."""
+        """Write if the version is still the expected one.
+
+        It is sent as a POST: a PUT counts as idempotent, and the HTTP library would repeat it by
+        itself after a lost answer.
+        """
         try:
-            async with self.session.put(
+            async with self.session.post(
                 self.object_url(key),
                 params={'expected': str(expected_version)},
                 data=msgspec.json.encode(value),
--- /dev/null
+++ b/packages/core/calicopath_core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Know the other boxes, and spread configuration among them."""
--- /dev/null
+++ b/packages/core/calicopath_core/membership/gossip.py
@@ -0,0 +1,270 @@
+"""Spread configuration from box to box: push what is new, repair what was lost.
+
+Whoever takes something newer in passes it on to a few boxes at random. Every heartbeat carries a
+digest of the whole view; where digests stay different, two boxes compare buckets, then versions,
+and send each other what is newer. Since views only take newer versions, order and repetition do
+not matter.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, OrderedDict, deque
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from calicopath_core.membership.buckets import BucketIndex
+from calicopath_core.membership.messages import (
+    BadMessage,
+    BucketDigests,
+    BucketVersions,
+    Entry,
+    Heartbeat,
+    Message,
+    Push,
+    Want,
+    decode,
+    encode,
+)
+from calicopath_core.store.view import ViewUpdate
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Iterable
+
+    from calicopath_core.clock import Clock
+    from calicopath_core.membership.members import MemberTable
+    from calicopath_core.membership.transport import PeerTransport
+    from calicopath_core.store.view import ConfigView
+
+HEARTBEAT_S = 1.0
+HEARTBEAT_FANOUT = 3
+PUSH_FANOUT = 4
+PUSH_DELAY_S = 0.05
+"""How long new objects are gathered before they are passed on together."""
+
+RECENT_TOLD = 16
+"""Objects taken in last of which every heartbeat tells the versions."""
+
+MEMBERS_TOLD = 8
+"""Boxes that one heartbeat tells of."""
+
+MAX_PUSH_ENTRIES = 200
+MAX_WANTED = 2000
+MAX_VERSIONS = 5000
+DIGESTS_REMEMBERED = 64
+REPAIR_INTERVAL_S = 1.0
+"""Least time between two repairs with whomever, so that a burst of changes is not repaired."""
+
+
+class GossipCounts:
+    """Count what was sent and received, and what was done about it."""
+
+    def __init__(self) -> None:
+        self.sent: Counter[str] = Counter()
+        self.sent_bytes = 0
+        self.received: Counter[str] = Counter()
+        self.received_bytes = 0
+        self.bad = 0
+        self.repaired = 0
+
+
+class Gossip:
+    """Exchange messages with the other boxes; `tick` is called every `PUSH_DELAY_S`."""
+
+    def __init__(
+        self,
+        *,
+        view: ConfigView,
+        members: MemberTable,
+        transport: PeerTransport,
+        clock: Clock,
+        rng: random.Random,
+        is_ready: Callable[[], bool],
+    ) -> None:
+        self.view = view
+        self.members = members
+        self.transport = transport
+        self.clock = clock
+        self.rng = rng
+        self.is_ready = is_ready
+        self.index = BucketIndex(view=view)
+        self.counts = GossipCounts()
+        self.fresh: dict[str, ViewUpdate] = {}
+        self.recent: OrderedDict[str, int] = OrderedDict()
+        self.recent_digests: deque[int] = deque(maxlen=DIGESTS_REMEMBERED)
+        self.next_heartbeat = 0.0
+        self.next_repair = 0.0
+        self.contact_at: float | None = None
+        self.agreed_with_ready_peer = False
+        view.listeners.append(self.on_updates)
+        transport.listen(self.on_data)
+
+    def on_updates(self, updates: list[ViewUpdate]) -> None:
+        """Remember what the view has newly taken in, to pass it on."""
+        for update in updates:
+            self.fresh[update.key] = update
+            self.recent[update.key] = update.version
+            self.recent.move_to_end(update.key)
+        while len(self.recent) > RECENT_TOLD:
+            self.recent.popitem(last=False)
+        self.recent_digests.append(self.view.digest)
+
+    def on_contact(self, at: float) -> None:
+        """Note that the platform was heard of at a time on our monotonic clock."""
+        if self.contact_at is None or at > self.contact_at:
+            self.contact_at = at
+
+    def contact_age(self) -> float | None:
+        """Return the seconds since the platform was heard of, by us or through others."""
+        if self.contact_at is None:
+            return None
+        return self.clock.monotonic() - self.contact_at
+
+    def leave(self) -> None:
+        """Say in the next heartbeats that this box is leaving, so that another one relays."""
+        self.members.own = msgspec.structs.replace(self.members.own, leaving=True)
+
+    def tick(self) -> None:
+        """Pass on what is new, and send a heartbeat when one is due."""
+        self.push_fresh()
+        now = self.clock.monotonic()
+        if now >= self.next_heartbeat:
+            # Spread over the second, so that boxes started together do not stay in step.
+            self.next_heartbeat = now + HEARTBEAT_S * self.rng.uniform(0.8, 1.2)
+            self.members.forget_silent(now)
+            self.send_heartbeats(now)
+
+    def push_fresh(self) -> None:
+        """Send new objects to a few boxes."""
+        if not self.fresh:
+            return
+        entries = [Entry(item.key, item.version, item.spec) for item in self.fresh.values()]
+        self.fresh.clear()
+        now = self.clock.monotonic()
+        for member in self.members.sample(PUSH_FANOUT, now, self.rng):
+            self.send_entries(member.info.address, entries)
+
+    def send_entries(self, address: str, entries: list[Entry]) -> None:
+        """Send objects in messages of bounded size."""
+        for start in range(0, len(entries), MAX_PUSH_ENTRIES):
+            part = entries[start : start + MAX_PUSH_ENTRIES]
+            self.send(address, Push(self.members.own.name, part))
+
+    def send_heartbeats(self, now: float) -> None:
+        """Tell a few boxes that we live, what we hold and whom we know."""
+        own = msgspec.structs.replace(self.members.own, beat=self.members.own.beat + 1)
+        self.members.own = own
+        chosen = self.members.sample(HEARTBEAT_FANOUT, now, self.rng)
+        told = [item.info for item in self.members.live(now) if item.heard_at is not None]
+        told = self.rng.sample(told, min(MEMBERS_TOLD, len(told)))
+        heartbeat = Heartbeat(
+            sender=own,
+            digest=self.view.digest,
+            contact_age_s=self.contact_age(),
+            ready=self.is_ready(),
+            recent=dict(self.recent),
+            members=told,
+        )
+        for member in chosen:
+            self.send(member.info.address, heartbeat)
+
+    def send(self, address: str, message: Message) -> None:
+        """Send and count a message."""
+        data = encode(message)
+        self.counts.sent[type(message).__name__] += 1
+        self.counts.sent_bytes += len(data)
+        self.transport.send(address, data)
+
+    def on_data(self, data: bytes) -> None:
+        """Take a message in; one that makes no sense is counted and dropped."""
+        self.counts.received_bytes += len(data)
+        try:
+            message = decode(data)
+        except BadMessage:
+            self.counts.bad += 1
+            return
+        self.counts.received[type(message).__name__] += 1
+        if isinstance(message, Heartbeat):
+            self.on_heartbeat(message)
+        elif isinstance(message, Push):
+            self.take(message.entries)
+        elif isinstance(message, BucketDigests):
+            self.on_digests(message)
+        elif isinstance(message, BucketVersions):
+            self.on_versions(message)
+        else:
+            self.on_want(message)
+
+    def take(self, entries: Iterable[Entry]) -> int:
+        """Apply objects from another box and return how many were newer."""
+        return self.view.apply_all(
+            ViewUpdate(entry.key, entry.version, entry.spec) for entry in entries
+        )
+
+    def on_heartbeat(self, message: Heartbeat) -> None:
+        """Note the sign of life, and start a repair if views stay different."""
+        now = self.clock.monotonic()
+        self.members.on_heard(message.sender, now, direct=True)
+        for info in message.members:
+            self.members.on_heard(info, now, direct=False)
+        if message.contact_age_s is not None:
+            self.on_contact(now - message.contact_age_s)
+        if message.digest == self.view.digest:
+            self.agreed_with_ready_peer = self.agreed_with_ready_peer or message.ready
+            return
+        if self.exchange_recent(message):
+            return
+        if message.digest in self.recent_digests or now < self.next_repair:
+            # The other box is a little behind, and pushes are on their way.
+            return
+        self.next_repair = now + REPAIR_INTERVAL_S
+        digests = BucketDigests(self.members.own, self.is_ready(), self.index.digests)
+        self.send(message.sender.address, digests)
+
+    def exchange_recent(self, message: Heartbeat) -> bool:
+        """Ask for what the other box took in lately and we lack; return whether there is any."""
+        wanted = [
+            key for key, version in message.recent.items() if version > self.view.version(key)
+        ]
+        if wanted:
+            self.send(message.sender.address, Want(self.members.own, wanted))
+        return bool(wanted)
+
+    def on_digests(self, message: BucketDigests) -> None:
+        """Answer with the versions held where the other box differs."""
+        buckets = self.index.differing(message.buckets)
+        if not buckets:
+            self.agreed_with_ready_peer = self.agreed_with_ready_peer or message.ready
+            return
+        versions = self.index.versions_in(buckets)
+        while len(versions) > MAX_VERSIONS and len(buckets) > 1:
+            buckets = buckets[: len(buckets) // 2]
+            versions = self.index.versions_in(buckets)
+        self.send(message.sender.address, BucketVersions(self.members.own, buckets, versions))
+
+    def on_versions(self, message: BucketVersions) -> None:
+        """Send what we hold newer and ask for what we hold older."""
+        own = self.index.versions_in(message.buckets)
+        newer = [key for key, version in own.items() if version > message.versions.get(key, 0)]
+        older = [key for key, version in message.versions.items() if version > own.get(key, 0)]
+        if newer:
+            self.counts.repaired += len(newer)
+            self.send_entries(message.sender.address, self.entries(newer))
+        if older:
+            self.send(message.sender.address, Want(self.members.own, older[:MAX_WANTED]))
+
+    def on_want(self, message: Want) -> None:
+        """Send the objects asked for."""
+        keys = message.keys[:MAX_WANTED]
+        self.counts.repaired += len(keys)
+        self.send_entries(message.sender.address, self.entries(keys))
+
+    def entries(self, keys: Iterable[str]) -> list[Entry]:
+        """Return the objects held under some keys."""
+        found = []
+        for key in keys:
+            entry = self.view.entries.get(key)
+            if entry is not None:
+                found.append(Entry(key, entry.version, entry.spec))
+        return found
--- /dev/null
+++ b/packages/core/calicopath_core/membership/messages.py
@@ -0,0 +1,104 @@
+"""Define what boxes send each other, and encode it.
+
+Messages are one-way; an answer is a message too. A lost one is never waited for.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from calicopath_core.exceptions import CalicopathError
+
+
+class BadMessage(CalicopathError):
+    """Report a message that cannot be decoded."""
+
+
+class MemberInfo(msgspec.Struct, frozen=True, array_like=True):
+    """Describe a box to another; `beat` grows with every heartbeat that the box itself sends.
+
+    `started_ms` is the box's own start, in milliseconds since 1970: a box that was restarted under
+    its old name starts its beats again.
+    """
+
+    name: str
+    failure_domain: str
+    address: str
+    started_ms: int
+    beat: int
+    leaving: bool
+
+
+class Entry(msgspec.Struct, frozen=True, array_like=True):
+    """Carry one object of the configuration; `spec` is empty for a tombstone."""
+
+    key: str
+    version: int
+    spec: dict[str, Any] | None
+
+
+class Heartbeat(msgspec.Struct, frozen=True, tag='h'):
+    """Say that a box is alive, what it holds and how fresh that is.
+
+    `contact_age_s` is the time since the platform was last heard of, by the sender itself or
+    through others. `recent` are the versions of objects that it took in lately, `members` a few
+    boxes that it has heard of lately.
+    """
+
+    sender: MemberInfo
+    digest: int
+    contact_age_s: float | None
+    ready: bool
+    recent: dict[str, int]
+    members: list[MemberInfo]
+
+
+class Push(msgspec.Struct, frozen=True, tag='p'):
+    """Carry objects that the sender has newly taken in, or that the receiver lacks."""
+
+    sender: str
+    entries: list[Entry]
+
+
+class BucketDigests(msgspec.Struct, frozen=True, tag='d'):
+    """Compare what two boxes hold, bucket by bucket; `buckets` has one digest each."""
+
+    sender: MemberInfo
+    ready: bool
+    buckets: list[int]
+
+
+class BucketVersions(msgspec.Struct, frozen=True, tag='v'):
+    """List the versions that the sender holds in the buckets named."""
+
+    sender: MemberInfo
+    buckets: list[int]
+    versions: dict[str, int]
+
+
+class Want(msgspec.Struct, frozen=True, tag='w'):
+    """Ask for objects."""
+
+    sender: MemberInfo
+    keys: list[str]
+
+
+Message = Heartbeat | Push | BucketDigests | BucketVersions | Want
+
+ENCODER = msgspec.msgpack.Encoder()
+DECODER: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    """Return the bytes of a message."""
+    return ENCODER.encode(message)
+
+
+def decode(data: bytes) -> Message:
+    """Return the message in some bytes; raise `BadMessage`."""
+    try:
+        return DECODER.decode(data)
+    except msgspec.MsgspecError as error:
+        raise BadMessage(str(error)) from error
--- a/packages/core/calicopath_core/store/feed.py
+++ b/packages/core/calicopath_core/store/feed.py
@@ -11,6 +11,8 @@
 from calicopath_core.structure.keys import CONFIG_PREFIX
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from calicopath_core.clock import Clock
     from calicopath_core.store.base import ObjectStore
     from calicopath_core.store.view import ConfigView
@@ -18,6 +20,10 @@
 RELIST_S = 2.0
 """How often the whole configuration is read again, which heals a watch that ended silently."""
 
+TYPICAL_OBJECT_BYTES = 500
+MAX_RELIST_BYTES_A_SECOND = 16_000
+"""What reading everything again may cost; many boxes that do so share what they find."""
+
 RETRY_S = 0.5
 """How long to wait after the store failed."""
 
@@ -44,6 +50,7 @@
         self.retry_s = retry_s
         self.last_contact: float | None = None
         self.healed = 0
+        self.on_contact: Callable[[float], None] = lambda at: None
 
     @property
     def synced(self) -> bool:
@@ -72,7 +79,12 @@
             except StoreError:
                 await asyncio.sleep(self.retry_s)
                 continue
-            await asyncio.sleep(self.relist_s)
+            await asyncio.sleep(self.relist_interval())
+
+    def relist_interval(self) -> float:
+        """Return the seconds to the next read of everything, longer for a large configuration."""
+        size = len(self.view.entries) * TYPICAL_OBJECT_BYTES
+        return max(self.relist_s, size / MAX_RELIST_BYTES_A_SECOND)
 
     async def relist(self) -> None:
         """Read the whole configuration once and count what the watch had missed."""
@@ -80,3 +92,4 @@
         objects = await self.store.list(CONFIG_PREFIX)
         self.healed += self.view.apply_all(view_update(stored) for stored in objects)
         self.last_contact = asked
+        self.on_contact(asked)
--- a/packages/daemon/calicopathd/box/box.py
+++ b/packages/daemon/calicopathd/box/box.py
@@ -10,7 +10,7 @@
 
 from calicopath_clients.calls import HttpLoadReader, HttpPlainService, HttpStagePool
 from calicopath_clients.engine import HttpEngine
-from calicopath_clients.platform import HttpObjectStore
+from calicopath_clients.platform import HttpBoxList, HttpObjectStore
 from calicopath_core.backends.base import Backends
 from calicopath_core.clock import LoopClock
 from calicopath_core.execution.door import Door
@@ -19,6 +19,10 @@
 from calicopath_core.execution.stages import StageContext
 from calicopath_core.limits.concurrency import GradientLimit
 from calicopath_core.limits.retry import RetryBudget
+from calicopath_core.membership.gossip import Gossip
+from calicopath_core.membership.members import MemberTable
+from calicopath_core.membership.messages import MemberInfo
+from calicopath_core.membership.roles import RoleKeeper
 from calicopath_core.routing.pools import ServicePool
 from calicopath_core.routing.registry import PoolRegistry
 from calicopath_core.routing.selectors import TwoChoicesSelector
@@ -29,6 +33,7 @@
 from calicopathd.box.lifecycle import Lifecycle
 from calicopathd.box.load import LoadPoller
 from calicopathd.metrics import Metrics
+from calicopathd.peers.zmq_transport import ZmqTransport
 
 if TYPE_CHECKING:
     import aiohttp
@@ -57,6 +62,15 @@
         self.feed = StoreFeed(
             store=self.store, view=self.view, clock=self.clock, relist_s=settings.relist_s
         )
+        self.transport = ZmqTransport(address=settings.peer_listen)
+        self.gossip = self.new_gossip()
+        self.roles = RoleKeeper(
+            gossip=self.gossip,
+            feed=self.feed,
+            boxes=HttpBoxList(url=settings.platform, session=session),
+            clock=self.clock,
+            rng=self.rng,
+        )
         self.pools = PoolRegistry(view=self.view, new_pool=self.new_pool)
         self.backends = Backends(
             engine=HttpEngine(session=session),
@@ -72,6 +86,31 @@
         )
         self.executor = self.new_executor()
 
+    def new_gossip(self) -> Gossip:
+        """Return the exchange with other boxes, starting from the seed peers."""
+        settings = self.settings
+        address = settings.peer_address or f'{settings.peer_listen.host}:{self.transport.port}'
+        own = MemberInfo(
+            name=settings.box,
+            failure_domain=settings.failure_domain,
+            address=address,
+            started_ms=int(self.clock.wall() * 1000),
+            beat=0,
+            leaving=False,
+        )
+        members = MemberTable(own=own)
+        now = self.clock.monotonic()
+        seeds = [item.strip() for item in settings.seed_peers.split(',') if item.strip()]
+        members.on_listed([MemberInfo(seed, '', seed, 0, 0, False) for seed in seeds], now)
+        return Gossip(
+            view=self.view,
+            members=members,
+            transport=self.transport,
+            clock=self.clock,
+            rng=self.rng,
+            is_ready=self.ready,
+        )
+
     def new_executor(self) -> PipelineExecutor:
         """Return the executor with the policy that the deployment chose."""
         policy = policy_for(Objective(self.settings.objective))
@@ -112,9 +151,26 @@
         """Return an identifier that no other request or claim has."""
         return uuid.UUID(int=self.rng.getrandbits(128), version=4).hex
 
+    def synced(self) -> bool:
+        """Tell whether the view was once whole: read from the platform or a ready peer."""
+        return self.feed.synced or self.gossip.agreed_with_ready_peer
+
+    def isolated(self) -> bool:
+        """Tell whether this box is cut off from platform and peers, and so hears of no drain.
+
+        A box that knows of no others has only the platform, whose outage it serves through.
+        """
+        age = self.gossip.contact_age()
+        limit_s = self.settings.isolation_s
+        if age is not None and age <= limit_s:
+            return False
+        members = self.gossip.members
+        alone = not members.heard_within(limit_s, self.clock.monotonic())
+        return alone and members.expects_others
+
     def may_serve(self) -> bool:
         """Tell whether the view is good enough to serve by."""
-        return self.feed.synced
+        return self.synced() and not self.isolated()
 
     def ready(self) -> bool:
         """Tell whether the balancer should send callers here."""
@@ -134,6 +190,8 @@
             'failure_domain': self.settings.failure_domain,
             'ready': self.ready(),
             'leaving': self.lifecycle.leaving,
+            'relaying': self.roles.is_relaying,
+            'contact_age_s': self.gossip.contact_age(),
             'config_digest': f'{self.view.digest:016x}',
             'objects': len(self.view.entries),
             'in_progress': self.lifecycle.in_progress,
--- /dev/null
+++ b/packages/daemon/calicopathd/box/monitor.py
@@ -0,0 +1,98 @@
+"""Watch a box's state: log what changes and set the figures that monitoring reads."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import structlog
+
+from calicopathd import events
+
+if TYPE_CHECKING:
+    from calicopathd.box.box import Box
+
+log = structlog.get_logger(__name__)
+
+INTERVAL_S = 0.2
+LOST_AFTER_S = 5.0
+"""Seconds without contact, direct or through peers, after which the platform counts as lost."""
+
+
+class Monitor:
+    """Compare the state with what it was and report the difference."""
+
+    def __init__(self, *, box: Box) -> None:
+        self.box = box
+        self.synced = False
+        self.ready = False
+        self.platform_lost = False
+        self.ejections = 0
+
+    async def run(self) -> None:
+        """Look again and again until cancelled."""
+        while True:
+            self.check_sync()
+            self.check_platform()
+            self.check_ready()
+            self.check_ejections()
+            self.set_figures()
+            await asyncio.sleep(INTERVAL_S)
+
+    def check_sync(self) -> None:
+        """Report the first whole view."""
+        if self.box.synced() and not self.synced:
+            self.synced = True
+            events.emit(log, events.VIEW_SYNCED, objects=len(self.box.view.entries))
+
+    def check_platform(self) -> None:
+        """Report when the platform was lost or is back."""
+        age = self.box.gossip.contact_age()
+        lost = age is None or age > LOST_AFTER_S
+        if lost and not self.platform_lost and self.synced:
+            events.emit(log, events.PLATFORM_LOST, contact_age_s=age)
+        if not lost and self.platform_lost:
+            events.emit(log, events.PLATFORM_BACK)
+        self.platform_lost = lost and self.synced
+
+    def check_ready(self) -> None:
+        """Report when the box becomes ready or is no longer."""
+        ready = self.box.ready()
+        if ready and not self.ready:
+            events.emit(log, events.READY, objects=len(self.box.view.entries))
+        if self.ready and not ready and not self.box.lifecycle.leaving:
+            events.emit(log, events.NOT_READY, contact_age_s=self.box.gossip.contact_age())
+        self.ready = ready
+
+    def check_ejections(self) -> None:
+        """Report endpoints that were ejected."""
+        pools = self.box.pools.pools.values()
+        ejections = sum(pool.ejections for pool in pools)
+        if ejections > self.ejections:
+            names = [
+                replica.name
+                for pool in pools
+                for replica in pool.active()
+                if replica.health.ejected_until is not None
+            ]
+            events.emit(log, events.ENDPOINT_EJECTED, endpoints=names)
+        self.ejections = ejections
+
+    def set_figures(self) -> None:
+        """Set the gauges."""
+        box = self.box
+        age = box.gossip.contact_age()
+        box.metrics.set_state(
+            ready=float(self.ready),
+            relaying=float(box.roles.is_relaying),
+            in_progress=box.lifecycle.in_progress,
+            objects=len(box.view.entries),
+            boxes_live=len(box.gossip.members.live(box.clock.monotonic())) + 1,
+            contact_age_seconds=-1.0 if age is None else age,
+            peer_sent_bytes=box.gossip.counts.sent_bytes,
+            peer_received_bytes=box.gossip.counts.received_bytes,
+            peer_bad_messages=box.gossip.counts.bad,
+            peer_dropped_messages=box.transport.dropped,
+            peer_repaired_objects=box.gossip.counts.repaired,
+            ejections=self.ejections,
+        )
--- /dev/null
+++ b/packages/daemon/calicopathd/box/runner.py
@@ -0,0 +1,80 @@
+"""Start and stop a box: its web server and its background tasks."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from typing import TYPE_CHECKING
+
+import structlog
+
+from calicopathd import events
+from calicopathd.box.box import Box
+from calicopathd.box.monitor import Monitor
+from calicopathd.box.tasks import keep_running
+from calicopathd.http.app import bind, new_app
+
+if TYPE_CHECKING:
+    import aiohttp
+    from sanic.server.async_server import AsyncioServer
+
+    from calicopathd.config.settings import Settings
+
+log = structlog.get_logger(__name__)
+
+
+class BoxRunner:
+    """Run one box inside the current event loop."""
+
+    def __init__(self, *, settings: Settings, session: aiohttp.ClientSession) -> None:
+        self.listener = bind(settings.listen)
+        self.box = Box(settings=settings, session=session)
+        self.server: AsyncioServer | None = None
+        self.tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def address(self) -> str:
+        """Return the address on which callers are served."""
+        host, port = self.listener.getsockname()[:2]
+        return f'{host}:{port}'
+
+    async def start(self) -> None:
+        """Listen, and follow platform, peers and endpoints."""
+        app = new_app(self.box, f'calicopathd-{uuid.uuid4().hex}')
+        server = await app.create_server(
+            sock=self.listener, return_asyncio_server=True, access_log=False
+        )
+        assert server is not None
+        await server.startup()
+        await server.start_serving()
+        self.server = server
+        work = {
+            'peers': self.box.transport.run,
+            'roles': self.box.roles.run,
+            'load': self.box.poller.run,
+            'monitor': Monitor(box=self.box).run,
+        }
+        self.tasks = [asyncio.create_task(keep_running(*item)) for item in work.items()]
+
+    async def leave(self) -> None:
+        """Leave without cutting a request: not ready, then refusing, then idle."""
+        lifecycle = self.box.lifecycle
+        lifecycle.leave()
+        self.box.gossip.leave()
+        events.emit(log, events.LEAVING, in_progress=lifecycle.in_progress)
+        await asyncio.sleep(self.box.settings.leave_grace_s)
+        lifecycle.refuse()
+        events.emit(log, events.REFUSING, in_progress=lifecycle.in_progress)
+        await lifecycle.idle.wait()
+        while self.box.executor.late:
+            await asyncio.wait(set(self.box.executor.late))
+
+    async def stop(self) -> None:
+        """End the background tasks and the server."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        if self.server is not None:
+            self.server.close()
+            await self.server.wait_closed()
+        self.box.transport.close()
--- a/packages/daemon/calicopathd/config/options.py
+++ b/packages/daemon/calicopathd/config/options.py
@@ -86,6 +86,18 @@
         return 'name'
 
 
+class Text(Option[str]):
+    """Take any text."""
+
+    def parse(self, text: str) -> str:
+        """Take the text without spaces around it."""
+        return text.strip()
+
+    def describe(self) -> str:
+        """Describe a text."""
+        return 'text'
+
+
 class ListenAddress(Option[Address]):
     """Take a host and port to listen on."""
 
--- a/packages/daemon/calicopathd/config/settings.py
+++ b/packages/daemon/calicopathd/config/settings.py
@@ -12,6 +12,7 @@
     ListenAddress,
     Name,
     Number,
+    Text,
     Url,
     options_of,
 )
@@ -39,6 +40,12 @@
     peer_listen = ListenAddress(default='127.0.0.1:0')
     """Address on which other boxes are heard."""
 
+    peer_address = Text(default='')
+    """Address by which other boxes reach this one, where it differs from `--peer-listen`."""
+
+    seed_peers = Text(default='')
+    """Peer addresses, by commas, to start from when the platform is down at the start."""
+
     objective = Choice(choices=tuple(Objective), default=Objective.ATTAINMENT.value)
     """What the deployment weighs more: requests answered in time, or cost by stage."""
 
@@ -51,7 +58,7 @@
     load_interval_s = Number(low=0.05, high=60, default='0.5')
     """Seconds between two reads of an endpoint's load."""
 
-    isolation_s = Number(low=1, high=3600, default='3')
+    isolation_s = Number(low=2, high=3600, default='5')
     """Seconds without platform and peers after which a box takes no new requests."""
 
     leave_grace_s = Number(low=0, high=300, default='2')
--- a/packages/daemon/calicopathd/http/app.py
+++ b/packages/daemon/calicopathd/http/app.py
@@ -37,6 +37,8 @@
     app.config.REQUEST_TIMEOUT = KEEP_ALIVE_S
     app.config.KEEP_ALIVE_TIMEOUT = KEEP_ALIVE_S
     app.config.MOTD = False
+    # The library would rewrite its own classes, which works for one application a process only.
+    app.config.TOUCHUP = False
     app.blueprint(caller_routes(box))
     app.blueprint(operation_routes(box))
     app.error_handler.add(BadRequest, answer_bad_request)
--- /dev/null
+++ b/packages/daemon/calicopathd/http/tests/callers_tests.py
@@ -0,0 +1,201 @@
+"""Test the callers' interface over real connections."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import testtools
+
+from testkit.daemon import Surroundings, running_box
+from testkit.world import uuid7
+from tools.demo import new_key, read_events
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from calicopathd.box.runner import BoxRunner
+
+PATH = '/v1/workspaces/towpath/pipelines/'
+
+
+class Answer(NamedTuple):
+    """Hold an HTTP answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def json(self) -> dict[str, Any]:
+        """Return the body as JSON."""
+        found: dict[str, Any] = json.loads(self.body)
+        return found
+
+
+async def ask(around: Surroundings, path: str, body: Any, key: str | None = None) -> Answer:
+    """Send a request; a dict is sent as JSON, bytes as they are."""
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    headers = {'Idempotency-Key': key} if key else {}
+    async with around.session.post(around.url + path, data=data, headers=headers) as answer:
+        return Answer(answer.status, dict(answer.headers), await answer.read())
+
+
+class CallersCase(testtools.TestCase):
+    def with_box(
+        self, work: Callable[[BoxRunner, Surroundings], Awaitable[None]], **flags: str
+    ) -> None:
+        """Run something against a running box."""
+
+        async def scenario() -> None:
+            async with running_box(**flags) as (runner, around):
+                await work(runner, around)
+
+        asyncio.run(scenario())
+
+
+class Answers(CallersCase):
+    def test_an_answer_in_one_piece_has_stages_and_digest(self) -> None:
+        async def work(runner: BoxRunner, around: Surroundings) -> None:
+            answer = await ask(around, PATH + 'answer/requests', {'input': 'ਕਿੱਥੇ? پھاٹک'})
+            self.assertEqual(200, answer.status)
+            self.assertTrue(answer.json['output'].startswith('ਕਿੱਥੇ? پھاٹک —'))
+            self.assertEqual(4, len(answer.json['stages']))
+            plan = runner.box.view.plan('towpath', 'answer')
+            assert plan is not None
+            self.assertEqual(plan.unwrap().digest, answer.json['config_digest'])
+
+        self.with_box(work)
+
+    def test_a_stream_ends_with_the_whole_answer(self) -> None:
+        async def work(runner: BoxRunner, around: Surroundings) -> None:
+            body = {'input': 'Напомняне 🚤', 'stream': True}
+            answer = await ask(around, PATH + 'answer/requests', body)
+            self.assertEqual('text/event-stream', answer.headers['Content-Type'])
+            text, final = read_events(answer.body.decode())
+            self.assertEqual(text, final['output'])
+
+        self.with_box(work)
+
+    def test_a_stream_that_cannot_be_resumed_ends_marked_as_broken(self) -> None:
+        async def work(runner: BoxRunner, around: Surroundings) -> None:
+            runner.box.executor.context.budget.tokens = 0
+            around.engine.cut_after = 3
+            body = {'input': 'Where may we moor?', 'stream': True}
+            answer = await ask(around, PATH + 'answer/requests', body)
+            text, final = read_events(answer.body.decode())
+            self.assertTrue('Where may we moor?'.startswith(text))
+            self.assertEqual('failed-may-have-run', final['outcome'])
+            self.assertIn(b'event: broken', answer.body)
+
+        self.with_box(work)
+
+    def test_a_request_run_once_answers_again_from_the_store(self) -> None:
+        async def work(runner: BoxRunner, around: Surroundings) -> None:
+            key = new_key()
+            first = await ask(around, PATH + 'act/requests', {'input': 'charge'}, key)
+            await asyncio.gather(*runner.box.executor.late)
+            again = await ask(around, PATH + 'act/requests', {'input': 'charge'}, key)
+            other = await ask(around, PATH + 'act/requests', {'input': 'charge more'}, key)
+            self.assertEqual([200, 200, 422], [first.status, again.status, other.status])
+            self.assertTrue(again.json['replayed'])
+            self.assertEqual(1, around.service.ran[key])
+
+        self.with_box(work)
+
+
+class BadInput(CallersCase):
+    def test_each_kind_has_its_status_and_the_box_goes_on(self) -> None:
+        async def work(runner: BoxRunner, around: Surroundings) -> None:
+            good = {'input': 'x'}
+            cases: list[tuple[str, Any, int]] = [
+                ('/v1/workspaces/nowhere/pipelines/answer/requests', good, 404),
+                (PATH + 'nothing/requests', good, 404),
+                ('/v1/else', good, 404),
+                (PATH + 'answer/requests', b'{"input": ', 400),
+                (PATH + 'answer/requests', b'\xff\xfe', 400),
+                (PATH + 'answer/requests', [], 400),
+                (PATH + 'answer/requests', {'input': ''}, 400),
+                (PATH + 'answer/requests', {'input': 'x', 'colour': 'red'}, 400),
+                (PATH + 'answer/requests', {'input': 'x', 'priority': 99}, 400),
+                (PATH + 'answer/requests', {'input': 'x', 'deadline_ms': 10**9}, 400),
+                (PATH + 'answer/requests', {'input': 'x', 'deadline_ms': 0}, 504),
+                (PATH + 'answer/requests', {'input': 'x', 'deadline_ms': -5}, 504),
+                (PATH + 'answer/requests', {'input': 'x', 'deadline_ms': 50}, 422),
+                (PATH + 'answer/requests', b'x' * 5000, 413),
+                (PATH + 'act/requests', good, 400),
+            ]
+            for path, body, status in cases:
+                answer = await ask(around, path, body)
+                self.assertEqual(status, answer.status, str(body)[:40])
+                self.assertEqual('application/problem+json', answer.headers['Content-Type'])
+                self.assertEqual('refused-not-run', answer.json['outcome'])
+            long_key = await ask(around, PATH + 'act/requests', good, 'k' * 100)
+            self.assertEqual(400, long_key.status)
+            self.assertEqual({}, around.engine.asked)
+            answer = await ask(around, PATH + 'answer/requests', good)
+            self.assertEqual(200, answer.status)
+
+        self.with_box(work, max_body_bytes='4096')
+
+    def test_a_refusal_says_when_to_come_back(self) -> None:
+        async def work(runner: BoxRunner, around: Surroundings) -> None:
+            around.platform.faults.down = True
+            answer = await ask(around, PATH + 'act/requests', {'input': 'x'}, new_key())
+            self.assertEqual(503, answer.status)
+            self.assertEqual('2', answer.headers['Retry-After'])
+            self.assertEqual('refused-not-run', answer.json['outcome'])
+
+        self.with_box(work)
+
+    def test_a_key_of_an_old_day_is_taken_as_long_as_nothing_newer_was_dropped(self) -> None:
+        async def work(runner: BoxRunner, around: Surroundings) -> None:
+            key = uuid7(1_700_000_000.0)
+            answer = await ask(around, PATH + 'act/requests', {'input': 'x'}, key)
+            self.assertEqual(200, answer.status)
+
+        self.with_box(work)
+
+
+class Operations(CallersCase):
+    def test_a_leaving_box_is_not_ready_and_refuses_as_not_run(self) -> None:
+        async def work(runner: BoxRunner, around: Surroundings) -> None:
+            await runner.leave()
+            async with around.session.get(around.url + '/readyz') as answer:
+                self.assertEqual(503, answer.status)
+            refused = await ask(around, PATH + 'answer/requests', {'input': 'x'})
+            self.assertEqual(503, refused.status)
+            self.assertEqual('refused-not-run', refused.json['outcome'])
+
+        self.with_box(work)
+
+    def test_an_isolated_box_takes_no_new_requests(self) -> None:
+        async def work(runner: BoxRunner, around: Surroundings) -> None:
+            box = runner.box
+            box.gossip.members.expects_others = True
+            self.assertTrue(box.may_serve())
+            box.gossip.contact_at = box.clock.monotonic() - 100
+            self.assertFalse(box.may_serve())
+            box.gossip.members.expects_others = False
+            self.assertTrue(box.may_serve())
+
+        self.with_box(work)
+
+    def test_metrics_health_status_and_versions_are_served(self) -> None:
+        async def work(runner: BoxRunner, around: Surroundings) -> None:
+            await ask(around, PATH + 'answer/requests', {'input': 'x'})
+            async with around.session.get(around.url + '/metrics') as answer:
+                text = await answer.text()
+            self.assertIn('calicopath_requests_total', text)
+            self.assertIn('calicopath_first_token_seconds', text)
+            for path in ('/healthz', '/readyz', '/admin/v1/status', '/admin/v1/versions'):
+                async with around.session.get(around.url + path) as answer:
+                    self.assertEqual(200, answer.status)
+            path = '/admin/v1/config/config/templates/answer'
+            async with around.session.get(around.url + path) as answer:
+                found = await answer.json()
+            self.assertEqual('config/templates/answer', found['key'])
+            self.assertGreater(found['version'], 0)
+
+        self.with_box(work)
--- /dev/null
+++ b/packages/daemon/calicopathd/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Carry messages between boxes."""
--- /dev/null
+++ b/packages/daemon/calicopathd/peers/zmq_transport.py
@@ -0,0 +1,102 @@
+"""Send messages between boxes over ZeroMQ: one PULL socket a box, one PUSH socket a neighbour."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+import zmq
+import zmq.asyncio
+
+from calicopath_core.membership.transport import PeerTransport
+from calicopathd.exceptions import StartError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from calicopathd.config.options import Address
+
+SEND_QUEUE = 200
+"""Messages that wait for a peer; what comes after that is dropped, and repaired by digests."""
+
+RECEIVE_QUEUE = 5000
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+MAX_CONNECTIONS = 128
+RECONNECT_MS = 100
+MAX_RECONNECT_MS = 2000
+NO_LINGER = 0
+"""A stop does not wait for messages that a dead peer will never take."""
+
+
+class ZmqTransport(PeerTransport):
+    """Keep the connections used last; drop messages rather than wait."""
+
+    def __init__(self, *, address: Address) -> None:
+        self.context = zmq.asyncio.Context()
+        self.plain = zmq.Context(self.context)
+        self.pull = self.context.socket(zmq.PULL)
+        self.pull.setsockopt(zmq.RCVHWM, RECEIVE_QUEUE)
+        self.pull.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        self.pull.setsockopt(zmq.LINGER, NO_LINGER)
+        self.port = self.bind(address)
+        self.sockets: OrderedDict[str, zmq.Socket[bytes]] = OrderedDict()
+        self.handler: Callable[[bytes], None] = lambda data: None
+        self.dropped = 0
+
+    def bind(self, address: Address) -> int:
+        """Listen, on a free port if none is given, and return the port."""
+        host = f'[{address.host}]' if ':' in address.host else address.host
+        if ':' in address.host:
+            self.pull.setsockopt(zmq.IPV6, 1)
+        try:
+            if address.port == 0:
+                return int(self.pull.bind_to_random_port(f'tcp://{host}'))
+            self.pull.bind(f'tcp://{host}:{address.port}')
+        except zmq.ZMQError as error:
+            raise StartError(f'cannot listen on {address}: {error.strerror}') from error
+        return address.port
+
+    def listen(self, handler: Callable[[bytes], None]) -> None:
+        """Give every message that comes to `handler`."""
+        self.handler = handler
+
+    async def run(self) -> None:
+        """Receive until cancelled."""
+        while True:
+            self.handler(await self.pull.recv())
+
+    def send(self, address: str, data: bytes) -> None:
+        """Send without waiting; a full queue drops the message."""
+        try:
+            self.socket(address).send(data, zmq.NOBLOCK)
+        except zmq.ZMQError:
+            self.dropped += 1
+
+    def socket(self, address: str) -> zmq.Socket[bytes]:
+        """Return the connection to a peer, closing the one unused longest if there are many."""
+        found = self.sockets.get(address)
+        if found is None:
+            found = self.connect(address)
+            self.sockets[address] = found
+            if len(self.sockets) > MAX_CONNECTIONS:
+                self.sockets.popitem(last=False)[1].close()
+        self.sockets.move_to_end(address)
+        return found
+
+    def connect(self, address: str) -> zmq.Socket[bytes]:
+        """Open a connection in the background."""
+        found = self.plain.socket(zmq.PUSH)
+        found.setsockopt(zmq.SNDHWM, SEND_QUEUE)
+        found.setsockopt(zmq.LINGER, NO_LINGER)
+        found.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        found.setsockopt(zmq.RECONNECT_IVL_MAX, MAX_RECONNECT_MS)
+        found.setsockopt(zmq.IPV6, 1)
+        found.connect(f'tcp://{address}')
+        return found
+
+    def close(self) -> None:
+        """Close every connection."""
+        self.pull.close()
+        for found in self.sockets.values():
+            found.close()
+        self.context.term()
--- /dev/null
+++ b/packages/daemon/calicopathd/tests/transport_tests.py
@@ -0,0 +1,55 @@
+"""Test that messages travel between two sockets, and that a dead peer does no harm."""
+
+from __future__ import annotations
+
+import asyncio
+
+import testtools
+
+from calicopathd.config.options import Address
+from calicopathd.exceptions import StartError
+from calicopathd.peers.zmq_transport import MAX_CONNECTIONS, SEND_QUEUE, ZmqTransport
+
+ANY_PORT = Address('127.0.0.1', 0)
+
+
+class Sockets(testtools.TestCase):
+    def test_a_message_arrives_and_closing_does_not_wait_for_dead_peers(self) -> None:
+        async def scenario() -> None:
+            one, other = ZmqTransport(address=ANY_PORT), ZmqTransport(address=ANY_PORT)
+            got: asyncio.Queue[bytes] = asyncio.Queue()
+            other.listen(got.put_nowait)
+            task = asyncio.create_task(other.run())
+            one.send(f'127.0.0.1:{other.port}', b'hello')
+            self.assertEqual(b'hello', await got.get())
+            one.send('127.0.0.1:1', b'nobody there')
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            one.close()
+            other.close()
+
+        asyncio.run(scenario())
+
+    def test_a_full_queue_drops_and_connections_are_bounded(self) -> None:
+        async def scenario() -> None:
+            transport = ZmqTransport(address=ANY_PORT)
+            for _ in range(SEND_QUEUE + 50):
+                transport.send('127.0.0.1:1', b'x')
+            self.assertGreater(transport.dropped, 0)
+            for port in range(2, MAX_CONNECTIONS + 50):
+                transport.send(f'127.0.0.1:{port}', b'x')
+            self.assertEqual(MAX_CONNECTIONS, len(transport.sockets))
+            transport.close()
+
+        asyncio.run(scenario())
+
+    def test_an_address_in_use_is_a_clear_error(self) -> None:
+        async def scenario() -> None:
+            first = ZmqTransport(address=ANY_PORT)
+            try:
+                with self.assertRaises(StartError):
+                    ZmqTransport(address=Address('127.0.0.1', first.port))
+            finally:
+                first.close()
+
+        asyncio.run(scenario())
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -49,7 +49,7 @@
         app = new_app()
         app.router.add_get('/v1/objects', self.list)
         app.router.add_get('/v1/objects/{key:.+}', self.get)
-        app.router.add_put('/v1/objects/{key:.+}', self.put)
+        app.router.add_post('/v1/objects/{key:.+}', self.put)
         app.router.add_get('/v1/watch', self.watch)
         app.router.add_get('/v1/boxes', self.list_boxes)
         app.router.add_put('/admin/boxes/{name}', self.put_box)
--- /dev/null
+++ b/testkit/fake_network.py
@@ -0,0 +1,52 @@
+"""Carry messages between boxes in memory, with latency, loss and cuts."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+from calicopath_core.membership.transport import PeerTransport
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class FakeNetwork:
+    """Hold all boxes' addresses; `blocked` pairs do not hear each other."""
+
+    def __init__(self, *, seed: int = 1, latency_s: float = 0.001, loss: float = 0.0) -> None:
+        self.rng = random.Random(seed)
+        self.latency_s = latency_s
+        self.loss = loss
+        self.handlers: dict[str, Callable[[bytes], None]] = {}
+        self.blocked: Callable[[str, str], bool] = lambda source, target: False
+
+    def deliver(self, source: str, target: str, data: bytes) -> None:
+        """Deliver after the latency, unless the message is lost."""
+        if self.blocked(source, target) or self.rng.random() < self.loss:
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.latency_s, self.arrive, source, target, data)
+
+    def arrive(self, source: str, target: str, data: bytes) -> None:
+        """Hand a message over if the target still lives."""
+        handler = self.handlers.get(target)
+        if handler is not None and not self.blocked(source, target):
+            handler(data)
+
+
+class FakeTransport(PeerTransport):
+    """Give one box the network."""
+
+    def __init__(self, *, network: FakeNetwork, address: str) -> None:
+        self.network = network
+        self.address = address
+
+    def send(self, address: str, data: bytes) -> None:
+        """Send a message."""
+        self.network.deliver(self.address, address, data)
+
+    def listen(self, handler: Callable[[bytes], None]) -> None:
+        """Receive at this box's address."""
+        self.network.handlers[self.address] = handler
--- a/testkit/processes.py
+++ b/testkit/processes.py
@@ -30,6 +30,7 @@
     handle: asyncio.subprocess.Process
     url: str
     log: Path
+    peer_address: str = ''
 
     @property
     def address(self) -> str:
@@ -90,7 +91,8 @@
             line = (await handle.stdout.readline()).decode().strip()
         if not line.startswith(LISTENING):
             raise RuntimeError(f'{name} did not start: {line} {log.read_text()}')
-        process = Process(name, handle, line.removeprefix(LISTENING), log)
+        url, _, peer_address = line.removeprefix(LISTENING).partition(' peers ')
+        process = Process(name, handle, url, log, peer_address)
         self.processes.append(process)
         return process
 
@@ -139,7 +141,7 @@
     record = {
         'failure_domain': failure_domain,
         'address': daemon.address,
-        'peer_address': daemon.address,
+        'peer_address': daemon.peer_address,
     }
     async with (
         aiohttp.ClientSession() as session,
