--- /dev/null
+++ b/tools/faults.py
@@ -0,0 +1,363 @@
+"""Provoke failures among real processes and check what must hold; exit 0 only if all does.
+
+No verdict depends on speed: only on what was answered, what the stand-ins counted, and what is
+in force in the end.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import sys
+import time
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from testkit.load import Load
+from testkit.processes import EndpointProcess, Process, ProcessGroup, operate, wait_ready
+from testkit.world import SERVICES, TEMPLATES, pipeline_spec
+from tools.demo import Reply, SampleRequest, new_key, send
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+BOXES = 3
+REPLICAS = 2
+CLIENTS = 8
+DOMAINS = ('lahore-a', 'lahore-b', 'lahore-c')
+WAIT = ('--wait', '15')
+ANSWER = SampleRequest('towpath', 'answer', 'Where may we moor? لاک', stream=True)
+ACT = SampleRequest('towpath', 'act', 'charge the deposit', repeatable=False)
+MIXED = (ANSWER, ANSWER._replace(stream=False), ACT)
+
+
+class Failure(AssertionError):
+    """Report that something did not hold."""
+
+
+def check(holds: bool, message: str) -> None:
+    """Raise unless something holds."""
+    if not holds:
+        raise Failure(message)
+
+
+class Deployment:
+    """Hold a running deployment: platform, endpoints and daemons."""
+
+    def __init__(self, *, group: ProcessGroup) -> None:
+        self.group = group
+        self.endpoints: dict[str, EndpointProcess] = {}
+        self.boxes: list[Process] = []
+        self.platform: Process
+        self.session: aiohttp.ClientSession
+
+    async def start(self) -> None:
+        """Start and configure everything."""
+        self.platform = await self.group.platform()
+        specs = [
+            self.endpoint_spec(service, number)
+            for service in SERVICES
+            for number in range(REPLICAS)
+        ]
+        started = await asyncio.gather(*(self.start_endpoint(spec) for spec in specs))
+        self.endpoints = {item.process.name: item for item in started}
+        documents = [item.spec for item in started]
+        documents += list(TEMPLATES.values())
+        documents += [{**pipeline_spec(name), 'deadline_ms': 10_000} for name in TEMPLATES]
+        path = self.group.write_documents('config.yaml', documents)
+        result = await operate(self.platform, 'apply', str(path))
+        check(result.code == 0, result.errors)
+        for number in range(BOXES):
+            await self.add_box(f'box-{number + 1}', DOMAINS[number])
+
+    def endpoint_spec(self, service: str, number: int) -> dict[str, Any]:
+        """Return the document of a replica."""
+        return {
+            'kind': 'endpoint',
+            'name': f'{service}-{number + 1}',
+            'service': service,
+            'stage': SERVICES[service].value,
+            'address': 'http://127.0.0.1:1',
+            'failure_domain': DOMAINS[number % len(DOMAINS)],
+            'concurrency': 32,
+        }
+
+    async def start_endpoint(self, spec: dict[str, Any]) -> EndpointProcess:
+        """Start a replica; services are slow enough to be caught in the act."""
+        flags = ('--service-ms', '100') if spec['stage'] == 'service' else ()
+        return await self.group.endpoint(spec, *flags)
+
+    async def add_box(self, name: str, domain: str, *flags: str) -> Process:
+        """Start a daemon and wait until it is ready."""
+        box = await self.group.daemon(
+            self.platform, name, domain, '--boxes', str(BOXES), '--leave-grace-s', '0.3', *flags
+        )
+        self.boxes = [item for item in self.boxes if item.name != name] + [box]
+        await wait_ready(box)
+        return box
+
+    async def faults(self, process: Process, **faults: Any) -> None:
+        """Switch a stand-in's faults."""
+        async with self.session.post(f'{process.url}/admin/faults', json=faults) as answer:
+            check(answer.status == 200, f'{process.name}: {faults}')
+
+    async def get(self, process: Process, path: str) -> Any:
+        """Read JSON from a process."""
+        async with self.session.get(process.url + path) as answer:
+            return await answer.json(content_type=None)
+
+    async def ran(self) -> dict[str, int]:
+        """Count over all services how often each key ran."""
+        total: dict[str, int] = {}
+        for name, item in self.endpoints.items():
+            if name.startswith('desk'):
+                for key, count in (await self.get(item.process, '/admin/ran')).items():
+                    total[key] = total.get(key, 0) + count
+        return total
+
+    async def send(self, box: Process, sample: SampleRequest, key: str | None = None) -> Reply:
+        """Send one request."""
+        return await send(self.session, box, sample, key)
+
+    async def check_load(self, load: Load, *, cut: tuple[str, ...] = ()) -> None:
+        """Check that answers are right, keys ran at most once, and refused ones not at all."""
+        ran = await self.ran()
+        for item in load.results:
+            check(item.is_right, f'wrong answer: {item}')
+            check(item.outcome != 'broken' or item.box in cut, f'cut: {item}')
+            if item.key is None:
+                continue
+            check(ran.get(item.key, 0) <= 1, f'{item.key} ran {ran.get(item.key)} times')
+            if item.outcome == 'refused':
+                check(item.key not in ran, f'{item.key} was refused and ran')
+            if item.outcome == 'answered':
+                check(ran.get(item.key) == 1, f'{item.key} was answered and did not run')
+        check(load.outcomes()['answered'] > 0, 'nothing was answered')
+
+
+async def box_killed(deployment: Deployment) -> str:
+    """Kill a daemon under load; its unfinished keys asked again elsewhere run at most once."""
+    victim = deployment.boxes[0]
+    load = Load(boxes=deployment.boxes, samples=MIXED)
+    async with load.running(CLIENTS):
+        await asyncio.sleep(1)
+        victim.send(signal.SIGKILL)
+        await asyncio.sleep(0.5)
+    other = deployment.boxes[1]
+    unfinished = [item for item in load.results if item.key and item.outcome == 'broken']
+    for item in unfinished:
+        await deployment.send(other, item.sample, item.key)
+    check(len(unfinished) > 0, 'no key was in progress when the box was killed')
+    await deployment.check_load(load, cut=(victim.name,))
+    await victim.wait()
+    await deployment.add_box(victim.name, DOMAINS[0])
+    return f'{dict(load.outcomes())}, {len(unfinished)} keys asked again'
+
+
+async def box_frozen(deployment: Deployment) -> str:
+    """Freeze a daemon under load, ask its keys elsewhere, and wake it."""
+    victim, other = deployment.boxes[0], deployment.boxes[1]
+    keys = [new_key() for _ in range(12)]
+    first = [asyncio.create_task(deployment.send(victim, ACT, key)) for key in keys]
+    await asyncio.sleep(0.25)
+    victim.send(signal.SIGSTOP)
+    again = await asyncio.gather(*(deployment.send(other, ACT, key) for key in keys))
+    victim.send(signal.SIGCONT)
+    woken = await asyncio.gather(*first)
+    ran = await deployment.ran()
+    answered = [reply.outcome for reply in (*again, *woken)].count('answered')
+    check(answered > 0, 'nothing was answered on either side of the freeze')
+    for key in keys:
+        check(ran.get(key, 0) <= 1, f'{key} ran {ran.get(key)} times')
+    return f'of 12 keys {answered} answered, none twice'
+
+
+async def planned_stop(deployment: Deployment) -> str:
+    """Stop a daemon under load: no request is cut and it exits 0."""
+    victim = deployment.boxes[0]
+    load = Load(boxes=deployment.boxes, samples=MIXED)
+    async with load.running(CLIENTS):
+        await asyncio.sleep(0.5)
+        victim.send(signal.SIGTERM)
+        # The balancer would stop sending here; these clients find the port closed in the end.
+        load.boxes = [box for box in load.boxes if box is not victim]
+        code = await victim.wait()
+        await asyncio.sleep(0.2)
+    check(code == 0, f'exit code {code}')
+    await deployment.check_load(load)
+    check(load.outcomes()['failed'] == 0, f'{dict(load.outcomes())}')
+    await deployment.add_box(victim.name, DOMAINS[0])
+    return str(dict(load.outcomes()))
+
+
+async def drains(deployment: Deployment) -> str:
+    """Drain an endpoint of each kind under load: nothing is cut, and no new work comes."""
+    load = Load(boxes=deployment.boxes, samples=MIXED)
+    names = [f'{service}-1' for service in SERVICES]
+    async with load.running(CLIENTS):
+        await asyncio.sleep(0.5)
+        for name in names:
+            result = await operate(deployment.platform, 'endpoint', 'drain', name, *WAIT)
+            check(result.code == 0, result.errors)
+        await asyncio.sleep(0.5)
+        before = [
+            await deployment.get(deployment.endpoints[name].process, '/admin/asked')
+            for name in names
+        ]
+        await asyncio.sleep(0.7)
+        after = [
+            await deployment.get(deployment.endpoints[name].process, '/admin/asked')
+            for name in names
+        ]
+    check([len(item) for item in before] == [len(item) for item in after], 'work after a drain')
+    await deployment.check_load(load)
+    outcomes = load.outcomes()
+    check(outcomes['failed'] == 0 and outcomes['refused'] == 0, str(dict(outcomes)))
+    for name in names:
+        await put_back(deployment, name)
+    return str(dict(outcomes))
+
+
+async def put_back(deployment: Deployment, name: str) -> None:
+    """Take a drained endpoint into service again."""
+    spec = deployment.endpoints[name].spec
+    flags = [
+        f'--{flag.replace("_", "-")}={spec[flag]}'
+        for flag in ('service', 'stage', 'address', 'failure_domain', 'concurrency')
+    ]
+    result = await operate(deployment.platform, 'endpoint', 'add', name, *flags, *WAIT)
+    check(result.code == 0, result.errors)
+
+
+async def platform_outage(deployment: Deployment) -> str:
+    """Take the platform away under load: what needs no claim goes on; then a change gets through."""
+    load = Load(boxes=deployment.boxes, samples=MIXED)
+    async with load.running(CLIENTS):
+        await asyncio.sleep(0.3)
+        await deployment.faults(deployment.platform, down=True)
+        result = await operate(deployment.platform, 'endpoint', 'drain', 'drafting-1')
+        check(result.code in (1, 4), f'a change was accepted by a platform that is down: {result}')
+        # The write may have been sent twice; it must have had no effect.
+        await asyncio.sleep(1)
+        refused = await deployment.send(deployment.boxes[0], ACT, new_key())
+        check(refused.outcome == 'refused', f'{refused}')
+        answered = await deployment.send(deployment.boxes[0], ANSWER)
+        check(answered.outcome == 'answered', f'{answered}')
+        await deployment.faults(deployment.platform, down=False)
+        result = await operate(deployment.platform, 'endpoint', 'drain', 'drafting-1', *WAIT)
+        check(result.code == 0, result.errors)
+    await deployment.check_load(load)
+    await put_back(deployment, 'drafting-1')
+    return str(dict(load.outcomes()))
+
+
+async def engine_cut(deployment: Deployment) -> str:
+    """Cut streams half-way: they are resumed on another replica, byte for byte."""
+    whole = await deployment.send(deployment.boxes[0], ANSWER)
+    engines = [
+        item.process for name, item in deployment.endpoints.items() if name.startswith('draft')
+    ]
+    for number in range(6):
+        for engine in engines:
+            await deployment.faults(engine, cut_after=3 + number)
+        reply = await deployment.send(deployment.boxes[number % BOXES], ANSWER)
+        check(reply.outcome in ('answered', 'failed'), f'{reply}')
+        if reply.outcome == 'answered':
+            check(reply.streamed == whole.streamed, f'{reply.streamed} is not {whole.streamed}')
+    for engine in engines:
+        await deployment.faults(engine)
+    return 'resumed streams are equal'
+
+
+async def operators_race(deployment: Deployment) -> str:
+    """Let operators change one endpoint at once: each accepted change has exactly one record."""
+    commands = ['drain', 'stop'] * 4
+    await deployment.faults(deployment.platform, slow_s=0.3)
+    results = await asyncio.gather(
+        *(
+            operate(deployment.platform, 'endpoint', command, 'rerankers-1', who=f'op-{number}')
+            for number, command in enumerate(commands)
+        )
+    )
+    await deployment.faults(deployment.platform, slow_s=0.0)
+    accepted = sum(result.code == 0 for result in results)
+    check(0 < accepted < len(results), f'{accepted} accepted: the operators did not race')
+    check(all(result.code in (0, 3) for result in results), f'{results}')
+    audit = await operate(
+        deployment.platform, '--output', 'json', 'audit', '--key', 'endpoints/rerankers-1'
+    )
+    records = [item for item in json.loads(audit.output) if item['who'].startswith('op-')]
+    check(len(records) == accepted, f'{accepted} accepted, {len(records)} recorded')
+    check(len({item['id'] for item in records}) == accepted, 'a change is recorded twice')
+    await put_back(deployment, 'rerankers-1')
+    return f'{accepted} accepted, {len(results) - accepted} told of the conflict'
+
+
+async def lost_answers(deployment: Deployment) -> str:
+    """Lose answers after the platform took the write: neither operators nor claims do it twice."""
+    await deployment.faults(deployment.platform, lose_answers=2)
+    result = await operate(deployment.platform, 'endpoint', 'drain', 'encoders-1', *WAIT)
+    check(result.code == 0, result.errors)
+    await deployment.faults(deployment.platform, lose_answers=3)
+    key = new_key()
+    replies = [await deployment.send(box, ACT, key) for box in deployment.boxes]
+    ran = await deployment.ran()
+    check(ran.get(key, 0) <= 1, f'{key} ran {ran.get(key)} times')
+    check('answered' in [reply.outcome for reply in replies], f'{replies}')
+    await deployment.faults(deployment.platform, lose_answers=0)
+    await put_back(deployment, 'encoders-1')
+    return str([reply.outcome for reply in replies])
+
+
+async def restart_without_platform(deployment: Deployment) -> str:
+    """Restart a daemon while the platform is down: it gets its view from its peers."""
+    victim = deployment.boxes[0]
+    await deployment.faults(deployment.platform, down=True)
+    victim.send(signal.SIGKILL)
+    await victim.wait()
+    seeds = ','.join(box.peer_address for box in deployment.boxes if box is not victim)
+    box = await deployment.add_box(victim.name, DOMAINS[0], '--seed-peers', seeds)
+    reply = await deployment.send(box, ANSWER)
+    check(reply.outcome == 'answered', f'{reply}')
+    await deployment.faults(deployment.platform, down=False)
+    return 'ready from peers'
+
+
+SCENARIOS: tuple[Callable[[Deployment], Awaitable[str]], ...] = (
+    box_killed,
+    box_frozen,
+    planned_stop,
+    drains,
+    platform_outage,
+    engine_cut,
+    operators_race,
+    lost_answers,
+    restart_without_platform,
+)
+
+
+async def run() -> int:
+    """Run every scenario on one deployment and return the exit code."""
+    passed = failed = 0
+    async with ProcessGroup() as group, aiohttp.ClientSession() as session:
+        deployment = Deployment(group=group)
+        deployment.session = session
+        await deployment.start()
+        for scenario in SCENARIOS:
+            started = time.monotonic()
+            try:
+                detail = await scenario(deployment)
+            except Failure as error:
+                failed += 1
+                print(f'FAILED {scenario.__name__}: {error}')
+                continue
+            passed += 1
+            print(f'ok {scenario.__name__} ({time.monotonic() - started:.1f} s): {detail}')
+    print(f'{passed} passed, {failed} failed')
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(asyncio.run(run()))
