--- /dev/null
+++ b/bench/deployments.py
@@ -0,0 +1,186 @@
+"""Describe the users' deployments at their sizes of today, for the bench."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from calicopath_core.structure.endpoints import Endpoint
+from calicopath_core.structure.stages import StageKind
+from testkit.fake_endpoints import FakeEndpoint, FakeFleet, Timing
+
+if TYPE_CHECKING:
+    from testkit.fake_store import StoreState
+
+TOKENS = 12
+"""Tokens an answer; each stands for several real ones, which keeps the bench fast."""
+
+
+class PoolSize(NamedTuple):
+    """Hold a pool's replicas, the calls that each serves at once, and their times."""
+
+    kind: StageKind
+    replicas: int
+    concurrency: int
+    timing: Timing
+    expected_ms: int
+
+
+class Workload(NamedTuple):
+    """Hold one workspace's pipeline and its share of the requests."""
+
+    workspace: str
+    template: str
+    priority: int
+    share: float
+
+
+class Deployment(NamedTuple):
+    """Hold one user's deployment; `capacity` is the requests a second that it can answer."""
+
+    name: str
+    boxes: int
+    domains: int
+    pools: dict[str, PoolSize]
+    workloads: tuple[Workload, ...]
+
+    @property
+    def capacity(self) -> float:
+        """Return the requests a second at which generation is full."""
+        pool = self.pools['drafting']
+        full = 1.0 + pool.timing.batch_slowdown * (pool.concurrency - 1)
+        service_s = (pool.timing.first_token_s + TOKENS * pool.timing.token_s) * full
+        return pool.replicas * pool.concurrency / service_s
+
+
+STAGE_TIMING = Timing(service_s=0.012)
+ENGINE_TIMING = Timing(first_token_s=0.06, token_s=0.04, batch_slowdown=0.03, prefill_s=0.15)
+
+
+def deployment(name: str, boxes: int, drafting: int, workloads: tuple[Workload, ...]) -> Deployment:
+    """Return a deployment with so many drafting replicas."""
+    pools = {
+        'encoders': PoolSize(StageKind.ENCODER, 2, 2, STAGE_TIMING, 12),
+        'retrievers': PoolSize(StageKind.RETRIEVER, 2, 4, STAGE_TIMING, 12),
+        'rerankers': PoolSize(StageKind.RERANKER, 2, 4, STAGE_TIMING, 12),
+        'drafting': PoolSize(StageKind.ENGINE, drafting, 8, ENGINE_TIMING, 540),
+        'desk': PoolSize(StageKind.SERVICE, 4, 8, STAGE_TIMING, 12),
+    }
+    return Deployment(name, boxes, 4, pools, workloads)
+
+
+RAVI = deployment(
+    'ravi-canal-hire',
+    6,
+    6,
+    (
+        Workload('booking-desk', 'act', 8, 0.25),
+        Workload('deposits', 'act', 8, 0.1),
+        Workload('lock-passage', 'answer', 7, 0.2),
+        Workload('towpath', 'answer', 6, 0.35),
+        Workload('boatyard', 'answer', 3, 0.1),
+    ),
+)
+POKANA = deployment(
+    'pokana-coop',
+    8,
+    9,
+    (
+        Workload('guestbook', 'act', 8, 0.2),
+        Workload('reminders', 'act', 7, 0.1),
+        Workload('card-studio', 'answer', 5, 0.4),
+        Workload('member-desk', 'answer', 4, 0.1),
+        Workload('family-drafts', 'answer', 3, 0.2),
+    ),
+)
+MANY_BOXES = POKANA._replace(name='many-boxes', boxes=48)
+"""Pokana Co-op with more boxes than replicas have places, as at the size to design for."""
+
+MANY_WORKSPACES = POKANA._replace(
+    name='many-workspaces',
+    workloads=tuple(Workload(f'workspace-{n}', 'answer', 5, 1.0) for n in range(60)),
+)
+"""Pokana Co-op with more workspaces than an engine caches prompt prefixes."""
+
+DEPLOYMENTS = {item.name: item for item in (RAVI, POKANA, MANY_BOXES, MANY_WORKSPACES)}
+
+TEMPLATE_STAGES = {
+    'answer': ('encoders', 'retrievers', 'rerankers', 'drafting'),
+    'act': ('encoders', 'retrievers', 'rerankers', 'drafting', 'desk'),
+    'lookup': ('encoders', 'retrievers', 'rerankers'),
+}
+
+
+def new_fleet(found: Deployment) -> FakeFleet:
+    """Return the endpoints of a deployment, spread over its failure domains."""
+    return FakeFleet(
+        [
+            FakeEndpoint(
+                endpoint=Endpoint(
+                    f'{service}-{number}',
+                    service,
+                    pool.kind,
+                    'http://127.0.0.1:1',
+                    f'domain-{number % found.domains}',
+                    pool.concurrency,
+                ),
+                timing=pool.timing,
+            )
+            for service, pool in found.pools.items()
+            for number in range(pool.replicas)
+        ]
+    )
+
+
+def documents(found: Deployment, fleet: FakeFleet) -> dict[str, dict[str, Any]]:
+    """Return the configuration of a deployment by key."""
+    specs: dict[str, dict[str, Any]] = {}
+    for name, item in fleet.endpoints.items():
+        endpoint = item.endpoint
+        specs[f'config/endpoints/{name}'] = {
+            'kind': 'endpoint',
+            'name': name,
+            'service': endpoint.service,
+            'stage': endpoint.kind.value,
+            'address': endpoint.address,
+            'failure_domain': endpoint.failure_domain,
+            'concurrency': endpoint.concurrency,
+        }
+    for template, services in TEMPLATE_STAGES.items():
+        specs[f'config/templates/{template}'] = {
+            'kind': 'template',
+            'name': template,
+            'parameters': {'prefix': {'type': 'string', 'default': ''}},
+            'stages': [stage_spec(service, found.pools[service]) for service in services],
+        }
+    for load in (*found.workloads, Workload('lookups', 'lookup', 5, 0.0)):
+        specs[f'config/pipelines/{load.workspace}/main'] = {
+            'kind': 'pipeline',
+            'workspace': load.workspace,
+            'name': 'main',
+            'template': load.template,
+            'parameters': {'prefix': f'{load.workspace}:'},
+            'deadline_ms': 2000,
+            'priority': load.priority,
+        }
+    return specs
+
+
+def stage_spec(service: str, pool: PoolSize) -> dict[str, Any]:
+    """Return the document of a stage."""
+    spec: dict[str, Any] = {
+        'name': service,
+        'kind': pool.kind.value,
+        'service': service,
+        'expected_ms': pool.expected_ms,
+    }
+    if pool.kind is StageKind.SERVICE:
+        spec['repeatable'] = False
+    if pool.kind is StageKind.ENGINE:
+        spec['params'] = {'max_tokens': TOKENS, 'instruction': '${prefix}'}
+    return spec
+
+
+def fill_store(state: StoreState, specs: dict[str, dict[str, Any]]) -> None:
+    """Write a configuration into a fake store."""
+    for key, spec in specs.items():
+        state.write(key, {'spec': spec, 'change': {}}, 0)
--- /dev/null
+++ b/bench/policy.py
@@ -0,0 +1,239 @@
+"""Compare policies over all scenarios, deterministic for a seed; `make bench` runs it."""
+
+from __future__ import annotations
+
+import argparse
+import itertools
+import multiprocessing
+import sys
+from pathlib import Path
+from typing import NamedTuple
+
+import msgspec
+
+from bench.deployments import DEPLOYMENTS, POKANA, RAVI
+from bench.results import Measures, Summary, measure, summarise
+from bench.scenarios import DURATION_S, SCENARIOS, Scenario, play
+from bench.simulation import World
+from bench.variants import VARIANTS
+from calicopathd.logs import set_up_logs
+from testkit.virtual import run_virtual
+
+USERS = (RAVI.name, POKANA.name)
+"""The deployments for which targets are set."""
+
+SEEDS = 5
+WORKERS = 6
+COLUMNS = (
+    'attainment',
+    'high',
+    'low',
+    'goodput',
+    'first_token_p95_ms',
+    'token_p95_ms',
+    'cost_ms',
+    'thrown_away',
+    'refused',
+    'refused_after_ms',
+    'failed',
+    'spread',
+)
+HEADERS = (
+    'attain',
+    'high',
+    'low',
+    'goodput',
+    'first95',
+    'gap95',
+    'cost ms',
+    'thrown',
+    'refused',
+    'ref. ms',
+    'failed',
+    'spread',
+)
+
+
+class Job(NamedTuple):
+    """Name one run."""
+
+    deployment: str
+    scenario: str
+    variant: str
+    seed: int
+
+
+class Row(NamedTuple):
+    """Hold the summary of one deployment, scenario and variant over the seeds."""
+
+    deployment: str
+    scenario: str
+    variant: str
+    measures: dict[str, Summary]
+
+
+def scenario_named(name: str) -> Scenario:
+    """Return a scenario."""
+    return next(item for item in SCENARIOS if item.name == name)
+
+
+def run_job(job: Job) -> Measures:
+    """Run one scenario once."""
+    set_up_logs(level='ERROR', json=True, box='bench')
+    return run_virtual(simulate(job))
+
+
+async def simulate(job: Job) -> Measures:
+    """Play a scenario and measure it."""
+    world = World(
+        deployment=DEPLOYMENTS[job.deployment], variant=VARIANTS[job.variant], seed=job.seed
+    )
+    await play(world, scenario_named(job.scenario))
+    return measure(world, DURATION_S)
+
+
+def run_all(jobs: list[Job], workers: int) -> dict[Job, Measures]:
+    """Run jobs on several processes."""
+    if workers == 1:
+        return {job: run_job(job) for job in jobs}
+    with multiprocessing.get_context('spawn').Pool(workers) as pool:
+        return dict(zip(jobs, pool.map(run_job, jobs, chunksize=1), strict=True))
+
+
+def rows_of(results: dict[Job, Measures]) -> list[Row]:
+    """Return one row for each deployment, scenario and variant."""
+    keys = list(dict.fromkeys(job[:3] for job in results))
+    return [
+        Row(*key, summarise([found for job, found in results.items() if job[:3] == key]))
+        for key in keys
+    ]
+
+
+def format_cell(name: str, value: float) -> str:
+    """Return a figure: shares in percent, times in milliseconds."""
+    if name.endswith('_ms'):
+        return f'{value:.0f}'
+    return f'{100 * value:.1f}'
+
+
+def print_rows(rows: list[Row]) -> None:
+    """Print the medians, and minimum and maximum of the attainment."""
+    print(f'{"deployment":16}{"scenario":18}{"variant":14}', *(f'{name:>8}' for name in HEADERS))
+    for row in rows:
+        cells = [format_cell(name, row.measures[name].median) for name in COLUMNS]
+        low, _, high = row.measures['attainment']
+        print(
+            f'{row.deployment:16}{row.scenario:18}{row.variant:14}',
+            *(f'{cell:>8}' for cell in cells),
+            f'  [{100 * low:.1f}..{100 * high:.1f}]',
+        )
+
+
+def check_targets(rows: list[Row]) -> list[str]:
+    """Return the targets that were missed, with by how much."""
+    found = {(row.deployment, row.scenario, row.variant): row.measures for row in rows}
+    missed = []
+    for (deployment, scenario, variant), measures in found.items():
+        naive = found.get((deployment, scenario, 'naive'))
+        if variant != 'calicopath' or naive is None or deployment not in USERS:
+            continue
+        healthy = found[deployment, 'steady', 'calicopath']
+        where = f'{deployment} {scenario}'
+        missed += missed_targets(where, scenario, measures, naive, healthy)
+    return missed
+
+
+def missed_targets(
+    where: str,
+    scenario: str,
+    ours: dict[str, Summary],
+    naive: dict[str, Summary],
+    healthy: dict[str, Summary],
+) -> list[str]:
+    """Return the targets that one scenario misses, by medians."""
+    missed = []
+
+    def target(name: str, value: float, bound: float, *, at_least: bool) -> None:
+        if (value < bound) if at_least else (value > bound):
+            missed.append(f'{where}: {name} {value:.3f}, target {bound:.3f}')
+
+    attained = ours['attainment'].median
+    target('attainment against naive', attained, naive['attainment'].median, at_least=True)
+    target('thrown away', ours['thrown_away'].median, 0.05, at_least=False)
+    if scenario == 'overload':
+        target('goodput', ours['goodput'].median, 0.9, at_least=True)
+    if scenario == 'slow-replica':
+        target('attainment', attained, healthy['attainment'].median - 0.02, at_least=True)
+    if scenario == 'steady':
+        target('cost', ours['cost_ms'].median, naive['cost_ms'].median, at_least=False)
+    return missed
+
+
+def plot(rows: list[Row], path: Path) -> None:
+    """Draw attainment by scenario for each variant."""
+    import matplotlib
+
+    matplotlib.use('Agg')
+    import matplotlib.pyplot as plt
+
+    deployments = list(dict.fromkeys(row.deployment for row in rows))
+    figure, axes = plt.subplots(len(deployments), 1, figsize=(11, 4 * len(deployments)))
+    for axis, deployment in zip(axes if len(deployments) > 1 else [axes], deployments, strict=True):
+        chosen = [row for row in rows if row.deployment == deployment]
+        variants = list(dict.fromkeys(row.variant for row in chosen))
+        scenarios = list(dict.fromkeys(row.scenario for row in chosen))
+        width = 0.8 / len(variants)
+        for index, variant in enumerate(variants):
+            values = [
+                next(
+                    row.measures['attainment'].median
+                    for row in chosen
+                    if (row.scenario, row.variant) == (scenario, variant)
+                )
+                for scenario in scenarios
+            ]
+            places = [place + index * width for place in range(len(scenarios))]
+            axis.bar(places, values, width, label=variant)
+        axis.set_xticks(range(len(scenarios)), scenarios, rotation=25, ha='right')
+        axis.set_ylabel('attainment')
+        axis.set_title(deployment)
+        axis.legend()
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+def parse_flags() -> argparse.Namespace:
+    """Read the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--variants', default='naive,calicopath')
+    parser.add_argument('--scenarios', default=','.join(item.name for item in SCENARIOS))
+    parser.add_argument('--deployments', default=','.join(USERS))
+    parser.add_argument('--seeds', type=int, default=SEEDS)
+    parser.add_argument('--workers', type=int, default=WORKERS)
+    parser.add_argument('--json', type=Path, help='file for all summaries')
+    parser.add_argument('--plot', type=Path, help='file for a picture of the attainment')
+    return parser.parse_args()
+
+
+def main() -> int:
+    """Run, print, and say which targets were missed."""
+    flags = parse_flags()
+    names = itertools.product(
+        flags.deployments.split(','), flags.scenarios.split(','), flags.variants.split(',')
+    )
+    jobs = [Job(*name, seed) for name in names for seed in range(1, flags.seeds + 1)]
+    rows = rows_of(run_all(jobs, flags.workers))
+    print_rows(rows)
+    if flags.json:
+        flags.json.write_bytes(msgspec.json.encode([row._asdict() for row in rows]))
+    if flags.plot:
+        plot(rows, flags.plot)
+    missed = check_targets(rows) if 'steady' in flags.scenarios else []
+    print(f'targets missed: {len(missed)}')
+    for line in missed:
+        print(f'  {line}')
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/bench/results.py
@@ -0,0 +1,106 @@
+"""Turn the records of a run into the users' measures."""
+
+from __future__ import annotations
+
+import statistics
+from typing import TYPE_CHECKING, NamedTuple
+
+from bench.simulation import DEADLINE_S
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from bench.simulation import Record, World
+
+HIGH_PRIORITY = 7
+LOW_PRIORITY = 4
+
+
+class Measures(NamedTuple):
+    """Hold the measures of one run; shares are of one, times in milliseconds.
+
+    `cost_ms` is the endpoints' busy time per request answered in time, `drafting_ms` that of
+    generation alone; `thrown_away` the share of busy time spent on requests not answered in time.
+    `goodput` is requests answered in time a second, as a share of the capacity. `spread` is the
+    difference between the best and the worst served workspace.
+    """
+
+    requests: int
+    attainment: float
+    high: float
+    low: float
+    goodput: float
+    first_token_p95_ms: float
+    token_p95_ms: float
+    cost_ms: float
+    drafting_ms: float
+    thrown_away: float
+    refused: float
+    refused_after_ms: float
+    failed: float
+    spread: float
+
+
+def share(records: Sequence[Record]) -> float:
+    """Return the share answered whole within the deadline."""
+    return sum(in_time(record) for record in records) / len(records) if records else 1.0
+
+
+def in_time(record: Record) -> bool:
+    """Tell whether a request was answered whole within its deadline."""
+    return record.outcome == 'answered' and record.took_s <= DEADLINE_S
+
+
+def percentile(values: Iterable[float], part: float) -> float:
+    """Return a percentile, 0 of nothing."""
+    found = sorted(values)
+    return found[min(len(found) - 1, int(part * len(found)))] if found else 0.0
+
+
+def measure(world: World, duration_s: float) -> Measures:
+    """Return the measures of a run."""
+    records = world.records
+    good = [record for record in records if in_time(record)]
+    bad = [record for record in records if not in_time(record)]
+    refused = [record for record in records if record.outcome == 'refused']
+    failed = [record for record in records if record.outcome == 'failed']
+    busy_s = sum(sum(record.busy_s.values()) for record in records)
+    wasted_s = sum(sum(record.busy_s.values()) for record in bad)
+    drafting_s = sum(record.busy_s.get('drafting', 0.0) for record in records)
+    workspaces = {record.workspace for record in records}
+    shares = [share([item for item in records if item.workspace == name]) for name in workspaces]
+    answered = max(1, len(good))
+    return Measures(
+        requests=len(records),
+        attainment=share(records),
+        high=share([item for item in records if item.priority >= HIGH_PRIORITY]),
+        low=share([item for item in records if item.priority <= LOW_PRIORITY]),
+        goodput=len(good) / duration_s / world.deployment.capacity,
+        first_token_p95_ms=1000
+        * percentile((item.first_token_s for item in good if item.first_token_s is not None), 0.95),
+        token_p95_ms=1000
+        * percentile((item.token_gap_s for item in good if item.token_gap_s is not None), 0.95),
+        cost_ms=1000 * busy_s / answered,
+        drafting_ms=1000 * drafting_s / answered,
+        thrown_away=wasted_s / busy_s if busy_s else 0.0,
+        refused=len(refused) / max(1, len(records)),
+        refused_after_ms=1000 * percentile((item.took_s for item in refused), 0.5),
+        failed=len(failed) / max(1, len(records)),
+        spread=max(shares) - min(shares),
+    )
+
+
+class Summary(NamedTuple):
+    """Hold minimum, median and maximum of a measure over the seeds."""
+
+    low: float
+    median: float
+    high: float
+
+
+def summarise(runs: Sequence[Measures]) -> dict[str, Summary]:
+    """Return each measure's summary."""
+    return {
+        name: Summary(min(values), statistics.median(values), max(values))
+        for name, values in zip(Measures._fields, zip(*runs, strict=True), strict=True)
+    }
--- /dev/null
+++ b/bench/scenarios.py
@@ -0,0 +1,188 @@
+"""Define the scenarios: how requests arrive, and what fails meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING, NamedTuple
+
+from bench.deployments import Workload
+from calicopath_core.structure.endpoints import EndpointState
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from bench.simulation import SimulatedBox, World
+
+DURATION_S = 20.0
+STEADY_SHARE = 0.6
+"""Share of the capacity that arrives in a scenario that is not about load."""
+
+LOOKUPS = Workload('lookups', 'lookup', 5, 1.0)
+BALANCER_LAG_S = 1.0
+RESTART_S = 2.0
+
+
+class Scenario(NamedTuple):
+    """Hold a name, the arrivals as a share of capacity at a time, and what goes wrong."""
+
+    name: str
+    share: Callable[[float], float]
+    disturb: Callable[[World], Awaitable[None]] | None = None
+    burst_of: Workload | None = None
+    greedy: bool = False
+    caller_retries: int = 0
+
+
+def steady(at: float) -> float:
+    """Return the usual load."""
+    return STEADY_SHARE
+
+
+def burst(at: float) -> float:
+    """Return the usual load with a burst of 2.5 times the capacity for four seconds."""
+    return 2.5 if 6.0 <= at < 10.0 else STEADY_SHARE
+
+
+async def slow_replica(world: World) -> None:
+    """Make one drafting replica five times slower."""
+    world.fleet['drafting-0'].speed = 0.2
+
+
+async def dead_replica(world: World) -> None:
+    """Let one drafting replica refuse every connection from 5 s on."""
+    await asyncio.sleep(5)
+    world.fleet['drafting-0'].down = True
+
+
+async def domain_gone(world: World) -> None:
+    """Let a failure domain's endpoints refuse every connection from 5 s to 15 s."""
+    gone = [
+        item
+        for item in world.fleet.endpoints.values()
+        if item.endpoint.failure_domain == 'domain-1'
+    ]
+    await asyncio.sleep(5)
+    for item in gone:
+        item.down = True
+    await asyncio.sleep(10)
+    for item in gone:
+        item.down = False
+
+
+async def late_reports(world: World) -> None:
+    """Let load reports be three seconds old, and every other one be missing."""
+    for box in world.boxes:
+        box.loads.lag_s = 3.0
+        box.loads.gap = True
+
+
+async def outage_during_drain(world: World) -> None:
+    """Drain a replica, lose the platform right after, and then stop the replica for good."""
+    await asyncio.sleep(5)
+    key = 'config/endpoints/drafting-0'
+    held = world.state.objects[key]
+    spec = {**held.value['spec'], 'state': EndpointState.DRAINING.value}
+    world.state.write(key, {'spec': spec, 'change': {}}, held.version)
+    await asyncio.sleep(0.5)
+    world.state.down = True
+    world.state.end_watches()
+    await asyncio.sleep(2.0)
+    world.fleet['drafting-0'].down = True
+    await asyncio.sleep(5)
+    world.state.down = False
+
+
+async def rolling_restart(world: World) -> None:
+    """Restart every box in turn; the balancer learns of it a second late."""
+    await asyncio.sleep(2)
+    for box in world.boxes:
+        await restart(world, box)
+
+
+async def restart(world: World, box: SimulatedBox) -> None:
+    """Restart one box: ours leaves as the daemon does, the naive one just ends."""
+    if world.variant.naive:
+        box.accepting = False
+        for task in list(box.tasks):
+            task.cancel()
+        await asyncio.sleep(BALANCER_LAG_S)
+        world.balanced.remove(box)
+    else:
+        await asyncio.sleep(BALANCER_LAG_S)
+        world.balanced.remove(box)
+        while box.tasks:
+            await asyncio.wait(set(box.tasks))
+        box.accepting = False
+    await asyncio.sleep(RESTART_S - BALANCER_LAG_S)
+    box.accepting = True
+    world.balanced.append(box)
+
+
+SCENARIOS = (
+    Scenario('steady', steady),
+    Scenario('burst-generation', burst),
+    Scenario('burst-encoding', steady, burst_of=LOOKUPS),
+    Scenario('overload', lambda at: 2.0),
+    Scenario('slow-replica', steady, slow_replica),
+    Scenario('dead-replica', steady, dead_replica),
+    Scenario('domain-gone', steady, domain_gone),
+    Scenario('late-reports', lambda at: 0.8, late_reports),
+    Scenario('greedy-workspace', lambda at: 1.4, greedy=True),
+    Scenario('retry-storm', lambda at: 1.3, caller_retries=4),
+    Scenario('outage-in-drain', steady, outage_during_drain),
+    Scenario('rolling-restart', steady, rolling_restart),
+)
+
+
+async def play(world: World, scenario: Scenario) -> None:
+    """Let requests arrive for the scenario's time, while its faults happen."""
+    world.caller_retries = scenario.caller_retries
+    await world.start()
+    loop = asyncio.get_running_loop()
+    disturbing = None
+    if scenario.disturb is not None:
+        disturbing = loop.create_task(run_disturbance(scenario.disturb, world))
+    arrivals = [loop.create_task(arrive(world, scenario))]
+    if scenario.burst_of is not None:
+        arrivals.append(loop.create_task(arrive_burst(world, scenario.burst_of)))
+    await asyncio.gather(*arrivals)
+    await world.stop()
+    if disturbing is not None:
+        disturbing.cancel()
+        await asyncio.gather(disturbing, return_exceptions=True)
+
+
+async def run_disturbance(disturb: Callable[[World], Awaitable[None]], world: World) -> None:
+    """Carry out what goes wrong."""
+    await disturb(world)
+
+
+async def arrive(world: World, scenario: Scenario) -> None:
+    """Let requests arrive at random, open loop: nobody waits for answers."""
+    rng = random.Random(world.rng.random())
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    loads = world.deployment.workloads
+    weights = [load.share for load in loads]
+    if scenario.greedy:
+        # The workspace that usually asks most asks for four times as much.
+        largest = max(range(len(loads)), key=lambda index: weights[index])
+        weights[largest] *= 4
+    while (at := loop.time() - started) < DURATION_S:
+        rate = scenario.share(at) * world.deployment.capacity
+        await asyncio.sleep(rng.expovariate(rate))
+        world.arrive(rng.choices(loads, weights)[0])
+
+
+async def arrive_burst(world: World, load: Workload) -> None:
+    """Let requests of one kind arrive at 1.5 times what the encoders can do, for four seconds."""
+    rng = random.Random(world.rng.random())
+    loop = asyncio.get_running_loop()
+    pool = world.deployment.pools['encoders']
+    rate = 1.5 * pool.replicas * pool.concurrency / pool.timing.service_s
+    await asyncio.sleep(6)
+    ends = loop.time() + 4
+    while loop.time() < ends:
+        await asyncio.sleep(rng.expovariate(rate))
+        world.arrive(load)
--- /dev/null
+++ b/bench/simulation.py
@@ -0,0 +1,279 @@
+"""Run one scenario with one policy: real decisions, fake endpoints, simulated clock."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING, NamedTuple
+
+from bench.deployments import Deployment, documents, fill_store, new_fleet
+from bench.selectors import (
+    LeastLoadedSelector,
+    RandomSelector,
+    ReportedLoads,
+    TwoChoicesSelector,
+)
+from calicopath_core.execution.door import Door
+from calicopath_core.execution.executor import PipelineExecutor
+from calicopath_core.execution.requests import NullObserver, PipelineRequest, TokenSink
+from calicopath_core.execution.stages import StageContext
+from calicopath_core.limits.concurrency import FixedLimit, GradientLimit
+from calicopath_core.limits.retry import RetryBudget
+from calicopath_core.routing.pools import ServicePool
+from calicopath_core.routing.registry import PoolRegistry
+from calicopath_core.routing.selectors import ExpectedCompletionSelector
+from calicopath_core.store.base import StoreError
+from calicopath_core.store.claims import ClaimRegistry, body_digest
+from calicopath_core.store.feed import StoreFeed
+from calicopath_core.store.view import ConfigView
+from calicopath_core.structure.outcomes import Answered, Outcome, RefusalReason, Refused
+from testkit.fake_store import FakeStore, StoreState
+from testkit.naive import NaiveExecutor
+from testkit.virtual import WALL_START_S, VirtualClock
+from testkit.world import uuid7
+
+if TYPE_CHECKING:
+    from bench.deployments import Workload
+    from bench.variants import Variant
+    from calicopath_core.limits.concurrency import ConcurrencyLimit
+    from calicopath_core.routing.replicas import Replica
+    from calicopath_core.routing.selectors import Selector
+    from calicopath_core.structure.endpoints import Endpoint
+    from calicopath_core.structure.outcomes import Outcome as AnyOutcome
+    from calicopath_core.structure.stages import Plan
+    from testkit.fake_endpoints import FakeFleet
+
+DEADLINE_S = 2.0
+REPORT_LAG_S = 1.0
+
+
+class Record(NamedTuple):
+    """Hold what became of one request; times are in seconds."""
+
+    workspace: str
+    priority: int
+    arrived: float
+    took_s: float
+    outcome: str
+    first_token_s: float | None
+    token_gap_s: float | None
+    served_by: str
+    busy_s: dict[str, float]
+
+
+class TimedSink(TokenSink):
+    """Note when tokens came."""
+
+    def __init__(self, *, arrived: float) -> None:
+        self.arrived = arrived
+        self.times: list[float] = []
+
+    async def write(self, text: str) -> None:
+        """Note the time."""
+        self.times.append(asyncio.get_running_loop().time())
+
+    @property
+    def first_token_s(self) -> float | None:
+        """Return the time to the first token."""
+        return self.times[0] - self.arrived if self.times else None
+
+    @property
+    def token_gap_s(self) -> float | None:
+        """Return the mean time between tokens."""
+        if len(self.times) < 2:
+            return None
+        return (self.times[-1] - self.times[0]) / (len(self.times) - 1)
+
+
+class SimulatedBox:
+    """Hold one box's decisions."""
+
+    def __init__(self, *, name: str, world: World, seed: int) -> None:
+        self.name = name
+        self.world = world
+        self.clock = VirtualClock()
+        self.rng = random.Random(seed)
+        self.accepting = True
+        self.store = FakeStore(state=world.state)
+        self.view = ConfigView()
+        self.feed = StoreFeed(store=self.store, view=self.view, clock=self.clock)
+        self.loads = ReportedLoads(fleet=world.fleet, lag_s=REPORT_LAG_S)
+        self.pools = PoolRegistry(view=self.view, new_pool=self.new_pool)
+        variant = world.variant
+        self.budget = RetryBudget(share=variant.retry_share, reserve=10 * variant.retry_share * 10)
+        self.backends = world.fleet.backends()
+        context = StageContext(
+            pools=self.pools,
+            backends=self.backends,
+            clock=self.clock,
+            policy=variant.policy,
+            budget=self.budget,
+            observer=NullObserver(),
+        )
+        claims = ClaimRegistry(store=self.store, clock=self.clock, new_nonce=world.new_id)
+        margin = variant.policy.door_margin if variant.door else 0.0
+        door = Door(pools=self.pools, margin=margin)
+        self.executor = PipelineExecutor(context=context, door=door, claims=claims)
+        self.tasks: set[asyncio.Task[AnyOutcome]] = set()
+
+    def new_pool(self, service: str) -> ServicePool:
+        """Return a pool with the variant's policy."""
+        return ServicePool(
+            service=service,
+            clock=self.clock,
+            selector=self.new_selector(),
+            new_limit=self.new_limit,
+        )
+
+    def new_selector(self) -> Selector:
+        """Return the variant's way of choosing an endpoint."""
+        name = self.world.variant.selector
+        if name == 'random':
+            return RandomSelector(rng=self.rng)
+        if name == 'least-loaded':
+            return LeastLoadedSelector(rng=self.rng, loads=self.loads)
+        if name == 'two-choices':
+            return TwoChoicesSelector(rng=self.rng, loads=self.loads)
+        return ExpectedCompletionSelector(rng=self.rng)
+
+    def new_limit(self, endpoint: Endpoint) -> ConcurrencyLimit:
+        """Return the variant's limit of an endpoint."""
+        boxes = self.world.deployment.boxes
+        name = self.world.variant.limit
+        if name == 'none':
+            return FixedLimit(limit=1_000_000)
+        if name == 'fixed':
+            return FixedLimit(limit=round(endpoint.concurrency / boxes))
+        return GradientLimit(concurrency=endpoint.concurrency, boxes=boxes)
+
+    def replicas(self) -> dict[str, Replica]:
+        """Return what this box knows of each endpoint."""
+        return {
+            name: item for pool in self.pools.pools.values() for name, item in pool.replicas.items()
+        }
+
+    async def handle(self, request: PipelineRequest, plan: Plan, sink: TokenSink) -> Outcome:
+        """Run a request by our policy or the naive one."""
+        if not self.accepting:
+            return Refused(RefusalReason.STOPPING, 'stopping', 0.5)
+        if not self.world.variant.naive:
+            return await self.executor.run(request, plan, sink)
+        naive = NaiveExecutor(
+            endpoints=list(self.view.endpoints.values()), backends=self.backends, rng=self.rng
+        )
+        try:
+            async with asyncio.timeout_at(request.deadline):
+                return await naive.run(request, plan, sink)
+        except TimeoutError:
+            return Refused(RefusalReason.DEADLINE_PASSED, 'timed out', None)
+
+
+class World:
+    """Hold boxes, endpoints, platform and what became of the requests."""
+
+    def __init__(self, *, deployment: Deployment, variant: Variant, seed: int) -> None:
+        self.deployment = deployment
+        self.variant = variant
+        self.rng = random.Random(seed)
+        self.fleet: FakeFleet = new_fleet(deployment)
+        self.state = StoreState()
+        fill_store(self.state, documents(deployment, self.fleet))
+        self.numbers = iter(range(10**9))
+        self.boxes = [
+            SimulatedBox(name=f'box-{n}', world=self, seed=seed * 1000 + n)
+            for n in range(deployment.boxes)
+        ]
+        self.balanced = list(self.boxes)
+        self.records: list[Record] = []
+        self.asking: set[asyncio.Task[None]] = set()
+        self.caller_retries = 0
+
+    def new_id(self) -> str:
+        """Return a fresh identifier."""
+        return f'id{next(self.numbers)}'
+
+    async def start(self) -> None:
+        """Start the boxes' background work and wait for their first view."""
+        loop = asyncio.get_running_loop()
+        self.background = []
+        for box in self.boxes:
+            self.background.append(loop.create_task(box.feed.run()))
+        await asyncio.sleep(1.0)
+        if self.variant.selector in ('least-loaded', 'two-choices'):
+            for box in self.boxes:
+                self.background.append(loop.create_task(box.loads.run(box.replicas())))
+
+    async def stop(self) -> None:
+        """Let the last requests end, then end the background work."""
+        while self.asking:
+            await asyncio.wait(set(self.asking))
+        for task in self.background:
+            task.cancel()
+        await asyncio.gather(*self.background, return_exceptions=True)
+
+    def arrive(self, load: Workload) -> None:
+        """Let one request arrive, without waiting for it."""
+        task = asyncio.get_running_loop().create_task(self.ask(load))
+        self.asking.add(task)
+        task.add_done_callback(self.asking.discard)
+
+    async def ask(self, load: Workload) -> None:
+        """Ask as a caller does, again if the caller is one that retries."""
+        loop = asyncio.get_running_loop()
+        arrived = loop.time()
+        spent: dict[str, float] = {}
+        tries = 0
+        while True:
+            box = self.rng.choice(self.balanced)
+            sink = TimedSink(arrived=arrived)
+            request_id, outcome = await self.ask_once(box, load, sink, arrived)
+            for name, item in self.fleet.endpoints.items():
+                busy_s = item.busy_by_request.pop(request_id, 0.0)
+                if busy_s:
+                    service = name.rpartition('-')[0]
+                    spent[service] = spent.get(service, 0.0) + busy_s
+            tries += 1
+            late = loop.time() >= arrived + DEADLINE_S
+            if isinstance(outcome, Answered) or late or tries > self.caller_retries:
+                break
+        self.records.append(
+            Record(
+                workspace=load.workspace,
+                priority=load.priority,
+                arrived=arrived,
+                took_s=loop.time() - arrived,
+                outcome=type(outcome).__name__.lower(),
+                first_token_s=sink.first_token_s,
+                token_gap_s=sink.token_gap_s,
+                served_by=box.name,
+                busy_s=spent,
+            )
+        )
+
+    async def ask_once(
+        self, box: SimulatedBox, load: Workload, sink: TimedSink, arrived: float
+    ) -> tuple[str, Outcome]:
+        """Send one request to a box."""
+        result = box.view.plan(load.workspace, 'main')
+        assert result is not None
+        plan = result.unwrap()
+        request_id = self.new_id()
+        text = f'q{next(self.numbers)} ' + 'x' * 40
+        key = uuid7(WALL_START_S, next(self.numbers)) if load.template == 'act' else None
+        request = PipelineRequest(
+            id=request_id,
+            text=text,
+            arrived=asyncio.get_running_loop().time(),
+            deadline=arrived + DEADLINE_S,
+            priority=plan.priority,
+            repeatable=True,
+            key=key,
+            body=body_digest(text.encode()),
+        )
+        task = asyncio.get_running_loop().create_task(box.handle(request, plan, sink))
+        box.tasks.add(task)
+        task.add_done_callback(box.tasks.discard)
+        try:
+            return request_id, await task
+        except (asyncio.CancelledError, StoreError):
+            return request_id, Refused(RefusalReason.STOPPING, 'connection lost', None)
--- /dev/null
+++ b/bench/variants.py
@@ -0,0 +1,40 @@
+"""Name the policies that the bench compares: the naive one, ours, and ours with one change."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from calicopath_core.execution.policy import ExecutionPolicy, Objective, policy_for
+
+
+class Variant(NamedTuple):
+    """Hold one policy as a set of choices."""
+
+    name: str
+    naive: bool = False
+    selector: str = 'expected'
+    limit: str = 'gradient'
+    policy: ExecutionPolicy = policy_for(Objective.ATTAINMENT)
+    door: bool = True
+    retry_share: float = 0.1
+
+
+OURS = policy_for(Objective.ATTAINMENT)
+NAIVE = Variant('naive', naive=True)
+CALICOPATH = Variant('calicopath')
+COST = Variant('cost', policy=policy_for(Objective.COST))
+ABLATIONS = (
+    Variant('affinity', policy=OURS._replace(affinity=True)),
+    Variant('margin-1.2', policy=OURS._replace(door_margin=1.2)),
+    Variant('margin-1.5', policy=OURS._replace(door_margin=1.5)),
+    Variant('margin-2', policy=OURS._replace(door_margin=2.0)),
+    Variant('random', selector='random'),
+    Variant('two-choices', selector='two-choices'),
+    Variant('least-loaded', selector='least-loaded'),
+    Variant('no-limit', limit='none'),
+    Variant('fixed-limit', limit='fixed'),
+    Variant('no-door', door=False),
+    Variant('fixed-stall', policy=OURS._replace(stall_factor=1000.0)),
+    Variant('retry-freely', retry_share=1000.0),
+)
+VARIANTS = {item.name: item for item in (NAIVE, CALICOPATH, COST, *ABLATIONS)}
--- a/packages/clients/calicopath_clients/calls.py
+++ b/packages/clients/calicopath_clients/calls.py
@@ -1,4 +1,4 @@
-"""Adapt stage pools, plain services and load reports."""
+"""Adapt stage pools and plain services."""
 
 from __future__ import annotations
 
@@ -9,15 +9,13 @@
 import msgspec
 
 from calicopath_core.backends.base import (
-    BackendError,
-    LoadReader,
     MayHaveRun,
     NotStarted,
     PlainService,
     StagePool,
     WrongAnswer,
 )
-from calicopath_core.structure.calls import LoadReport, StageOutput
+from calicopath_core.structure.calls import StageOutput
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -26,7 +24,6 @@
     from calicopath_core.structure.endpoints import Endpoint
 
 CONNECT_TIMEOUT_S = 0.25
-LOAD_TIMEOUT_S = 1.0
 STATUS_OK = 200
 STATUS_DECLINED = 429
 """An endpoint that answers so has not started the call."""
@@ -117,21 +114,3 @@
     async def call(self, endpoint: Endpoint, call: StageCall) -> StageOutput:
         """Run a stage."""
         return await call_stage(self.session, endpoint, call)
-
-
-class HttpLoadReader(LoadReader):
-    """Read load reports over HTTP."""
-
-    def __init__(self, *, session: aiohttp.ClientSession) -> None:
-        self.session = session
-        self.timeout = aiohttp.ClientTimeout(total=LOAD_TIMEOUT_S)
-
-    async def read(self, endpoint: Endpoint) -> LoadReport:
-        """Return the endpoint's own report."""
-        url = f'{endpoint.address}/v1/load'
-        try:
-            async with self.session.get(url, timeout=self.timeout) as answer:
-                data = msgspec.json.decode(await answer.read())
-            return LoadReport(data['running'], data['waiting'], data['measured_at'])
-        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError, TypeError) as error:
-            raise BackendError(f'{endpoint.name} reports no load: {error!r}') from error
--- a/packages/core/calicopath_core/backends/base.py
+++ b/packages/core/calicopath_core/backends/base.py
@@ -13,7 +13,6 @@
     from calicopath_core.structure.calls import (
         GenerationCall,
         GenerationEnd,
-        LoadReport,
         StageCall,
         StageOutput,
         Token,
@@ -74,21 +73,10 @@
         """Ask an engine to stop a generation; a failure to do so is not reported."""
 
 
-class LoadReader(ABC):
-    """Read what endpoints report of their load."""
-
-    @abstractmethod
-    async def read(self, endpoint: Endpoint) -> LoadReport:
-        """Return the endpoint's own, lagging report; raise `BackendError`."""
-
-
 class Backends:
     """Hold one adapter for each kind of endpoint."""
 
-    def __init__(
-        self, *, engine: Engine, pool: StagePool, service: PlainService, load: LoadReader
-    ) -> None:
+    def __init__(self, *, engine: Engine, pool: StagePool, service: PlainService) -> None:
         self.engine = engine
         self.pool = pool
         self.service = service
-        self.load = load
--- a/packages/core/calicopath_core/execution/generation.py
+++ b/packages/core/calicopath_core/execution/generation.py
@@ -198,10 +198,14 @@
 
         The first one may take as long as the whole stage should, since calls queue.
         """
-        stall_s = self.context.policy.stall_s
+        policy = self.context.policy
         if watch.first_at is None:
-            return min(budget.stop_at, watch.started + max(stall_s, budget.expected_s))
-        return min(budget.stop_at, watch.last_at + stall_s)
+            return min(budget.stop_at, watch.started + max(policy.max_stall_s, budget.expected_s))
+        usual_s = self.context.pools.pool(budget.stage.service).token_gap_s
+        if usual_s is None:
+            return min(budget.stop_at, watch.last_at + policy.max_stall_s)
+        stall_s = max(policy.min_stall_s, usual_s * policy.stall_factor)
+        return min(budget.stop_at, watch.last_at + min(policy.max_stall_s, stall_s))
 
     def note_first_token(self, run: Run, watch: StreamWatch) -> None:
         """Report a request's first token once."""
@@ -220,6 +224,8 @@
         """Give a slot back with what the stream told about its endpoint."""
         if result is CallResult.ANSWERED:
             first_s = (watch.first_at or watch.started) - watch.started
+            if watch.gap_s is not None:
+                slot.pool.learn_token_gap(watch.gap_s)
             slot.answered(first_response_s=first_s, served_s=served_s)
         elif result is CallResult.TIMED_OUT and served_s < budget.expected_s * LATE_FACTOR:
             slot.declined()
@@ -243,12 +249,21 @@
         self.started = started
         self.first_at: float | None = None
         self.last_at = started
+        self.tokens = 0
+
+    @property
+    def gap_s(self) -> float | None:
+        """Return the mean time between tokens, if there were two."""
+        if self.first_at is None or self.tokens < 2:
+            return None
+        return (self.last_at - self.first_at) / (self.tokens - 1)
 
     def on_token(self, now: float) -> None:
         """Note a token."""
         if self.first_at is None:
             self.first_at = now
         self.last_at = now
+        self.tokens += 1
 
 
 async def next_item(items: AsyncIterator[Token | GenerationEnd]) -> Token | GenerationEnd:
--- a/packages/core/calicopath_core/execution/policy.py
+++ b/packages/core/calicopath_core/execution/policy.py
@@ -18,14 +18,19 @@
 
     `door_margin` multiplies the estimate of the time a request needs before it is compared
     with the time it has. A try at a repeatable stage is given up after `try_factor` times what
-    it should take, a stream after `stall_s` without a token.
+    it should take. A stream is given up when no token comes for `stall_factor` times what is
+    usual for the service, between `min_stall_s` and `max_stall_s`. `affinity` sends calls with one
+    prompt prefix to one replica.
     """
 
     door_margin: float = 1.0
+    affinity: bool = False
     max_attempts: int = 4
     try_factor: float = 5.0
     min_try_s: float = 0.1
-    stall_s: float = 0.4
+    stall_factor: float = 4.0
+    min_stall_s: float = 0.15
+    max_stall_s: float = 0.4
     claim_timeout_s: float = 1.0
     late_answer_s: float = 10.0
 
@@ -33,5 +38,5 @@
 def policy_for(objective: Objective) -> ExecutionPolicy:
     """Return the policy of an objective."""
     if objective is Objective.COST:
-        return ExecutionPolicy(door_margin=1.2)
+        return ExecutionPolicy(affinity=True)
     return ExecutionPolicy()
--- a/packages/core/calicopath_core/execution/stages.py
+++ b/packages/core/calicopath_core/execution/stages.py
@@ -73,7 +73,7 @@
         latest_start=budget.latest_start,
         expected_s=budget.stage.expected_s,
         exclude=frozenset(tried),
-        affinity=run.plan.digest if budget.stage.kind is StageKind.ENGINE else None,
+        affinity=affinity_of(context, run, budget),
     )
     try:
         slot = await pool.acquire(ticket)
@@ -196,6 +196,13 @@
         )
 
 
+def affinity_of(context: StageContext, run: Run, budget: StageBudget) -> str | None:
+    """Return the prompt prefix that an engine may have cached, if calls are to follow it."""
+    if not context.policy.affinity or budget.stage.kind is not StageKind.ENGINE:
+        return None
+    return run.plan.digest
+
+
 def note_retrieved(task: asyncio.Task[StageOutput]) -> None:
     """Keep the event loop from reporting an error that nobody waits for any more."""
     if not task.cancelled():
--- /dev/null
+++ b/packages/core/calicopath_core/limits/arrivals.py
@@ -0,0 +1,39 @@
+"""Measure how many requests of each priority come a second."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from calicopath_core.clock import Clock
+
+WINDOW_S = 2.0
+"""Time over which the rates are averaged, with exponentially falling weight."""
+
+
+class ArrivalRates:
+    """Keep one decaying count a priority."""
+
+    def __init__(self, *, clock: Clock) -> None:
+        self.clock = clock
+        self.counts: dict[int, float] = {}
+        self.updated_at = 0.0
+
+    def note(self, priority: int) -> None:
+        """Count an arrival."""
+        self.decay()
+        self.counts[priority] = self.counts.get(priority, 0.0) + 1.0
+
+    def decay(self) -> None:
+        """Let earlier arrivals count for less."""
+        now = self.clock.monotonic()
+        factor = math.exp(-(now - self.updated_at) / WINDOW_S)
+        self.updated_at = now
+        for priority in self.counts:
+            self.counts[priority] *= factor
+
+    def above(self, priority: int) -> float:
+        """Return the arrivals a second of all higher priorities."""
+        self.decay()
+        return sum(count for level, count in self.counts.items() if level > priority) / WINDOW_S
--- a/packages/core/calicopath_core/limits/concurrency.py
+++ b/packages/core/calicopath_core/limits/concurrency.py
@@ -47,8 +47,7 @@
 
     The limit grows by a little while the first response comes about as fast as it does
     unloaded, and shrinks as soon as responses take longer, which means that calls wait at the
-    endpoint. It starts at this box's share of the endpoint and never exceeds the endpoint's
-    concurrency.
+    endpoint. It never exceeds the endpoint's concurrency.
     """
 
     TOLERANCE = 1.5
@@ -60,8 +59,13 @@
     BASELINE_DRIFT = 0.01
     """Share by which the baseline follows slower samples, so that it can rise again."""
 
-    def __init__(self, *, start: float, ceiling: int) -> None:
-        self.ceiling = max(1, ceiling)
+    START_SHARES = 2.0
+    """A box starts with this many times its even share: too few places at the start make it refuse
+    requests for which there is room."""
+
+    def __init__(self, *, concurrency: int, boxes: int) -> None:
+        self.ceiling = max(1, concurrency)
+        start = self.START_SHARES * concurrency / max(1, boxes)
         self.limit = min(max(MIN_LIMIT, start), float(self.ceiling))
         self.baseline_s: float | None = None
 
--- a/packages/core/calicopath_core/routing/pools.py
+++ b/packages/core/calicopath_core/routing/pools.py
@@ -7,10 +7,10 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from calicopath_core.exceptions import CalicopathError
+from calicopath_core.limits.arrivals import ArrivalRates
 from calicopath_core.limits.queue import FairPriorityQueue, Waiter
 from calicopath_core.routing.outliers import may_eject
 from calicopath_core.routing.replicas import Replica
-from calicopath_core.routing.selectors import Choice
 from calicopath_core.structure.endpoints import Endpoint, EndpointState
 
 if TYPE_CHECKING:
@@ -23,6 +23,8 @@
 AVERAGE_WEIGHT = 0.05
 MIN_RETRY_AFTER_S = 0.1
 MAX_QUEUED = 10_000
+MAX_WAIT_S = 60.0
+"""The wait that is told when requests of higher priority take all there is."""
 
 
 class PoolError(CalicopathError):
@@ -118,6 +120,8 @@
         self.queue = FairPriorityQueue()
         self.pending: Counter[int] = Counter()
         self.served_s: float | None = None
+        self.token_gap_s: float | None = None
+        self.arrivals = ArrivalRates(clock=clock)
         self.ejections = 0
 
     def update(self, endpoints: Iterable[Endpoint]) -> None:
@@ -203,8 +207,7 @@
         preferred = [replica for replica in with_room if replica.name not in ticket.exclude]
         if not with_room:
             return None
-        choice = Choice(now=self.clock.monotonic(), affinity=ticket.affinity)
-        return self.selector.choose(preferred or with_room, choice)
+        return self.selector.choose(preferred or with_room, ticket.affinity)
 
     def take(self, replica: Replica, ticket: Ticket, queued_s: float) -> Slot:
         """Occupy a place."""
@@ -257,6 +260,12 @@
             self.served_s = served_s
         self.served_s += (served_s - self.served_s) * AVERAGE_WEIGHT
 
+    def learn_token_gap(self, gap_s: float) -> None:
+        """Keep the average time between two tokens."""
+        if self.token_gap_s is None:
+            self.token_gap_s = gap_s
+        self.token_gap_s += (gap_s - self.token_gap_s) * AVERAGE_WEIGHT
+
     def slowness(self) -> float:
         """Return how many times longer than expected a call takes, by the median endpoint."""
         values = sorted(replica.slowness for replica in self.candidates())
@@ -276,18 +285,24 @@
     def expect(self, priority: int) -> None:
         """Count an admitted request that will ask for a slot."""
         self.pending[priority] += 1
+        self.arrivals.note(priority)
 
     def unexpect(self, priority: int) -> None:
         """Count off a request that got its slot, or never will."""
         self.pending[priority] -= 1
 
     def wait_estimate(self, priority: int) -> float:
-        """Estimate the seconds that a new request of `priority` will wait for a slot."""
+        """Estimate the seconds that a new request of `priority` will wait for a slot.
+
+        Requests of higher priority that come meanwhile go first, so only what they leave of the
+        rate counts.
+        """
         ahead = sum(count for level, count in self.pending.items() if level >= priority)
         waiting = ahead + 1 - self.free_places()
         if waiting <= 0:
             return 0.0
-        return waiting / self.rate()
+        left = self.rate() - self.arrivals.above(priority)
+        return waiting / left if left > 0 else MAX_WAIT_S
 
     def no_room(self, priority: int) -> NoRoom:
         """Return the error for a call that cannot start in time."""
--- a/packages/core/calicopath_core/structure/calls.py
+++ b/packages/core/calicopath_core/structure/calls.py
@@ -78,11 +78,3 @@
 
     call: str
     total: int
-
-
-class LoadReport(NamedTuple):
-    """Carry what an endpoint says of its own load, at its own time `measured_at` (seconds)."""
-
-    running: int
-    waiting: int
-    measured_at: float
--- a/packages/daemon/calicopathd/box/box.py
+++ b/packages/daemon/calicopathd/box/box.py
@@ -8,7 +8,7 @@
 
 import structlog
 
-from calicopath_clients.calls import HttpLoadReader, HttpPlainService, HttpStagePool
+from calicopath_clients.calls import HttpPlainService, HttpStagePool
 from calicopath_clients.engine import HttpEngine
 from calicopath_clients.platform import HttpBoxList, HttpObjectStore
 from calicopath_core.backends.base import Backends
@@ -25,13 +25,12 @@
 from calicopath_core.membership.roles import RoleKeeper
 from calicopath_core.routing.pools import ServicePool
 from calicopath_core.routing.registry import PoolRegistry
-from calicopath_core.routing.selectors import TwoChoicesSelector
+from calicopath_core.routing.selectors import ExpectedCompletionSelector
 from calicopath_core.store.claims import ClaimRegistry
 from calicopath_core.store.feed import StoreFeed
 from calicopath_core.store.view import ConfigView, ViewUpdate
 from calicopathd import events
 from calicopathd.box.lifecycle import Lifecycle
-from calicopathd.box.load import LoadPoller
 from calicopathd.metrics import Metrics
 from calicopathd.peers.zmq_transport import ZmqTransport
 
@@ -76,13 +75,6 @@
             engine=HttpEngine(session=session),
             pool=HttpStagePool(session=session),
             service=HttpPlainService(session=session),
-            load=HttpLoadReader(session=session),
-        )
-        self.poller = LoadPoller(
-            pools=self.pools,
-            reader=self.backends.load,
-            clock=self.clock,
-            interval_s=settings.load_interval_s,
         )
         self.executor = self.new_executor()
 
@@ -137,15 +129,13 @@
         return ServicePool(
             service=service,
             clock=self.clock,
-            selector=TwoChoicesSelector(rng=self.rng),
+            selector=ExpectedCompletionSelector(rng=self.rng),
             new_limit=self.new_limit,
         )
 
     def new_limit(self, endpoint: Endpoint) -> ConcurrencyLimit:
         """Return an endpoint's limit, which starts at this box's share."""
-        return GradientLimit(
-            start=endpoint.concurrency / self.settings.boxes, ceiling=endpoint.concurrency
-        )
+        return GradientLimit(concurrency=endpoint.concurrency, boxes=self.settings.boxes)
 
     def new_id(self) -> str:
         """Return an identifier that no other request or claim has."""
--- a/packages/daemon/calicopathd/box/runner.py
+++ b/packages/daemon/calicopathd/box/runner.py
@@ -51,7 +51,6 @@
         work = {
             'peers': self.box.transport.run,
             'roles': self.box.roles.run,
-            'load': self.box.poller.run,
             'monitor': Monitor(box=self.box).run,
         }
         self.tasks = [asyncio.create_task(keep_running(*item)) for item in work.items()]
--- a/packages/daemon/calicopathd/config/settings.py
+++ b/packages/daemon/calicopathd/config/settings.py
@@ -55,9 +55,6 @@
     relist_s = Number(low=0.1, high=60, default='2')
     """Seconds between two reads of the whole configuration, which heal a broken watch."""
 
-    load_interval_s = Number(low=0.05, high=60, default='0.5')
-    """Seconds between two reads of an endpoint's load."""
-
     isolation_s = Number(low=2, high=3600, default='5')
     """Seconds without platform and peers after which a box takes no new requests."""
 
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -37,7 +37,6 @@
 PLATFORM_BACK = Event(305, 'info', 'platform back', 'The platform answers again.')
 
 ENDPOINT_EJECTED = Event(401, 'warning', 'endpoint ejected', 'Calls stay away for a while.')
-LOAD_UNKNOWN = Event(402, 'info', 'load unknown', 'An endpoint does not report its load.')
 
 
 def emit(log: structlog.stdlib.BoundLogger, event: Event, **fields: Any) -> None:
--- a/testkit/world.py
+++ b/testkit/world.py
@@ -16,7 +16,7 @@
 from calicopath_core.limits.retry import RetryBudget
 from calicopath_core.routing.pools import ServicePool
 from calicopath_core.routing.registry import PoolRegistry
-from calicopath_core.routing.selectors import TwoChoicesSelector
+from calicopath_core.routing.selectors import ExpectedCompletionSelector
 from calicopath_core.store.claims import ClaimRegistry, body_digest
 from calicopath_core.store.feed import StoreFeed
 from calicopath_core.store.view import ConfigView, ViewUpdate
@@ -170,7 +170,7 @@
         return ServicePool(
             service=service,
             clock=self.clock,
-            selector=TwoChoicesSelector(rng=self.rng),
+            selector=ExpectedCompletionSelector(rng=self.rng),
             new_limit=lambda endpoint: FixedLimit(limit=endpoint.concurrency),
         )
 
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -232,7 +232,7 @@
 
 
 async def platform_outage(deployment: Deployment) -> str:
-    """Take the platform away under load: what needs no claim goes on; then a change gets through."""
+    """Take the platform away under load; what needs no claim goes on, changes come later."""
     load = Load(boxes=deployment.boxes, samples=MIXED)
     async with load.running(CLIENTS):
         await asyncio.sleep(0.3)
