Let one box a shard write the claims of many; group claims by the time within the key

Cause: at 900 claims a second on 64 boxes each box wrote the shards by itself: 4,158 writes and 2,512 conflicts a second on the platform, which takes several hundred. A shard of 256 KB held the claims of about 20 seconds at that rate, so it dropped keys far too early. Relays flapped in large domains: 400 boxes in 25 domains held 75 watches instead of 50.

Change: operations on claims are typed messages. One box a shard, by rank among the live ones, carries them out, at most one write each 50 ms; if it does not answer in 0.3 s the asking box writes itself. Claims are grouped by shard and by the minute within the key, so that old groups are never written again, and are closed after their time by raising their threshold. Heartbeats tell mostly of the own domain.

Ruled out: grouping without an owner (measured below); a delay at every box (many boxes still conflict); one threshold object for all (a write each minute that every box must read).

The owner is a hint: two owners conflict and nothing else.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -13,6 +13,9 @@
     ReportedLoads,
     TwoChoicesSelector,
 )
+from calicopath_core.claims.executors import LocalExecutor
+from calicopath_core.claims.keys import body_digest
+from calicopath_core.claims.registry import ClaimRegistry
 from calicopath_core.execution.door import Door
 from calicopath_core.execution.executor import PipelineExecutor
 from calicopath_core.execution.requests import NullObserver, PipelineRequest, TokenSink
@@ -25,7 +28,6 @@
 from calicopath_core.routing.selectors import ExpectedCompletionSelector
 from calicopath_core.routing.subset import SubsetChooser
 from calicopath_core.store.base import StoreError
-from calicopath_core.store.claims import ClaimRegistry, body_digest
 from calicopath_core.store.feed import StoreFeed
 from calicopath_core.store.view import ConfigView
 from calicopath_core.structure.outcomes import Answered, Outcome, RefusalReason, Refused
@@ -115,7 +117,8 @@
             observer=NullObserver(),
             lag=self.lag,
         )
-        claims = ClaimRegistry(store=self.store, clock=self.clock, new_nonce=world.new_id)
+        local = LocalExecutor(store=self.store, clock=self.clock)
+        claims = ClaimRegistry(local=local, executor=local, new_nonce=world.new_id)
         margin = variant.policy.door_margin if variant.door else 0.0
         door = Door(pools=self.pools, margin=margin, lag=self.lag)
         self.executor = PipelineExecutor(context=context, door=door, claims=claims)
--- /dev/null
+++ b/packages/core/calicopath_core/claims/executors.py
@@ -0,0 +1,156 @@
+"""Carry out operations on claims: on this box, or through the box that batches a group."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from abc import ABC, abstractmethod
+from collections import OrderedDict
+from typing import TYPE_CHECKING, NamedTuple
+
+from calicopath_core.claims.groups import GroupWriter
+from calicopath_core.claims.operations import ClaimOp, CloseOp, Op, OpResult, ReleaseOp
+from calicopath_core.structure.keys import CLAIM_PREFIX
+
+if TYPE_CHECKING:
+    from calicopath_core.claims.keys import ClaimKey
+    from calicopath_core.clock import Clock
+    from calicopath_core.store.base import ObjectStore
+
+SLOT_MS = 60_000
+"""Keys made within one such span share a group, so that old groups are never written again."""
+
+MAX_WRITERS = 128
+DEFAULT_SHARDS = 16
+DEFAULT_RETENTION_S = 24 * 3600.0
+DEFAULT_MAX_BYTES = 256 * 1024
+
+
+class GroupId(NamedTuple):
+    """Name a group by its shard and by its span of time, counted in slots from 1970.
+
+    The shard decides which box batches the group.
+    """
+
+    shard: int
+    slot: int
+
+    @property
+    def key(self) -> str:
+        """Return the store key of the group."""
+        return f'{CLAIM_PREFIX}{self.shard:04d}/{self.slot}'
+
+
+class ClaimExecutor(ABC):
+    """Carry out operations on groups of claims."""
+
+    @abstractmethod
+    async def execute(self, group: GroupId, op: Op, *, persistent: bool = False) -> OpResult:
+        """Return an operation's result; raise `StoreUnavailable`."""
+
+
+class LocalExecutor(ClaimExecutor):
+    """Write groups from this box."""
+
+    def __init__(
+        self,
+        *,
+        store: ObjectStore,
+        clock: Clock,
+        shards: int = DEFAULT_SHARDS,
+        retention_s: float = DEFAULT_RETENTION_S,
+        max_bytes: int = DEFAULT_MAX_BYTES,
+    ) -> None:
+        self.store = store
+        self.clock = clock
+        self.shards = shards
+        self.retention_slots = max(1, int(retention_s * 1000) // SLOT_MS)
+        self.max_bytes = max_bytes
+        self.writers: OrderedDict[GroupId, GroupWriter] = OrderedDict()
+
+    def group(self, key: ClaimKey) -> GroupId:
+        """Return the group of a key."""
+        digest = hashlib.blake2b(str(key).encode(), digest_size=8).digest()
+        return GroupId(int.from_bytes(digest, 'big') % self.shards, key.time_ms // SLOT_MS)
+
+    def writer(self, group: GroupId) -> GroupWriter:
+        """Return a group's writer, forgetting the idle ones unused longest."""
+        found = self.writers.get(group)
+        if found is None:
+            found = self.new_writer(group)
+            self.writers[group] = found
+            self.close_expired(group)
+        self.writers.move_to_end(group)
+        for name in list(self.writers)[: max(0, len(self.writers) - MAX_WRITERS)]:
+            if self.writers[name].idle:
+                del self.writers[name]
+        return found
+
+    def new_writer(self, group: GroupId) -> GroupWriter:
+        """Return a writer that knows nothing yet."""
+        return GroupWriter(
+            key=group.key, store=self.store, clock=self.clock, max_bytes=self.max_bytes
+        )
+
+    def close_expired(self, group: GroupId) -> None:
+        """Drop the claims of the group that has outlived its time when a new one begins.
+
+        A box whose clock is wrong closes nothing of today: the slot comes from the callers' keys.
+        """
+        old = GroupId(group.shard, group.slot - self.retention_slots)
+        writer = self.new_writer(old)
+        writer.submit(CloseOp((old.slot + 1) * SLOT_MS - 1), persistent=True)
+        self.writers[old] = writer
+
+    async def execute(self, group: GroupId, op: Op, *, persistent: bool = False) -> OpResult:
+        """Carry an operation out by this box's own writes."""
+        return await self.writer(group).submit(op, persistent=persistent)
+
+
+class ClaimPeers(ABC):
+    """Reach the boxes that batch other shards."""
+
+    @abstractmethod
+    def owner(self, shard: int) -> str | None:
+        """Return the address of the box that batches a shard, or nothing if it is this one."""
+
+    @abstractmethod
+    async def ask(self, address: str, group: GroupId, op: Op) -> OpResult:
+        """Let another box carry an operation out; raise `StoreUnavailable`."""
+
+
+class ForwardingExecutor(ClaimExecutor):
+    """Let one box a shard do the writing, so that one update carries the claims of many boxes.
+
+    The owner is only a hint: two owners conflict, and an owner that does not answer is passed
+    over. Doing an operation twice gives the same result, since it carries its nonce.
+    """
+
+    PATIENCE_S = 0.3
+
+    def __init__(self, *, local: LocalExecutor, peers: ClaimPeers) -> None:
+        self.local = local
+        self.peers = peers
+        self.passed_over = 0
+
+    async def execute(self, group: GroupId, op: Op, *, persistent: bool = False) -> OpResult:
+        """Ask the owner; write by ourselves if it does not answer."""
+        address = self.peers.owner(group.shard)
+        if address is None:
+            return await self.local.execute(group, op, persistent=persistent)
+        try:
+            async with asyncio.timeout(self.PATIENCE_S):
+                return await self.peers.ask(address, group, op)
+        except TimeoutError:
+            self.passed_over += 1
+        except asyncio.CancelledError:
+            self.undo(group, op, persistent=persistent)
+            raise
+        return await self.local.execute(group, op, persistent=persistent)
+
+    def undo(self, group: GroupId, op: Op, *, persistent: bool) -> None:
+        """Leave nothing behind of a claim given up on; carry out what must be all the same."""
+        if isinstance(op, ClaimOp):
+            self.local.writer(group).submit(ReleaseOp(op.key, op.nonce), persistent=True)
+        elif persistent:
+            self.local.writer(group).submit(op, persistent=True)
--- a/packages/core/calicopath_core/execution/executor.py
+++ b/packages/core/calicopath_core/execution/executor.py
@@ -7,18 +7,13 @@
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from calicopath_core.backends.base import MayHaveRun, NotStarted
+from calicopath_core.claims.keys import InvalidKey, parse_key
+from calicopath_core.claims.operations import ClaimState, StoredClaim
+from calicopath_core.claims.registry import Granted, Taken
 from calicopath_core.execution.generation import GenerationRunner
 from calicopath_core.execution.run import Run, StageFailed
 from calicopath_core.execution.stages import CallRunner, StageContext, stage_budget
 from calicopath_core.store.base import StoreUnavailable
-from calicopath_core.store.claims import (
-    ClaimState,
-    Granted,
-    InvalidKey,
-    StoredClaim,
-    Taken,
-    parse_key,
-)
 from calicopath_core.structure.outcomes import (
     Answered,
     Failed,
@@ -31,9 +26,9 @@
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
+    from calicopath_core.claims.registry import ClaimRegistry
     from calicopath_core.execution.door import Door
     from calicopath_core.execution.requests import PipelineRequest, TokenSink
-    from calicopath_core.store.claims import ClaimRegistry
     from calicopath_core.structure.outcomes import Outcome
     from calicopath_core.structure.stages import Plan
 
--- a/packages/core/calicopath_core/membership/gossip.py
+++ b/packages/core/calicopath_core/membership/gossip.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections import Counter, OrderedDict, deque
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import msgspec
 
@@ -20,10 +20,9 @@
     BucketVersions,
     Entry,
     Heartbeat,
-    Message,
+    MessageDecoder,
     Push,
     Want,
-    decode,
     encode,
 )
 from calicopath_core.store.view import ViewUpdate
@@ -34,9 +33,12 @@
 
     from calicopath_core.clock import Clock
     from calicopath_core.membership.members import MemberTable
+    from calicopath_core.membership.messages import MemberInfo
     from calicopath_core.membership.transport import PeerTransport
     from calicopath_core.store.view import ConfigView
 
+T = TypeVar('T', bound=msgspec.Struct)
+
 HEARTBEAT_S = 1.0
 HEARTBEAT_FANOUT = 3
 PUSH_FANOUT = 4
@@ -46,8 +48,10 @@
 RECENT_TOLD = 16
 """Objects taken in last of which every heartbeat tells the versions."""
 
-MEMBERS_TOLD = 8
-"""Boxes that one heartbeat tells of."""
+NEAR_TOLD = 8
+FAR_TOLD = 4
+"""Boxes of the own and of other failure domains that one heartbeat tells of. The own domain's
+must be heard of often, since its relays are chosen among them."""
 
 MAX_PUSH_ENTRIES = 200
 MAX_WANTED = 2000
@@ -97,9 +101,22 @@
         self.next_repair = 0.0
         self.contact_at: float | None = None
         self.agreed_with_ready_peer = False
+        self.handlers: dict[type[msgspec.Struct], Callable[[Any], None]] = {
+            Heartbeat: self.on_heartbeat,
+            Push: self.on_push,
+            BucketDigests: self.on_digests,
+            BucketVersions: self.on_versions,
+            Want: self.on_want,
+        }
+        self.decoder = MessageDecoder(types=self.handlers)
         view.listeners.append(self.on_updates)
         transport.listen(self.on_data)
 
+    def handle(self, kind: type[T], handler: Callable[[T], None]) -> None:
+        """Let others exchange messages of their own over the same connections."""
+        self.handlers[kind] = handler
+        self.decoder = MessageDecoder(types=self.handlers)
+
     def on_updates(self, updates: list[ViewUpdate]) -> None:
         """Remember what the view has newly taken in, to pass it on."""
         for update in updates:
@@ -156,20 +173,29 @@
         own = msgspec.structs.replace(self.members.own, beat=self.members.own.beat + 1)
         self.members.own = own
         chosen = self.members.sample(HEARTBEAT_FANOUT, now, self.rng)
-        told = [item.info for item in self.members.live(now) if item.heard_at is not None]
-        told = self.rng.sample(told, min(MEMBERS_TOLD, len(told)))
         heartbeat = Heartbeat(
             sender=own,
             digest=self.view.digest,
             contact_age_s=self.contact_age(),
             ready=self.is_ready(),
             recent=dict(self.recent),
-            members=told,
+            members=self.members_told(now),
         )
         for member in chosen:
             self.send(member.info.address, heartbeat)
 
-    def send(self, address: str, message: Message) -> None:
+    def members_told(self, now: float) -> list[MemberInfo]:
+        """Return a few boxes heard of lately, most of them of the own failure domain."""
+        near: list[MemberInfo] = []
+        far: list[MemberInfo] = []
+        for member in self.members.live(now):
+            if member.heard_at is not None:
+                own_domain = member.info.failure_domain == self.members.own.failure_domain
+                (near if own_domain else far).append(member.info)
+        told = self.rng.sample(near, min(NEAR_TOLD, len(near)))
+        return told + self.rng.sample(far, min(FAR_TOLD, len(far)))
+
+    def send(self, address: str, message: msgspec.Struct) -> None:
         """Send and count a message."""
         data = encode(message)
         self.counts.sent[type(message).__name__] += 1
@@ -180,26 +206,17 @@
         """Take a message in; one that makes no sense is counted and dropped."""
         self.counts.received_bytes += len(data)
         try:
-            message = decode(data)
+            message = self.decoder.decode(data)
         except BadMessage:
             self.counts.bad += 1
             return
         self.counts.received[type(message).__name__] += 1
-        if isinstance(message, Heartbeat):
-            self.on_heartbeat(message)
-        elif isinstance(message, Push):
-            self.take(message.entries)
-        elif isinstance(message, BucketDigests):
-            self.on_digests(message)
-        elif isinstance(message, BucketVersions):
-            self.on_versions(message)
-        else:
-            self.on_want(message)
-
-    def take(self, entries: Iterable[Entry]) -> int:
-        """Apply objects from another box and return how many were newer."""
-        return self.view.apply_all(
-            ViewUpdate(entry.key, entry.version, entry.spec) for entry in entries
+        self.handlers[type(message)](message)
+
+    def on_push(self, message: Push) -> None:
+        """Apply objects from another box."""
+        self.view.apply_all(
+            ViewUpdate(entry.key, entry.version, entry.spec) for entry in message.entries
         )
 
     def on_heartbeat(self, message: Heartbeat) -> None:
--- a/packages/core/calicopath_core/membership/members.py
+++ b/packages/core/calicopath_core/membership/members.py
@@ -14,7 +14,7 @@
 
     from calicopath_core.membership.messages import MemberInfo
 
-SILENT_AFTER_S = 5.0
+SILENT_AFTER_S = 8.0
 """A box not heard of for this long, by anybody, counts as failed."""
 
 FORGET_AFTER_S = 60.0
--- a/packages/core/calicopath_core/membership/messages.py
+++ b/packages/core/calicopath_core/membership/messages.py
@@ -5,12 +5,17 @@
 
 from __future__ import annotations
 
-from typing import Any
+import functools
+import operator
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
 from calicopath_core.exceptions import CalicopathError
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 
 class BadMessage(CalicopathError):
     """Report a message that cannot be decoded."""
@@ -85,20 +90,25 @@
     keys: list[str]
 
 
-Message = Heartbeat | Push | BucketDigests | BucketVersions | Want
-
 ENCODER = msgspec.msgpack.Encoder()
-DECODER: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 
 
-def encode(message: Message) -> bytes:
+def encode(message: msgspec.Struct) -> bytes:
     """Return the bytes of a message."""
     return ENCODER.encode(message)
 
 
-def decode(data: bytes) -> Message:
-    """Return the message in some bytes; raise `BadMessage`."""
-    try:
-        return DECODER.decode(data)
-    except msgspec.MsgspecError as error:
-        raise BadMessage(str(error)) from error
+class MessageDecoder:
+    """Decode messages of the types that somebody handles."""
+
+    def __init__(self, *, types: Iterable[type[msgspec.Struct]]) -> None:
+        every = functools.reduce(operator.or_, types)
+        self.decoder = msgspec.msgpack.Decoder(every)
+
+    def decode(self, data: bytes) -> msgspec.Struct:
+        """Return the message in some bytes; raise `BadMessage`."""
+        try:
+            message: msgspec.Struct = self.decoder.decode(data)
+        except msgspec.MsgspecError as error:
+            raise BadMessage(str(error)) from error
+        return message
--- a/packages/core/calicopath_core/membership/tests/spreading_tests.py
+++ b/packages/core/calicopath_core/membership/tests/spreading_tests.py
@@ -124,6 +124,22 @@
         self.run_virtual(scenario())
 
 
+class Relays(VirtualCase):
+    def test_large_domains_keep_to_their_few_relays(self) -> None:
+        async def scenario() -> None:
+            fleet = PeerFleet(count=120, domains=3)
+            await fleet.start(30)
+            counts = []
+            for _ in range(10):
+                await asyncio.sleep(2)
+                counts.append(len(fleet.relays()))
+            self.assertLessEqual(max(counts), 2 * 3 * RELAYS_A_DOMAIN)
+            self.assertGreaterEqual(min(counts), 3 * RELAYS_A_DOMAIN)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
+
 class Restarts(VirtualCase):
     def test_a_box_restarted_while_the_platform_is_down_gets_its_view_from_a_ready_peer(
         self,
--- a/packages/daemon/calicopathd/box/box.py
+++ b/packages/daemon/calicopathd/box/box.py
@@ -12,6 +12,9 @@
 from calicopath_clients.engine import HttpEngine
 from calicopath_clients.platform import HttpBoxList, HttpObjectStore
 from calicopath_core.backends.base import Backends
+from calicopath_core.claims.executors import ForwardingExecutor, LocalExecutor
+from calicopath_core.claims.forwarding import PeerClaims
+from calicopath_core.claims.registry import ClaimRegistry
 from calicopath_core.clock import LoopClock
 from calicopath_core.execution.door import Door
 from calicopath_core.execution.executor import PipelineExecutor
@@ -28,7 +31,6 @@
 from calicopath_core.routing.registry import PoolRegistry
 from calicopath_core.routing.selectors import ExpectedCompletionSelector
 from calicopath_core.routing.subset import SubsetChooser
-from calicopath_core.store.claims import ClaimRegistry
 from calicopath_core.store.feed import StoreFeed
 from calicopath_core.store.view import ConfigView, ViewUpdate
 from calicopathd import events
@@ -121,15 +123,20 @@
             observer=self.metrics,
             lag=self.lag,
         )
-        claims = ClaimRegistry(
+        door = Door(pools=self.pools, margin=policy.door_margin, lag=self.lag)
+        return PipelineExecutor(context=context, door=door, claims=self.new_claims())
+
+    def new_claims(self) -> ClaimRegistry:
+        """Return the claims, written by the boxes that batch them."""
+        local = LocalExecutor(
             store=self.store,
             clock=self.clock,
-            new_nonce=self.new_id,
             shards=self.settings.claim_shards,
             retention_s=self.settings.claim_retention_h * SECONDS_AN_HOUR,
         )
-        door = Door(pools=self.pools, margin=policy.door_margin, lag=self.lag)
-        return PipelineExecutor(context=context, door=door, claims=claims)
+        peers = PeerClaims(gossip=self.gossip, local=local, clock=self.clock)
+        executor = ForwardingExecutor(local=local, peers=peers)
+        return ClaimRegistry(local=local, executor=executor, new_nonce=self.new_id)
 
     def new_pool(self, service: str) -> ServicePool:
         """Return the pool of a service that has appeared."""
--- a/packages/daemon/calicopathd/http/parsing.py
+++ b/packages/daemon/calicopathd/http/parsing.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
+from calicopath_core.claims.keys import body_digest
 from calicopath_core.config.parsers import MAX_DEADLINE_MS, MAX_PRIORITY
 from calicopath_core.execution.requests import PipelineRequest
-from calicopath_core.store.claims import body_digest
 from calicopathd.exceptions import BadRequest
 
 if TYPE_CHECKING:
