Take a single long pause of the event loop for what it is

Change: the lag is an average, and one measurement counts for 0.3 s at most, so only lag that lasts makes the door refuse.

Ruled out: a higher threshold (a longer pause would pass it again).

--- a/packages/core/calicopath_core/limits/lag.py
+++ b/packages/core/calicopath_core/limits/lag.py
@@ -9,15 +9,18 @@
     from calicopath_core.clock import Clock
 
 INTERVAL_S = 0.05
-DECAY = 0.8
-"""Factor by which an earlier lag counts at each measurement."""
+WEIGHT = 0.2
+"""Weight of one measurement in the average."""
+
+MAX_SAMPLE_S = 0.3
+"""What one measurement counts at most: a single pause, however long, is not overload."""
 
 MAX_LAG_S = 0.1
 """Lag beyond which the box takes no more requests."""
 
 
 class LoopLag:
-    """Keep the lag of late: the greatest seen, fading."""
+    """Keep the average lag of late."""
 
     def __init__(self, *, clock: Clock) -> None:
         self.clock = clock
@@ -37,4 +40,4 @@
 
     def note(self, lag_s: float) -> None:
         """Take one measurement in."""
-        self.value_s = max(lag_s, self.value_s * DECAY)
+        self.value_s += (min(lag_s, MAX_SAMPLE_S) - self.value_s) * WEIGHT
