--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 SOURCES := packages standins bench tools testkit
 
-.PHONY: setup demo test lint types unit faults bench load perf capacity clean
+.PHONY: setup demo test lint types unit faults mutants bench load perf capacity clean
 
 setup: $(STAMP)
 
@@ -33,6 +33,9 @@
 faults: setup
 	$(PY) -m tools.faults
 
+mutants: setup
+	$(PY) -m tools.mutants
+
 bench: setup
 	$(PY) -m bench.policy
 
--- a/packages/core/calicopath_core/execution/tests/answers_tests.py
+++ b/packages/core/calicopath_core/execution/tests/answers_tests.py
@@ -87,6 +87,19 @@
         for fault in STREAM_FAULTS:
             self.run_virtual(scenario(fault))
 
+    def test_a_resumed_stream_starts_after_the_tokens_received(self) -> None:
+        async def scenario() -> None:
+            fleet = new_fleet()
+            set_faults(fleet, 'drafting', fault_once(Fault.CUT))
+            box = FakeBox(fleet=fleet, state=StoreState()).configure(fleet)
+            await box.send('answer', PUNJABI)
+            offsets = sorted(fleet['drafting-0'].offsets + fleet['drafting-1'].offsets)
+            self.assertEqual(2, len(offsets))
+            self.assertEqual(0, offsets[0])
+            self.assertGreater(offsets[1], 3)
+
+        self.run_virtual(scenario())
+
     def test_the_naive_version_passes_a_short_or_doubled_answer_off_as_whole(self) -> None:
         async def scenario(fault: Fault) -> None:
             whole = await undisturbed('answer', PUNJABI)
@@ -159,11 +172,13 @@
             box = FakeBox(fleet=fleet, state=StoreState()).configure(fleet)
             for _ in range(10):
                 self.assertIsInstance(await box.send('answer'), Answered)
+            tried_before = len(fleet['drafting-0'].offsets)
             fleet['drafting-0'].speed = 0.05
             for _ in range(20):
                 outcome = await box.send('answer')
                 assert isinstance(outcome, Answered)
                 self.assertNotEqual('drafting-0', outcome.timings[-1].endpoint)
+            self.assertLessEqual(len(fleet['drafting-0'].offsets), tried_before + 2)
 
         self.run_virtual(scenario())
 
--- a/packages/core/calicopath_core/store/feed.py
+++ b/packages/core/calicopath_core/store/feed.py
@@ -24,6 +24,9 @@
 MAX_RELIST_BYTES_A_SECOND = 16_000
 """What reading everything again may cost; many boxes that do so share what they find."""
 
+SLICE = 500
+"""Objects applied at a time."""
+
 RETRY_S = 0.5
 """How long to wait after the store failed."""
 
@@ -90,6 +93,10 @@
         """Read the whole configuration once and count what the watch had missed."""
         asked = self.clock.monotonic()
         objects = await self.store.list(CONFIG_PREFIX)
-        self.healed += self.view.apply_all(view_update(stored) for stored in objects)
+        for start in range(0, len(objects), SLICE):
+            part = objects[start : start + SLICE]
+            self.healed += self.view.apply_all(view_update(stored) for stored in part)
+            # A large configuration must not hold up the streams that this box serves.
+            await asyncio.sleep(0)
         self.last_contact = asked
         self.on_contact(asked)
--- a/testkit/fake_endpoints.py
+++ b/testkit/fake_endpoints.py
@@ -89,6 +89,7 @@
         self.down = False
         self.speed = 1.0
         self.started: list[str] = []
+        self.offsets: list[int] = []
         self.ran: Counter[str] = Counter()
         self.busy_s = 0.0
         self.busy_by_request: Counter[str] = Counter()
@@ -229,6 +230,10 @@
         fault = target.fault(identity)
         raise_early(fault)
         tokens = answer_tokens(call.params, dict(call.input))
+        if fault is Fault.WRONG_IDENTITY:
+            # What crosses is another caller's answer, not only its name.
+            tokens = answer_tokens(call.params, {'text': "another caller's question"})
+        target.offsets.append(call.offset)
         middle = call.offset + (len(tokens) - call.offset) // 2
         async with target.place(identity, call.priority):
             target.ran[identity] += 1
--- /dev/null
+++ b/tools/mutants.py
@@ -0,0 +1,194 @@
+"""Break each mechanism in a scratch copy and check that its test fails; `make mutants` runs it.
+
+A test that still passes proves nothing about the mechanism: that is a failure here.
+"""
+
+from __future__ import annotations
+
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import NamedTuple
+
+from testkit.processes import ROOT
+
+CORE = 'packages/core/calicopath_core'
+WORKERS = 4
+
+
+class Mutant(NamedTuple):
+    """Name a promise, a change that breaks its mechanism, and the test that must fail."""
+
+    promise: str
+    file: str
+    old: str
+    new: str
+    test: str
+
+
+MUTANTS = (
+    Mutant(
+        'own answers',
+        f'{CORE}/execution/generation.py',
+        'if item.call != identity:',
+        'if False:',
+        f'{CORE}/execution/tests/answers_tests.py::OwnAnswers',
+    ),
+    Mutant(
+        'own answers',
+        'packages/clients/calicopath_clients/calls.py',
+        'if answered != identity:',
+        'if False:',
+        'packages/clients/calicopath_clients/tests/calls_tests.py::Calls',
+    ),
+    Mutant(
+        'whole answers',
+        f'{CORE}/execution/generation.py',
+        'if end.total != self.offset:',
+        'if False:',
+        f'{CORE}/execution/tests/answers_tests.py::WholeAnswers',
+    ),
+    Mutant(
+        'whole answers',
+        f'{CORE}/execution/generation.py',
+        'offset=progress.offset,',
+        'offset=0,',
+        f'{CORE}/execution/tests/answers_tests.py::WholeAnswers',
+    ),
+    Mutant(
+        'true refusals',
+        f'{CORE}/execution/executor.py',
+        'if run.unproved_calls == 0 and error.reason in REASONS:',
+        'if error.reason in REASONS:',
+        f'{CORE}/execution/tests/answers_tests.py::TrueRefusals',
+    ),
+    Mutant(
+        'at most once',
+        f'{CORE}/claims/operations.py',
+        "return OpResult(held['nonce'] == self.nonce, held)",
+        "return OpResult(held['state'] == ClaimState.STARTED, held)",
+        f'{CORE}/execution/tests/once_tests.py::OnceHistories',
+    ),
+    Mutant(
+        'at most once',
+        f'{CORE}/execution/run.py',
+        'if not stage.repeatable:\n            return True',
+        'if not stage.repeatable:\n            return False',
+        f'{CORE}/execution/tests/once_tests.py::OnceHistories',
+    ),
+    Mutant(
+        'at most once',
+        f'{CORE}/claims/operations.py',
+        "if self.key.time_ms <= value['threshold_ms']:",
+        'if False:',
+        f'{CORE}/claims/tests/claims_tests.py::Pruning',
+    ),
+    Mutant(
+        'at most once',
+        f'{CORE}/execution/executor.py',
+        'elif run.unproved_effects == 0:',
+        'else:',
+        f'{CORE}/execution/tests/once_tests.py::OnceHistories',
+    ),
+    Mutant(
+        'drained endpoints',
+        f'{CORE}/routing/pools.py',
+        'if replica.endpoint.state is EndpointState.ACTIVE',
+        'if True',
+        f'{CORE}/routing/tests/pools_tests.py::Slots',
+    ),
+    Mutant(
+        'configuration never reverts',
+        f'{CORE}/store/view.py',
+        'if update.version <= held:',
+        'if update.version == held:',
+        f'{CORE}/store/tests/view_tests.py::Versions',
+    ),
+    Mutant(
+        'configuration in force',
+        f'{CORE}/store/feed.py',
+        'group.create_task(self.relist_often())',
+        'pass',
+        f'{CORE}/store/tests/feed_tests.py::Following',
+    ),
+    Mutant(
+        'configuration in force',
+        f'{CORE}/membership/roles.py',
+        'group.create_task(self.read_when_stale())',
+        'pass',
+        f'{CORE}/membership/tests/spreading_tests.py::Spreading',
+    ),
+    Mutant(
+        'configuration in force',
+        f'{CORE}/membership/gossip.py',
+        'if self.exchange_recent(message):\n            return',
+        'return',
+        f'{CORE}/membership/tests/spreading_tests.py::Spreading',
+    ),
+    Mutant(
+        'one record a change',
+        f'{CORE}/store/changes.py',
+        'await self.archive(current)',
+        'pass',
+        f'{CORE}/store/tests/changes_tests.py::AuditHistories',
+    ),
+    Mutant(
+        'planned stop',
+        'packages/daemon/calicopathd/box/runner.py',
+        'lifecycle.refuse()',
+        'pass',
+        'packages/daemon/calicopathd/http/tests/callers_tests.py::Operations',
+    ),
+    Mutant(
+        'slow replicas',
+        f'{CORE}/routing/pools.py',
+        'replica.on_failure()',
+        'pass',
+        f'{CORE}/execution/tests/answers_tests.py::SlowReplicas',
+    ),
+)
+
+
+def survives(mutant: Mutant) -> bool:
+    """Break one mechanism in a copy and return whether its test passes all the same."""
+    with tempfile.TemporaryDirectory(prefix='mutant-') as folder:
+        copy = Path(folder) / 'tree'
+        ignore = shutil.ignore_patterns('.git', '.venv', '__pycache__', '.*_cache', '.hypothesis')
+        shutil.copytree(ROOT, copy, ignore=ignore)
+        target = copy / mutant.file
+        text = target.read_text()
+        if text.count(mutant.old) != 1:
+            raise SystemExit(f'{mutant.file}: {mutant.old!r} is not there exactly once')
+        target.write_text(text.replace(mutant.old, mutant.new))
+        paths = ':'.join(
+            str(copy / part)
+            for part in ('', *(f'packages/{name}' for name in ('core', 'clients', 'daemon', 'cli')))
+        )
+        result = subprocess.run(
+            [sys.executable, '-m', 'pytest', '-q', '-x', mutant.test],
+            cwd=copy,
+            env={'PYTHONPATH': paths, 'PATH': '/usr/bin:/bin'},
+            capture_output=True,
+            check=False,
+        )
+    if result.returncode not in (0, 1):
+        raise SystemExit(f'{mutant.test}: {result.stdout.decode()[-500:]}')
+    return result.returncode == 0
+
+
+def main() -> int:
+    """Try every mutant and return the exit code."""
+    with ThreadPoolExecutor(WORKERS) as pool:
+        survivors = list(pool.map(survives, MUTANTS))
+    for mutant, survived in zip(MUTANTS, survivors, strict=True):
+        word = 'SURVIVED' if survived else 'caught'
+        print(f'{word}: {mutant.promise}: {mutant.file}: {mutant.new!r} by {mutant.test}')
+    print(f'{survivors.count(False)} passed, {survivors.count(True)} failed')
+    return 1 if any(survivors) else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
