--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -10,6 +10,7 @@
 from bench.daemons import Control, measure_daemons
 from bench.slopes import Slope, measure_all
 from bench.spreading import Spread, measure_fleet
+from calicopath_core.claims.executors import GroupPlan
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -23,13 +24,16 @@
 PEAK_FACTOR = 5
 FLEETS = (8, 32, 128, 400)
 DAEMONS = (1, 2, 4, 8)
+TODAY = GroupPlan()
+LARGE = GroupPlan(shards=64, slot_s=1, write_interval_s=0.2)
 CLAIMS = (
-    (8, 16, 50.0, False),
-    (8, 16, 50.0, True),
-    (8, 16, 200.0, False),
-    (8, 16, 200.0, True),
-    (64, 16, 900.0, False),
-    (64, 16, 900.0, True),
+    (8, 50.0, TODAY, False),
+    (8, 50.0, TODAY, True),
+    (8, 200.0, TODAY, False),
+    (8, 200.0, TODAY, True),
+    (64, 900.0, TODAY, False),
+    (64, 900.0, TODAY, True),
+    (64, 900.0, LARGE, True),
 )
 HEARTBEATS_A_SECOND = 3
 TICKS_A_SECOND = 20
--- a/bench/claiming.py
+++ b/bench/claiming.py
@@ -12,6 +12,7 @@
     ClaimPeers,
     ForwardingExecutor,
     GroupId,
+    GroupPlan,
     LocalExecutor,
 )
 from calicopath_core.claims.keys import parse_key
@@ -35,20 +36,22 @@
 
     boxes: int
     shards: int
+    slot_s: int
     written_by: str
     claims: float
     writes: float
     reads: float
     conflicts: float
     refused: int
+    kb_a_shard: float
     p99_ms: float
     cpu_us: float
 
 
-async def measure(boxes: int, shards: int, rate: float, forwarding: bool) -> Claiming:
+async def measure(boxes: int, rate: float, plan: GroupPlan, forwarding: bool) -> Claiming:
     """Claim and record at a total rate, spread over boxes."""
     state = StoreState()
-    registries = new_registries(state, boxes, shards, forwarding=forwarding)
+    registries = new_registries(state, boxes, plan, forwarding=forwarding)
     loop = asyncio.get_running_loop()
     waits: list[float] = []
     refused = 0
@@ -56,7 +59,9 @@
     async def claim(number: int) -> None:
         nonlocal refused
         registry = registries[number % boxes]
-        key = parse_key('w', 'p', uuid7(WALL_START_S, number), WALL_START_S)
+        key = parse_key(
+            'w', 'p', uuid7(WALL_START_S + number / rate, number), WALL_START_S + SECONDS
+        )
         started = loop.time()
         try:
             granted = await registry.claim(key, 'body', TIMEOUT_S)
@@ -78,13 +83,15 @@
     waits.sort()
     return Claiming(
         boxes,
-        shards,
+        plan.shards,
+        plan.slot_s,
         'owner' if forwarding else 'every box',
         rate,
         state.counts['write'] / SECONDS,
         state.counts['read'] / SECONDS,
         conflicts / SECONDS,
         refused,
+        sum(writer.written_bytes for writer in writers) / SECONDS / plan.shards / 1000,
         1000 * waits[int(0.99 * (len(waits) - 1))] if waits else 0.0,
         1e6 * cpu / count,
     )
@@ -109,7 +116,7 @@
 
 
 def new_registries(
-    state: StoreState, boxes: int, shards: int, *, forwarding: bool
+    state: StoreState, boxes: int, plan: GroupPlan, *, forwarding: bool
 ) -> list[ClaimRegistry]:
     """Return the boxes' registries, writing by themselves or through one owner."""
     found: list[ClaimRegistry] = []
@@ -118,7 +125,7 @@
         local = LocalExecutor(
             store=FakeStore(state=state, latency_s=STORE_LATENCY_S),
             clock=VirtualClock(),
-            shards=shards,
+            plan=plan,
         )
         executor: ClaimExecutor = local
         if forwarding and found:
@@ -133,6 +140,6 @@
     return found
 
 
-def measure_claims(boxes: int, shards: int, rate: float, forwarding: bool) -> Claiming:
+def measure_claims(boxes: int, rate: float, plan: GroupPlan, forwarding: bool) -> Claiming:
     """Measure on virtual time."""
-    return run_virtual(measure(boxes, shards, rate, forwarding))
+    return run_virtual(measure(boxes, rate, plan, forwarding))
--- a/packages/core/calicopath_core/claims/executors.py
+++ b/packages/core/calicopath_core/claims/executors.py
@@ -17,13 +17,36 @@
     from calicopath_core.clock import Clock
     from calicopath_core.store.base import ObjectStore
 
-SLOT_MS = 60_000
-"""Keys made within one such span share a group, so that old groups are never written again."""
-
 MAX_WRITERS = 128
 DEFAULT_SHARDS = 16
 DEFAULT_RETENTION_S = 24 * 3600.0
 DEFAULT_MAX_BYTES = 256 * 1024
+DEFAULT_SLOT_S = 60
+DEFAULT_WRITE_INTERVAL_S = 0.05
+
+
+class GroupPlan(NamedTuple):
+    """Say how claims are grouped; all but the write interval must be the same on every box.
+
+    Keys made within `slot_s` seconds share a group, so that old groups are never written again. A
+    group is written at most once each `write_interval_s`, and keeps at most `max_bytes`.
+    """
+
+    shards: int = DEFAULT_SHARDS
+    slot_s: int = DEFAULT_SLOT_S
+    retention_s: float = DEFAULT_RETENTION_S
+    write_interval_s: float = DEFAULT_WRITE_INTERVAL_S
+    max_bytes: int = DEFAULT_MAX_BYTES
+
+    @property
+    def slot_ms(self) -> int:
+        """Return the span of a slot in milliseconds."""
+        return self.slot_s * 1000
+
+    @property
+    def retention_slots(self) -> int:
+        """Return the slots after which a group is closed."""
+        return max(1, int(self.retention_s) // self.slot_s)
 
 
 class GroupId(NamedTuple):
@@ -57,21 +80,19 @@
         *,
         store: ObjectStore,
         clock: Clock,
-        shards: int = DEFAULT_SHARDS,
-        retention_s: float = DEFAULT_RETENTION_S,
-        max_bytes: int = DEFAULT_MAX_BYTES,
+        plan: GroupPlan = GroupPlan(),  # noqa: B008 - a tuple of constants
     ) -> None:
         self.store = store
         self.clock = clock
-        self.shards = shards
-        self.retention_slots = max(1, int(retention_s * 1000) // SLOT_MS)
-        self.max_bytes = max_bytes
+        self.plan = plan
         self.writers: OrderedDict[GroupId, GroupWriter] = OrderedDict()
 
     def group(self, key: ClaimKey) -> GroupId:
         """Return the group of a key."""
         digest = hashlib.blake2b(str(key).encode(), digest_size=8).digest()
-        return GroupId(int.from_bytes(digest, 'big') % self.shards, key.time_ms // SLOT_MS)
+        return GroupId(
+            int.from_bytes(digest, 'big') % self.plan.shards, key.time_ms // self.plan.slot_ms
+        )
 
     def writer(self, group: GroupId) -> GroupWriter:
         """Return a group's writer, forgetting the idle ones unused longest."""
@@ -89,7 +110,11 @@
     def new_writer(self, group: GroupId) -> GroupWriter:
         """Return a writer that knows nothing yet."""
         return GroupWriter(
-            key=group.key, store=self.store, clock=self.clock, max_bytes=self.max_bytes
+            key=group.key,
+            store=self.store,
+            clock=self.clock,
+            max_bytes=self.plan.max_bytes,
+            write_interval_s=self.plan.write_interval_s,
         )
 
     def close_expired(self, group: GroupId) -> None:
@@ -97,9 +122,9 @@
 
         A box whose clock is wrong closes nothing of today: the slot comes from the callers' keys.
         """
-        old = GroupId(group.shard, group.slot - self.retention_slots)
+        old = GroupId(group.shard, group.slot - self.plan.retention_slots)
         writer = self.new_writer(old)
-        writer.submit(CloseOp((old.slot + 1) * SLOT_MS - 1), persistent=True)
+        writer.submit(CloseOp((old.slot + 1) * self.plan.slot_ms - 1), persistent=True)
         self.writers[old] = writer
 
     async def execute(self, group: GroupId, op: Op, *, persistent: bool = False) -> OpResult:
--- a/packages/core/calicopath_core/claims/groups.py
+++ b/packages/core/calicopath_core/claims/groups.py
@@ -28,9 +28,6 @@
     from calicopath_core.store.base import ObjectStore
 
 RETRY_S = 0.05
-WRITE_INTERVAL_S = 0.05
-"""Least time between two writes of a group: what comes meanwhile shares the next one."""
-
 MAX_WAITING = 10_000
 """Operations that may wait for one group; beyond it claims are refused."""
 
@@ -64,11 +61,21 @@
 class GroupWriter:
     """Write one group, which is one object in the store."""
 
-    def __init__(self, *, key: str, store: ObjectStore, clock: Clock, max_bytes: int) -> None:
+    def __init__(
+        self,
+        *,
+        key: str,
+        store: ObjectStore,
+        clock: Clock,
+        max_bytes: int,
+        write_interval_s: float,
+    ) -> None:
         self.key = key
         self.store = store
         self.clock = clock
         self.max_bytes = max_bytes
+        self.write_interval_s = write_interval_s
+        self.written_bytes = 0
         self.waiting: deque[WaitingOp] = deque()
         self.version: int | None = None
         self.value = GroupValue(threshold_ms=0, claims={})
@@ -138,11 +145,11 @@
             value, results = self.evaluate(batch)
         if value == self.value:
             return results
-        self.shrink(value)
+        self.written_bytes += self.shrink(value)
         for item in batch:
             item.sent = True
         assert self.version is not None
-        self.next_write = self.clock.monotonic() + WRITE_INTERVAL_S
+        self.next_write = self.clock.monotonic() + self.write_interval_s
         stored = await self.store.put(self.key, dict(value), self.version)
         self.value = value
         self.version = stored.version
@@ -172,8 +179,9 @@
             elif isinstance(item.op, ClaimOp) and result.granted:
                 self.submit(ReleaseOp(item.op.key, item.op.nonce), persistent=True)
 
-    def shrink(self, value: GroupValue) -> None:
-        """Drop the oldest claims of a group that has grown too large."""
-        while len(msgspec.json.encode(value)) > self.max_bytes:
+    def shrink(self, value: GroupValue) -> int:
+        """Drop the oldest claims of a group that has grown too large; return its size in bytes."""
+        while (size := len(msgspec.json.encode(value))) > self.max_bytes:
             times = sorted(item['time_ms'] for item in value['claims'].values())
             raise_threshold(value, times[len(times) // 4])
+        return size
--- a/packages/core/calicopath_core/claims/tests/claims_tests.py
+++ b/packages/core/calicopath_core/claims/tests/claims_tests.py
@@ -10,13 +10,12 @@
 from hypothesis import strategies as st
 
 from calicopath_core.claims.executors import (
-    SLOT_MS,
     ClaimPeers,
     ForwardingExecutor,
     GroupId,
+    GroupPlan,
     LocalExecutor,
 )
-from calicopath_core.claims.groups import WRITE_INTERVAL_S
 from calicopath_core.claims.keys import ClaimKey, InvalidKey, parse_key
 from calicopath_core.claims.registry import ClaimRegistry, Granted, Taken
 from calicopath_core.store.base import StoreUnavailable
@@ -43,8 +42,7 @@
     local = LocalExecutor(
         store=FakeStore(state=state),
         clock=VirtualClock(),
-        shards=1,
-        **options,  # type: ignore[arg-type]
+        plan=GroupPlan(shards=1, **options),  # type: ignore[arg-type]
     )
     return ClaimRegistry(local=local, executor=local, new_nonce=lambda: f'{box}{next(numbers)}')
 
@@ -58,7 +56,7 @@
 
 def group_value(state: StoreState, claim_key: ClaimKey) -> dict[str, Any]:
     """Return the store's own copy of a key's group."""
-    group = GroupId(0, claim_key.time_ms // SLOT_MS)
+    group = GroupId(0, claim_key.time_ms // GroupPlan().slot_ms)
     return state.objects[group.key].value
 
 
@@ -287,7 +285,7 @@
 
             results = await asyncio.gather(*(claim(number) for number in range(400)))
             self.assertTrue(all(isinstance(item, Granted) for item in results))
-            self.assertLessEqual(state.counts['write'], 2.0 / WRITE_INTERVAL_S + 2)
+            self.assertLessEqual(state.counts['write'], 2.0 / GroupPlan().write_interval_s + 2)
 
         self.run_virtual(scenario())
 
--- a/packages/core/calicopath_core/membership/roles.py
+++ b/packages/core/calicopath_core/membership/roles.py
@@ -26,10 +26,17 @@
 BOX_LIST_S = 10.0
 """How often a relay reads the box list; the others learn of boxes from peers."""
 
+LISTED_BYTES = 120
+MAX_LIST_BYTES_A_SECOND = 4000
+"""What reading the box list may cost; a long list is read less often."""
+
 STALE_CONTACT_S = 3.0
 """A box that has heard of no contact with the platform for this long reads it by itself."""
 
 OWN_READ_S = 2.0
+ALONE_S = 1.0
+"""How often a box that knows of no other reads the box list."""
+
 ROLE_S = 1.0
 
 
@@ -101,13 +108,16 @@
 
     async def list_boxes_often(self) -> None:
         """Read the box list at the start, and from time to time while relaying or alone."""
+        interval_s = BOX_LIST_S
         while True:
             alone = not self.gossip.members.live(self.clock.monotonic())
             if self.is_relaying or alone:
                 with contextlib.suppress(StoreError):
                     records = await self.boxes.boxes()
                     self.gossip.members.on_listed(member_infos(records), self.clock.monotonic())
-            await asyncio.sleep(BOX_LIST_S * self.rng.uniform(0.5, 1.0) if not alone else 1.0)
+                    size = len(records) * LISTED_BYTES
+                    interval_s = max(BOX_LIST_S, size / MAX_LIST_BYTES_A_SECOND)
+            await asyncio.sleep(ALONE_S if alone else interval_s * self.rng.uniform(0.5, 1.0))
 
     async def read_when_stale(self) -> None:
         """Read the platform directly while no relay's contact reaches us."""
--- a/packages/daemon/calicopathd/box/box.py
+++ b/packages/daemon/calicopathd/box/box.py
@@ -12,7 +12,7 @@
 from calicopath_clients.engine import HttpEngine
 from calicopath_clients.platform import HttpBoxList, HttpObjectStore
 from calicopath_core.backends.base import Backends
-from calicopath_core.claims.executors import ForwardingExecutor, LocalExecutor
+from calicopath_core.claims.executors import ForwardingExecutor, GroupPlan, LocalExecutor
 from calicopath_core.claims.forwarding import PeerClaims
 from calicopath_core.claims.registry import ClaimRegistry
 from calicopath_core.clock import LoopClock
@@ -128,12 +128,13 @@
 
     def new_claims(self) -> ClaimRegistry:
         """Return the claims, written by the boxes that batch them."""
-        local = LocalExecutor(
-            store=self.store,
-            clock=self.clock,
+        plan = GroupPlan(
             shards=self.settings.claim_shards,
+            slot_s=self.settings.claim_slot_s,
             retention_s=self.settings.claim_retention_h * SECONDS_AN_HOUR,
+            write_interval_s=self.settings.claim_write_interval_s,
         )
+        local = LocalExecutor(store=self.store, clock=self.clock, plan=plan)
         peers = PeerClaims(gossip=self.gossip, local=local, clock=self.clock)
         executor = ForwardingExecutor(local=local, peers=peers)
         return ClaimRegistry(local=local, executor=executor, new_nonce=self.new_id)
--- a/packages/daemon/calicopathd/config/settings.py
+++ b/packages/daemon/calicopathd/config/settings.py
@@ -68,6 +68,12 @@
     claim_shards = Integer(low=1, high=4096, default='16')
     """Objects among which idempotency keys are spread; must be the same on every box."""
 
+    claim_slot_s = Integer(low=1, high=3600, default='60')
+    """Seconds within which idempotency keys made share an object; must be the same on every box."""
+
+    claim_write_interval_s = Number(low=0.0, high=1.0, default='0.05')
+    """Least seconds between two writes of one such object; more saves writes and takes longer."""
+
     claim_retention_h = Number(low=0.01, high=8760, default='24')
     """Hours for which an idempotency key and its answer are kept."""
 
--- a/testkit/world.py
+++ b/testkit/world.py
@@ -7,7 +7,7 @@
 import random
 from typing import TYPE_CHECKING, Any
 
-from calicopath_core.claims.executors import LocalExecutor
+from calicopath_core.claims.executors import GroupPlan, LocalExecutor
 from calicopath_core.claims.keys import body_digest
 from calicopath_core.claims.registry import ClaimRegistry
 from calicopath_core.execution.door import Door
@@ -157,7 +157,8 @@
         self.feed = StoreFeed(store=self.store, view=self.view, clock=self.clock)
         subset = SubsetChooser(box=self.name, failure_domain='domain-0')
         self.pools = PoolRegistry(view=self.view, subset=subset, new_pool=self.new_pool)
-        self.local_claims = LocalExecutor(store=self.store, clock=self.clock, shards=shards)
+        plan = GroupPlan(shards=shards)
+        self.local_claims = LocalExecutor(store=self.store, clock=self.clock, plan=plan)
         self.claims = ClaimRegistry(
             local=self.local_claims, executor=self.local_claims, new_nonce=self.new_id
         )
