Follow every call in one place; do not take a slow caller for a slow replica

Cause: the end of a call was worked out twice, in calls of one piece and in streams, and the two had to be kept alike. Reading them together showed a fault: the time in which a caller takes text counted as the replica's silence, so a slow caller made streams move to other replicas and spent retries.

Change: CallAttempt tells run, pool and observer how a call ended.

Ruled out: a longer stall time (a caller may take any time).

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -16,10 +16,10 @@
 from calicopath_core.claims.executors import LocalExecutor
 from calicopath_core.claims.keys import body_digest
 from calicopath_core.claims.registry import ClaimRegistry
+from calicopath_core.execution.attempts import StageContext
 from calicopath_core.execution.door import Door
 from calicopath_core.execution.executor import PipelineExecutor
 from calicopath_core.execution.requests import NullObserver, PipelineRequest, TokenSink
-from calicopath_core.execution.stages import StageContext
 from calicopath_core.limits.concurrency import FixedLimit, GradientLimit
 from calicopath_core.limits.lag import LoopLag
 from calicopath_core.limits.retry import RetryBudget
--- /dev/null
+++ b/packages/core/calicopath_core/execution/attempts.py
@@ -0,0 +1,190 @@
+"""Follow a stage's calls: the time they have, the slot they hold, and how they end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from calicopath_core.backends.base import MayHaveRun, NotStarted, WrongAnswer
+from calicopath_core.execution.requests import CallResult
+from calicopath_core.execution.run import Run, StageFailed
+from calicopath_core.routing.pools import NoEndpoint, NoRoom, Slot, Ticket
+from calicopath_core.structure.outcomes import FailureReason
+from calicopath_core.structure.stages import StageKind
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+    from calicopath_core.backends.base import Backends
+    from calicopath_core.clock import Clock
+    from calicopath_core.execution.policy import ExecutionPolicy
+    from calicopath_core.execution.requests import Observer
+    from calicopath_core.limits.lag import LoopLag
+    from calicopath_core.limits.retry import RetryBudget
+    from calicopath_core.routing.registry import PoolRegistry
+    from calicopath_core.structure.stages import StagePlan
+
+LATE_FACTOR = 2.0
+"""A call that took this many times longer than it should tells that its endpoint is failing."""
+
+NO_ENDPOINT_RETRY_S = 1.0
+
+
+class TimedOut(MayHaveRun):
+    """Report a call that was given up on."""
+
+
+class StageContext(NamedTuple):
+    """Hold what every stage needs in order to be called."""
+
+    pools: PoolRegistry
+    backends: Backends
+    clock: Clock
+    policy: ExecutionPolicy
+    budget: RetryBudget
+    observer: Observer
+    lag: LoopLag
+
+
+class StageBudget(NamedTuple):
+    """Hold a stage's share of the time left; times are on the monotonic clock, in seconds."""
+
+    stage: StagePlan
+    stop_at: float
+    expected_s: float
+
+    @property
+    def latest_start(self) -> float:
+        """Return the time after which the stage cannot be answered in time."""
+        return self.stop_at - self.expected_s
+
+
+def stage_budget(run: Run, index: int, slowness: float) -> StageBudget:
+    """Leave later stages what they need when unloaded, and give the rest to this one."""
+    stage = run.plan.stages[index]
+    later_s = sum(later.expected_s for later in run.plan.stages[index + 1 :])
+    return StageBudget(
+        stage=stage,
+        stop_at=run.request.deadline - later_s,
+        expected_s=stage.expected_s * max(1.0, slowness),
+    )
+
+
+async def acquire_slot(
+    context: StageContext, run: Run, budget: StageBudget, tried: set[str]
+) -> Slot:
+    """Get a slot for a stage, turning a refusal into the stage's failure."""
+    pool = context.pools.pool(budget.stage.service)
+    ticket = Ticket(
+        workspace=run.plan.workspace,
+        priority=run.request.priority,
+        deadline=run.request.deadline,
+        latest_start=budget.latest_start,
+        expected_s=budget.stage.expected_s,
+        exclude=frozenset(tried),
+        affinity=affinity_of(context, run, budget),
+    )
+    try:
+        slot = await pool.acquire(ticket)
+    except NoEndpoint as error:
+        raise StageFailed(
+            FailureReason.NO_ENDPOINT, str(error), retry_after_s=NO_ENDPOINT_RETRY_S
+        ) from error
+    except NoRoom as error:
+        raise StageFailed(
+            FailureReason.OVERLOADED, str(error), retry_after_s=error.retry_after_s
+        ) from error
+    run.got_slot(budget.stage)
+    return slot
+
+
+def affinity_of(context: StageContext, run: Run, budget: StageBudget) -> str | None:
+    """Return the prompt prefix that an engine may have cached, if calls are to follow it."""
+    if not context.policy.affinity or budget.stage.kind is not StageKind.ENGINE:
+        return None
+    return run.plan.digest
+
+
+def check_time_left(context: StageContext, budget: StageBudget) -> None:
+    """Fail a stage whose time is over."""
+    if context.clock.monotonic() >= budget.stop_at:
+        detail = f'stage {budget.stage.name!r} was not answered in time'
+        raise StageFailed(FailureReason.DEADLINE_PASSED, detail)
+
+
+class CallAttempt:
+    """Follow one call from when it leaves; tell run, pool and observer how it ended.
+
+    `first_response_s` is set by streams; other calls give their first response with their last.
+    """
+
+    def __init__(self, *, context: StageContext, run: Run, budget: StageBudget, slot: Slot) -> None:
+        self.context = context
+        self.run = run
+        self.budget = budget
+        self.slot = slot
+        self.started = context.clock.monotonic()
+        self.first_response_s: float | None = None
+
+    def __enter__(self) -> CallAttempt:
+        self.run.on_sent(self.budget.stage)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        served_s = self.context.clock.monotonic() - self.started
+        result = result_of(error)
+        if result is CallResult.NOT_STARTED:
+            self.run.on_not_started(self.budget.stage)
+        if result is CallResult.ANSWERED:
+            self.context.budget.on_success()
+        self.end_slot(result, error, served_s)
+        name = self.slot.endpoint.name
+        self.context.observer.on_call(self.budget.stage, name, served_s, result)
+
+    def end_slot(self, result: CallResult, error: BaseException | None, served_s: float) -> None:
+        """Give the slot back with what the call told about its endpoint."""
+        if result is CallResult.ANSWERED:
+            first_s = served_s if self.first_response_s is None else self.first_response_s
+            self.slot.answered(first_response_s=first_s, served_s=served_s)
+        elif result is CallResult.ABANDONED:
+            self.slot.abandoned()
+        elif self.is_failure(error, served_s):
+            self.slot.failed()
+        else:
+            self.slot.declined()
+
+    def is_failure(self, error: BaseException | None, served_s: float) -> bool:
+        """Tell whether the endpoint failed, rather than having too much to do."""
+        if isinstance(error, NotStarted):
+            return error.retry_after_s is None
+        if isinstance(error, TimedOut):
+            return self.tells_of_endpoint(served_s)
+        return True
+
+    def tells_of_endpoint(self, served_s: float) -> bool:
+        """Tell whether a call given up on says something about its endpoint.
+
+        It does if it was given up for being slow, or took far too long; it does not if it had
+        hardly begun when the time of the whole request was over.
+        """
+        in_time = self.context.clock.monotonic() < self.budget.stop_at
+        return in_time or served_s >= self.budget.expected_s * LATE_FACTOR
+
+
+def result_of(error: BaseException | None) -> CallResult:
+    """Return how a call ended by what it raised."""
+    if error is None:
+        return CallResult.ANSWERED
+    if isinstance(error, NotStarted):
+        return CallResult.NOT_STARTED
+    if isinstance(error, WrongAnswer):
+        return CallResult.WRONG_ANSWER
+    if isinstance(error, TimedOut):
+        return CallResult.TIMED_OUT
+    if isinstance(error, MayHaveRun):
+        return CallResult.MAY_HAVE_RUN
+    return CallResult.ABANDONED
--- a/packages/core/calicopath_core/execution/executor.py
+++ b/packages/core/calicopath_core/execution/executor.py
@@ -10,9 +10,10 @@
 from calicopath_core.claims.keys import InvalidKey, parse_key
 from calicopath_core.claims.operations import ClaimState, StoredClaim
 from calicopath_core.claims.registry import Granted, Taken
+from calicopath_core.execution.attempts import StageContext, stage_budget
 from calicopath_core.execution.generation import GenerationRunner
 from calicopath_core.execution.run import Run, StageFailed
-from calicopath_core.execution.stages import CallRunner, StageContext, stage_budget
+from calicopath_core.execution.stages import CallRunner
 from calicopath_core.store.base import StoreUnavailable
 from calicopath_core.structure.outcomes import (
     Answered,
--- a/packages/core/calicopath_core/execution/generation.py
+++ b/packages/core/calicopath_core/execution/generation.py
@@ -8,15 +8,15 @@
 from typing import TYPE_CHECKING
 
 from calicopath_core.backends.base import MayHaveRun, NotStarted, WrongAnswer
-from calicopath_core.execution.requests import CallResult
-from calicopath_core.execution.run import Run, StageFailed
-from calicopath_core.execution.stages import (
+from calicopath_core.execution.attempts import (
+    CallAttempt,
     StageBudget,
     StageContext,
+    TimedOut,
     acquire_slot,
     check_time_left,
-    tells_of_endpoint,
 )
+from calicopath_core.execution.run import Run, StageFailed
 from calicopath_core.structure.calls import GenerationCall, GenerationEnd, StageOutput, Token
 from calicopath_core.structure.outcomes import FailureReason, StageTiming
 
@@ -121,49 +121,32 @@
         return self.context.budget.take()
 
     async def attempt(self, run: Run, budget: StageBudget, slot: Slot, progress: Progress) -> None:
-        """Stream from one replica until the end, and tell the pool how it went."""
+        """Stream from one replica until the end."""
         stage = budget.stage
-        clock = self.context.clock
-        started = clock.monotonic()
-        call = GenerationCall(
-            id=run.next_call(stage),
-            params=stage.params,
-            input=run.input,
-            timeout_s=budget.stop_at - started,
-            priority=run.request.priority,
-            offset=progress.offset,
-            prefix=b''.join(progress.tokens),
-        )
-        watch = StreamWatch(started=started)
-        run.on_sent(stage)
-        result = CallResult.ABANDONED
-        try:
-            await self.stream(run, budget, slot, call, progress, watch)
-            result = CallResult.ANSWERED
-        except TimeoutError:
-            result = CallResult.TIMED_OUT
-            raise MayHaveRun(f'{slot.endpoint.name} stopped sending tokens') from None
-        except NotStarted as error:
-            run.on_not_started(stage)
-            result = CallResult.NOT_STARTED
-            if error.retry_after_s is None:
-                slot.failed()
-            else:
-                slot.declined()
-            raise
-        except WrongAnswer:
-            result = CallResult.WRONG_ANSWER
-            raise
-        except MayHaveRun:
-            result = CallResult.MAY_HAVE_RUN
-            raise
-        finally:
-            served_s = clock.monotonic() - started
-            self.end(slot, budget, result, watch, served_s)
-            self.context.observer.on_call(stage, slot.endpoint.name, served_s, result)
-            if result not in (CallResult.ANSWERED, CallResult.NOT_STARTED):
+        with CallAttempt(context=self.context, run=run, budget=budget, slot=slot) as attempt:
+            call = GenerationCall(
+                id=run.next_call(stage),
+                params=stage.params,
+                input=run.input,
+                timeout_s=budget.stop_at - attempt.started,
+                priority=run.request.priority,
+                offset=progress.offset,
+                prefix=b''.join(progress.tokens),
+            )
+            watch = StreamWatch(started=attempt.started)
+            try:
+                await self.stream(run, budget, slot, call, progress, watch)
+            except TimeoutError:
+                self.cancel(slot, call)
+                raise TimedOut(f'{slot.endpoint.name} stopped sending tokens') from None
+            except NotStarted:
+                raise
+            except BaseException:
                 self.cancel(slot, call)
-        self.context.budget.on_success()
+                raise
+            attempt.first_response_s = watch.first_response_s
+            if watch.gap_s is not None:
+                slot.pool.learn_token_gap(watch.gap_s)
 
     async def stream(
         self,
@@ -192,6 +175,8 @@
                 text = progress.add(item)
                 if text:
                     await run.sink.write(text)
+                # The time that a slow caller takes is not the replica's.
+                watch.waiting_since = clock.monotonic()
 
     def next_token_by(self, budget: StageBudget, watch: StreamWatch) -> float:
         """Return when to give up waiting for the next token.
@@ -205,9 +190,10 @@
             return min(budget.stop_at, watch.started + first_s)
         usual_s = self.context.pools.pool(budget.stage.service).token_gap_s
         if usual_s is None:
-            return min(budget.stop_at, watch.last_at + policy.max_stall_s + lag_s)
+            return min(budget.stop_at, watch.waiting_since + policy.max_stall_s + lag_s)
         stall_s = max(policy.min_stall_s, usual_s * policy.stall_factor)
-        return min(budget.stop_at, watch.last_at + min(policy.max_stall_s, stall_s) + lag_s)
+        stall_s = min(policy.max_stall_s, stall_s) + lag_s
+        return min(budget.stop_at, watch.waiting_since + stall_s)
 
     def note_first_token(self, run: Run, watch: StreamWatch) -> None:
         """Report a request's first token once."""
@@ -215,27 +201,6 @@
             run.first_token_at = watch.last_at
             self.context.observer.on_first_token(run.plan, watch.last_at - run.request.arrived)
 
-    def end(
-        self,
-        slot: Slot,
-        budget: StageBudget,
-        result: CallResult,
-        watch: StreamWatch,
-        served_s: float,
-    ) -> None:
-        """Give a slot back with what the stream told about its endpoint."""
-        if result is CallResult.ANSWERED:
-            first_s = (watch.first_at or watch.started) - watch.started
-            if watch.gap_s is not None:
-                slot.pool.learn_token_gap(watch.gap_s)
-            slot.answered(first_response_s=first_s, served_s=served_s)
-        elif result is CallResult.TIMED_OUT and not tells_of_endpoint(slot, served_s, budget):
-            slot.declined()
-        elif result is CallResult.ABANDONED:
-            slot.abandoned()
-        elif result is not CallResult.NOT_STARTED:
-            slot.failed()
-
     def cancel(self, slot: Slot, call: GenerationCall) -> None:
         """Ask the replica to stop, without waiting for it."""
         engine = self.context.backends.engine
@@ -251,8 +216,14 @@
         self.started = started
         self.first_at: float | None = None
         self.last_at = started
+        self.waiting_since = started
         self.tokens = 0
 
+    @property
+    def first_response_s(self) -> float:
+        """Return the time to the first token, 0 if there was none."""
+        return 0.0 if self.first_at is None else self.first_at - self.started
+
     @property
     def gap_s(self) -> float | None:
         """Return the mean time between tokens, if there were two."""
--- a/packages/core/calicopath_core/execution/tests/answers_tests.py
+++ b/packages/core/calicopath_core/execution/tests/answers_tests.py
@@ -183,6 +183,28 @@
         self.run_virtual(scenario())
 
 
+class SlowSink(TextSink):
+    """Take half a second for each piece."""
+
+    async def write(self, text: str) -> None:
+        """Keep a piece, slowly."""
+        await asyncio.sleep(0.5)
+        await super().write(text)
+
+
+class SlowCallers(VirtualCase):
+    def test_a_slow_caller_is_not_taken_for_a_slow_replica(self) -> None:
+        async def scenario() -> None:
+            fleet = new_fleet()
+            box = FakeBox(fleet=fleet, state=StoreState()).configure(fleet)
+            await box.send('answer')
+            outcome = await box.send('answer', sink=SlowSink(), deadline_s=60.0)
+            assert isinstance(outcome, Answered)
+            self.assertEqual(1, outcome.timings[-1].attempts)
+
+        self.run_virtual(scenario())
+
+
 class OwnAnswers(VirtualCase):
     def test_many_requests_at_once_each_get_their_own_answer_while_calls_cross(self) -> None:
         async def scenario() -> None:
--- a/packages/daemon/calicopathd/box/box.py
+++ b/packages/daemon/calicopathd/box/box.py
@@ -16,10 +16,10 @@
 from calicopath_core.claims.forwarding import PeerClaims
 from calicopath_core.claims.registry import ClaimRegistry
 from calicopath_core.clock import LoopClock
+from calicopath_core.execution.attempts import StageContext
 from calicopath_core.execution.door import Door
 from calicopath_core.execution.executor import PipelineExecutor
 from calicopath_core.execution.policy import Objective, policy_for
-from calicopath_core.execution.stages import StageContext
 from calicopath_core.limits.concurrency import GradientLimit
 from calicopath_core.limits.lag import LoopLag
 from calicopath_core.limits.retry import RetryBudget
--- a/testkit/world.py
+++ b/testkit/world.py
@@ -10,11 +10,11 @@
 from calicopath_core.claims.executors import GroupPlan, LocalExecutor
 from calicopath_core.claims.keys import body_digest
 from calicopath_core.claims.registry import ClaimRegistry
+from calicopath_core.execution.attempts import StageContext
 from calicopath_core.execution.door import Door
 from calicopath_core.execution.executor import PipelineExecutor
 from calicopath_core.execution.policy import ExecutionPolicy
 from calicopath_core.execution.requests import DiscardSink, NullObserver, PipelineRequest, TokenSink
-from calicopath_core.execution.stages import StageContext
 from calicopath_core.limits.concurrency import FixedLimit
 from calicopath_core.limits.lag import LoopLag
 from calicopath_core.limits.retry import RetryBudget
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -142,6 +142,13 @@
         'pass',
         'packages/daemon/calicopathd/http/tests/callers_tests.py::Operations',
     ),
+    Mutant(
+        'slow callers',
+        f'{CORE}/execution/generation.py',
+        'watch.waiting_since = clock.monotonic()',
+        'pass',
+        f'{CORE}/execution/tests/answers_tests.py::SlowCallers',
+    ),
     Mutant(
         'slow replicas',
         f'{CORE}/routing/pools.py',
