Name refusals for what they are; call nothing in force where no box is listed

A pipeline that does not fit its template was refused as 'no-endpoint'; a fault of the box patched its answer's bytes; '--wait' with an empty box list said 'in force on 0 of 0 boxes' and exit code 0; two counters were kept and shown nowhere; three names were used by nobody.

Change: reason 'configuration-invalid'; plain_problem takes its outcome; an empty box list is not in force (exit code 5); the counters are metrics; unused names are gone.

Ruled out: treating an empty box list as an error of the platform (it lags, and a box may be on its way).

--- a/packages/cli/calicopath_cli/tests/commands_tests.py
+++ b/packages/cli/calicopath_cli/tests/commands_tests.py
@@ -141,6 +141,10 @@
             self.operate(self.apply, platform=platform)
         self.assertIn('object API', str(raised.exception))
 
+    def test_a_change_is_not_called_in_force_where_no_box_is_listed(self) -> None:
+        with self.assertRaises(NotInForce):
+            self.operate(lambda options: apply.apply(options, [CONFIG], 0.0))
+
     def test_a_change_not_in_force_on_a_silent_box_is_reported_so(self) -> None:
         platform = PlatformStandIn()
         platform.boxes['box-1'] = {
--- a/packages/cli/calicopath_cli/utils/inforce.py
+++ b/packages/cli/calicopath_cli/utils/inforce.py
@@ -69,7 +69,7 @@
     deadline = loop.time() + wait_s
     while True:
         found = await in_force(operator, accepted.key, accepted.version)
-        if found.in_force == found.boxes:
+        if found.boxes and found.in_force == found.boxes:
             return found
         if loop.time() >= deadline:
             silent = f'; no answer from {", ".join(found.silent)}' if found.silent else ''
--- a/packages/core/calicopath_core/config/parsers.py
+++ b/packages/core/calicopath_core/config/parsers.py
@@ -28,7 +28,7 @@
 MAX_PRIORITY = 9
 DEFAULT_PRIORITY = 5
 MAX_CONCURRENCY = 4096
-MIN_STAGES, MAX_STAGES = 1, 8
+MAX_STAGES = 8
 REFERENCE = re.compile(r'\$\{([^}]*)\}')
 
 PYTHON_TYPES: dict[ParameterType, tuple[type, ...]] = {
--- a/packages/core/calicopath_core/exceptions.py
+++ b/packages/core/calicopath_core/exceptions.py
@@ -5,7 +5,3 @@
 
 class CalicopathError(Exception):
     """Report a problem to a user in one line, without a traceback."""
-
-
-class ConfigurationError(CalicopathError):
-    """Report that configuration or settings cannot be used."""
--- a/packages/core/calicopath_core/structure/outcomes.py
+++ b/packages/core/calicopath_core/structure/outcomes.py
@@ -13,6 +13,7 @@
     DEADLINE_TOO_SHORT = 'deadline-too-short'
     OVERLOADED = 'overloaded'
     NO_ENDPOINT = 'no-endpoint'
+    CONFIGURATION_INVALID = 'configuration-invalid'
     STOPPING = 'stopping'
     NOT_READY = 'not-ready'
     KEY_MISSING = 'idempotency-key-missing'
--- a/packages/daemon/calicopathd/box/box.py
+++ b/packages/daemon/calicopathd/box/box.py
@@ -136,8 +136,8 @@
         )
         local = LocalExecutor(store=self.store, clock=self.clock, plan=plan)
         peers = PeerClaims(gossip=self.gossip, local=local, clock=self.clock)
-        executor = ForwardingExecutor(local=local, peers=peers)
-        return ClaimRegistry(local=local, executor=executor, new_nonce=self.new_id)
+        self.forwarding = ForwardingExecutor(local=local, peers=peers)
+        return ClaimRegistry(local=local, executor=self.forwarding, new_nonce=self.new_id)
 
     def new_pool(self, service: str) -> ServicePool:
         """Return the pool of a service that has appeared."""
--- a/packages/daemon/calicopathd/box/monitor.py
+++ b/packages/daemon/calicopathd/box/monitor.py
@@ -94,6 +94,8 @@
             peer_bad_messages=box.gossip.counts.bad,
             peer_dropped_messages=box.transport.dropped,
             peer_repaired_objects=box.gossip.counts.repaired,
+            own_reads=box.roles.own_reads,
+            claim_owners_passed_over=box.forwarding.passed_over,
             ejections=self.ejections,
             loop_lag_seconds=box.lag.value_s,
         )
--- a/packages/daemon/calicopathd/http/app.py
+++ b/packages/daemon/calicopathd/http/app.py
@@ -13,7 +13,7 @@
 from calicopathd.exceptions import BadRequest, StartError
 from calicopathd.http.callers import caller_routes
 from calicopathd.http.operations import operation_routes
-from calicopathd.http.problems import bad_request_problem
+from calicopathd.http.problems import OUTCOME_FAILED, plain_problem
 
 if TYPE_CHECKING:
     from sanic.response import HTTPResponse
@@ -53,22 +53,21 @@
 def answer_bad_request(request: Request, error: BadRequest) -> HTTPResponse:
     """Answer a request that cannot be understood."""
     events.emit(log, events.REQUEST_BAD, title=error.title, detail=error.detail)
-    return bad_request_problem(error.status, error.title, error.detail)
+    return plain_problem(error.status, error.title, error.detail)
 
 
 def answer_library_error(request: Request, error: SanicException) -> HTTPResponse:
     """Answer what the library found wrong: unknown routes, oversized or broken requests."""
     title = type(error).__name__
     events.emit(log, events.REQUEST_BAD, title=title, detail=str(error))
-    return bad_request_problem(error.status_code, title, str(error))
+    return plain_problem(error.status_code, title, str(error))
 
 
 def answer_fault(request: Request, error: Exception) -> HTTPResponse:
     """Answer a fault of our own: the request may have run."""
     events.emit(log, events.REQUEST_FAULT, exc_info=error)
-    response = bad_request_problem(STATUS_FAULT, 'internal fault', 'see the log of the box')
-    response.body = (response.body or b'').replace(b'refused-not-run', b'failed-may-have-run')
-    return response
+    detail = 'see the log of the box'
+    return plain_problem(STATUS_FAULT, 'internal fault', detail, outcome=OUTCOME_FAILED)
 
 
 def bind(address: Address) -> socket.socket:
--- a/packages/daemon/calicopathd/http/callers.py
+++ b/packages/daemon/calicopathd/http/callers.py
@@ -35,6 +35,9 @@
 log = structlog.get_logger(__name__)
 
 STATUS_NOT_FOUND = 404
+CONFIGURATION_RETRY_S = 5.0
+"""When to come back while a pipeline and its template do not fit each other."""
+
 STOPPING_RETRY_S = 1.0
 """When to come back to another box after a refusal by one that is stopping or not ready."""
 
@@ -94,7 +97,7 @@
         raise BadRequest(STATUS_NOT_FOUND, f'unknown {unknown}', detail)
     if isinstance(result, Failure):
         problems = '; '.join(str(problem) for problem in result.failure())
-        return Refused(RefusalReason.NO_ENDPOINT, problems, STOPPING_RETRY_S)
+        return Refused(RefusalReason.CONFIGURATION_INVALID, problems, CONFIGURATION_RETRY_S)
     return result.unwrap()
 
 
--- a/packages/daemon/calicopathd/http/problems.py
+++ b/packages/daemon/calicopathd/http/problems.py
@@ -68,14 +68,16 @@
     return problem_response(problem_body(outcome, request_id), headers)
 
 
-def bad_request_problem(status: int, title: str, detail: str) -> HTTPResponse:
-    """Answer a request that was not understood, so that nothing of it ran."""
+def plain_problem(
+    status: int, title: str, detail: str, *, outcome: str = OUTCOME_REFUSED
+) -> HTTPResponse:
+    """Answer a request that never became one: by default nothing of it ran."""
     body = {
         'type': PROBLEM_PREFIX + title.replace(' ', '-'),
         'title': title,
         'status': status,
         'detail': detail,
-        'outcome': OUTCOME_REFUSED,
+        'outcome': outcome,
         'retry_after_s': None,
     }
     return problem_response(body, {})
--- a/packages/daemon/calicopathd/http/tests/callers_tests.py
+++ b/packages/daemon/calicopathd/http/tests/callers_tests.py
@@ -8,6 +8,7 @@
 
 import testtools
 
+from calicopath_core.store.view import ViewUpdate
 from testkit.daemon import Surroundings, running_box
 from testkit.world import uuid7
 from tools.demo import new_key, read_events
@@ -149,6 +150,25 @@
 
         self.with_box(work)
 
+    def test_a_pipeline_whose_template_is_gone_is_refused_as_not_run(self) -> None:
+        async def work(runner: BoxRunner, around: Surroundings) -> None:
+            runner.box.view.apply(ViewUpdate('config/templates/answer', 999, None))
+            answer = await ask(around, PATH + 'answer/requests', {'input': 'x'})
+            self.assertEqual(503, answer.status)
+            self.assertEqual('configuration invalid', answer.json['title'])
+            self.assertEqual('refused-not-run', answer.json['outcome'])
+
+        self.with_box(work)
+
+    def test_a_fault_of_the_box_is_not_called_a_refusal(self) -> None:
+        async def work(runner: BoxRunner, around: Surroundings) -> None:
+            runner.box.executor = None  # type: ignore[assignment]
+            answer = await ask(around, PATH + 'answer/requests', {'input': 'x'})
+            self.assertEqual(500, answer.status)
+            self.assertEqual('failed-may-have-run', answer.json['outcome'])
+
+        self.with_box(work)
+
     def test_a_key_of_an_old_day_is_taken_as_long_as_nothing_newer_was_dropped(self) -> None:
         async def work(runner: BoxRunner, around: Surroundings) -> None:
             key = uuid7(1_700_000_000.0)
--- a/packages/daemon/calicopathd/metrics.py
+++ b/packages/daemon/calicopathd/metrics.py
@@ -56,7 +56,6 @@
         self.state = Gauge(
             'calicopath_state', 'State of the box, by what is counted.', const, self.registry
         )
-        self.calls_without_answer = 0
 
     def on_call(self, stage: StagePlan, endpoint: str, served_s: float, result: CallResult) -> None:
         """Note one call to an endpoint."""
