Keep contact with the platform apart from reading everything; never share a nonce; let a box stop

Cause: found by reading. (1) Contact was told to other boxes only when a relay read everything, which a large configuration makes rare: with 1,000 objects the other boxes of 24 read everything by themselves 111 times a minute, and at the design size all 1,700 would have. (2) Identifiers and nonces came from the seeded generator: two boxes given the same seed would share nonces, and both could run one request. (3) A relay's stop swallowed its own cancellation, so that a box could hang when it stopped while giving the role up; the probes' timing made one test hang on it.

Change: relays probe the platform each second by a read of one key and tell the contact. Identifiers come from the system. Only the relaying task's cancellation is a result.

Ruled out: a longer time before own reads (a box really cut off would hear of changes later).

One more read a second and relay; the calls of large fleets were not measured again.

--- a/packages/core/calicopath_core/membership/roles.py
+++ b/packages/core/calicopath_core/membership/roles.py
@@ -99,12 +99,13 @@
 
     async def stop_relaying(self) -> None:
         """Stop watching the platform."""
-        if self.relaying is None:
+        relaying, self.relaying = self.relaying, None
+        if relaying is None:
             return
-        self.relaying.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await asyncio.gather(self.relaying, return_exceptions=True)
-        self.relaying = None
+        relaying.cancel()
+        # The relaying task's own cancellation is a result here; ours must not be swallowed, or
+        # this box would never stop.
+        await asyncio.gather(relaying, return_exceptions=True)
 
     async def list_boxes_often(self) -> None:
         """Read the box list at the start, and from time to time while relaying or alone."""
--- a/packages/core/calicopath_core/membership/tests/spreading_tests.py
+++ b/packages/core/calicopath_core/membership/tests/spreading_tests.py
@@ -273,3 +273,22 @@
             for key, entry in box.view.entries.items():
                 self.assertGreaterEqual(entry.version, held.get((life, key), 0))
                 held[life, key] = entry.version
+
+
+class LargeConfigurations(VirtualCase):
+    def test_boxes_leave_the_platform_alone_while_relays_read_everything_seldom(self) -> None:
+        async def scenario() -> None:
+            fleet = PeerFleet(count=24, domains=4)
+            for number in range(1000):
+                fleet.put(f'config/endpoints/e-{number}', number)
+            await fleet.start()
+            before = sum(box.roles.own_reads for box in fleet.boxes.values())
+            await asyncio.sleep(60)
+            after = sum(box.roles.own_reads for box in fleet.boxes.values())
+            ages = [box.gossip.contact_age() or 0.0 for box in fleet.boxes.values()]
+            # Now and then the contact takes more than three seconds to come round.
+            self.assertLess(after - before, 6)
+            self.assertLess(max(ages), IN_FORCE_S)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
--- a/packages/core/calicopath_core/store/feed.py
+++ b/packages/core/calicopath_core/store/feed.py
@@ -24,6 +24,10 @@
 MAX_RELIST_BYTES_A_SECOND = 16_000
 """What reading everything again may cost; many boxes that do so share what they find."""
 
+PROBE_S = 1.0
+PROBE_KEY = 'probe'
+"""A key that need not exist: the answer that it does not is an answer."""
+
 SLICE = 500
 """Objects applied at a time."""
 
@@ -65,6 +69,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.follow())
             group.create_task(self.relist_often())
+            group.create_task(self.probe_often())
 
     async def follow(self) -> None:
         """Apply watch events, starting a new watch whenever one ends."""
@@ -84,6 +89,20 @@
                 continue
             await asyncio.sleep(self.relist_interval())
 
+    async def probe_often(self) -> None:
+        """Make sure every second that the platform answers, by a read that costs next to nothing.
+
+        The contact is told to the other boxes, which would read everything by themselves without.
+        """
+        while True:
+            await asyncio.sleep(PROBE_S)
+            if not self.synced:
+                continue
+            asked = self.clock.monotonic()
+            with contextlib.suppress(StoreError):
+                await self.store.get(PROBE_KEY)
+                self.on_contact(asked)
+
     def relist_interval(self) -> float:
         """Return the seconds to the next read of everything, longer for a large configuration."""
         size = len(self.view.entries) * TYPICAL_OBJECT_BYTES
--- a/packages/daemon/calicopathd/box/box.py
+++ b/packages/daemon/calicopathd/box/box.py
@@ -82,6 +82,9 @@
             pool=HttpStagePool(session=session),
             service=HttpPlainService(session=session),
         )
+        self.local_claims = self.new_local_claims()
+        peers = PeerClaims(gossip=self.gossip, local=self.local_claims, clock=self.clock)
+        self.forwarding = ForwardingExecutor(local=self.local_claims, peers=peers)
         self.executor = self.new_executor()
 
     def new_gossip(self) -> Gossip:
@@ -124,20 +127,20 @@
             lag=self.lag,
         )
         door = Door(pools=self.pools, margin=policy.door_margin, lag=self.lag)
-        return PipelineExecutor(context=context, door=door, claims=self.new_claims())
+        claims = ClaimRegistry(
+            local=self.local_claims, executor=self.forwarding, new_nonce=self.new_id
+        )
+        return PipelineExecutor(context=context, door=door, claims=claims)
 
-    def new_claims(self) -> ClaimRegistry:
-        """Return the claims, written by the boxes that batch them."""
+    def new_local_claims(self) -> LocalExecutor:
+        """Return what this box writes of claims, for itself and for others."""
         plan = GroupPlan(
             shards=self.settings.claim_shards,
             slot_s=self.settings.claim_slot_s,
             retention_s=self.settings.claim_retention_h * SECONDS_AN_HOUR,
             write_interval_s=self.settings.claim_write_interval_s,
         )
-        local = LocalExecutor(store=self.store, clock=self.clock, plan=plan)
-        peers = PeerClaims(gossip=self.gossip, local=local, clock=self.clock)
-        self.forwarding = ForwardingExecutor(local=local, peers=peers)
-        return ClaimRegistry(local=local, executor=self.forwarding, new_nonce=self.new_id)
+        return LocalExecutor(store=self.store, clock=self.clock, plan=plan)
 
     def new_pool(self, service: str) -> ServicePool:
         """Return the pool of a service that has appeared."""
@@ -153,8 +156,12 @@
         return GradientLimit(concurrency=endpoint.concurrency, boxes=self.settings.boxes)
 
     def new_id(self) -> str:
-        """Return an identifier that no other request or claim has."""
-        return uuid.UUID(int=self.rng.getrandbits(128), version=4).hex
+        """Return an identifier that no other request or claim has.
+
+        It must not come from `rng`: boxes may be given the same seed, and a nonce that two boxes
+        share would let both run one request.
+        """
+        return uuid.uuid4().hex
 
     def synced(self) -> bool:
         """Tell whether the view was once whole: read from the platform or a ready peer."""
--- a/packages/daemon/calicopathd/box/runner.py
+++ b/packages/daemon/calicopathd/box/runner.py
@@ -76,7 +76,7 @@
         while self.box.executor.late:
             await asyncio.wait(set(self.box.executor.late))
         # Answers and releases that still wait for the platform, of this box and of others.
-        await self.box.executor.claims.local.flush(FLUSH_TIMEOUT_S)
+        await self.box.local_claims.flush(FLUSH_TIMEOUT_S)
 
     async def stop(self) -> None:
         """End the background tasks and the server."""
--- a/packages/daemon/calicopathd/http/tests/callers_tests.py
+++ b/packages/daemon/calicopathd/http/tests/callers_tests.py
@@ -178,6 +178,18 @@
         self.with_box(work)
 
 
+class Identifiers(CallersCase):
+    def test_boxes_with_the_same_seed_never_share_an_identifier(self) -> None:
+        found: list[str] = []
+
+        async def work(runner: BoxRunner, around: Surroundings) -> None:
+            found.extend(runner.box.new_id() for _ in range(100))
+
+        self.with_box(work, seed='7')
+        self.with_box(work, seed='7')
+        self.assertEqual(200, len(set(found)))
+
+
 class Operations(CallersCase):
     def test_a_leaving_box_is_not_ready_and_refuses_as_not_run(self) -> None:
         async def work(runner: BoxRunner, around: Surroundings) -> None:
