--- a/Makefile
+++ b/Makefile
@@ -2,13 +2,13 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
-SOURCES := packages standins bench tools testkit
+SOURCES := packages platform standins bench tools testkit
 
 .PHONY: setup demo test lint types unit faults mutants bench load perf capacity clean
 
 setup: $(STAMP)
 
-$(STAMP): constraints.txt requirements.txt packages/core/pyproject.toml packages/clients/pyproject.toml packages/daemon/pyproject.toml packages/cli/pyproject.toml
+$(STAMP): constraints.txt requirements.txt packages/core/pyproject.toml packages/clients/pyproject.toml packages/daemon/pyproject.toml packages/cli/pyproject.toml platform/pyproject.toml
 	python3 -m venv $(VENV)
 	$(PY) -m pip install --quiet -c constraints.txt setuptools wheel
 	$(PY) -m pip install --quiet --no-build-isolation -c constraints.txt -r requirements.txt
--- /dev/null
+++ b/packages/clients/calicopath_clients/http1/pool.py
@@ -0,0 +1,171 @@
+"""Share connections among calls, by address."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, NamedTuple
+
+from calicopath_clients.http1.connections import Connection
+from calicopath_core.backends.base import MayHaveRun, NotStarted
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from calicopath_clients.http1.answers import Head, Inbound
+
+CONNECT_TIMEOUT_S = 1.2
+"""An opening packet that is lost is sent again after 1 s."""
+
+IDLE_S = 4.0
+"""How long a connection may rest where the server names no limit."""
+
+IDLE_SHARE = 0.5
+"""The part of a server's own idle limit after which a connection is not used again."""
+
+FRESH_IDLE_S = 1.0
+"""How long a connection may have rested to be good for what can't be repeated."""
+
+MAX_IDLE = 8
+"""Idle connections kept an address; a bound on descriptors and on a server's connections."""
+
+
+class CallHead(NamedTuple):
+    """Hold the request line and headers of a call."""
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+
+
+class Call:
+    """Hold a call whose head has come; read to its end or close it."""
+
+    def __init__(
+        self, *, pool: HttpPool, address: str, connection: Connection, inbound: Inbound, head: Head
+    ) -> None:
+        self.pool = pool
+        self.address = address
+        self.connection = connection
+        self.inbound = inbound
+        self.head = head
+
+    async def read(self) -> bytes | None:
+        """Return the next bytes of the body, nothing at its end."""
+        data = await self.inbound.read()
+        self.connection.resume()
+        return data
+
+    async def read_all(self) -> bytes:
+        """Return the whole body."""
+        parts = []
+        while (data := await self.read()) is not None:
+            parts.append(data)
+        return b''.join(parts)
+
+    def close(self) -> None:
+        """Give the connection back, or cut it if the answer is not whole."""
+        self.pool.give_back(self.address, self.connection)
+
+
+class HttpPool:
+    """Make calls; `max_per_address` bounds the connections to one server."""
+
+    def __init__(self, *, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> None:
+        self.connect_timeout_s = connect_timeout_s
+        self.idle: dict[str, list[Connection]] = {}
+        self.opened = 0
+
+    async def call(
+        self,
+        address: str,
+        head: CallHead,
+        body: bytes,
+        *,
+        accepts: Callable[[Head], bool] = lambda head: True,
+        fresh: bool = False,
+    ) -> Call:
+        """Send a call and return its answer's head.
+
+        Raise `NotStarted` if it was not sent, `MayHaveRun` if no answer came.
+        """
+        connection = self.take(address, IDLE_S if not fresh else FRESH_IDLE_S)
+        if connection is None:
+            connection = await self.connect(address)
+        no_body = head.method == 'HEAD'
+        inbound = connection.begin([encode_head(head), body], accepts, no_body=no_body)
+        try:
+            answer = await asyncio.shield(inbound.head)
+        except asyncio.CancelledError:
+            connection.abort()
+            raise
+        except MayHaveRun:
+            connection.abort()
+            raise
+        limit = answer.get('Keep-Alive')
+        connection.idle_limit_s = keep_alive_s(limit) if limit else None
+        return Call(pool=self, address=address, connection=connection, inbound=inbound, head=answer)
+
+    def take(self, address: str, idle_s: float) -> Connection | None:
+        """Return an idle connection that is still good."""
+        now = asyncio.get_running_loop().time()
+        waiting = self.idle.get(address, [])
+        while waiting:
+            connection = waiting.pop()
+            limit_s = idle_s
+            if connection.idle_limit_s is not None:
+                limit_s = min(limit_s, connection.idle_limit_s * IDLE_SHARE)
+            if connection.usable and now - connection.used_at < limit_s:
+                return connection
+            connection.abort()
+        return None
+
+    async def connect(self, address: str) -> Connection:
+        """Open a connection; raise `NotStarted`."""
+        host, _, port = address.rpartition(':')
+        loop = asyncio.get_running_loop()
+        self.opened += 1
+        try:
+            async with asyncio.timeout(self.connect_timeout_s):
+                _, connection = await loop.create_connection(Connection, host, int(port))
+        except (OSError, TimeoutError) as error:
+            raise NotStarted(f'{address} cannot be reached: {error!r}') from error
+        return connection
+
+    def give_back(self, address: str, connection: Connection) -> None:
+        """Keep a connection for the next call if it is good."""
+        if not connection.usable:
+            connection.abort()
+            return
+        connection.used_at = asyncio.get_running_loop().time()
+        waiting = self.idle.setdefault(address, [])
+        waiting.append(connection)
+        if len(waiting) > MAX_IDLE:
+            waiting.pop(0).abort()
+
+    def forget(self, addresses: set[str]) -> None:
+        """Close the idle connections of every server that is not among `addresses`."""
+        for address in list(self.idle):
+            if address not in addresses:
+                for connection in self.idle.pop(address):
+                    connection.abort()
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        self.forget(set())
+
+
+def encode_head(head: CallHead) -> bytes:
+    """Return the bytes of a request's head."""
+    lines = [f'{head.method} {head.target} HTTP/1.1']
+    lines.extend(f'{name}: {value}' for name, value in head.headers)
+    return '\r\n'.join([*lines, '', '']).encode('latin-1')
+
+
+def keep_alive_s(text: str) -> float | None:
+    """Return the seconds that a `Keep-Alive` header gives."""
+    for part in text.split(','):
+        name, _, value = part.strip().partition('=')
+        digits = value if name.lower() == 'timeout' else name
+        if digits.strip().isdigit():
+            return float(digits)
+    return None
--- /dev/null
+++ b/packages/core/calicopath_core/exchanges/__init__.py
@@ -0,0 +1,1 @@
+"""Pass callers' HTTP exchanges through to replicas, byte for byte."""
--- /dev/null
+++ b/packages/core/calicopath_core/exchanges/balancer.py
@@ -0,0 +1,116 @@
+"""Choose a replica of a plain service, by this box's own calls and what answers tell."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    import random
+
+    from calicopath_core.fleet.replicas import Replica, ReplicaTable
+
+FIRST_LATENCY_S = 0.05
+SMOOTHING = 0.2
+"""The weight of the newest call in averages of time and failures."""
+
+FAR_S = 0.002
+"""What a replica in another failure domain counts as, beside its time: two crossings of 0.5 ms
+and the bytes that they carry."""
+
+FAILURE_WEIGHT = 20.0
+"""How many times its usual time a call to a replica counts as that fails every call."""
+
+EJECT_AFTER = 3
+EJECT_S = 1.0
+MAX_EJECT_S = 8.0
+REPORT_LIFE_S = 0.5
+"""How long a reported load is believed."""
+
+
+class LoadReport(NamedTuple):
+    """Hold what a replica tells of its load."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class ReplicaStats:
+    """Hold what this box knows of one replica; times are monotonic seconds."""
+
+    def __init__(self) -> None:
+        self.in_flight = 0
+        self.latency_s = FIRST_LATENCY_S
+        self.failure_rate = 0.0
+        self.failures = 0
+        self.ejected_until = 0.0
+        self.report: LoadReport | None = None
+        self.reported_at = 0.0
+
+    def busy(self, now: float) -> float:
+        """Return how many calls are believed to be there, those of others included."""
+        if self.report is None or now - self.reported_at > REPORT_LIFE_S:
+            return float(self.in_flight)
+        return max(float(self.in_flight), float(self.report.running + self.report.waiting))
+
+    def on_success(self, took_s: float) -> None:
+        """Note an answer in time."""
+        self.latency_s += SMOOTHING * (took_s - self.latency_s)
+        self.failure_rate *= 1 - SMOOTHING
+        self.failures = 0
+
+    def on_failure(self, now: float) -> None:
+        """Note a failed call; several in a row leave the replica alone for a while."""
+        self.failure_rate += SMOOTHING * (1 - self.failure_rate)
+        self.failures += 1
+        if self.failures >= EJECT_AFTER:
+            pause_s = min(MAX_EJECT_S, EJECT_S * 2 ** (self.failures - EJECT_AFTER))
+            self.ejected_until = now + pause_s
+
+    def on_report(self, report: LoadReport, now: float) -> None:
+        """Note a reported load."""
+        self.report = report
+        self.reported_at = now
+
+
+class Balancer:
+    """Hold what is known of the replicas of plain services."""
+
+    def __init__(self, *, replicas: ReplicaTable, zone: str, rng: random.Random) -> None:
+        self.replicas = replicas
+        self.zone = zone
+        self.rng = rng
+        self.stats: dict[str, ReplicaStats] = {}
+        replicas.listeners.append(self.forget_gone)
+
+    def forget_gone(self) -> None:
+        """Drop what is known of replicas that are gone."""
+        for name in list(self.stats):
+            if name not in self.replicas.replicas:
+                del self.stats[name]
+
+    def of(self, replica: Replica) -> ReplicaStats:
+        """Return what is known of a replica."""
+        found = self.stats.get(replica.id)
+        if found is None:
+            found = self.stats[replica.id] = ReplicaStats()
+        return found
+
+    def choose(self, service: str, tried: set[str], now: float) -> Replica | None:
+        """Return the better of two replicas drawn, or of all if there are few."""
+        usable = [item for item in self.replicas.usable(service) if item.id not in tried]
+        if not usable:
+            return None
+        healthy = [item for item in usable if self.of(item).ejected_until <= now]
+        pool = healthy or usable
+        self.rng.shuffle(pool)
+        return min(pool, key=lambda item: self.cost_s(item, now))
+
+    def cost_s(self, replica: Replica, now: float) -> float:
+        """Return what a call is expected to take, failures and distance counted."""
+        stats = self.of(replica)
+        slots = max(1, replica.slots)
+        wait = max(0.0, stats.busy(now) + 1 - slots) / slots
+        far = 0.0 if replica.zone == self.zone else FAR_S
+        crowd = 0.25 * stats.busy(now) / slots
+        return stats.latency_s * (1 + wait + crowd + FAILURE_WEIGHT * stats.failure_rate) + far
--- /dev/null
+++ b/packages/core/calicopath_core/exchanges/context.py
@@ -0,0 +1,114 @@
+"""Hold what every exchange of a box shares, and how an exchange ended."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING, NamedTuple
+
+from calicopath_core.exceptions import CalicopathError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from calicopath_core.clock import Clock
+    from calicopath_core.exchanges.balancer import Balancer
+    from calicopath_core.exchanges.budget import Budgets
+    from calicopath_core.exchanges.messages import Exchange, ReplicaCaller
+    from calicopath_core.fleet.deployment import Deployment, DeploymentView, Route
+    from calicopath_core.fleet.replicas import ReplicaTable
+    from calicopath_core.scheduling.client import SchedulerClient
+    from calicopath_core.scheduling.election import Election
+
+STATUS_UNAUTHORIZED = 401
+STATUS_NOT_FOUND = 404
+STATUS_BAD_GATEWAY = 502
+STATUS_UNAVAILABLE = 503
+STATUS_GATEWAY_TIMEOUT = 504
+
+RETRY_SOON_S = 0.3
+"""When a caller may come back after a refusal that has nothing to do with load."""
+
+
+class RefusedExchange(CalicopathError):
+    """Report that a request ends with an answer of our own; with 503 it provably did not run."""
+
+    def __init__(self, status: int, reason: str, *, retry_after_s: float | None = None) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+class Ticket:
+    """Follow one exchange: its route and deadline, what was tried, how it ended."""
+
+    def __init__(
+        self,
+        *,
+        exchange: Exchange,
+        deployment: Deployment,
+        route: Route,
+        service: str,
+        tenant: str | None,
+        priority: int,
+        deadline_at: float,
+    ) -> None:
+        self.exchange = exchange
+        self.deployment = deployment
+        self.route = route
+        self.service = service
+        self.tenant = tenant
+        self.priority = priority
+        self.deadline_at = deadline_at
+        self.replicas: list[str] = []
+        self.runs = 0
+        self.sends = 0
+        self.may_have_run = False
+        self.first_byte_at: float | None = None
+        self.status = 0
+        self.outcome = ''
+        self.detail = ''
+
+    @property
+    def tried(self) -> set[str]:
+        """Return the replicas that were sent the request."""
+        return set(self.replicas)
+
+    def may_send_again(self) -> bool:
+        """Tell whether the request may run on one more replica."""
+        if self.may_have_run and not self.route.repeatable:
+            return False
+        return self.runs < max(1, self.route.max_attempts)
+
+
+class ExchangeObserver(ABC):
+    """Learn of what happens to exchanges."""
+
+    @abstractmethod
+    def on_ended(self, ticket: Ticket, took_s: float) -> None:
+        """Note how an exchange ended."""
+
+    @abstractmethod
+    def on_refused(self, exchange: Exchange, refusal: RefusedExchange) -> None:
+        """Note an exchange that was refused before it had a route."""
+
+    @abstractmethod
+    def on_attempt_failed(self, ticket: Ticket, replica: str, error: Exception) -> None:
+        """Note an attempt that gave no whole answer."""
+
+
+class ExchangeContext(NamedTuple):
+    """Hold what exchanges share on one box."""
+
+    clock: Clock
+    view: DeploymentView
+    replicas: ReplicaTable
+    balancer: Balancer
+    budgets: Budgets
+    election: Election
+    scheduler: SchedulerClient
+    caller: ReplicaCaller
+    observer: ExchangeObserver
+    new_job: Callable[[], str]
+    may_serve: Callable[[], bool]
+    zone: str
--- /dev/null
+++ b/packages/core/calicopath_core/exchanges/executor.py
@@ -0,0 +1,109 @@
+"""Serve one exchange from its arrival to its one final answer."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from calicopath_core.exchanges.context import (
+    RETRY_SOON_S,
+    STATUS_NOT_FOUND,
+    STATUS_UNAUTHORIZED,
+    STATUS_UNAVAILABLE,
+    RefusedExchange,
+    Ticket,
+)
+from calicopath_core.exchanges.plain import serve_plain
+from calicopath_core.exchanges.streams import Stream
+
+if TYPE_CHECKING:
+    from calicopath_core.exchanges.context import ExchangeContext
+    from calicopath_core.exchanges.messages import Exchange, ReplySink
+    from calicopath_core.fleet.deployment import Deployment, Route, Tenant
+
+
+class ExchangeExecutor:
+    """Serve exchanges by the deployment in force when they arrive."""
+
+    def __init__(self, *, context: ExchangeContext) -> None:
+        self.context = context
+
+    async def serve(self, exchange: Exchange, sink: ReplySink) -> None:
+        """Answer an exchange, and note how it ended."""
+        ticket: Ticket | None = None
+        try:
+            ticket = self.admit(exchange)
+            self.context.budgets.of(ticket.service).on_request(exchange.received_at)
+            if ticket.route.streaming:
+                await Stream(context=self.context, ticket=ticket, sink=sink).serve()
+            else:
+                await serve_plain(self.context, ticket, sink)
+        except RefusedExchange as refusal:
+            end_refused(ticket, sink, refusal)
+            if ticket is None:
+                self.context.observer.on_refused(exchange, refusal)
+        except BaseException:
+            if ticket is not None and not ticket.outcome:
+                ticket.outcome = 'caller-left'
+            sink.cut()
+            raise
+        finally:
+            if ticket is not None:
+                took_s = self.context.clock.monotonic() - exchange.received_at
+                self.context.observer.on_ended(ticket, took_s)
+
+    def admit(self, exchange: Exchange) -> Ticket:
+        """Return the exchange's ticket; raise `RefusedExchange` if it isn't allowed."""
+        deployment = self.context.view.current
+        if deployment is None or not self.context.may_serve():
+            raise RefusedExchange(STATUS_UNAVAILABLE, 'not-ready', retry_after_s=RETRY_SOON_S)
+        route = deployment.route_for(exchange.host, exchange.path)
+        if route is None:
+            raise RefusedExchange(STATUS_NOT_FOUND, 'no-route')
+        tenant = tenant_of(deployment, route, exchange)
+        timeout_s = route.timeout_s
+        if exchange.deadline_s is not None:
+            timeout_s = min(timeout_s, exchange.deadline_s)
+        own_priority = tenant.priority if tenant is not None else None
+        return Ticket(
+            exchange=exchange,
+            deployment=deployment,
+            route=route,
+            service=service_of(route, exchange),
+            tenant=tenant.name if tenant is not None else None,
+            priority=route.priority if own_priority is None else own_priority,
+            deadline_at=exchange.received_at + timeout_s,
+        )
+
+
+def tenant_of(deployment: Deployment, route: Route, exchange: Exchange) -> Tenant | None:
+    """Return the tenant whose key a request carries; raise `RefusedExchange` if it needs one."""
+    tenant = deployment.tenant_for(exchange.key) if exchange.key is not None else None
+    if tenant is None and deployment.has_tenants and not route.anonymous:
+        raise RefusedExchange(STATUS_UNAUTHORIZED, 'unknown-key')
+    return tenant
+
+
+def service_of(route: Route, exchange: Exchange) -> str:
+    """Return the service of a request; on a split route, by chance that follows its identifier."""
+    if len(route.services) == 1:
+        return route.services[0].service
+    draw = random.Random(exchange.call_id).random() * sum(item.weight for item in route.services)
+    for item in route.services:
+        draw -= item.weight
+        if draw < 0:
+            return item.service
+    return route.services[-1].service
+
+
+def end_refused(ticket: Ticket | None, sink: ReplySink, refusal: RefusedExchange) -> None:
+    """Give the answer of our own; a stream that has begun is cut instead."""
+    if ticket is not None:
+        ticket.outcome = 'refused' if refusal.status == STATUS_UNAVAILABLE else 'failed'
+        ticket.detail = refusal.reason
+        if ticket.first_byte_at is not None:
+            ticket.outcome = 'cut'
+            sink.cut()
+            return
+        ticket.status = refusal.status
+    sink.refuse(refusal.status, refusal.reason, refusal.retry_after_s)
--- /dev/null
+++ b/packages/core/calicopath_core/exchanges/plain.py
@@ -0,0 +1,167 @@
+"""Pass a request through to a plain service and its whole answer back."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from calicopath_core.backends.base import BackendError, MayHaveRun, NotStarted
+from calicopath_core.exchanges.context import (
+    RETRY_SOON_S,
+    STATUS_BAD_GATEWAY,
+    STATUS_GATEWAY_TIMEOUT,
+    STATUS_UNAVAILABLE,
+    RefusedExchange,
+)
+from calicopath_core.exchanges.messages import Outbound
+
+if TYPE_CHECKING:
+    from calicopath_core.exchanges.context import ExchangeContext, Ticket
+    from calicopath_core.exchanges.messages import AnswerHead, ReplicaAnswer, ReplySink
+    from calicopath_core.fleet.replicas import Replica
+
+MAX_SENDS = 4
+"""Replicas that one request may be sent to, those counted that declined it."""
+
+PATIENCE = 8.0
+LEAST_PATIENCE_S = 0.25
+"""How many times its usual time a replica may take over a request that another may run, and the
+least such time."""
+
+STATUS_SERVER_ERROR = 500
+
+
+class WholeAnswer:
+    """Hold an answer read to its end."""
+
+    def __init__(self, *, head: AnswerHead, body: bytes) -> None:
+        self.head = head
+        self.body = body
+
+
+async def serve_plain(context: ExchangeContext, ticket: Ticket, sink: ReplySink) -> None:
+    """Send a request to one replica after the other until one answers whole."""
+    while True:
+        replica = choose(context, ticket)
+        try:
+            answer = await attempt(context, ticket, replica)
+        except BackendError as error:
+            context.observer.on_attempt_failed(ticket, replica.id, error)
+            check_again(context, ticket, error)
+            continue
+        again = answer.head.status >= STATUS_SERVER_ERROR and may_repeat(context, ticket)
+        if again:
+            continue
+        ticket.status = answer.head.status
+        ticket.outcome = 'answered' if answer.head.success else 'failed-by-replica'
+        sink.respond(answer.head.status, answer.head.headers, answer.body)
+        return
+
+
+def choose(context: ExchangeContext, ticket: Ticket) -> Replica:
+    """Return the replica to try next; raise `RefusedExchange` if there is none."""
+    now = context.clock.monotonic()
+    replica = context.balancer.choose(ticket.service, ticket.tried, now)
+    if replica is not None:
+        return replica
+    if ticket.may_have_run:
+        raise RefusedExchange(STATUS_BAD_GATEWAY, 'no-other-endpoint')
+    raise RefusedExchange(STATUS_UNAVAILABLE, 'no-endpoint', retry_after_s=RETRY_SOON_S)
+
+
+def may_repeat(context: ExchangeContext, ticket: Ticket) -> bool:
+    """Tell whether a request that ran may be sent once more, and take it from the budget."""
+    if ticket.sends >= MAX_SENDS or not ticket.may_send_again():
+        return False
+    others = [
+        item for item in context.replicas.usable(ticket.service) if item.id not in ticket.tried
+    ]
+    if not others:
+        return False
+    now = context.clock.monotonic()
+    return context.budgets.of(ticket.service).take(now, context.election.boxes_sharing())
+
+
+def check_again(context: ExchangeContext, ticket: Ticket, error: BackendError) -> None:
+    """Return if the request may be sent once more; else raise how it ends."""
+    now = context.clock.monotonic()
+    if now < ticket.deadline_at and may_repeat(context, ticket):
+        return
+    if ticket.may_have_run:
+        late = now >= ticket.deadline_at
+        status = STATUS_GATEWAY_TIMEOUT if late else STATUS_BAD_GATEWAY
+        raise RefusedExchange(status, 'endpoint-failed') from error
+    raise RefusedExchange(
+        STATUS_UNAVAILABLE, 'endpoints-declined', retry_after_s=RETRY_SOON_S
+    ) from error
+
+
+async def attempt(context: ExchangeContext, ticket: Ticket, replica: Replica) -> WholeAnswer:
+    """Send a request to one replica and read the whole answer."""
+    begun = context.clock.monotonic()
+    stats = context.balancer.of(replica)
+    stats.in_flight += 1
+    ticket.replicas.append(replica.id)
+    ticket.sends += 1
+    limit_s = ticket.deadline_at - begun
+    if ticket.route.repeatable and ticket.runs + 1 < ticket.route.max_attempts:
+        limit_s = min(limit_s, max(LEAST_PATIENCE_S, PATIENCE * stats.latency_s))
+    try:
+        async with asyncio.timeout(max(0.0, limit_s)):
+            answer = await exchange_once(context, ticket, replica)
+    except TimeoutError as error:
+        ticket.may_have_run = True
+        ticket.runs += 1
+        stats.on_failure(context.clock.monotonic())
+        raise MayHaveRun(f'{replica.id} did not answer within {limit_s:.3f} s') from error
+    except NotStarted:
+        stats.on_failure(context.clock.monotonic())
+        raise
+    except BackendError:
+        ticket.may_have_run = True
+        ticket.runs += 1
+        stats.on_failure(context.clock.monotonic())
+        raise
+    finally:
+        stats.in_flight -= 1
+    ticket.may_have_run = True
+    ticket.runs += 1
+    now = context.clock.monotonic()
+    if answer.head.status >= STATUS_SERVER_ERROR:
+        stats.on_failure(now)
+    else:
+        stats.on_success(now - begun)
+    return answer
+
+
+async def exchange_once(context: ExchangeContext, ticket: Ticket, replica: Replica) -> WholeAnswer:
+    """Make one call; raise `NotStarted` if the replica declined it."""
+    now = context.clock.monotonic()
+    outbound = Outbound(
+        exchange=ticket.exchange,
+        replica=replica,
+        deadline_s=ticket.deadline_at - now,
+        tenant=ticket.tenant,
+        priority=ticket.priority,
+        inputs=(),
+        last_event_id=ticket.exchange.last_event_id,
+        fresh=not ticket.route.repeatable,
+    )
+    answer = await context.caller.send(outbound)
+    try:
+        if answer.head.load is not None:
+            context.balancer.of(replica).on_report(answer.head.load, context.clock.monotonic())
+        body = await read_all(answer)
+    finally:
+        answer.close()
+    if answer.head.declined:
+        raise NotStarted(f'{replica.id} declined with {answer.head.status}')
+    return WholeAnswer(head=answer.head, body=body)
+
+
+async def read_all(answer: ReplicaAnswer) -> bytes:
+    """Return a whole body."""
+    parts = []
+    while (data := await answer.read()) is not None:
+        parts.append(data)
+    return b''.join(parts)
--- /dev/null
+++ b/packages/core/calicopath_core/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Describe a deployment that a platform hands over whole: routes, services, replicas."""
--- /dev/null
+++ b/packages/core/calicopath_core/fleet/deployment.py
@@ -0,0 +1,156 @@
+"""Define a deployment's configuration: routes, services, tenants and limits, under one version."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+
+class RouteKind(enum.StrEnum):
+    """Say how a route's requests may be repeated."""
+
+    SAFE = 'safe'
+    UNSAFE = 'unsafe'
+    STREAMING = 'streaming'
+
+
+class Phase(NamedTuple):
+    """Describe one stage of a route; `needs` are the numbers of the stages it reads from."""
+
+    service: str
+    needs: tuple[int, ...]
+    result_bytes: int
+
+
+class WeightedService(NamedTuple):
+    """Name a service and its share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+class Route(NamedTuple):
+    """Describe what happens to requests of one host and path prefix; times are in seconds."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    timeout_s: float
+    objective_s: float
+    priority: int
+    services: tuple[WeightedService, ...]
+    max_attempts: int
+    phases: tuple[Phase, ...]
+    anonymous: bool
+    resumable: bool
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether a request that may have run may be sent again."""
+        return self.kind is RouteKind.SAFE or (self.streaming and self.resumable)
+
+    @property
+    def streaming(self) -> bool:
+        """Tell whether answers are streams of events."""
+        return self.kind is RouteKind.STREAMING
+
+
+class StageSpec(NamedTuple):
+    """Describe one replica of a stage's service: calls at once, pieces a call, times, room."""
+
+    concurrency: int
+    batch: int
+    call_s: float
+    piece_s: float
+    room_bytes: float
+    result_ttl_s: float
+
+
+class EngineSpec(NamedTuple):
+    """Describe one replica of a model engine."""
+
+    slots: int
+    kv_tokens: int
+
+
+class ServiceSpec(NamedTuple):
+    """Describe a service; `stage` or `engine` is set if it is one."""
+
+    name: str
+    health_path: str
+    max_connections: int
+    stage: StageSpec | None
+    engine: EngineSpec | None
+
+
+class ClientLimits(NamedTuple):
+    """Bound what clients may send, and how long they may take."""
+
+    header_bytes: int
+    body_bytes: int
+    header_s: float
+    idle_s: float
+
+
+class Tenant(NamedTuple):
+    """Describe a tenant; its priority goes before a route's."""
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None
+
+
+DEFAULT_LIMITS = ClientLimits(16384, 4194304, 3.0, 15.0)
+"""Hold before a configuration is known."""
+
+
+class Deployment:
+    """Hold one whole version of the configuration, indexed for requests."""
+
+    def __init__(
+        self,
+        *,
+        version: int,
+        routes: tuple[Route, ...],
+        services: tuple[ServiceSpec, ...],
+        tenants: tuple[Tenant, ...],
+        limits: ClientLimits = DEFAULT_LIMITS,
+    ) -> None:
+        self.version = version
+        self.routes = routes
+        self.services = {service.name: service for service in services}
+        self.limits = limits
+        self.has_tenants = bool(tenants)
+        self.tenants_by_key = {key: tenant for tenant in tenants for key in tenant.keys}
+        self.routes_by_prefix = {(route.host, route.prefix): route for route in routes}
+
+    def route_for(self, host: str, path: str) -> Route | None:
+        """Return the route of a host whose prefix begins the path and is longest."""
+        end = path.rfind('/')
+        while end >= 0:
+            route = self.routes_by_prefix.get((host, path[: end + 1]))
+            if route is not None:
+                return route
+            end = path.rfind('/', 0, end)
+        return None
+
+    def tenant_for(self, key: str) -> Tenant | None:
+        """Return the tenant that holds a key."""
+        return self.tenants_by_key.get(key)
+
+
+class DeploymentView:
+    """Hold the newest deployment seen; it never goes back within a life."""
+
+    def __init__(self) -> None:
+        self.current: Deployment | None = None
+        self.applied_at = 0.0
+
+    def offer(self, deployment: Deployment, now: float) -> bool:
+        """Apply a deployment if it is newer than the one held; say whether it was."""
+        if self.current is not None and deployment.version <= self.current.version:
+            return False
+        self.current = deployment
+        self.applied_at = now
+        return True
--- /dev/null
+++ b/packages/core/calicopath_core/fleet/store.py
@@ -0,0 +1,74 @@
+"""Define the platform's store as a fleet uses it: records by kind, with changes by revision."""
+
+from __future__ import annotations
+
+import enum
+from abc import ABC, abstractmethod
+from typing import NamedTuple
+
+from calicopath_core.exceptions import CalicopathError
+from calicopath_core.fleet.deployment import Deployment
+from calicopath_core.fleet.replicas import Replica
+from calicopath_core.scheduling.election import BoxAddress
+
+Record = Deployment | Replica | BoxAddress
+
+
+class RecordKind(enum.Enum):
+    """Name the kinds of records that a fleet follows."""
+
+    DEPLOYMENT = 'deployment'
+    REPLICA = 'replica'
+    BOX = 'box'
+
+
+class Listing(NamedTuple):
+    """Hold every record of a kind by name, and the store's revision."""
+
+    records: dict[str, Record]
+    revision: int
+
+
+class Change(NamedTuple):
+    """Hold a record's new state, or nothing if it is gone."""
+
+    name: str
+    record: Record | None
+
+
+class Changes(NamedTuple):
+    """Hold changes in order, and the revision to go on from."""
+
+    changes: tuple[Change, ...]
+    revision: int
+
+
+class FleetStoreError(CalicopathError):
+    """Report that the store did not do what was asked; a write may have been done."""
+
+
+class HistoryLost(FleetStoreError):
+    """Report that the store no longer knows what has changed since a revision."""
+
+
+class FleetStore(ABC):
+    """Read and follow records."""
+
+    @abstractmethod
+    async def list(self, kind: RecordKind) -> Listing:
+        """Return every record of a kind; raise `FleetStoreError`."""
+
+    @abstractmethod
+    async def watch(self, kind: RecordKind, revision: int, wait_s: float) -> Changes:
+        """Return what has changed since a revision, after `wait_s` if nothing has.
+
+        Raise `HistoryLost` or `FleetStoreError`.
+        """
+
+    @abstractmethod
+    async def register(self, box: BoxAddress) -> None:
+        """Write this box's own record; raise `FleetStoreError`. Doing it twice is harmless."""
+
+    @abstractmethod
+    async def withdraw(self, box: BoxAddress) -> None:
+        """Remove this box's own record; raise `FleetStoreError`."""
--- /dev/null
+++ b/packages/core/calicopath_core/scheduling/client.py
@@ -0,0 +1,129 @@
+"""Ask the fleet's scheduler for a place, and ask the next one when it falls silent."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from calicopath_core.exceptions import CalicopathError
+from calicopath_core.scheduling.messages import Place, Placed, Rejected, RunEnded, RunStarted
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from calicopath_core.clock import Clock
+    from calicopath_core.scheduling.election import Election
+
+CHECK_S = 0.05
+"""How often it is looked whether another box schedules now."""
+
+
+class PlacementRejected(CalicopathError):
+    """Report that the scheduler will not place a job, and when to come back."""
+
+    def __init__(self, reason: str, *, retry_after_s: float) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+class Asked:
+    """Hold a job that was handed to one or more schedulers."""
+
+    def __init__(self, *, place: Place, now: float) -> None:
+        self.place = place
+        self.asked_at = now
+        self.targets: list[str] = []
+        self.answer: asyncio.Future[Placed] = asyncio.get_running_loop().create_future()
+
+    def aged(self, now: float) -> Place:
+        """Return the question with the time that is left now."""
+        spent_s = now - self.asked_at
+        return msgspec.structs.replace(
+            self.place,
+            objective_s=self.place.objective_s - spent_s,
+            deadline_s=self.place.deadline_s - spent_s,
+        )
+
+
+class SchedulerClient:
+    """Hold the jobs of this box that a scheduler knows of."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        election: Election,
+        send: Callable[[str, msgspec.Struct], None],
+        on_scheduler: Callable[[str, int], None],
+    ) -> None:
+        self.clock = clock
+        self.election = election
+        self.send = send
+        self.on_scheduler = on_scheduler
+        self.asked: dict[str, Asked] = {}
+        self.target = election.own.address
+
+    async def place(self, place: Place) -> Placed:
+        """Return where a job runs; raise `PlacementRejected`."""
+        now = self.clock.monotonic()
+        asked = Asked(place=place, now=now)
+        self.asked[place.job] = asked
+        self.check()
+        self.ask(asked, now)
+        return await asked.answer
+
+    def ask(self, asked: Asked, now: float) -> None:
+        """Hand a job to the scheduler of the moment."""
+        asked.targets.append(self.target)
+        self.send(self.target, asked.aged(now))
+
+    def check(self) -> None:
+        """See who schedules now; ask a new scheduler for every job not answered yet."""
+        now = self.clock.monotonic()
+        target = self.election.scheduler(now).address
+        if target == self.target:
+            return
+        self.target = target
+        waiting = [asked for asked in self.asked.values() if not asked.answer.done()]
+        self.on_scheduler(target, len(waiting))
+        for asked in waiting:
+            self.ask(asked, now)
+
+    async def run(self) -> None:
+        """Look often who schedules until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_S)
+            self.check()
+
+    def on_placed(self, message: Placed) -> None:
+        """Take a scheduler's answer in; the first one counts."""
+        asked = self.asked.get(message.job)
+        if asked is not None and not asked.answer.done():
+            asked.answer.set_result(message)
+
+    def on_rejected(self, message: Rejected) -> None:
+        """Take a scheduler's refusal in."""
+        asked = self.asked.get(message.job)
+        if asked is not None and not asked.answer.done():
+            error = PlacementRejected(message.reason, retry_after_s=message.retry_after_s)
+            asked.answer.set_exception(error)
+
+    def started(self, job: str) -> None:
+        """Tell that the engine has read a job's prompt."""
+        self.tell(job, RunStarted(job=job, sender=self.election.own.name))
+
+    def ended(self, job: str, *, failed: bool) -> None:
+        """Tell that a job is over, and forget it."""
+        self.tell(job, RunEnded(job=job, sender=self.election.own.name, failed=failed))
+        asked = self.asked.pop(job, None)
+        if asked is not None and not asked.answer.done():
+            asked.answer.cancel()
+
+    def tell(self, job: str, message: msgspec.Struct) -> None:
+        """Tell every scheduler that was asked about a job."""
+        asked = self.asked.get(job)
+        for target in dict.fromkeys(asked.targets if asked is not None else ()):
+            self.send(target, message)
--- /dev/null
+++ b/packages/core/calicopath_core/scheduling/messages.py
@@ -0,0 +1,112 @@
+"""Define what boxes and schedulers send each other.
+
+Messages are one-way; an answer is a message too. Times are spans in seconds, never points in time,
+since boxes' clocks differ.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class PhaseWork(msgspec.Struct, frozen=True, array_like=True):
+    """Describe one phase of a job and how many pieces it has."""
+
+    service: str
+    needs: tuple[int, ...]
+    result_bytes: int
+    pieces: int
+
+
+class PromptPart(msgspec.Struct, frozen=True, array_like=True):
+    """Name one part of a prompt and its length in tokens."""
+
+    id: str
+    tokens: int
+
+
+class Prompt(msgspec.Struct, frozen=True, array_like=True):
+    """Describe what an engine reads and makes, in tokens."""
+
+    model: str
+    parts: tuple[PromptPart, ...]
+    tokens_in: int
+    tokens_out: int
+
+
+class Place(msgspec.Struct, frozen=True, tag='pl'):
+    """Ask a scheduler to run a job's stages and to choose its engine.
+
+    `job` is unique to one attempt of one request; `reply_to` is the asking box's peer address.
+    `objective_s` and `deadline_s` are what is left of them when the message is sent.
+    """
+
+    job: str
+    reply_to: str
+    zone: str
+    call_id: str
+    piece_key: str
+    priority: int
+    objective_s: float
+    deadline_s: float
+    service: str
+    phases: tuple[PhaseWork, ...]
+    prompt: Prompt
+    exclude: tuple[str, ...] = ()
+
+
+class Placed(msgspec.Struct, frozen=True, tag='ok'):
+    """Answer with the engine chosen and the handles that it must fetch."""
+
+    job: str
+    replica: str
+    inputs: tuple[str, ...]
+    cost_s: float
+
+
+class Rejected(msgspec.Struct, frozen=True, tag='no'):
+    """Answer that a job will not be placed, why, and when to come back."""
+
+    job: str
+    reason: str
+    retry_after_s: float
+
+
+class RunStarted(msgspec.Struct, frozen=True, tag='st'):
+    """Tell the scheduler that the engine has read the prompt: its first event came."""
+
+    job: str
+    sender: str
+
+
+class RunEnded(msgspec.Struct, frozen=True, tag='en'):
+    """Tell the scheduler that a job is over; `failed` blames the engine."""
+
+    job: str
+    sender: str
+    failed: bool
+
+
+class Ping(msgspec.Struct, frozen=True, tag='hi'):
+    """Say that a box is alive, what it knows and whether it leaves."""
+
+    box: str
+    address: str
+    config_version: int
+    revision: int
+    leaving: bool
+    sequence: int
+
+
+class Pong(msgspec.Struct, frozen=True, tag='yo'):
+    """Answer a ping with the receiver's own state."""
+
+    box: str
+    address: str
+    config_version: int
+    revision: int
+    leaving: bool
+    sequence: int
+
+
+MESSAGES = (Place, Placed, Rejected, RunStarted, RunEnded, Ping, Pong)
--- /dev/null
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -0,0 +1,407 @@
+"""Run jobs' stages and choose their engines, for this box and for others."""
+
+from __future__ import annotations
+
+import asyncio
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from calicopath_core.backends.base import BackendError, NotStarted
+from calicopath_core.scheduling.engines import EngineBoard
+from calicopath_core.scheduling.jobs import Job, Piece, Result
+from calicopath_core.scheduling.messages import Placed, Rejected
+from calicopath_core.scheduling.stages import StageBatch, StageQueue
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    import msgspec
+
+    from calicopath_core.clock import Clock
+    from calicopath_core.fleet.deployment import Deployment
+    from calicopath_core.fleet.replicas import Replica, ReplicaTable
+    from calicopath_core.scheduling.messages import Place, RunEnded, RunStarted
+
+MAX_PIECE_TRIES = 4
+"""A piece that failed this often ends its job."""
+
+FREE_EVERY_S = 0.04
+"""How often results that are done with are given up, many in one call."""
+
+TICK_S = 0.05
+JOB_MEMORY_S = 30.0
+"""How long a job may stay without its box telling its end; longer than the users' deadlines."""
+
+RETRY_AFTER_S = 0.5
+"""When a rejected job may come back, if nothing better is known."""
+
+CALL_GRACE_S = 1.0
+"""How much longer than expected a stage's call may take before it is given up. A slow replica
+works four times as long: a call of 0.37 s then ends before 1.5 s."""
+
+SLOW_FACTOR = 5.0
+
+
+class PieceCall(NamedTuple):
+    """Describe one piece of a stage's call; `inputs` is nothing for a phase that reads none."""
+
+    call_id: str
+    phase: int
+    number: int
+    remaining_s: float
+    piece_key: str
+    inputs: tuple[str, ...] | None
+
+
+class PieceResult(NamedTuple):
+    """Hold a piece's handle, or why there is none: `late`, `gone`, `room` or `error`."""
+
+    handle: str | None
+    reason: str = ''
+
+
+class StageCaller(ABC):
+    """Call the replicas of stages."""
+
+    @abstractmethod
+    async def run(self, replica: Replica, calls: list[PieceCall]) -> list[PieceResult]:
+        """Make one call; raise `NotStarted` if it was declined, else `MayHaveRun`."""
+
+    @abstractmethod
+    async def free(self, address: str, handles: list[str]) -> None:
+        """Give results up; raise `BackendError`."""
+
+
+class SchedulerObserver(ABC):
+    """Learn of the scheduler's decisions."""
+
+    @abstractmethod
+    def on_stage_call(
+        self, service: str, replica: str, pieces: int, took_s: float, outcome: str
+    ) -> None:
+        """Note one call to a stage's replica."""
+
+    @abstractmethod
+    def on_placed(self, job: Job, replica: str, cost_s: float, waited_s: float) -> None:
+        """Note the engine chosen for a job."""
+
+    @abstractmethod
+    def on_rejected(self, job: Job, reason: str) -> None:
+        """Note a job that is not placed."""
+
+    @abstractmethod
+    def on_free_failed(self, address: str, count: int, error: BackendError) -> None:
+        """Note results that could not be given up; they run out by themselves."""
+
+
+class Scheduler:
+    """Hold the jobs that this box schedules; `send` takes an address and a message."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        replicas: ReplicaTable,
+        caller: StageCaller,
+        send: Callable[[str, msgspec.Struct], None],
+        observer: SchedulerObserver,
+    ) -> None:
+        self.clock = clock
+        self.replicas = replicas
+        self.caller = caller
+        self.send = send
+        self.observer = observer
+        self.jobs: dict[str, Job] = {}
+        self.queues: dict[str, StageQueue] = {}
+        self.boards: dict[str, EngineBoard] = {}
+        self.to_free: dict[str, list[str]] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        replicas.listeners.append(self.on_replicas)
+
+    def on_deployment(self, deployment: Deployment) -> None:
+        """Take in which services are stages or engines."""
+        for name, service in deployment.services.items():
+            if service.stage is not None:
+                queue = self.queues.setdefault(name, StageQueue(service=name, spec=service.stage))
+                queue.spec = service.stage
+            if service.engine is not None:
+                engine = service.engine
+                board = EngineBoard(slots=engine.slots, kv_tokens=engine.kv_tokens)
+                self.boards.setdefault(name, board)
+        self.on_replicas()
+
+    def on_replicas(self) -> None:
+        """Take in which replicas there are."""
+        for name, queue in self.queues.items():
+            queue.set_replicas(self.replicas.usable(name))
+        for name, board in self.boards.items():
+            board.set_replicas(self.replicas.usable(name))
+
+    async def run(self) -> None:
+        """Look after waiting calls and results to be freed until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.tick()
+
+    def tick(self) -> None:
+        """Do what is due."""
+        now = self.clock.monotonic()
+        for queue in self.queues.values():
+            for target in queue.replicas.values():
+                target.expire(now)
+        for board in self.boards.values():
+            board.forget_lost(now)
+        for job in list(self.jobs.values()):
+            if now > job.deadline_at + JOB_MEMORY_S:
+                self.end(job)
+        self.dispatch()
+        self.free_due()
+
+    def on_place(self, place: Place) -> None:
+        """Begin a job; a repeated message begins nothing twice."""
+        if place.job in self.jobs:
+            return
+        now = self.clock.monotonic()
+        job = Job(place=place, now=now)
+        self.jobs[place.job] = job
+        if place.service not in self.boards:
+            self.reject(job, 'unknown-service')
+            return
+        self.advance(job)
+
+    def advance(self, job: Job) -> None:
+        """Begin the phases that can be begun; place the job when its stages are done."""
+        if job.ended or job.placed_on is not None:
+            return
+        while ready := job.ready_phases():
+            for number in ready:
+                self.begin_phase(job, number)
+                if job.ended:
+                    return
+        if job.stages_done:
+            self.place_engine(job)
+            return
+        self.dispatch()
+
+    def begin_phase(self, job: Job, number: int) -> None:
+        """Let the pieces of a phase wait for calls; one without pieces is done at once."""
+        now = self.clock.monotonic()
+        job.started.add(number)
+        phase = job.place.phases[number]
+        queue = self.queues.get(phase.service)
+        if queue is None:
+            self.reject(job, 'unknown-stage')
+            return
+        for index in range(phase.pieces):
+            queue.add(Piece(job=job, phase=number, index=index), now)
+
+    def place_engine(self, job: Job) -> None:
+        """Choose the engine and tell the box."""
+        now = self.clock.monotonic()
+        board = self.boards[job.place.service]
+        choice = board.choose(job, now)
+        if choice is None:
+            self.reject(job, 'no-engine')
+            return
+        board.begin(choice, job, now)
+        replica = choice.engine.replica.id
+        job.placed_on = replica
+        inputs = tuple(result.handle for result in job.final_results())
+        self.observer.on_placed(job, replica, choice.cost_s, now - job.arrived_at)
+        placed = Placed(job=job.id, replica=replica, inputs=inputs, cost_s=choice.cost_s)
+        self.send(job.place.reply_to, placed)
+
+    def reject(self, job: Job, reason: str) -> None:
+        """Tell the box that a job is not placed, and end it."""
+        self.observer.on_rejected(job, reason)
+        rejected = Rejected(job=job.id, reason=reason, retry_after_s=RETRY_AFTER_S)
+        self.send(job.place.reply_to, rejected)
+        self.end(job)
+
+    def on_started(self, message: RunStarted) -> None:
+        """Note that an engine has read its inputs and prompt."""
+        job = self.jobs.get(message.job)
+        if job is None or job.placed_on is None:
+            return
+        self.boards[job.place.service].started(job.placed_on, job.id)
+        self.give_up(job.all_results())
+
+    def on_ended(self, message: RunEnded) -> None:
+        """Note that a job is over."""
+        job = self.jobs.get(message.job)
+        if job is None:
+            return
+        if job.placed_on is not None:
+            now = self.clock.monotonic()
+            board = self.boards[job.place.service]
+            board.ended(job.placed_on, job.id, failed=message.failed, now=now)
+        self.end(job)
+
+    def end(self, job: Job) -> None:
+        """Forget a job and give its results up."""
+        job.ended = True
+        self.jobs.pop(job.id, None)
+        self.give_up(job.all_results())
+        for queue in self.queues.values():
+            queue.drop_ended()
+
+    def give_up(self, results: list[Result]) -> None:
+        """Have results freed at their makers soon."""
+        for result in results:
+            if result.freed:
+                continue
+            result.freed = True
+            self.to_free.setdefault(result.maker, []).append(result.handle)
+
+    def free_due(self) -> None:
+        """Send what is to be freed, one call a maker."""
+        for maker, handles in self.to_free.items():
+            replica = self.replicas.replicas.get(maker)
+            for queue in self.queues.values():
+                if maker in queue.replicas:
+                    for handle in handles:
+                        queue.replicas[maker].free(handle)
+            if replica is not None:
+                self.spawn(self.free(replica.address, handles))
+        self.to_free = {}
+
+    async def free(self, address: str, handles: list[str]) -> None:
+        """Give results up; if that fails they run out by themselves."""
+        try:
+            await self.caller.free(address, handles)
+        except BackendError as error:
+            self.observer.on_free_failed(address, len(handles), error)
+
+    def dispatch(self) -> None:
+        """Make every call that should be made now."""
+        now = self.clock.monotonic()
+        for queue in self.queues.values():
+            while (batch := queue.next_batch(now)) is not None:
+                self.spawn(self.call(queue, batch))
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run something in the background."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def call(self, queue: StageQueue, batch: StageBatch) -> None:
+        """Make one call and take its results in."""
+        begun = self.clock.monotonic()
+        replica = batch.target.replica
+        calls = [self.piece_call(piece, begun) for piece in batch.pieces]
+        limit_s = queue.expected_s(len(calls)) * SLOW_FACTOR + CALL_GRACE_S
+        try:
+            async with asyncio.timeout(limit_s):
+                results = await self.caller.run(replica, calls)
+        except (BackendError, TimeoutError) as error:
+            self.on_call_failed(queue, batch, error, begun)
+            return
+        now = self.clock.monotonic()
+        made: dict[str, int] = {}
+        for piece, result in zip(batch.pieces, results, strict=True):
+            if result.handle is not None:
+                made[result.handle] = piece.result_bytes
+        queue.finished(batch, made, now)
+        self.observer.on_stage_call(
+            queue.service, replica.id, len(calls), now - begun, outcome_of(results)
+        )
+        for piece, result in zip(batch.pieces, results, strict=True):
+            self.take_result(queue, batch, piece, result)
+        for job in {id(piece.job): piece.job for piece in batch.pieces}.values():
+            self.after_call(job)
+        self.dispatch()
+
+    def piece_call(self, piece: Piece, now: float) -> PieceCall:
+        """Describe a piece to its replica."""
+        job = piece.job
+        inputs = tuple(result.handle for result in job.inputs_of(piece.phase))
+        reads = bool(piece.work.needs)
+        return PieceCall(
+            call_id=job.place.call_id,
+            phase=piece.phase,
+            number=piece.index,
+            remaining_s=max(0.0, job.deadline_at - now),
+            piece_key=job.place.piece_key,
+            inputs=inputs if reads else None,
+        )
+
+    def on_call_failed(
+        self, queue: StageQueue, batch: StageBatch, error: Exception, begun: float
+    ) -> None:
+        """Let the pieces of a failed call wait again."""
+        now = self.clock.monotonic()
+        full = isinstance(error, NotStarted)
+        queue.failed(batch, now, full=full)
+        self.observer.on_stage_call(
+            queue.service, batch.target.replica.id, len(batch.pieces), now - begun, repr(error)
+        )
+        for piece in batch.pieces:
+            self.try_again(queue, piece, full=full)
+        self.dispatch()
+
+    def try_again(self, queue: StageQueue, piece: Piece, *, full: bool) -> None:
+        """Let a piece wait again, or end its job when it failed too often or its time is over."""
+        now = self.clock.monotonic()
+        if full:
+            piece.tries -= 1
+        if piece.job.ended:
+            return
+        if piece.tries >= MAX_PIECE_TRIES or now >= piece.job.deadline_at:
+            self.reject(piece.job, 'stage-failed')
+            return
+        queue.add(piece, now)
+
+    def take_result(
+        self, queue: StageQueue, batch: StageBatch, piece: Piece, result: PieceResult
+    ) -> None:
+        """Note a piece's result, or let it wait again."""
+        target = batch.target.replica
+        job = piece.job
+        if result.handle is not None:
+            made = Result(
+                handle=result.handle, maker=target.id, zone=target.zone, size=piece.result_bytes
+            )
+            if job.ended:
+                self.give_up([made])
+                return
+            job.results[piece.phase][piece.index] = made
+            return
+        if result.reason == 'gone' and not job.ended:
+            self.remake_inputs(job, piece)
+            return
+        if result.reason == 'late' and not job.ended:
+            self.reject(job, 'deadline-passed')
+            return
+        self.try_again(queue, piece, full=result.reason == 'room')
+
+    def remake_inputs(self, job: Job, piece: Piece) -> None:
+        """Begin a job's stages anew, since a result that it needs is gone."""
+        if piece.tries >= MAX_PIECE_TRIES:
+            self.reject(job, 'result-gone')
+            return
+        self.restart_stages(job)
+
+    def restart_stages(self, job: Job) -> None:
+        """Give every result up and begin from the first phase."""
+        self.end(job)
+        again = Job(place=job.place, now=self.clock.monotonic())
+        again.objective_at, again.deadline_at = job.objective_at, job.deadline_at
+        again.arrived_at = job.arrived_at
+        self.jobs[again.id] = again
+        self.advance(again)
+
+    def after_call(self, job: Job) -> None:
+        """Go on with a job after a call: free what was read, begin what can be begun."""
+        if job.ended:
+            return
+        for number in job.results:
+            if job.consumers_done(number):
+                self.give_up([item for item in job.results[number] if item is not None])
+        self.advance(job)
+
+
+def outcome_of(results: list[PieceResult]) -> str:
+    """Return the reasons of a call's pieces in one word."""
+    reasons = sorted({result.reason for result in results if result.reason})
+    return '+'.join(reasons) or 'ok'
--- /dev/null
+++ b/packages/core/calicopath_core/scheduling/stages.py
@@ -0,0 +1,202 @@
+"""Gather the pieces of all boxes into calls to one stage service's replicas."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from calicopath_core.fleet.deployment import StageSpec
+    from calicopath_core.fleet.replicas import Replica
+    from calicopath_core.scheduling.jobs import Piece
+
+GATHER_S = 0.12
+"""How long a call waits to be filled when one replica alone is free; tried on the bench at 0.15."""
+
+ROOM_SHARE = 0.95
+"""The part of a replica's room that is planned for: results are about the size that is stated."""
+
+EJECT_S = 1.0
+MAX_EJECT_S = 8.0
+"""How long a replica that failed a call is left alone; doubled with each failure in a row."""
+
+FULL_S = 0.05
+"""How long a replica that declined a call as full is left alone."""
+
+
+class Booking(NamedTuple):
+    """Hold room for one result until it is freed or has run out, in monotonic seconds."""
+
+    size: int
+    until: float
+
+
+class StageReplica:
+    """Hold what this scheduler knows of one replica: calls at work, room, failures."""
+
+    def __init__(self, *, replica: Replica) -> None:
+        self.replica = replica
+        self.calls = 0
+        self.bookings: dict[str, Booking] = {}
+        self.booked_bytes = 0
+        self.reserved_bytes = 0
+        self.failures = 0
+        self.idle_until = 0.0
+
+    def room_left(self, spec: StageSpec) -> float:
+        """Return the bytes free for results."""
+        return spec.room_bytes * ROOM_SHARE - self.booked_bytes - self.reserved_bytes
+
+    def free(self, handle: str) -> None:
+        """Give the room of a result back."""
+        booking = self.bookings.pop(handle, None)
+        if booking is not None:
+            self.booked_bytes -= booking.size
+
+    def expire(self, now: float) -> None:
+        """Give the room of results back that have run out."""
+        for handle, booking in list(self.bookings.items()):
+            if booking.until <= now:
+                self.free(handle)
+
+
+class StageBatch(NamedTuple):
+    """Hold the pieces of one call and the replica that gets it."""
+
+    target: StageReplica
+    pieces: list[Piece]
+
+
+class StageQueue:
+    """Hold the pieces that wait for one service, and its replicas."""
+
+    def __init__(self, *, service: str, spec: StageSpec) -> None:
+        self.service = service
+        self.spec = spec
+        self.replicas: dict[str, StageReplica] = {}
+        self.waiting: list[Piece] = []
+        self.since: dict[int, float] = {}
+
+    def set_replicas(self, replicas: Iterable[Replica]) -> None:
+        """Take in which replicas there are; calls at work on those gone end by themselves."""
+        listed = {replica.id: replica for replica in replicas}
+        for name in list(self.replicas):
+            if name not in listed:
+                del self.replicas[name]
+        for name, replica in listed.items():
+            known = self.replicas.setdefault(name, StageReplica(replica=replica))
+            known.replica = replica
+
+    def add(self, piece: Piece, now: float) -> None:
+        """Let a piece wait."""
+        self.waiting.append(piece)
+        self.since[id(piece)] = now
+
+    def drop_ended(self) -> None:
+        """Forget the pieces of jobs that are over."""
+        for piece in self.waiting:
+            if piece.job.ended:
+                self.since.pop(id(piece), None)
+        self.waiting = [piece for piece in self.waiting if not piece.job.ended]
+
+    def free_replicas(self, now: float) -> list[StageReplica]:
+        """Return the replicas that could take a call now, those with most room first."""
+        found = [
+            item
+            for item in self.replicas.values()
+            if item.calls < self.spec.concurrency and item.idle_until <= now
+        ]
+        return sorted(found, key=lambda item: -item.room_left(self.spec))
+
+    def next_batch(self, now: float) -> StageBatch | None:
+        """Return the next call to make, or nothing while it is better to wait."""
+        if not self.waiting:
+            return None
+        free = self.free_replicas(now)
+        if not free:
+            return None
+        self.waiting.sort(key=lambda piece: order(piece, now))
+        if len(self.waiting) < self.spec.batch and self.wait_s(len(free)) > self.waited_s(now):
+            return None
+        for target in self.by_zone(free, self.waiting[0]):
+            pieces = self.fitting(target)
+            if pieces:
+                return self.take(target, pieces)
+        return None
+
+    def by_zone(self, free: list[StageReplica], first: Piece) -> list[StageReplica]:
+        """Return the free replicas with those first that lie where the first piece's inputs do."""
+        zones = [item.zone for item in first.job.inputs_of(first.phase)]
+        home = max(set(zones), key=zones.count) if zones else first.job.place.zone
+        return sorted(free, key=lambda item: item.replica.zone != home)
+
+    def waited_s(self, now: float) -> float:
+        """Return how long the piece that waits longest has waited."""
+        return now - min(self.since[id(piece)] for piece in self.waiting)
+
+    def wait_s(self, free: int) -> float:
+        """Return how long a call that is not full may wait: longer, the fewer replicas are free."""
+        usable = max(1, len(self.replicas))
+        return GATHER_S * (1 - (free - 1) / usable)
+
+    def due_in_s(self, now: float) -> float | None:
+        """Return in how many seconds a waiting call should be looked at again."""
+        if not self.waiting:
+            return None
+        return max(0.005, GATHER_S - self.waited_s(now)) if self.waited_s(now) < GATHER_S else 0.02
+
+    def fitting(self, target: StageReplica) -> list[Piece]:
+        """Return the pieces, in order, that one call to a replica can take."""
+        room = target.room_left(self.spec)
+        found: list[Piece] = []
+        for piece in self.waiting:
+            if len(found) == self.spec.batch:
+                break
+            if piece.result_bytes <= room:
+                found.append(piece)
+                room -= piece.result_bytes
+        return found
+
+    def take(self, target: StageReplica, pieces: list[Piece]) -> StageBatch:
+        """Take pieces out of the queue and book their room."""
+        taken = {id(piece) for piece in pieces}
+        self.waiting = [piece for piece in self.waiting if id(piece) not in taken]
+        for piece in pieces:
+            self.since.pop(id(piece), None)
+            piece.tries += 1
+        target.calls += 1
+        target.reserved_bytes += sum(piece.result_bytes for piece in pieces)
+        return StageBatch(target, pieces)
+
+    def finished(self, batch: StageBatch, made: dict[str, int], now: float) -> None:
+        """Turn the room booked into that of the results made, by handle and size."""
+        target = batch.target
+        target.calls -= 1
+        target.reserved_bytes -= sum(piece.result_bytes for piece in batch.pieces)
+        for handle, size in made.items():
+            target.bookings[handle] = Booking(size, now + self.spec.result_ttl_s)
+            target.booked_bytes += size
+        target.failures = 0
+
+    def failed(self, batch: StageBatch, now: float, *, full: bool) -> None:
+        """Leave a replica alone for a while that failed a call or was full."""
+        target = batch.target
+        target.calls -= 1
+        target.reserved_bytes -= sum(piece.result_bytes for piece in batch.pieces)
+        if full:
+            target.idle_until = now + FULL_S
+            return
+        target.failures += 1
+        target.idle_until = now + min(MAX_EJECT_S, EJECT_S * 2 ** (target.failures - 1))
+
+    def expected_s(self, pieces: int) -> float:
+        """Return what a call with so many pieces takes, in seconds."""
+        return self.spec.call_s + self.spec.piece_s * pieces
+
+
+def order(piece: Piece, now: float) -> tuple[bool, int, float]:
+    """Return by what pieces are served: jobs in time first, then priority, then objective."""
+    job = piece.job
+    late = now > job.objective_at
+    return (late, job.place.priority, job.objective_at)
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -9,7 +9,9 @@
 
 
 class Event(NamedTuple):
-    """Describe one kind of log line: 1xx lifecycle, 2xx requests, 3xx state, 4xx endpoints."""
+    """Describe one kind of log line: 1xx lifecycle, 2xx requests, 3xx state, 4xx endpoints,
+    5xx to 8xx the same of a gateway box: lifecycle, exchanges, scheduling, what it follows.
+    """
 
     number: int
     level: str
@@ -38,6 +40,34 @@
 
 ENDPOINT_EJECTED = Event(401, 'warning', 'endpoint ejected', 'Calls stay away for a while.')
 
+GATEWAY_STARTED = Event(501, 'info', 'gateway started', 'The box listens; it is not ready yet.')
+GATEWAY_READY = Event(502, 'info', 'gateway ready', 'Callers are served.')
+GATEWAY_NOT_READY = Event(503, 'warning', 'gateway not ready', 'Callers should go elsewhere.')
+GATEWAY_LEAVING = Event(504, 'info', 'gateway leaving', 'A stop was asked for; readiness is off.')
+GATEWAY_STOPPED = Event(505, 'info', 'gateway stopped', 'The process exits.')
+GATEWAY_RELOADED = Event(506, 'info', 'gateway reloaded', 'The settings were read again.')
+REGISTER_FAILED = Event(507, 'warning', 'register failed', "The box's own record was not written.")
+
+EXCHANGE_ENDED = Event(601, 'info', 'exchange ended', 'An exchange has its one final answer.')
+EXCHANGE_REFUSED = Event(602, 'info', 'exchange refused', 'A request has no route, key or view.')
+EXCHANGE_BAD = Event(603, 'info', 'exchange bad', 'A request could not be read.')
+ATTEMPT_FAILED = Event(604, 'warning', 'attempt failed', 'A replica gave no whole answer.')
+
+JOB_PLACED = Event(701, 'info', 'job placed', 'An engine was chosen for a request.')
+JOB_REJECTED = Event(702, 'warning', 'job rejected', 'A request will not be placed.')
+STAGE_CALLED = Event(703, 'info', 'stage called', "A call to a stage's replica is done.")
+STAGE_FAILED = Event(704, 'warning', 'stage failed', 'A call to a stage brought not every result.')
+FREE_FAILED = Event(705, 'warning', 'free failed', 'Results were not given up; they run out.')
+SCHEDULER_CHANGED = Event(706, 'warning', 'scheduler changed', 'Another box schedules now.')
+PEER_MESSAGE_BAD = Event(707, 'warning', 'peer message bad', 'A message could not be decoded.')
+
+DEPLOYMENT_APPLIED = Event(801, 'info', 'deployment applied', 'A newer version is in force.')
+REPLICA_DROPPED = Event(802, 'info', 'replica dropped', 'A removal that was doubted is taken in.')
+FEED_LOST = Event(803, 'warning', 'feed lost', 'The store stopped answering for a kind.')
+FEED_BACK = Event(804, 'info', 'feed back', 'The store answers again for a kind.')
+HISTORY_LOST = Event(805, 'warning', 'history lost', 'A kind is read anew as a whole.')
+OBJECT_BAD = Event(806, 'error', 'object bad', 'An object of the store could not be understood.')
+
 
 def emit(log: structlog.stdlib.BoundLogger, event: Event, **fields: Any) -> None:
     """Log an event with its number."""
--- /dev/null
+++ b/packages/daemon/calicopathd/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers' HTTP exchanges on a box."""
--- /dev/null
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -0,0 +1,207 @@
+"""Assemble a gateway box: what it follows, schedules and serves."""
+
+from __future__ import annotations
+
+import itertools
+import os
+import random
+from typing import TYPE_CHECKING
+
+import structlog
+
+from calicopath_core.clock import LoopClock
+from calicopath_core.exchanges.balancer import Balancer
+from calicopath_core.exchanges.budget import Budgets
+from calicopath_core.exchanges.context import ExchangeContext
+from calicopath_core.exchanges.executor import ExchangeExecutor
+from calicopath_core.fleet.deployment import DEFAULT_LIMITS, Deployment, DeploymentView
+from calicopath_core.fleet.feed import KindFeed
+from calicopath_core.fleet.replicas import Replica, ReplicaTable
+from calicopath_core.fleet.store import RecordKind
+from calicopath_core.scheduling.client import SchedulerClient
+from calicopath_core.scheduling.election import BoxAddress, Election
+from calicopath_core.scheduling.scheduler import Scheduler
+from calicopathd import events
+from calicopathd.gateway.peers import PeerLink
+
+if TYPE_CHECKING:
+    from calicopath_core.exchanges.messages import ReplicaCaller
+    from calicopath_core.fleet.deployment import ClientLimits
+    from calicopath_core.fleet.store import Change, FleetStore, Listing
+    from calicopath_core.membership.transport import PeerTransport
+    from calicopath_core.scheduling.scheduler import StageCaller
+    from calicopathd.gateway.observer import GatewayObserver
+    from calicopathd.gateway.settings import GatewaySettings
+
+log = structlog.get_logger(__name__)
+
+
+class GatewayBox:
+    """Hold everything that one gateway box consists of; no I/O of its own."""
+
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        store: FleetStore,
+        transport: PeerTransport,
+        exchanges: ReplicaCaller,
+        stages: StageCaller,
+        observer: GatewayObserver,
+        seed: int | None = None,
+    ) -> None:
+        self.settings = settings
+        self.store = store
+        self.observer = observer
+        self.clock = LoopClock()
+        self.rng = random.Random(seed)
+        self.life = f'{settings.box}-{os.urandom(4).hex()}'
+        self.job_numbers = itertools.count(1)
+        self.leaving = False
+        self.view = DeploymentView()
+        self.replicas = ReplicaTable()
+        self.own = BoxAddress(settings.box, str(settings.peer_listen), settings.failure_domain)
+        self.boxes: dict[str, BoxAddress] = {}
+        self.election = Election(own=self.own)
+        self.link = PeerLink(
+            transport=transport,
+            election=self.election,
+            clock=self.clock,
+            config_version=self.config_version,
+            on_bad=observer.on_bad_message,
+        )
+        self.scheduler = Scheduler(
+            clock=self.clock,
+            replicas=self.replicas,
+            caller=stages,
+            send=self.link.send,
+            observer=observer,
+        )
+        self.client = SchedulerClient(
+            clock=self.clock,
+            election=self.election,
+            send=self.link.send,
+            on_scheduler=observer.on_scheduler,
+        )
+        self.link.scheduler, self.link.client = self.scheduler, self.client
+        self.feeds = [
+            self.new_feed(RecordKind.DEPLOYMENT),
+            self.new_feed(RecordKind.REPLICA),
+            self.new_feed(RecordKind.BOX),
+        ]
+        self.executor = ExchangeExecutor(context=self.new_context(exchanges))
+
+    def new_context(self, exchanges: ReplicaCaller) -> ExchangeContext:
+        """Return what this box's exchanges share."""
+        return ExchangeContext(
+            clock=self.clock,
+            view=self.view,
+            replicas=self.replicas,
+            balancer=Balancer(
+                replicas=self.replicas, zone=self.settings.failure_domain, rng=self.rng
+            ),
+            budgets=Budgets(terms=self.settings.retry_budget),
+            election=self.election,
+            scheduler=self.client,
+            caller=exchanges,
+            observer=self.observer,
+            new_job=self.new_job,
+            may_serve=self.synced,
+            zone=self.settings.failure_domain,
+        )
+
+    def new_feed(self, kind: RecordKind) -> KindFeed:
+        """Return what follows one kind of records."""
+        return KindFeed(
+            store=self.store,
+            kind=kind,
+            clock=self.clock,
+            rng=self.rng,
+            observer=self.observer,
+            on_listing=self.on_listing,
+            on_change=self.on_change,
+            on_disrupted=self.on_disrupted,
+        )
+
+    def new_job(self) -> str:
+        """Return an identifier that no other job has, of this or another life."""
+        return f'{self.life}-{next(self.job_numbers)}'
+
+    def config_version(self) -> int:
+        """Return the version of the configuration in force here, 0 for none."""
+        return self.view.current.version if self.view.current is not None else 0
+
+    def limits(self) -> ClientLimits:
+        """Return what callers may send at the moment."""
+        return self.view.current.limits if self.view.current is not None else DEFAULT_LIMITS
+
+    def synced(self) -> bool:
+        """Tell whether configuration and replicas were read once."""
+        return self.view.current is not None and all(feed.synced for feed in self.feeds[:2])
+
+    def ready(self) -> bool:
+        """Tell whether callers should be sent here."""
+        return self.synced() and bool(self.replicas.replicas) and not self.leaving
+
+    def on_disrupted(self) -> None:
+        """Note that the store does not tell everything."""
+        self.replicas.on_disrupted(self.clock.monotonic())
+
+    def on_listing(self, listing: Listing) -> None:
+        """Take a whole kind in."""
+        records = list(listing.records.values())
+        replicas = [record for record in records if isinstance(record, Replica)]
+        boxes = [record for record in records if isinstance(record, BoxAddress)]
+        for record in records:
+            if isinstance(record, Deployment):
+                self.on_deployment(record)
+        if replicas:
+            self.replicas.replace(replicas, self.clock.monotonic())
+        if boxes:
+            self.boxes = {box.name: box for box in boxes}
+            self.election.on_listed(boxes, self.clock.monotonic())
+
+    def on_change(self, change: Change) -> None:
+        """Take one record's change in."""
+        now = self.clock.monotonic()
+        record = change.record
+        if isinstance(record, Deployment):
+            self.on_deployment(record)
+        elif isinstance(record, Replica):
+            self.replicas.put(record)
+        elif isinstance(record, BoxAddress):
+            self.boxes[change.name] = record
+            self.election.on_listed(self.boxes.values(), now)
+        elif change.name in self.boxes:
+            del self.boxes[change.name]
+            self.election.on_listed(self.boxes.values(), now)
+        else:
+            self.replicas.remove(change.name, now)
+
+    def on_deployment(self, deployment: Deployment) -> None:
+        """Apply a configuration if it is newer."""
+        if not self.view.offer(deployment, self.clock.monotonic()):
+            return
+        self.scheduler.on_deployment(deployment)
+        events.emit(
+            log,
+            events.DEPLOYMENT_APPLIED,
+            version=deployment.version,
+            routes=len(deployment.routes),
+            tenants=len(deployment.tenants_by_key),
+        )
+
+    def tick(self) -> None:
+        """Do what is due by time."""
+        now = self.clock.monotonic()
+        for name in self.replicas.expire(now):
+            events.emit(log, events.REPLICA_DROPPED, replica=name, held_s=True)
+
+    def leave(self) -> None:
+        """Ask for no more callers and hand scheduling over."""
+        self.leaving = True
+        self.election.leaving = True
+        self.link.ping_all()
+        for candidate in self.election.candidates.values():
+            if candidate.heard_at is not None:
+                self.link.send(candidate.box.address, self.link.pong(0))
--- /dev/null
+++ b/packages/daemon/calicopathd/gateway/metrics.py
@@ -0,0 +1,66 @@
+"""Count what a gateway box does, for Prometheus."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+LATENCY_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.6, 2.5, 3.6, 5.0, 10.0]
+"""Seconds; the users' objectives are among them."""
+
+
+class GatewayMetrics:
+    """Hold the metrics; labels are kinds, services and outcomes, never tenants or callers."""
+
+    def __init__(self, *, box: str) -> None:
+        self.registry = Registry()
+        self.const = {'box': box}
+        self.exchanges = self.counter('exchanges_total', 'Exchanges by route kind and outcome.')
+        self.exchange_seconds = self.histogram('exchange_seconds', 'Time to the whole answer.')
+        self.first_byte_seconds = self.histogram('first_event_seconds', 'Time to the first event.')
+        self.attempts_failed = self.counter('attempts_failed_total', 'Failed attempts by service.')
+        self.stage_calls = self.counter('stage_calls_total', 'Stage calls by service and result.')
+        self.stage_pieces = self.counter('stage_pieces_total', 'Pieces in stage calls by service.')
+        self.stage_seconds = self.histogram('stage_call_seconds', 'Time of a stage call.')
+        self.placed = self.counter('jobs_placed_total', 'Jobs that this box has placed.')
+        self.rejected = self.counter('jobs_rejected_total', 'Jobs not placed, by reason.')
+        self.scheduler_changes = self.counter(
+            'scheduler_changes_total', 'Times that another box was taken for the scheduler.'
+        )
+        self.state = Gauge(
+            'calicopath_gateway_state', 'State of the box.', self.const, self.registry
+        )
+
+    def counter(self, name: str, doc: str) -> Counter:
+        """Return a new counter."""
+        return Counter(f'calicopath_{name}', doc, self.const, self.registry)
+
+    def histogram(self, name: str, doc: str) -> Histogram:
+        """Return a new histogram of seconds."""
+        return Histogram(
+            f'calicopath_{name}', doc, self.const, self.registry, buckets=LATENCY_BUCKETS
+        )
+
+    def on_exchange(self, kind: str, outcome: str, took_s: float, first_s: float | None) -> None:
+        """Note one exchange."""
+        self.exchanges.inc({'kind': kind, 'outcome': outcome})
+        self.exchange_seconds.observe({'kind': kind}, took_s)
+        if first_s is not None:
+            self.first_byte_seconds.observe({}, first_s)
+
+    def on_stage_call(self, service: str, pieces: int, took_s: float, ok: bool) -> None:
+        """Note one call of a stage."""
+        self.stage_calls.inc({'service': service, 'result': 'ok' if ok else 'failed'})
+        self.stage_pieces.add({'service': service}, pieces)
+        self.stage_seconds.observe({'service': service}, took_s)
+
+    def set_state(self, **values: float) -> None:
+        """Set figures of the box's state."""
+        for name, value in values.items():
+            self.state.set({'of': name}, value)
+
+    def render(self) -> tuple[bytes, dict[str, Any]]:
+        """Return the text form and its headers."""
+        return render(self.registry, ['text/plain'])
--- /dev/null
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -0,0 +1,143 @@
+"""Log and count what the parts of a gateway box decide."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+
+from calicopath_core.exchanges.context import ExchangeObserver
+from calicopath_core.fleet.feed import FeedObserver
+from calicopath_core.scheduling.scheduler import SchedulerObserver
+from calicopathd import events
+
+if TYPE_CHECKING:
+    from calicopath_core.backends.base import BackendError
+    from calicopath_core.exchanges.context import RefusedExchange, Ticket
+    from calicopath_core.exchanges.messages import Exchange
+    from calicopath_core.fleet.store import RecordKind
+    from calicopath_core.scheduling.jobs import Job
+    from calicopathd.gateway.metrics import GatewayMetrics
+
+log = structlog.get_logger(__name__)
+
+
+class GatewayObserver(ExchangeObserver, FeedObserver, SchedulerObserver):
+    """Write one line a decision and keep the counters."""
+
+    def __init__(self, *, metrics: GatewayMetrics) -> None:
+        self.metrics = metrics
+
+    def on_ended(self, ticket: Ticket, took_s: float) -> None:
+        """Note how an exchange ended."""
+        received_at = ticket.exchange.received_at
+        first_s = ticket.first_byte_at - received_at if ticket.first_byte_at is not None else None
+        self.metrics.on_exchange(ticket.route.kind, ticket.outcome, took_s, first_s)
+        events.emit(
+            log,
+            events.EXCHANGE_ENDED,
+            request=ticket.exchange.call_id,
+            route=ticket.route.name,
+            tenant=ticket.tenant,
+            config=ticket.deployment.version,
+            outcome=ticket.outcome,
+            status=ticket.status,
+            detail=ticket.detail,
+            replicas=ticket.replicas,
+            first_ms=None if first_s is None else round(first_s * 1000),
+            took_ms=round(took_s * 1000),
+        )
+
+    def on_refused(self, exchange: Exchange, refusal: RefusedExchange) -> None:
+        """Note an exchange that was refused before it had a route."""
+        self.metrics.on_exchange('none', 'refused', 0.0, None)
+        events.emit(
+            log,
+            events.EXCHANGE_REFUSED,
+            request=exchange.call_id,
+            host=exchange.host,
+            path=exchange.path,
+            status=refusal.status,
+            reason=refusal.reason,
+        )
+
+    def on_attempt_failed(self, ticket: Ticket, replica: str, error: Exception) -> None:
+        """Note an attempt that gave no whole answer."""
+        self.metrics.attempts_failed.inc({'service': ticket.service})
+        events.emit(
+            log,
+            events.ATTEMPT_FAILED,
+            request=ticket.exchange.call_id,
+            replica=replica,
+            may_have_run=ticket.may_have_run,
+            sends=ticket.sends,
+            error=str(error),
+        )
+
+    def on_stage_call(
+        self, service: str, replica: str, pieces: int, took_s: float, outcome: str
+    ) -> None:
+        """Note one call to a stage's replica."""
+        self.metrics.on_stage_call(service, pieces, took_s, outcome == 'ok')
+        event = events.STAGE_CALLED if outcome == 'ok' else events.STAGE_FAILED
+        events.emit(
+            log,
+            event,
+            service=service,
+            replica=replica,
+            pieces=pieces,
+            took_ms=round(took_s * 1000),
+            outcome=outcome,
+        )
+
+    def on_placed(self, job: Job, replica: str, cost_s: float, waited_s: float) -> None:
+        """Note the engine chosen for a job."""
+        self.metrics.placed.inc({})
+        events.emit(
+            log,
+            events.JOB_PLACED,
+            request=job.place.call_id,
+            job=job.id,
+            replica=replica,
+            cost_ms=round(cost_s * 1000),
+            staged_ms=round(waited_s * 1000),
+        )
+
+    def on_rejected(self, job: Job, reason: str) -> None:
+        """Note a job that is not placed."""
+        self.metrics.rejected.inc({'reason': reason})
+        events.emit(log, events.JOB_REJECTED, request=job.place.call_id, job=job.id, reason=reason)
+
+    def on_free_failed(self, address: str, count: int, error: BackendError) -> None:
+        """Note results that could not be given up."""
+        events.emit(log, events.FREE_FAILED, maker=address, results=count, error=str(error))
+
+    def on_scheduler(self, address: str, waiting: int) -> None:
+        """Note that another box schedules now."""
+        self.metrics.scheduler_changes.inc({})
+        events.emit(log, events.SCHEDULER_CHANGED, scheduler=address, jobs_asked_again=waiting)
+
+    def on_lost(self, kind: RecordKind, error: Exception) -> None:
+        """Note that the store stopped answering."""
+        events.emit(log, events.FEED_LOST, kind=kind.value, error=str(error))
+
+    def on_regained(self, kind: RecordKind, silent_s: float) -> None:
+        """Note that the store answers again."""
+        events.emit(log, events.FEED_BACK, kind=kind.value, silent_s=round(silent_s, 3))
+
+    def on_history_lost(self, kind: RecordKind, revision: int) -> None:
+        """Note that everything is read anew."""
+        events.emit(log, events.HISTORY_LOST, kind=kind.value, revision=revision)
+
+    def on_bad_object(self, name: str, error: Exception) -> None:
+        """Note an object that can't be understood."""
+        events.emit(log, events.OBJECT_BAD, key=name, error=str(error))
+
+    def on_bad_message(self, error: str) -> None:
+        """Note a peer's message that can't be decoded."""
+        events.emit(log, events.PEER_MESSAGE_BAD, error=error)
+
+    def on_bad_request(self, status: int, reason: str) -> None:
+        """Note a request that was refused before it was read."""
+        self.metrics.on_exchange('none', 'bad', 0.0, None)
+        events.emit(log, events.EXCHANGE_BAD, status=status, reason=reason)
--- /dev/null
+++ b/packages/daemon/calicopathd/gateway/peers.py
@@ -0,0 +1,126 @@
+"""Exchange scheduling messages with other boxes, and with this one."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from calicopath_core.membership.messages import BadMessage, MessageDecoder, encode
+from calicopath_core.scheduling.election import PING_S
+from calicopath_core.scheduling.messages import (
+    MESSAGES,
+    Ping,
+    Place,
+    Placed,
+    Pong,
+    Rejected,
+    RunEnded,
+    RunStarted,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    import msgspec
+
+    from calicopath_core.clock import Clock
+    from calicopath_core.membership.transport import PeerTransport
+    from calicopath_core.scheduling.client import SchedulerClient
+    from calicopath_core.scheduling.election import Election
+    from calicopath_core.scheduling.scheduler import Scheduler
+
+
+class PeerLink:
+    """Send messages to boxes and hand on those that come."""
+
+    def __init__(
+        self,
+        *,
+        transport: PeerTransport,
+        election: Election,
+        clock: Clock,
+        config_version: Callable[[], int],
+        on_bad: Callable[[str], None],
+    ) -> None:
+        self.transport = transport
+        self.election = election
+        self.clock = clock
+        self.config_version = config_version
+        self.on_bad = on_bad
+        self.decoder = MessageDecoder(types=MESSAGES)
+        self.scheduler: Scheduler | None = None
+        self.client: SchedulerClient | None = None
+        self.sent = 0
+        transport.listen(self.on_data)
+
+    def send(self, address: str, message: msgspec.Struct) -> None:
+        """Send a message; one to this box itself takes no detour."""
+        if address == self.election.own.address:
+            asyncio.get_running_loop().call_soon(self.handle, message)
+            return
+        self.sent += 1
+        self.transport.send(address, encode(message))
+
+    def on_data(self, data: bytes) -> None:
+        """Decode what came and handle it."""
+        try:
+            message = self.decoder.decode(data)
+        except BadMessage as error:
+            self.on_bad(str(error))
+            return
+        self.handle(message)
+
+    def handle(self, message: msgspec.Struct) -> None:
+        """Hand a message to whom it concerns."""
+        assert self.scheduler is not None
+        assert self.client is not None
+        match message:
+            case Ping():
+                self.election.on_ping(message, self.clock.monotonic())
+                self.send(message.address, self.pong(message.sequence))
+            case Pong():
+                self.election.on_pong(message, self.clock.monotonic())
+            case Place():
+                self.scheduler.on_place(message)
+            case Placed():
+                self.client.on_placed(message)
+            case Rejected():
+                self.client.on_rejected(message)
+            case RunStarted():
+                self.scheduler.on_started(message)
+            case RunEnded():
+                self.scheduler.on_ended(message)
+
+    def pong(self, sequence: int) -> Pong:
+        """Return what this box says of itself."""
+        own = self.election.own
+        return Pong(
+            box=own.name,
+            address=own.address,
+            config_version=self.config_version(),
+            revision=0,
+            leaving=self.election.leaving,
+            sequence=sequence,
+        )
+
+    def ping_all(self) -> None:
+        """Ping every candidate."""
+        now = self.clock.monotonic()
+        own = self.election.own
+        self.election.sequence += 1
+        ping = Ping(
+            box=own.name,
+            address=own.address,
+            config_version=self.config_version(),
+            revision=0,
+            leaving=self.election.leaving,
+            sequence=self.election.sequence,
+        )
+        for candidate in self.election.pinged(now):
+            self.send(candidate.box.address, ping)
+
+    async def run(self) -> None:
+        """Ping until cancelled."""
+        while True:
+            self.ping_all()
+            await asyncio.sleep(PING_S)
--- /dev/null
+++ b/packages/daemon/calicopathd/gateway/run.py
@@ -0,0 +1,167 @@
+"""Run a gateway box from start to planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import TYPE_CHECKING
+
+import structlog
+
+from calicopath_core.fleet.store import FleetStoreError
+from calicopathd import events
+from calicopathd.box.tasks import keep_running
+from calicopathd.gateway.server import HttpServer, RawRequest, RequestHandler, Responder
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from calicopath_core.fleet.deployment import ClientLimits
+    from calicopathd.gateway.box import GatewayBox
+    from calicopathd.gateway.metrics import GatewayMetrics
+    from calicopathd.gateway.settings import GatewaySettings
+    from calicopathd.peers.zmq_transport import ZmqTransport
+
+log = structlog.get_logger(__name__)
+
+TICK_S = 0.1
+BALANCER_LAG_S = 3.0
+"""How long the platform's balancer may go on sending callers to a box that is not ready: it asks
+each second and needs two answers in a row."""
+
+EXIT_MARGIN_S = 1.0
+"""How long before the kill a stopping box gives up what is still in progress."""
+
+REGISTER_PAUSE_S = 0.5
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+
+
+class MetricsHandler(RequestHandler):
+    """Answer with the box's figures."""
+
+    def __init__(self, *, metrics: GatewayMetrics, limits: Callable[[], ClientLimits]) -> None:
+        self.metrics = metrics
+        self.current_limits = limits
+
+    async def handle(self, request: RawRequest, responder: Responder) -> None:
+        """Answer with every figure as text."""
+        body, headers = self.metrics.render()
+        responder.respond(STATUS_OK, tuple(headers.items()), body)
+
+    def limits(self) -> ClientLimits:
+        """Return the limits in force."""
+        return self.current_limits()
+
+    def on_bad_request(self, status: int, reason: str) -> None:
+        """Leave requests that can't be read uncounted: they are not callers'."""
+
+
+class GatewayRunner:
+    """Run one gateway box inside the current event loop."""
+
+    def __init__(
+        self,
+        *,
+        box: GatewayBox,
+        transport: ZmqTransport,
+        exchange_handler: RequestHandler,
+        ready_handler: RequestHandler,
+        metrics_handler: RequestHandler,
+        reload: Callable[[], GatewaySettings],
+    ) -> None:
+        self.box = box
+        self.transport = transport
+        self.exchanges = HttpServer(handler=exchange_handler)
+        self.ready = HttpServer(handler=ready_handler)
+        self.metrics = HttpServer(handler=metrics_handler)
+        self.reload = reload
+        self.stop = asyncio.Event()
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def run(self) -> None:
+        """Serve until a stop signal, then end every request in progress and return."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self.on_reload)
+        await self.start()
+        await self.stop.wait()
+        await self.leave()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.transport.close()
+        events.emit(log, events.GATEWAY_STOPPED, in_progress=self.exchanges.in_progress)
+
+    async def start(self) -> None:
+        """Listen, and follow store and peers."""
+        settings = self.box.settings
+        await self.exchanges.start(*settings.exchange_listen)
+        await self.ready.start(*settings.ready_listen)
+        await self.metrics.start(*settings.metrics_listen)
+        work = {
+            'peers': self.transport.run,
+            'pings': self.box.link.run,
+            'scheduler': self.box.scheduler.run,
+            'client': self.box.client.run,
+            'ticks': self.tick_often,
+            'register': self.register,
+        }
+        for feed in self.box.feeds:
+            work[f'feed {feed.kind.value}'] = feed.run
+        self.tasks = [asyncio.create_task(keep_running(*item)) for item in work.items()]
+        events.emit(
+            log,
+            events.GATEWAY_STARTED,
+            box=settings.box,
+            listen=str(settings.exchange_listen),
+            peers=str(settings.peer_listen),
+        )
+
+    def on_reload(self) -> None:
+        """Take the settings in that may change without a restart."""
+        settings = self.reload()
+        self.box.settings = settings
+        self.box.executor.context.budgets.set_terms(settings.retry_budget)
+        events.emit(log, events.GATEWAY_RELOADED, box=settings.box)
+
+    async def tick_often(self) -> None:
+        """Do what is due by time, until cancelled."""
+        was_ready = False
+        while True:
+            self.box.tick()
+            ready = self.box.ready()
+            if ready != was_ready:
+                event = events.GATEWAY_READY if ready else events.GATEWAY_NOT_READY
+                events.emit(log, event, config=self.box.config_version())
+            was_ready = ready
+            await asyncio.sleep(TICK_S)
+
+    async def register(self) -> None:
+        """Write the box's own record, until that has worked."""
+        while True:
+            try:
+                await self.box.store.register(self.box.own)
+            except FleetStoreError as error:
+                events.emit(log, events.REGISTER_FAILED, error=str(error))
+                await asyncio.sleep(REGISTER_PAUSE_S)
+                continue
+            # Once is enough: the record stays until the box withdraws it.
+            await asyncio.Event().wait()
+
+    async def leave(self) -> None:
+        """Stop without cutting a request: not ready, then no new ones, then idle."""
+        grace_s = self.box.settings.stop_grace_s - EXIT_MARGIN_S
+        begun = self.box.clock.monotonic()
+        self.box.leave()
+        self.exchanges.leave()
+        events.emit(log, events.GATEWAY_LEAVING, in_progress=self.exchanges.in_progress)
+        await asyncio.sleep(min(BALANCER_LAG_S, grace_s / 2))
+        self.exchanges.close_idle()
+        left_s = grace_s - (self.box.clock.monotonic() - begun)
+        await self.exchanges.wait_idle(max(0.0, left_s))
+        try:
+            await self.box.store.withdraw(self.box.own)
+        except FleetStoreError as error:
+            events.emit(log, events.REGISTER_FAILED, error=str(error))
--- a/packages/daemon/calicopathd/logs.py
+++ b/packages/daemon/calicopathd/logs.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import logging
+import os
 import sys
+from collections import deque
 
+import msgspec
 import structlog
 
 
@@ -29,3 +32,69 @@
     # Sanic logs by the standard library; what it says of single requests is ours to say.
     for name in ('sanic.root', 'sanic.access', 'sanic.error', 'sanic.server'):
         logging.getLogger(name).setLevel(logging.CRITICAL)
+
+
+MAX_WAITING_LINES = 2000
+"""Lines that wait for a reader that is slow; what comes after that is dropped and counted."""
+
+
+class BoundedWriter:
+    """Write lines to a descriptor without ever waiting for its reader."""
+
+    def __init__(self, *, descriptor: int) -> None:
+        self.descriptor = descriptor
+        self.waiting: deque[bytes] = deque()
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def msg(self, message: bytes) -> None:
+        """Write a line, or keep it while the reader is slow."""
+        if len(self.waiting) >= MAX_WAITING_LINES:
+            self.dropped += 1
+            return
+        self.waiting.append(message + b'\n')
+        self.flush()
+
+    debug = info = warning = error = critical = msg
+
+    def flush(self) -> None:
+        """Write what waits as far as the reader takes it."""
+        while self.waiting:
+            line = self.waiting[0]
+            try:
+                written = os.write(self.descriptor, line)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads any more; there is no other place to say so.
+                self.dropped += len(self.waiting)
+                self.waiting.clear()
+                return
+            if written < len(line):
+                self.waiting[0] = line[written:]
+                return
+            self.waiting.popleft()
+
+
+def set_up_bounded_logs(*, box: str) -> BoundedWriter:
+    """Write log lines as JSON to standard output; a slow reader costs lines, never time."""
+    writer = BoundedWriter(descriptor=sys.stdout.fileno())
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt='iso', utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(serializer=encode_line),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=lambda *args: writer,
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.bind_contextvars(box=box)
+    return writer
+
+
+def encode_line(line: object, **_: object) -> bytes:
+    """Return a log line as JSON."""
+    return msgspec.json.encode(line, enc_hook=str)
