--- a/packages/core/calicopath_core/scheduling/election.py
+++ b/packages/core/calicopath_core/scheduling/election.py
@@ -9,11 +9,11 @@
 import hashlib
 from typing import TYPE_CHECKING, NamedTuple
 
-from calicopath_core.scheduling.messages import Ping, Pong
-
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from calicopath_core.scheduling.messages import Ping, Pong
+
 CANDIDATES = 3
 """Boxes, first by rank, that every box pings: enough that one of them lives through two losses."""
 
