--- a/packages/core/calicopath_core/scheduling/client.py
+++ b/packages/core/calicopath_core/scheduling/client.py
@@ -76,20 +76,39 @@
         return await asked.answer
 
     def ask(self, asked: Asked, now: float) -> None:
-        """Hand a job to the scheduler of the moment."""
+        """Hand a job to the scheduler of the moment; take it from one asked before."""
+        if asked.targets:
+            gone = RunEnded(job=asked.place.job, sender=self.election.own.name, failed=False)
+            self.send(asked.targets[-1], gone)
         asked.targets.append(self.target)
         self.send(self.target, asked.aged(now))
 
     def check(self) -> None:
-        """See who schedules now; ask a new scheduler for every job not answered yet."""
+        """See who schedules now."""
         now = self.clock.monotonic()
         target = self.election.scheduler(now).address
         if target == self.target:
             return
         self.target = target
-        waiting = [asked for asked in self.asked.values() if not asked.answer.done()]
-        self.on_scheduler(target, len(waiting))
-        for asked in waiting:
+        # A scheduler that leaves or gives way is still heard, and does what it was asked.
+        lost = self.lost(now)
+        self.on_scheduler(target, len(lost))
+
+    def lost(self, now: float) -> list[Asked]:
+        """Return the jobs not answered whose scheduler has fallen silent."""
+        return [
+            asked
+            for asked in self.asked.values()
+            if not asked.answer.done()
+            and asked.targets
+            and asked.targets[-1] != self.target
+            and not self.election.hears(asked.targets[-1], now)
+        ]
+
+    def ask_again(self) -> None:
+        """Ask the scheduler of the moment for jobs whose own scheduler fell silent."""
+        now = self.clock.monotonic()
+        for asked in self.lost(now):
             self.ask(asked, now)
 
     async def run(self) -> None:
@@ -97,6 +116,7 @@
         while True:
             await asyncio.sleep(CHECK_S)
             self.check()
+            self.ask_again()
 
     def on_placed(self, message: Placed) -> None:
         """Take a scheduler's answer in; the first one counts."""
--- a/packages/core/calicopath_core/scheduling/election.py
+++ b/packages/core/calicopath_core/scheduling/election.py
@@ -1,12 +1,13 @@
 """Agree on which box schedules, by rank and by who is heard.
 
-No box is set aside: the box first by rendezvous hash among those that are heard schedules. Two
-boxes that both think so only cost efficiency, since a piece may be made again.
+No box is set aside: of the boxes that are heard, the one whose record in the platform's store is
+oldest schedules. A box that restarts writes a new record and so ranks last; a hash of the names
+would give it the work back at once, and each hand-over costs the stage work that is under way. Two
+boxes that both think that they schedule only cost efficiency, since a piece may be made again.
 """
 
 from __future__ import annotations
 
-import hashlib
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -26,12 +27,21 @@
 """How long a candidate never heard is waited for after it was listed."""
 
 
+TRUST_S = 2.0
+"""How long a candidate that had fallen silent must be heard again before it may schedule."""
+
+
 class BoxAddress(NamedTuple):
-    """Name a box and the address on which its peers reach it."""
+    """Name a box and the address on which its peers reach it.
+
+    `life` is new with each start; `order` is the store's revision at which the record was written.
+    """
 
     name: str
     address: str
     zone: str
+    life: str
+    order: int = 0
 
 
 class Candidate:
@@ -42,6 +52,7 @@
         self.listed_at = listed_at
         self.heard_at: float | None = None
         self.leaving = False
+        self.trusted_at = 0.0
 
     def alive(self, now: float) -> bool:
         """Tell whether the box was heard lately, or is too new to tell."""
@@ -49,6 +60,17 @@
             return now - self.listed_at < NEW_GRACE_S
         return now - self.heard_at < SILENT_S
 
+    def hear(self, now: float, *, leaving: bool) -> None:
+        """Note a sign of life; after a silence, trust has to grow again."""
+        if self.heard_at is not None and now - self.heard_at >= SILENT_S:
+            self.trusted_at = now + TRUST_S
+        self.heard_at = now
+        self.leaving = leaving
+
+    def may_schedule(self, now: float) -> bool:
+        """Tell whether the box may be given work."""
+        return self.alive(now) and not self.leaving and now >= self.trusted_at
+
 
 class Election:
     """Hold the boxes listed, in rank order, and choose the scheduler among those heard."""
@@ -56,6 +78,7 @@
     def __init__(self, *, own: BoxAddress) -> None:
         self.own = own
         self.candidates: dict[str, Candidate] = {}
+        self.own_order: int | None = None
         self.ranked: list[str] = [own.name]
         self.sequence = 0
         self.leaving = False
@@ -63,6 +86,8 @@
     def on_listed(self, boxes: Iterable[BoxAddress], now: float) -> None:
         """Take in the boxes of the platform's list; a new address is a new incarnation."""
         listed = {box.name: box for box in boxes if box.name != self.own.name}
+        mine = [box for box in boxes if box.name == self.own.name and box.life == self.own.life]
+        self.own_order = mine[0].order if mine else None
         for name, box in listed.items():
             known = self.candidates.get(name)
             if known is None or known.box != box:
@@ -70,7 +95,13 @@
         for name in list(self.candidates):
             if name not in listed:
                 del self.candidates[name]
-        self.ranked = sorted([*self.candidates, self.own.name], key=rank)
+        self.ranked = sorted([*self.candidates, self.own.name], key=self.rank)
+
+    def rank(self, name: str) -> tuple[float, str]:
+        """Return by what boxes are ordered; the least schedules, this box last if not yet listed."""
+        if name != self.own.name:
+            return (self.candidates[name].box.order, name)
+        return (float('inf') if self.own_order is None else self.own_order, name)
 
     def on_ping(self, ping: Ping, now: float) -> None:
         """Note a box that sees this one as a candidate."""
@@ -85,22 +116,20 @@
         candidate = self.candidates.get(message.box)
         if candidate is None:
             return None
-        candidate.heard_at = now
-        candidate.leaving = message.leaving
+        candidate.hear(now, leaving=message.leaving)
         return candidate
 
     def pinged(self, now: float) -> list[Candidate]:
-        """Return the candidates to ping: the first by rank, and as many more as are silent."""
+        """Return the candidates to ping: as many from the front as make enough that may schedule."""
         found: list[Candidate] = []
-        alive = 0
+        good = 0
         for name in self.ranked:
             if name == self.own.name:
-                alive += 1
-            else:
-                candidate = self.candidates[name]
-                found.append(candidate)
-                alive += candidate.alive(now)
-            if alive >= CANDIDATES:
+                continue
+            candidate = self.candidates[name]
+            found.append(candidate)
+            good += candidate.heard_at is not None and candidate.may_schedule(now)
+            if good >= CANDIDATES:
                 break
         return found
 
@@ -110,21 +139,21 @@
             if name == self.own.name:
                 if not self.leaving:
                     return self.own
-                continue
-            candidate = self.candidates[name]
-            if candidate.alive(now) and not candidate.leaving:
-                return candidate.box
+            elif self.candidates[name].may_schedule(now):
+                return self.candidates[name].box
         return self.own
 
+    def hears(self, address: str, now: float) -> bool:
+        """Tell whether the box at an address, leaving or not, was heard lately."""
+        if address == self.own.address:
+            return True
+        return any(
+            item.box.address == address and item.alive(now) for item in self.candidates.values()
+        )
+
     def boxes_sharing(self) -> int:
         """Return among how many boxes the fleet's budgets are split: all those listed.
 
         Boxes that are listed and dead make each share smaller, never the whole larger.
         """
         return len(self.ranked)
-
-
-def rank(name: str) -> int:
-    """Return the number by which boxes are ordered; the least schedules."""
-    digest = hashlib.blake2b(f'scheduler/{name}'.encode(), digest_size=8).digest()
-    return int.from_bytes(digest, 'big')
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -373,7 +373,10 @@
         if result.reason == 'late' and not job.ended:
             self.reject(job, 'deadline-passed')
             return
-        self.try_again(queue, piece, full=result.reason == 'room')
+        full = result.reason == 'room'
+        if full:
+            queue.no_room(batch, self.clock.monotonic())
+        self.try_again(queue, piece, full=full)
 
     def remake_inputs(self, job: Job, piece: Piece) -> None:
         """Begin a job's stages anew, since a result that it needs is gone."""
--- a/packages/core/calicopath_core/scheduling/stages.py
+++ b/packages/core/calicopath_core/scheduling/stages.py
@@ -24,6 +24,10 @@
 FULL_S = 0.05
 """How long a replica that declined a call as full is left alone."""
 
+NO_ROOM_S = 0.25
+"""How long a replica that had no room for a result is believed to have none: about as long as a
+call, after which the stage that follows frees some."""
+
 
 class Booking(NamedTuple):
     """Hold room for one result until it is freed or has run out, in monotonic seconds."""
@@ -43,9 +47,12 @@
         self.reserved_bytes = 0
         self.failures = 0
         self.idle_until = 0.0
+        self.no_room_until = 0.0
 
-    def room_left(self, spec: StageSpec) -> float:
-        """Return the bytes free for results."""
+    def room_left(self, spec: StageSpec, now: float) -> float:
+        """Return the bytes free for results, as far as known; none after it told that it has none."""
+        if now < self.no_room_until:
+            return 0.0
         return spec.room_bytes * ROOM_SHARE - self.booked_bytes - self.reserved_bytes
 
     def free(self, handle: str) -> None:
@@ -107,7 +114,7 @@
             for item in self.replicas.values()
             if item.calls < self.spec.concurrency and item.idle_until <= now
         ]
-        return sorted(found, key=lambda item: -item.room_left(self.spec))
+        return sorted(found, key=lambda item: -item.room_left(self.spec, now))
 
     def next_batch(self, now: float) -> StageBatch | None:
         """Return the next call to make, or nothing while it is better to wait."""
@@ -120,7 +127,7 @@
         if len(self.waiting) < self.spec.batch and self.wait_s(len(free)) > self.waited_s(now):
             return None
         for target in self.by_zone(free, self.waiting[0]):
-            pieces = self.fitting(target)
+            pieces = self.fitting(target, now)
             if pieces:
                 return self.take(target, pieces)
         return None
@@ -146,9 +153,9 @@
             return None
         return max(0.005, GATHER_S - self.waited_s(now)) if self.waited_s(now) < GATHER_S else 0.02
 
-    def fitting(self, target: StageReplica) -> list[Piece]:
+    def fitting(self, target: StageReplica, now: float) -> list[Piece]:
         """Return the pieces, in order, that one call to a replica can take."""
-        room = target.room_left(self.spec)
+        room = target.room_left(self.spec, now)
         found: list[Piece] = []
         for piece in self.waiting:
             if len(found) == self.spec.batch:
@@ -179,6 +186,10 @@
             target.booked_bytes += size
         target.failures = 0
 
+    def no_room(self, batch: StageBatch, now: float) -> None:
+        """Note that a replica had no room for a result."""
+        batch.target.no_room_until = now + NO_ROOM_S
+
     def failed(self, batch: StageBatch, now: float, *, full: bool) -> None:
         """Leave a replica alone for a while that failed a call or was full."""
         target = batch.target
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -60,7 +60,9 @@
         self.leaving = False
         self.view = DeploymentView()
         self.replicas = ReplicaTable()
-        self.own = BoxAddress(settings.box, str(settings.peer_listen), settings.failure_domain)
+        self.own = BoxAddress(
+            settings.box, str(settings.peer_listen), settings.failure_domain, self.life
+        )
         self.boxes: dict[str, BoxAddress] = {}
         self.election = Election(own=self.own)
         self.link = PeerLink(
@@ -204,4 +206,5 @@
         self.link.ping_all()
         for candidate in self.election.candidates.values():
             if candidate.heard_at is not None:
+                # Boxes that see this one as a candidate learn at once that it leaves.
                 self.link.send(candidate.box.address, self.link.pong(0))
