Do not send to an engine that leaves what a scheduler cut off from the store has chosen

Change: the sending box has another engine chosen, without counting an attempt; boxes tell how old their word from the store is, and one with fresh word schedules.

--- a/packages/core/calicopath_core/exchanges/streams.py
+++ b/packages/core/calicopath_core/exchanges/streams.py
@@ -28,6 +28,9 @@
 MAX_SENDS = 4
 """Engines that one request may be sent to, those counted that declined it."""
 
+MAX_AVOIDED = 4
+"""Engines that were chosen for one request although they are leaving, before it is refused."""
+
 FIRST_EVENT_S = 2.0
 COST_FACTOR = 3.0
 """How long the first event of a stream that may be resumed is waited for: this, and so many times
@@ -50,6 +53,7 @@
         self.splitter = EventSplitter()
         self.splitter.last_id = ticket.exchange.last_event_id
         self.begun = False
+        self.avoided: list[str] = []
 
     async def serve(self) -> None:
         """Place and run the stream until it is whole or can't be gone on with."""
@@ -63,9 +67,9 @@
         try:
             placed = await self.place(job)
             replica = self.context.replicas.replicas.get(placed.replica)
-            if replica is None:
-                failed = True
-                raise NotStarted(f'{placed.replica} is not known here')
+            if replica is None or replica.draining:
+                # The scheduler's list is older than ours; nothing was sent.
+                return self.pass_over(placed)
             try:
                 return await self.run(job, placed, replica)
             except BackendError:
@@ -78,6 +82,13 @@
         finally:
             self.context.scheduler.ended(job, failed=failed)
 
+    def pass_over(self, placed: Placed) -> bool:
+        """Have another engine chosen, unless that went wrong too often."""
+        self.avoided.append(placed.replica)
+        if len(self.avoided) > MAX_AVOIDED:
+            raise self.refusal('no-endpoint', None)
+        return False
+
     async def place(self, job: str) -> Placed:
         """Return the engine for this attempt; raise `RefusedExchange` if there is none."""
         question = self.question(job)
@@ -120,7 +131,8 @@
             service=ticket.service,
             phases=phases,
             prompt=exchange.prompt or Prompt('', (), 0, 0),
-            exclude=tuple(ticket.replicas),
+            exclude=(*ticket.replicas, *self.avoided),
+            resumed=bool(ticket.replicas),
         )
 
     def left_s(self) -> float:
--- a/packages/core/calicopath_core/scheduling/client.py
+++ b/packages/core/calicopath_core/scheduling/client.py
@@ -58,11 +58,13 @@
         election: Election,
         send: Callable[[str, msgspec.Struct], None],
         on_scheduler: Callable[[str, int], None],
+        contact_age_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self.clock = clock
         self.election = election
         self.send = send
         self.on_scheduler = on_scheduler
+        self.contact_age_s = contact_age_s
         self.asked: dict[str, Asked] = {}
         self.target = election.own.address
 
@@ -86,7 +88,7 @@
     def check(self) -> None:
         """See who schedules now."""
         now = self.clock.monotonic()
-        target = self.election.scheduler(now).address
+        target = self.election.scheduler(now, self.contact_age_s()).address
         if target == self.target:
             return
         self.target = target
--- a/packages/core/calicopath_core/scheduling/election.py
+++ b/packages/core/calicopath_core/scheduling/election.py
@@ -31,6 +31,11 @@
 """How long a candidate that had fallen silent must be heard again before it may schedule."""
 
 
+FRESH_S = 2.8
+"""How old a box's word from the store may be before another schedules: a watch that waits 2 s, and
+some delay. A box cut off from the store does not hear of replicas that leave."""
+
+
 class BoxAddress(NamedTuple):
     """Name a box and the address on which its peers reach it.
 
@@ -53,6 +58,7 @@
         self.heard_at: float | None = None
         self.leaving = False
         self.trusted_at = 0.0
+        self.contact_age_s = 0.0
 
     def alive(self, now: float) -> bool:
         """Tell whether the box was heard lately, or is too new to tell."""
@@ -60,12 +66,13 @@
             return now - self.listed_at < NEW_GRACE_S
         return now - self.heard_at < SILENT_S
 
-    def hear(self, now: float, *, leaving: bool) -> None:
+    def hear(self, message: Ping | Pong, now: float) -> None:
         """Note a sign of life; after a silence, trust has to grow again."""
         if self.heard_at is not None and now - self.heard_at >= SILENT_S:
             self.trusted_at = now + TRUST_S
         self.heard_at = now
-        self.leaving = leaving
+        self.leaving = message.leaving
+        self.contact_age_s = message.contact_age_s
 
     def may_schedule(self, now: float) -> bool:
         """Tell whether the box may be given work."""
@@ -116,7 +123,7 @@
         candidate = self.candidates.get(message.box)
         if candidate is None:
             return None
-        candidate.hear(now, leaving=message.leaving)
+        candidate.hear(message, now)
         return candidate
 
     def pinged(self, now: float) -> list[Candidate]:
@@ -133,15 +140,33 @@
                 break
         return found
 
-    def scheduler(self, now: float) -> BoxAddress:
-        """Return the box that schedules, as far as this box can tell; itself if it hears nobody."""
-        for name in self.ranked:
-            if name == self.own.name:
-                if not self.leaving:
-                    return self.own
-            elif self.candidates[name].may_schedule(now):
-                return self.candidates[name].box
-        return self.own
+    def scheduler(self, now: float, own_age_s: float = 0.0) -> BoxAddress:
+        """Return the box that schedules, as far as this box can tell; itself if it hears nobody.
+
+        Boxes with fresh word from the store go first; if none has any, age does not count.
+        """
+        able = [
+            name
+            for name in self.ranked
+            if (
+                not self.leaving
+                if name == self.own.name
+                else self.candidates[name].may_schedule(now)
+            )
+        ]
+        fresh = [name for name in able if self.age_s(name, own_age_s) < FRESH_S]
+        chosen = (fresh or able or [self.own.name])[0]
+        return self.own if chosen == self.own.name else self.candidates[chosen].box
+
+    def is_able(self, name: str, now: float) -> bool:
+        """Tell whether a box is there to schedule."""
+        if name == self.own.name:
+            return not self.leaving
+        return self.candidates[name].may_schedule(now)
+
+    def age_s(self, name: str, own_age_s: float) -> float:
+        """Return how old a box's word from the store is."""
+        return own_age_s if name == self.own.name else self.candidates[name].contact_age_s
 
     def hears(self, address: str, now: float) -> bool:
         """Tell whether the box at an address, leaving or not, was heard lately."""
--- a/packages/core/calicopath_core/scheduling/jobs.py
+++ b/packages/core/calicopath_core/scheduling/jobs.py
@@ -79,7 +79,7 @@
     @property
     def resumed(self) -> bool:
         """Tell whether an engine already failed this request: its caller is waiting midway."""
-        return bool(self.place.exclude)
+        return self.place.resumed
 
     @property
     def id(self) -> str:
--- a/packages/core/calicopath_core/scheduling/messages.py
+++ b/packages/core/calicopath_core/scheduling/messages.py
@@ -38,6 +38,7 @@
     """Ask a scheduler to run a job's stages and to choose its engine.
 
     `job` is unique to one attempt of one request; `reply_to` is the asking box's peer address.
+    `exclude` are engines not to choose; `resumed` says that one failed the request midway.
     `objective_s` and `deadline_s` are what is left of them when the message is sent.
     """
 
@@ -53,6 +54,7 @@
     phases: tuple[PhaseWork, ...]
     prompt: Prompt
     exclude: tuple[str, ...] = ()
+    resumed: bool = False
 
 
 class Placed(msgspec.Struct, frozen=True, tag='ok'):
@@ -88,12 +90,12 @@
 
 
 class Ping(msgspec.Struct, frozen=True, tag='hi'):
-    """Say that a box is alive, what it knows and whether it leaves."""
+    """Say that a box is alive, how old its word from the store is and whether it leaves."""
 
     box: str
     address: str
     config_version: int
-    revision: int
+    contact_age_s: float
     leaving: bool
     sequence: int
 
@@ -104,7 +106,7 @@
     box: str
     address: str
     config_version: int
-    revision: int
+    contact_age_s: float
     leaving: bool
     sequence: int
 
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import os
 import random
 from typing import TYPE_CHECKING
@@ -70,6 +71,7 @@
             election=self.election,
             clock=self.clock,
             config_version=self.config_version,
+            contact_age_s=self.contact_age_s,
             on_bad=observer.on_bad_message,
         )
         self.scheduler = Scheduler(
@@ -84,6 +86,7 @@
             election=self.election,
             send=self.link.send,
             on_scheduler=observer.on_scheduler,
+            contact_age_s=self.contact_age_s,
         )
         self.link.scheduler, self.link.client = self.scheduler, self.client
         self.feeds = [
@@ -133,6 +136,11 @@
         """Return the version of the configuration in force here, 0 for none."""
         return self.view.current.version if self.view.current is not None else 0
 
+    def contact_age_s(self) -> float:
+        """Return how old this box's word on replicas from the store is."""
+        contact_at = self.feeds[1].contact_at
+        return math.inf if contact_at is None else self.clock.monotonic() - contact_at
+
     def limits(self) -> ClientLimits:
         """Return what callers may send at the moment."""
         return self.view.current.limits if self.view.current is not None else DEFAULT_LIMITS
--- a/packages/daemon/calicopathd/gateway/peers.py
+++ b/packages/daemon/calicopathd/gateway/peers.py
@@ -40,12 +40,14 @@
         election: Election,
         clock: Clock,
         config_version: Callable[[], int],
+        contact_age_s: Callable[[], float],
         on_bad: Callable[[str], None],
     ) -> None:
         self.transport = transport
         self.election = election
         self.clock = clock
         self.config_version = config_version
+        self.contact_age_s = contact_age_s
         self.on_bad = on_bad
         self.decoder = MessageDecoder(types=MESSAGES)
         self.scheduler: Scheduler | None = None
@@ -98,7 +100,7 @@
             box=own.name,
             address=own.address,
             config_version=self.config_version(),
-            revision=0,
+            contact_age_s=self.contact_age_s(),
             leaving=self.election.leaving,
             sequence=sequence,
         )
@@ -112,7 +114,7 @@
             box=own.name,
             address=own.address,
             config_version=self.config_version(),
-            revision=0,
+            contact_age_s=self.contact_age_s(),
             leaving=self.election.leaving,
             sequence=self.election.sequence,
         )
