--- a/packages/core/calicopath_core/exchanges/context.py
+++ b/packages/core/calicopath_core/exchanges/context.py
@@ -29,6 +29,10 @@
 """When a caller may come back after a refusal that has nothing to do with load."""
 
 
+TIMER_SLACK_S = 0.005
+"""Timers may fire this much before a deadline by rounding; it counts as passed then."""
+
+
 class RefusedExchange(CalicopathError):
     """Report that a request ends with an answer of our own; with 503 it provably did not run."""
 
@@ -74,6 +78,10 @@
         """Return the replicas that were sent the request."""
         return set(self.replicas)
 
+    def expired(self, now: float) -> bool:
+        """Tell whether the time to answer is over."""
+        return now >= self.deadline_at - TIMER_SLACK_S
+
     def may_send_again(self) -> bool:
         """Tell whether the request may run on one more replica."""
         if self.may_have_run and not self.route.repeatable:
--- a/packages/core/calicopath_core/exchanges/plain.py
+++ b/packages/core/calicopath_core/exchanges/plain.py
@@ -85,11 +85,10 @@
 def check_again(context: ExchangeContext, ticket: Ticket, error: BackendError) -> None:
     """Return if the request may be sent once more; else raise how it ends."""
     now = context.clock.monotonic()
-    if now < ticket.deadline_at and may_repeat(context, ticket):
+    if not ticket.expired(now) and may_repeat(context, ticket):
         return
     if ticket.may_have_run:
-        late = now >= ticket.deadline_at
-        status = STATUS_GATEWAY_TIMEOUT if late else STATUS_BAD_GATEWAY
+        status = STATUS_GATEWAY_TIMEOUT if ticket.expired(now) else STATUS_BAD_GATEWAY
         raise RefusedExchange(status, 'endpoint-failed') from error
     raise RefusedExchange(
         STATUS_UNAVAILABLE, 'endpoints-declined', retry_after_s=RETRY_SOON_S
--- a/packages/core/calicopath_core/exchanges/streams.py
+++ b/packages/core/calicopath_core/exchanges/streams.py
@@ -106,7 +106,7 @@
             return RefusedExchange(
                 STATUS_UNAVAILABLE, reason, retry_after_s=retry_after_s or RETRY_SOON_S
             )
-        late = self.left_s() <= 0
+        late = self.ticket.expired(self.context.clock.monotonic())
         return RefusedExchange(STATUS_GATEWAY_TIMEOUT if late else STATUS_BAD_GATEWAY, reason)
 
     def question(self, job: str) -> Place:
@@ -250,7 +250,7 @@
         """Return if the request may be sent once more; else raise how it ends."""
         ticket = self.ticket
         now = self.context.clock.monotonic()
-        allowed = now < ticket.deadline_at and ticket.sends < MAX_SENDS and ticket.may_send_again()
+        allowed = not ticket.expired(now) and ticket.sends < MAX_SENDS and ticket.may_send_again()
         budget = self.context.budgets.of(ticket.service)
         if allowed and budget.take(now, self.context.election.boxes_sharing()):
             return
--- a/packages/core/calicopath_core/scheduling/admission.py
+++ b/packages/core/calicopath_core/scheduling/admission.py
@@ -64,7 +64,7 @@
         left_s = job.objective_at - now
         deadline_s = job.deadline_at - now
         key = request_key(job)
-        came_back = self.refused.pop(key, 0.0) > now
+        came_back = self.refused.pop(key, 0.0) > now or job.place.asked_before
         limit_s = deadline_s if came_back else min(LATE_FACTOR * left_s, deadline_s)
         if job.resumed or not job.place.phases or expected_s <= limit_s:
             return Verdict(True, expected_s)
--- a/packages/core/calicopath_core/scheduling/client.py
+++ b/packages/core/calicopath_core/scheduling/client.py
@@ -45,6 +45,7 @@
             self.place,
             objective_s=self.place.objective_s - spent_s,
             deadline_s=self.place.deadline_s - spent_s,
+            asked_before=bool(self.targets),
         )
 
 
@@ -82,8 +83,8 @@
         if asked.targets:
             gone = RunEnded(job=asked.place.job, sender=self.election.own.name, failed=False)
             self.send(asked.targets[-1], gone)
-        asked.targets.append(self.target)
         self.send(self.target, asked.aged(now))
+        asked.targets.append(self.target)
 
     def check(self) -> None:
         """See who schedules now."""
--- a/packages/core/calicopath_core/scheduling/messages.py
+++ b/packages/core/calicopath_core/scheduling/messages.py
@@ -38,7 +38,8 @@
     """Ask a scheduler to run a job's stages and to choose its engine.
 
     `job` is unique to one attempt of one request; `reply_to` is the asking box's peer address.
-    `exclude` are engines not to choose; `resumed` says that one failed the request midway.
+    `exclude` are engines not to choose; `resumed` says that one failed the request midway,
+    `asked_before` that an earlier scheduler had let the job in and fell silent.
     `objective_s` and `deadline_s` are what is left of them when the message is sent.
     """
 
@@ -55,6 +56,7 @@
     prompt: Prompt
     exclude: tuple[str, ...] = ()
     resumed: bool = False
+    asked_before: bool = False
 
 
 class Placed(msgspec.Struct, frozen=True, tag='ok'):
--- /dev/null
+++ b/packages/daemon/calicopathd/gateway/tests/exchanges_tests.py
@@ -0,0 +1,221 @@
+"""Test how exchanges end when replicas fail: never run twice, never joined wrongly, never held."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from calicopath_core.exchanges.budget import CAUTION
+from testkit.cases import VirtualCase
+from testkit.gateway import ANY, EVENTS, KEY, TERMS, FakeSink, GatewayFleet, exchange
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+WHOLE = list(range(1, EVENTS + 1))
+BOTH_DESKS = ('desk-north', 'desk-south')
+BOTH_ENGINES = ('engine-north', 'engine-south')
+
+
+class ExchangeCase(VirtualCase):
+    """Serve requests on one box after giving replicas faults."""
+
+    def play(
+        self,
+        route: str,
+        faults: dict[str, list[str]],
+        check: Callable[[GatewayFleet, FakeSink], None],
+        **changes: object,
+    ) -> None:
+        """Serve one request and check what came of it."""
+
+        async def scenario() -> None:
+            fleet = GatewayFleet(count=1)
+            await fleet.start()
+            fleet.replicas.faults = {name: list(items) for name, items in faults.items()}
+            sink = fleet.serve('box-0', exchange(1, route, now(), **changes))
+            await fleet.settle()
+            check(fleet, sink)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
+    def play_work(self, work: Callable[[GatewayFleet], Awaitable[None]]) -> None:
+        """Run some work against one box."""
+
+        async def scenario() -> None:
+            fleet = GatewayFleet(count=1)
+            await fleet.start()
+            await work(fleet)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
+
+def now() -> float:
+    """Return the loop's time."""
+    return asyncio.get_running_loop().time()
+
+
+class Unsafe(ExchangeCase):
+    def test_after_a_doubt_it_is_never_sent_again_nor_called_not_run(self) -> None:
+        def check(fleet: GatewayFleet, sink: FakeSink) -> None:
+            self.assertEqual(1, len(fleet.replicas.sent))
+            self.assertEqual(502, sink.status)
+            self.assertIsNone(sink.retry_after_s)
+
+        self.play('pay', dict.fromkeys(BOTH_DESKS, ['reset']), check)
+
+    def test_what_was_declined_goes_to_another_replica_and_runs_once(self) -> None:
+        def check(fleet: GatewayFleet, sink: FakeSink) -> None:
+            self.assertEqual({'call-1': 1}, fleet.replicas.runs)
+            self.assertEqual((200, b'call-1'), (sink.status, sink.body))
+
+        self.play('pay', {'desk-north': ['declined']}, check)
+
+    def test_declined_by_all_is_refused_as_not_run_with_the_time_to_come_back(self) -> None:
+        def check(fleet: GatewayFleet, sink: FakeSink) -> None:
+            self.assertEqual({}, fleet.replicas.runs)
+            self.assertEqual(503, sink.status)
+            self.assertGreater(sink.retry_after_s or 0, 0)
+
+        self.play('pay', dict.fromkeys(BOTH_DESKS, ['declined']), check)
+
+    def test_a_silent_replica_ends_it_at_its_time_as_may_have_run(self) -> None:
+        async def work(fleet: GatewayFleet) -> None:
+            fleet.replicas.faults = {name: ['dark'] for name in BOTH_DESKS}
+            begun = now()
+            sink = fleet.serve('box-0', exchange(1, 'pay', begun))
+            await fleet.settle()
+            self.assertEqual(504, sink.status)
+            self.assertAlmostEqual(1.0, now() - begun, delta=0.1)
+
+        self.play_work(work)
+
+
+class Safe(ExchangeCase):
+    def test_a_replicas_error_is_tried_elsewhere(self) -> None:
+        def check(fleet: GatewayFleet, sink: FakeSink) -> None:
+            self.assertEqual((200, b'call-1'), (sink.status, sink.body))
+
+        self.play('read', {'desk-north': ['error']}, check)
+
+    def test_an_error_of_the_last_replica_is_passed_on_as_it_is(self) -> None:
+        def check(fleet: GatewayFleet, sink: FakeSink) -> None:
+            self.assertEqual((500, b'no'), (sink.status, sink.body))
+            self.assertEqual(2, fleet.replicas.runs['call-1'])
+
+        self.play('read', dict.fromkeys(BOTH_DESKS, ['error']), check)
+
+    def test_a_silent_replica_is_left_for_another_in_time(self) -> None:
+        def check(fleet: GatewayFleet, sink: FakeSink) -> None:
+            self.assertEqual(200, sink.status)
+
+        self.play('read', {'desk-north': ['dark']}, check)
+
+    def test_repeats_stay_within_this_boxs_share_of_the_budget(self) -> None:
+        async def work(fleet: GatewayFleet) -> None:
+            fleet.replicas.faults = {name: ['reset'] * 500 for name in BOTH_DESKS}
+            for number in range(100):
+                fleet.serve('box-0', exchange(number, 'read', now()))
+            await fleet.settle()
+            repeats = len(fleet.replicas.sent) - 100
+            allowed = CAUTION * (TERMS.ratio * 100 + TERMS.slack)
+            self.assertEqual(int(allowed), repeats)
+
+        self.play_work(work)
+
+
+class Streams(ExchangeCase):
+    def test_a_broken_stream_goes_on_elsewhere_without_a_gap_or_a_double(self) -> None:
+        def check(fleet: GatewayFleet, sink: FakeSink) -> None:
+            self.assertEqual((WHOLE, 'whole'), (sink.event_ids, sink.state))
+            first, second = fleet.replicas.sent
+            self.assertNotEqual(first.replica.id, second.replica.id)
+            self.assertEqual('3', second.last_event_id)
+
+        self.play('draft', {ANY: ['break:3']}, check)
+
+    def test_a_stream_that_hangs_is_left_and_goes_on_elsewhere(self) -> None:
+        def check(fleet: GatewayFleet, sink: FakeSink) -> None:
+            self.assertEqual((WHOLE, 'whole'), (sink.event_ids, sink.state))
+            self.assertEqual(2, len(fleet.replicas.sent))
+
+        self.play('draft', {ANY: ['break:0']}, check)
+
+    def test_one_that_may_not_be_resumed_is_cut_where_it_broke(self) -> None:
+        def check(fleet: GatewayFleet, sink: FakeSink) -> None:
+            self.assertEqual(([1, 2], 'cut'), (sink.event_ids, sink.state))
+            self.assertEqual(1, len(fleet.replicas.sent))
+
+        self.play('letter', dict.fromkeys(BOTH_ENGINES, ['break:2']), check)
+
+    def test_one_that_may_not_be_resumed_and_broke_before_its_first_event_may_have_run(
+        self,
+    ) -> None:
+        def check(fleet: GatewayFleet, sink: FakeSink) -> None:
+            self.assertEqual((502, 'refused'), (sink.status, sink.state))
+            self.assertIsNone(sink.retry_after_s)
+
+        self.play('letter', dict.fromkeys(BOTH_ENGINES, ['reset']), check)
+
+    def test_an_engine_that_declines_is_left_for_another(self) -> None:
+        def check(fleet: GatewayFleet, sink: FakeSink) -> None:
+            self.assertEqual((WHOLE, 'whole'), (sink.event_ids, sink.state))
+            self.assertEqual({'call-1': 1}, fleet.replicas.runs)
+
+        self.play('letter', {'engine-north': ['declined'], 'engine-south': ['none']}, check)
+
+    def test_a_client_that_resumes_is_answered_from_where_it_stopped(self) -> None:
+        def check(fleet: GatewayFleet, sink: FakeSink) -> None:
+            self.assertEqual([5, 6], sink.event_ids)
+
+        self.play('draft', {}, check, last_event_id='4')
+
+    def test_a_caller_that_leaves_takes_its_run_and_its_job_along(self) -> None:
+        async def work(fleet: GatewayFleet) -> None:
+            fleet.replicas.faults = {ANY: ['break:0']}
+            fleet.serve('box-0', exchange(1, 'draft', now()))
+            await asyncio.sleep(1.2)
+            self.assertEqual({'call-1'}, fleet.replicas.running)
+            fleet.served[0].cancel()
+            await asyncio.sleep(0.05)
+            self.assertEqual(set(), fleet.replicas.running)
+            self.assertEqual({}, fleet.boxes['box-0'].box.scheduler.jobs)
+
+        self.play_work(work)
+
+    def test_a_caller_that_leaves_early_leaves_no_piece_waiting(self) -> None:
+        async def work(fleet: GatewayFleet) -> None:
+            for number in range(12):
+                fleet.serve('box-0', exchange(number, 'draft', now()))
+            await asyncio.sleep(0.1)
+            for task in fleet.served:
+                task.cancel()
+            await asyncio.sleep(0.05)
+            queues = fleet.boxes['box-0'].box.scheduler.queues
+            self.assertEqual(0, sum(len(queue.waiting) for queue in queues.values()))
+
+        self.play_work(work)
+
+
+class Doors(ExchangeCase):
+    def test_unknown_routes_and_keys_are_told_apart(self) -> None:
+        def no_route(fleet: GatewayFleet, sink: FakeSink) -> None:
+            self.assertEqual(404, sink.status)
+
+        def no_key(fleet: GatewayFleet, sink: FakeSink) -> None:
+            self.assertEqual(401, sink.status)
+            self.assertEqual([], fleet.replicas.sent)
+
+        self.play('read', {}, no_route, path='/nowhere/x')
+        self.play('read', {}, no_key, key='wrong')
+        self.play('read', {}, no_key, key=None)
+
+    def test_the_replica_learns_the_tenant_and_the_time_that_is_left(self) -> None:
+        def check(fleet: GatewayFleet, sink: FakeSink) -> None:
+            outbound = fleet.replicas.sent[0]
+            self.assertEqual('hire', outbound.tenant)
+            self.assertLessEqual(outbound.deadline_s, 0.7)
+
+        self.play('read', {}, check, deadline_s=0.7, key=KEY)
--- /dev/null
+++ b/packages/daemon/calicopathd/gateway/tests/fleet_tests.py
@@ -0,0 +1,251 @@
+"""Test gateway boxes together: who schedules, and what a fault costs callers."""
+
+from __future__ import annotations
+
+import asyncio
+
+from calicopath_core.fleet.store import RecordKind
+from testkit.cases import VirtualCase
+from testkit.gateway import EVENTS, FakeSink, GatewayFleet, deployment, exchange, replicas
+
+WHOLE = list(range(1, EVENTS + 1))
+
+
+class Scheduling(VirtualCase):
+    def test_all_boxes_take_the_oldest_box_for_the_scheduler(self) -> None:
+        async def scenario() -> None:
+            fleet = GatewayFleet()
+            await fleet.start()
+            self.assertEqual({'box-0:7'}, fleet.schedulers())
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
+    def test_pieces_of_all_boxes_share_calls(self) -> None:
+        async def scenario() -> None:
+            fleet = GatewayFleet()
+            await fleet.start()
+            sinks = await load(fleet, 12)
+            self.assertEqual([WHOLE] * 12, [sink.event_ids for sink in sinks])
+            pieces = sum(len(calls) for _, calls in fleet.stages.calls)
+            self.assertEqual(36, pieces)
+            self.assertLess(len(fleet.stages.calls), 18)
+            self.assertEqual(1, fleet.stages.most_at_work)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
+    def test_the_scheduler_killed_under_load_loses_no_request_that_can_be_repeated(self) -> None:
+        async def scenario() -> None:
+            fleet = GatewayFleet()
+            await fleet.start()
+            sinks = [serve_draft(fleet, number, skip='box-0') for number in range(12)]
+            await asyncio.sleep(0.3)
+            fleet.kill('box-0')
+            sinks += [serve_draft(fleet, number, skip='box-0') for number in range(12, 24)]
+            await fleet.settle()
+            self.assertEqual([WHOLE] * 24, [sink.event_ids for sink in sinks])
+            self.assertEqual({'whole'}, {sink.state for sink in sinks})
+            self.assertEqual({'box-1:7'}, fleet.schedulers())
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
+    def test_a_restarted_box_ranks_last_and_takes_no_work_back(self) -> None:
+        async def scenario() -> None:
+            fleet = GatewayFleet()
+            await fleet.start()
+            fleet.kill('box-0')
+            await asyncio.sleep(1.5)
+            self.assertEqual({'box-1:7'}, fleet.schedulers())
+            await fleet.add('box-0', 'north').start()
+            await asyncio.sleep(4.0)
+            self.assertEqual({'box-1:7'}, fleet.schedulers())
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
+    def test_a_leaving_scheduler_finishes_what_it_was_asked(self) -> None:
+        async def scenario() -> None:
+            fleet = GatewayFleet()
+            await fleet.start()
+            sinks = [serve_draft(fleet, number, skip='box-0') for number in range(6)]
+            await asyncio.sleep(0.2)
+            fleet.boxes['box-0'].box.leave()
+            await fleet.settle()
+            self.assertEqual([WHOLE] * 6, [sink.event_ids for sink in sinks])
+            self.assertEqual(18, sum(len(calls) for _, calls in fleet.stages.calls))
+            others = {box.box.client.target for box in fleet.boxes.values()}
+            self.assertEqual({'box-1:7'}, others)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
+    def test_a_box_that_hears_nobody_schedules_by_itself(self) -> None:
+        async def scenario() -> None:
+            fleet = GatewayFleet()
+            await fleet.start()
+            fleet.network.blocked = lambda source, target: 'box-3:7' in (source, target)
+            await asyncio.sleep(1.5)
+            self.assertEqual('box-3:7', fleet.boxes['box-3'].box.client.target)
+            sink = fleet.serve('box-3', exchange(1, 'draft', now()))
+            await fleet.settle()
+            self.assertEqual(WHOLE, sink.event_ids)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
+    def test_a_scheduler_cut_off_from_the_store_gives_way_to_one_with_fresh_word(self) -> None:
+        async def scenario() -> None:
+            fleet = GatewayFleet()
+            await fleet.start()
+            fleet.boxes['box-0'].store.cut = True
+            await asyncio.sleep(6.0)
+            self.assertEqual({'box-1:7'}, fleet.schedulers())
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
+    def test_a_store_that_is_down_for_all_changes_no_scheduler(self) -> None:
+        async def scenario() -> None:
+            fleet = GatewayFleet()
+            await fleet.start()
+            for box in fleet.boxes.values():
+                box.store.cut = True
+            await asyncio.sleep(6.0)
+            self.assertEqual({'box-0:7'}, fleet.schedulers())
+            sink = fleet.serve('box-2', exchange(1, 'draft', now()))
+            await fleet.settle()
+            self.assertEqual(WHOLE, sink.event_ids)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
+    def test_what_a_dead_maker_held_is_made_anew_elsewhere(self) -> None:
+        async def scenario() -> None:
+            fleet = GatewayFleet()
+            await fleet.start()
+            sinks = [serve_draft(fleet, number, skip='') for number in range(8)]
+            await asyncio.sleep(0.45)
+            fleet.stages.broken['look-north'] = 'dead'
+            fleet.stages.lose('look-north')
+            await fleet.settle()
+            self.assertEqual([WHOLE] * 8, [sink.event_ids for sink in sinks])
+            self.assertEqual(0, fleet.stages.wrong_inputs)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
+    def test_a_replica_without_room_is_not_called_again_at_once(self) -> None:
+        async def scenario() -> None:
+            fleet = GatewayFleet()
+            await fleet.start()
+            fleet.stages.broken['look-north'] = 'room'
+            sinks = await load(fleet, 8)
+            self.assertEqual([WHOLE] * 8, [sink.event_ids for sink in sinks])
+            calls = [replica for replica, _ in fleet.stages.calls if replica == 'look-north']
+            self.assertLess(len(calls), 12)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
+    def test_results_are_given_up_when_nobody_needs_them(self) -> None:
+        async def scenario() -> None:
+            fleet = GatewayFleet()
+            await fleet.start()
+            await load(fleet, 8)
+            await asyncio.sleep(0.5)
+            self.assertEqual({}, fleet.stages.live)
+            self.assertEqual({}, fleet.boxes['box-0'].box.scheduler.jobs)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
+
+class Configuration(VirtualCase):
+    def test_a_newer_version_is_in_force_everywhere_and_an_older_one_never_again(self) -> None:
+        async def scenario() -> None:
+            fleet = GatewayFleet()
+            await fleet.start()
+            fleet.store.write(RecordKind.DEPLOYMENT, 'main', deployment(5))
+            await asyncio.sleep(0.1)
+            self.assertEqual({5}, versions(fleet))
+            fleet.store.write(RecordKind.DEPLOYMENT, 'main', deployment(4))
+            await asyncio.sleep(0.5)
+            self.assertEqual({5}, versions(fleet))
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
+    def test_history_that_the_store_forgot_is_read_anew(self) -> None:
+        async def scenario() -> None:
+            fleet = GatewayFleet()
+            await fleet.start()
+            for box in fleet.boxes.values():
+                box.store.cut = True
+            await asyncio.sleep(3.0)
+            fleet.store.write(RecordKind.DEPLOYMENT, 'main', deployment(9))
+            fleet.store.forget_history()
+            for box in fleet.boxes.values():
+                box.store.cut = False
+            await asyncio.sleep(2.0)
+            self.assertEqual({9}, versions(fleet))
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
+    def test_a_box_without_a_configuration_refuses_as_not_run(self) -> None:
+        async def scenario() -> None:
+            fleet = GatewayFleet(count=1)
+            sink = fleet.serve('box-0', exchange(1, 'read', 0.0))
+            await fleet.settle()
+            self.assertEqual((503, 'not-ready'), (sink.status, sink.reason))
+            self.assertIsNotNone(sink.retry_after_s)
+            self.assertFalse(fleet.boxes['box-0'].box.ready())
+
+        self.run_virtual(scenario())
+
+
+class Draining(VirtualCase):
+    def test_an_engine_that_leaves_gets_nothing_that_a_stale_scheduler_chose(self) -> None:
+        async def scenario() -> None:
+            fleet = GatewayFleet()
+            await fleet.start()
+            fleet.boxes['box-0'].store.cut = True
+            await asyncio.sleep(0.1)
+            for replica in replicas():
+                if replica.id == 'engine-north':
+                    fleet.store.write(
+                        RecordKind.REPLICA, replica.id, replica._replace(draining=True)
+                    )
+            await asyncio.sleep(0.1)
+            sinks = [fleet.serve('box-1', exchange(n, 'letter', now())) for n in range(6)]
+            await fleet.settle()
+            self.assertEqual([WHOLE] * 6, [sink.event_ids for sink in sinks])
+            self.assertEqual({'engine-south'}, {item.replica.id for item in fleet.replicas.sent})
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
+
+def now() -> float:
+    """Return the loop's time."""
+    return asyncio.get_running_loop().time()
+
+
+def serve_draft(fleet: GatewayFleet, number: int, skip: str) -> FakeSink:
+    """Have a box other than `skip` serve a staged stream."""
+    names = [name for name in fleet.boxes if name != skip]
+    return fleet.serve(names[number % len(names)], exchange(number, 'draft', now()))
+
+
+async def load(fleet: GatewayFleet, count: int) -> list[FakeSink]:
+    """Have staged streams served by all boxes at once."""
+    sinks = [serve_draft(fleet, number, skip='') for number in range(count)]
+    await fleet.settle()
+    return sinks
+
+
+def versions(fleet: GatewayFleet) -> set[int]:
+    """Return the configuration versions in force."""
+    return {box.box.config_version() for box in fleet.boxes.values()}
