--- a/packages/clients/calicopath_clients/http1/connections.py
+++ b/packages/clients/calicopath_clients/http1/connections.py
@@ -69,8 +69,9 @@
 
     @property
     def usable(self) -> bool:
-        """Tell whether another call may be sent."""
-        return not self.closed and self.clean and self.keep and self.inbound is None
+        """Tell whether another call may be sent: nothing of this one is still on its way."""
+        free = not self.closed and self.clean and self.keep and self.inbound is None
+        return free and self.transport is not None and not self.transport.get_write_buffer_size()
 
     def data_received(self, data: bytes) -> None:
         """Parse what comes; bytes that nobody waits for make the connection useless."""
--- a/packages/daemon/calicopathd/gateway/tests/exchanges_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/exchanges_tests.py
@@ -64,7 +64,7 @@
             self.assertEqual(502, sink.status)
             self.assertIsNone(sink.retry_after_s)
 
-        self.play('pay', dict.fromkeys(BOTH_DESKS, ['reset']), check)
+        self.play('pay', {name: ['reset'] for name in BOTH_DESKS}, check)
 
     def test_what_was_declined_goes_to_another_replica_and_runs_once(self) -> None:
         def check(fleet: GatewayFleet, sink: FakeSink) -> None:
@@ -79,7 +79,7 @@
             self.assertEqual(503, sink.status)
             self.assertGreater(sink.retry_after_s or 0, 0)
 
-        self.play('pay', dict.fromkeys(BOTH_DESKS, ['declined']), check)
+        self.play('pay', {name: ['declined'] for name in BOTH_DESKS}, check)
 
     def test_a_silent_replica_ends_it_at_its_time_as_may_have_run(self) -> None:
         async def work(fleet: GatewayFleet) -> None:
@@ -105,7 +105,7 @@
             self.assertEqual((500, b'no'), (sink.status, sink.body))
             self.assertEqual(2, fleet.replicas.runs['call-1'])
 
-        self.play('read', dict.fromkeys(BOTH_DESKS, ['error']), check)
+        self.play('read', {name: ['error'] for name in BOTH_DESKS}, check)
 
     def test_a_silent_replica_is_left_for_another_in_time(self) -> None:
         def check(fleet: GatewayFleet, sink: FakeSink) -> None:
@@ -148,7 +148,7 @@
             self.assertEqual(([1, 2], 'cut'), (sink.event_ids, sink.state))
             self.assertEqual(1, len(fleet.replicas.sent))
 
-        self.play('letter', dict.fromkeys(BOTH_ENGINES, ['break:2']), check)
+        self.play('letter', {name: ['break:2'] for name in BOTH_ENGINES}, check)
 
     def test_one_that_may_not_be_resumed_and_broke_before_its_first_event_may_have_run(
         self,
@@ -157,7 +157,7 @@
             self.assertEqual((502, 'refused'), (sink.status, sink.state))
             self.assertIsNone(sink.retry_after_s)
 
-        self.play('letter', dict.fromkeys(BOTH_ENGINES, ['reset']), check)
+        self.play('letter', {name: ['reset'] for name in BOTH_ENGINES}, check)
 
     def test_an_engine_that_declines_is_left_for_another(self) -> None:
         def check(fleet: GatewayFleet, sink: FakeSink) -> None:
