--- a/packages/core/calicopath_core/scheduling/engines.py
+++ b/packages/core/calicopath_core/scheduling/engines.py
@@ -21,6 +21,20 @@
 CROSSING_S_A_BYTE = 0.1 / 1_000_000
 """What moving a result between zones counts as: 100 ms a megabyte, tried on the bench."""
 
+REREAD_S_A_TOKEN = 0.15 / 1000
+"""What reading a shared prompt part again counts as that another engine keeps: the users price a
+thousand tokens like 3.6 MB between zones. It leads the choice only while there is time for it."""
+
+KEPT_S = 9.0
+"""How long after its last use an engine is believed to keep a part; the users price what is read
+again within 9.1 to 9.6 s."""
+
+TIME_SHARE = 0.25
+"""The part of the time left that an engine may need for prices to decide; beyond it, time does."""
+
+TOO_LATE_S = 10.0
+"""Sorts engines that need more time than that behind those that don't."""
+
 EJECT_S = 2.0
 MAX_EJECT_S = 10.0
 """How long an engine that failed a run is left alone; doubled with each failure in a row."""
@@ -37,13 +51,20 @@
     begun_at: float
 
 
+class Kept(NamedTuple):
+    """Hold a prompt part that an engine keeps; `used_at` is in monotonic seconds."""
+
+    tokens: int
+    used_at: float
+
+
 class Engine:
     """Hold one engine's runs and the prompt parts that were sent there."""
 
     def __init__(self, *, replica: Replica) -> None:
         self.replica = replica
         self.runs: dict[str, Run] = {}
-        self.cached: OrderedDict[str, int] = OrderedDict()
+        self.cached: OrderedDict[str, Kept] = OrderedDict()
         self.cached_tokens = 0
         self.failures = 0
         self.ejected_until = 0.0
@@ -61,17 +82,21 @@
             kept += part.tokens
         return max(0, prompt.tokens_in - kept)
 
-    def remember(self, prompt: Prompt, capacity: int) -> None:
+    def remember(self, prompt: Prompt, capacity: int, now: float) -> None:
         """Note the parts that the engine holds once it has read a prompt."""
         for part in prompt.parts:
             key = f'{prompt.model}/{part.id}'
-            if key in self.cached:
-                self.cached.move_to_end(key)
-                continue
-            self.cached[key] = part.tokens
-            self.cached_tokens += part.tokens
+            if key not in self.cached:
+                self.cached_tokens += part.tokens
+            self.cached[key] = Kept(part.tokens, now)
+            self.cached.move_to_end(key)
         while self.cached_tokens > capacity and self.cached:
-            self.cached_tokens -= self.cached.popitem(last=False)[1]
+            self.cached_tokens -= self.cached.popitem(last=False)[1].tokens
+
+    def keeps(self, key: str, now: float) -> bool:
+        """Tell whether the engine is believed to keep a part that was used lately."""
+        kept = self.cached.get(key)
+        return kept is not None and now - kept.used_at < KEPT_S
 
 
 class EngineChoice(NamedTuple):
@@ -111,27 +136,51 @@
         candidates = healthy or usable
         if not candidates:
             return None
-        costs = [(self.cost_s(engine, job, inputs), engine) for engine in candidates]
-        cost_s, engine = min(costs, key=lambda item: item[0])
-        return EngineChoice(engine, cost_s)
-
-    def least_cost_s(self, job: Job, now: float) -> float:
-        """Return what a job costs at the best engine of the moment, its inputs not counted."""
+        kept = self.kept_elsewhere(job.place.prompt, now)
+        left_s = (job.objective_at - now) * TIME_SHARE
+        costs = []
+        for engine in candidates:
+            time_s = self.time_s(engine, job)
+            price_s = self.price_s(engine, job, inputs, kept, now)
+            late_s = TOO_LATE_S if time_s > left_s else 0.0
+            costs.append((time_s + price_s + late_s, time_s, engine))
+        _, time_s, engine = min(costs, key=lambda item: item[0])
+        return EngineChoice(engine, time_s)
+
+    def least_time_s(self, job: Job, now: float) -> float:
+        """Return when the first event of a job would come from the best engine of the moment."""
         healthy = [item for item in self.engines.values() if item.ejected_until <= now]
-        return min((self.cost_s(engine, job, []) for engine in healthy), default=0.0)
+        return min((self.time_s(engine, job) for engine in healthy), default=0.0)
+
+    def time_s(self, engine: Engine, job: Job) -> float:
+        """Return the seconds of work before a job's first event on an engine."""
+        own_s = engine.uncached(job.place.prompt) * PREFILL_S_A_TOKEN
+        return engine.load_s() + own_s
 
-    def cost_s(self, engine: Engine, job: Job, inputs: list[Result]) -> float:
-        """Return what a job would cost on an engine, in seconds."""
+    def price_s(
+        self, engine: Engine, job: Job, inputs: list[Result], kept: set[str], now: float
+    ) -> float:
+        """Return what else a job costs on an engine: results moved and parts read again."""
         crossing = sum(item.size for item in inputs if item.zone != engine.replica.zone)
-        own = engine.uncached(job.place.prompt) * PREFILL_S_A_TOKEN
-        return engine.load_s() + own + crossing * CROSSING_S_A_BYTE
+        prompt = job.place.prompt
+        again = sum(
+            part.tokens
+            for part in prompt.parts[:-1]
+            if (key := f'{prompt.model}/{part.id}') in kept and not engine.keeps(key, now)
+        )
+        return crossing * CROSSING_S_A_BYTE + again * REREAD_S_A_TOKEN
+
+    def kept_elsewhere(self, prompt: Prompt, now: float) -> set[str]:
+        """Return the shared parts of a prompt that any engine keeps."""
+        keys = [f'{prompt.model}/{part.id}' for part in prompt.parts[:-1]]
+        return {key for key in keys if any(item.keeps(key, now) for item in self.engines.values())}
 
     def begin(self, choice: EngineChoice, job: Job, now: float) -> None:
         """Count a run on its engine."""
         engine, prompt = choice.engine, job.place.prompt
         prefill_s = engine.uncached(prompt) * PREFILL_S_A_TOKEN
         engine.runs[job.id] = Run(prefill_s, prompt.tokens_out * DECODE_S_A_TOKEN, now)
-        engine.remember(prompt, self.kv_tokens)
+        engine.remember(prompt, self.kv_tokens, now)
 
     def started(self, replica_id: str, job_id: str) -> None:
         """Note that an engine has read a prompt, and so works well."""
--- a/packages/core/calicopath_core/scheduling/jobs.py
+++ b/packages/core/calicopath_core/scheduling/jobs.py
@@ -32,6 +32,33 @@
         made = self.job.pieces.get(self.phase)
         return self.job.ended or made is None or made[self.index] is not self
 
+    @property
+    def home(self) -> str | None:
+        """Return the zone in which the piece should be made: its siblings', else its inputs'."""
+        known = self.job.zones.get(self.phase)
+        if known is not None:
+            return known
+        weights: dict[str, int] = {}
+        for item in self.job.inputs_of(self.phase):
+            weights[item.zone] = weights.get(item.zone, 0) + item.size
+        return max(weights, key=weights.__getitem__, default=None)
+
+    def moved_bytes(self) -> int:
+        """Return what is moved between zones if the piece is made away from home.
+
+        Its inputs are fetched for it alone; its result is fetched by each piece of the phases that
+        read it, away from those of its siblings.
+        """
+        phases = self.job.place.phases
+        inputs = sum(item.size for item in self.job.inputs_of(self.phase))
+        readers = sum(other.pieces for other in phases if self.phase in other.needs)
+        siblings = self.work.pieces > 1 and self.phase in self.job.zones
+        return inputs + (self.result_bytes * max(1, readers) if siblings else 0)
+
+    def slack_s(self, now: float) -> float:
+        """Return how long the piece may still wait for its job to meet the objective."""
+        return self.job.objective_at - now - self.job.tail_s.get(self.phase, 0.0)
+
     @property
     def inputs_gone(self) -> bool:
         """Tell whether a result that the piece reads is missing or was given up."""
@@ -75,6 +102,8 @@
         self.ended = False
         self.expected_s = 0.0
         self.tries = 0
+        self.tail_s: dict[int, float] = {}
+        self.zones: dict[int, str] = {}
 
     @property
     def resumed(self) -> bool:
@@ -126,6 +155,10 @@
             if result is not None
         ]
 
+    def crossing_bytes(self, results: list[Result], zone: str) -> int:
+        """Return how many bytes of results lie in other zones."""
+        return sum(item.size for item in results if item.zone != zone)
+
     def all_results(self) -> list[Result]:
         """Return every result made so far."""
         return [result for made in self.results.values() for result in made if result is not None]
@@ -155,6 +188,7 @@
         """Forget a phase's results, and those that making them again needs and that are gone."""
         self.started.discard(phase)
         self.pieces.pop(phase, None)
+        self.zones.pop(phase, None)
         self.results[phase] = [None] * len(self.results[phase])
         for need in self.place.phases[phase].needs:
             if any(result is None or result.freed for result in self.results[need]):
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -38,6 +38,9 @@
 JOB_MEMORY_S = 30.0
 """How long a job may stay without its box telling its end; longer than the users' deadlines."""
 
+USUAL_ENGINE_S = 0.4
+"""What an engine usually takes to a first event, its queue included; measured on the bench."""
+
 RETRY_AFTER_S = 0.5
 """When a rejected job may come back, if nothing better is known."""
 
@@ -83,12 +86,12 @@
 
     @abstractmethod
     def on_stage_call(
-        self, service: str, replica: str, pieces: int, took_s: float, outcome: str
+        self, service: str, replica: str, pieces: list[Piece], took_s: float, outcome: str
     ) -> None:
         """Note one call to a stage's replica."""
 
     @abstractmethod
-    def on_placed(self, job: Job, replica: str, cost_s: float, waited_s: float) -> None:
+    def on_placed(self, job: Job, replica: Replica, cost_s: float, waited_s: float) -> None:
         """Note the engine chosen for a job."""
 
     @abstractmethod
@@ -185,13 +188,29 @@
         if board is None:
             self.reject(job, 'unknown-service')
             return
-        engine_s = board.least_cost_s(job, now)
+        engine_s = board.least_time_s(job, now)
         verdict = self.admission.judge(job, self.jobs.values(), self.queues, engine_s, now)
         if not verdict.admitted:
             self.reject(job, 'overloaded', verdict.retry_after_s)
             return
+        job.tail_s = self.tails(job)
         self.advance(job)
 
+    def tails(self, job: Job) -> dict[int, float]:
+        """Return for each phase what is expected from its call to the engine's first event."""
+        found: dict[int, float] = {}
+        for number in reversed(range(len(job.place.phases))):
+            phase = job.place.phases[number]
+            queue = self.queues.get(phase.service)
+            own_s = queue.usual_s() if queue is not None and phase.pieces else 0.0
+            readers = [
+                found.get(reader, 0.0)
+                for reader, other in enumerate(job.place.phases)
+                if number in other.needs
+            ]
+            found[number] = own_s + max(readers, default=USUAL_ENGINE_S)
+        return found
+
     def advance(self, job: Job) -> None:
         """Begin the phases that can be begun; place the job when its stages are done."""
         if job.ended or job.placed_on is not None:
@@ -233,7 +252,7 @@
         job.placed_on = replica
         self.admission.learn(job, now - job.arrived_at)
         inputs = tuple(result.handle for result in job.final_results())
-        self.observer.on_placed(job, replica, choice.cost_s, now - job.arrived_at)
+        self.observer.on_placed(job, choice.engine.replica, choice.cost_s, now - job.arrived_at)
         placed = Placed(job=job.id, replica=replica, inputs=inputs, cost_s=choice.cost_s)
         self.send(job.place.reply_to, placed)
 
@@ -335,7 +354,7 @@
         queue.finished(batch, made, now)
         batch.target.on_time(now - begun, queue.expected_s(len(calls)), now)
         self.observer.on_stage_call(
-            queue.service, replica.id, len(calls), now - begun, outcome_of(results)
+            queue.service, replica.id, batch.pieces, now - begun, outcome_of(results)
         )
         for piece, result in zip(batch.pieces, results, strict=True):
             self.take_result(queue, batch, piece, result)
@@ -378,7 +397,7 @@
         full = isinstance(error, NotStarted)
         queue.failed(batch, now, full=full)
         self.observer.on_stage_call(
-            queue.service, batch.target.replica.id, len(batch.pieces), now - begun, repr(error)
+            queue.service, batch.target.replica.id, batch.pieces, now - begun, repr(error)
         )
         for piece in batch.pieces:
             self.try_again(queue, piece, full=full)
--- a/packages/core/calicopath_core/scheduling/stages.py
+++ b/packages/core/calicopath_core/scheduling/stages.py
@@ -24,6 +24,21 @@
 FULL_S = 0.05
 """How long a replica that declined a call as full is left alone."""
 
+SHORT_SLACK_S = 0.8
+"""A piece that can wait no longer than this goes to any zone: two calls, the one at work in its own
+zone and one that goes before."""
+
+WORTH_WAITING_BYTES = 150_000
+"""A piece that moves less than this is made in any zone. Every piece of a phase fetches all results
+of the phase before, so a phase of ten pieces in another zone moves its inputs ten times."""
+
+BUSY_SHARE = 0.5
+"""With more pieces waiting than this part of a call for each replica, no zone is waited for: what
+one zone can't take then makes others late."""
+
+LARGE_BYTES = 200_000
+"""A result of this size is worth keeping beside the others of its request."""
+
 NO_ROOM_S = 0.25
 """How long a replica that had no room for a result is believed to have none: about as long as a
 call, after which the stage that follows frees some."""
@@ -37,6 +52,9 @@
 """A replica whose calls take this many times what is stated is only used when the others can't
 keep up: waiting for another one's call to end and using that is as quick at twice the time."""
 
+OVERDUE_FACTOR = 1.3
+"""A call that takes this many times what is stated is not waited for any longer."""
+
 SLOW_MEMORY_S = 3.0
 """How long a replica is thought slow without being tried."""
 
@@ -60,6 +78,7 @@
         self.failures = 0
         self.idle_until = 0.0
         self.no_room_until = 0.0
+        self.due_at = 0.0
         self.slowness = 1.0
         self.measured_at = 0.0
 
@@ -68,6 +87,10 @@
         self.slowness += SLOWNESS_SMOOTHING * (took_s / expected_s - self.slowness)
         self.measured_at = now
 
+    def is_overdue(self, now: float) -> bool:
+        """Tell whether a call takes longer than it should: the replica may be slow or gone."""
+        return self.calls > 0 and now > self.due_at
+
     def is_slow(self, now: float) -> bool:
         """Tell whether calls take much longer here; after a while that is tried again."""
         return self.slowness > SLOW_FACTOR and now - self.measured_at < SLOW_MEMORY_S
@@ -155,48 +178,63 @@
         if not free:
             return None
         self.waiting.sort(key=lambda piece: order(piece, now))
-        if len(self.waiting) < self.spec.batch and self.wait_s(len(free)) > self.waited_s(now):
-            return None
-        for target in self.by_zone(free, self.waiting[0]):
-            pieces = self.fitting(target, now)
+        homes = self.homes(now) if self.is_calm() else set()
+        for target in free:
+            near = [piece for piece in self.waiting if may_go(piece, target, homes, now)]
+            if not near:
+                continue
+            if len(near) < self.spec.batch and self.wait_s(len(free)) > self.waited_s(near, now):
+                continue
+            pieces = self.fitting(near, target, now)
             if pieces:
-                return self.take(target, pieces)
+                return self.take(target, pieces, now)
         return None
 
-    def by_zone(self, free: list[StageReplica], first: Piece) -> list[StageReplica]:
-        """Return the free replicas with those first that lie where the first piece's inputs do."""
-        zones = [item.zone for item in first.job.inputs_of(first.phase)]
-        home = max(set(zones), key=zones.count) if zones else first.job.place.zone
-        return sorted(free, key=lambda item: item.replica.zone != home)
+    def is_calm(self) -> bool:
+        """Tell whether few enough pieces wait for zones to matter."""
+        return len(self.waiting) <= BUSY_SHARE * self.spec.batch * len(self.replicas)
+
+    def homes(self, now: float) -> set[str]:
+        """Return the zones in which a replica is worth waiting for."""
+        return {
+            item.replica.zone
+            for item in self.replicas.values()
+            if item.idle_until <= now
+            and not item.is_slow(now)
+            and not item.is_overdue(now)
+            and item.room_left(self.spec, now) > 0
+        }
 
-    def waited_s(self, now: float) -> float:
+    def waited_s(self, pieces: list[Piece], now: float) -> float:
         """Return how long the piece that waits longest has waited."""
-        return now - min(self.since[id(piece)] for piece in self.waiting)
+        return now - min(self.since[id(piece)] for piece in pieces)
 
     def wait_s(self, free: int) -> float:
         """Return how long a call that is not full may wait: longer, the fewer replicas are free."""
         usable = max(1, len(self.replicas))
         return GATHER_S * (1 - (free - 1) / usable)
 
-    def due_in_s(self, now: float) -> float | None:
-        """Return in how many seconds a waiting call should be looked at again."""
-        if not self.waiting:
-            return None
-        return max(0.005, GATHER_S - self.waited_s(now)) if self.waited_s(now) < GATHER_S else 0.02
+    def fitting(self, near: list[Piece], target: StageReplica, now: float) -> list[Piece]:
+        """Return the pieces, in order, that one call to a replica can take.
 
-    def fitting(self, target: StageReplica, now: float) -> list[Piece]:
-        """Return the pieces, in order, that one call to a replica can take."""
+        Large results of one job are kept together, so that its engine can be near all of them.
+        """
         room = target.room_left(self.spec, now)
         found: list[Piece] = []
-        for piece in self.waiting:
+        for group in groups(near):
+            size = group[0].result_bytes
+            free = min(self.spec.batch - len(found), int(room // size) if size else len(group))
+            whole = len(group) <= free
+            if not whole and found and size >= LARGE_BYTES and len(group) <= self.spec.batch:
+                continue
+            taken = group[: max(0, free)]
+            found.extend(taken)
+            room -= size * len(taken)
             if len(found) == self.spec.batch:
                 break
-            if piece.result_bytes <= room:
-                found.append(piece)
-                room -= piece.result_bytes
         return found
 
-    def take(self, target: StageReplica, pieces: list[Piece]) -> StageBatch:
+    def take(self, target: StageReplica, pieces: list[Piece], now: float) -> StageBatch:
         """Take pieces out of the queue and book their room."""
         taken = {id(piece) for piece in pieces}
         self.waiting = [piece for piece in self.waiting if id(piece) not in taken]
@@ -204,7 +242,9 @@
             self.since.pop(id(piece), None)
             piece.tries += 1
             piece.called = True
+            piece.job.zones.setdefault(piece.phase, target.replica.zone)
         target.calls += 1
+        target.due_at = now + OVERDUE_FACTOR * self.expected_s(len(pieces))
         target.reserved_bytes += sum(piece.result_bytes for piece in pieces)
         return StageBatch(target, pieces)
 
@@ -238,11 +278,33 @@
         pieces = max(1, round(self.spec.batch * USUAL_FILL))
         return len(self.replicas) * pieces / self.expected_s(pieces)
 
+    def usual_s(self) -> float:
+        """Return what a call usually takes."""
+        return self.expected_s(max(1, round(self.spec.batch * USUAL_FILL)))
+
     def expected_s(self, pieces: int) -> float:
         """Return what a call with so many pieces takes, in seconds."""
         return self.spec.call_s + self.spec.piece_s * pieces
 
 
+def groups(pieces: list[Piece]) -> list[list[Piece]]:
+    """Return pieces by job and phase, in order."""
+    found: dict[tuple[str, int], list[Piece]] = {}
+    for piece in pieces:
+        found.setdefault((piece.job.id, piece.phase), []).append(piece)
+    return list(found.values())
+
+
+def may_go(piece: Piece, target: StageReplica, homes: set[str], now: float) -> bool:
+    """Tell whether a piece may be made at a replica: at home, or anywhere if that can't wait."""
+    home = piece.home
+    if home is None or home == target.replica.zone or home not in homes:
+        return True
+    if piece.job.resumed or piece.moved_bytes() < WORTH_WAITING_BYTES:
+        return True
+    return 0 < piece.slack_s(now) < SHORT_SLACK_S
+
+
 RESUMED_PRIORITY = -1
 """Goes before every priority that a route may state."""
 
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -15,8 +15,9 @@
     from calicopath_core.backends.base import BackendError
     from calicopath_core.exchanges.context import RefusedExchange, Ticket
     from calicopath_core.exchanges.messages import Exchange
+    from calicopath_core.fleet.replicas import Replica
     from calicopath_core.fleet.store import RecordKind
-    from calicopath_core.scheduling.jobs import Job
+    from calicopath_core.scheduling.jobs import Job, Piece
     from calicopathd.gateway.metrics import GatewayMetrics
 
 log = structlog.get_logger(__name__)
@@ -75,22 +76,23 @@
         )
 
     def on_stage_call(
-        self, service: str, replica: str, pieces: int, took_s: float, outcome: str
+        self, service: str, replica: str, pieces: list[Piece], took_s: float, outcome: str
     ) -> None:
         """Note one call to a stage's replica."""
-        self.metrics.on_stage_call(service, pieces, took_s, outcome == 'ok')
+        self.metrics.on_stage_call(service, len(pieces), took_s, outcome == 'ok')
         event = events.STAGE_CALLED if outcome == 'ok' else events.STAGE_FAILED
         events.emit(
             log,
             event,
             service=service,
             replica=replica,
-            pieces=pieces,
+            pieces=len(pieces),
+            jobs=len({piece.job.id for piece in pieces}),
             took_ms=round(took_s * 1000),
             outcome=outcome,
         )
 
-    def on_placed(self, job: Job, replica: str, cost_s: float, waited_s: float) -> None:
+    def on_placed(self, job: Job, replica: Replica, cost_s: float, waited_s: float) -> None:
         """Note the engine chosen for a job."""
         self.metrics.placed.inc({})
         events.emit(
@@ -98,7 +100,10 @@
             events.JOB_PLACED,
             request=job.place.call_id,
             job=job.id,
-            replica=replica,
+            replica=replica.id,
+            zone=replica.zone,
+            result_zones=[item.zone for item in job.final_results()],
+            crossing_kb=job.crossing_bytes(job.final_results(), replica.zone) // 1000,
             cost_ms=round(cost_s * 1000),
             staged_ms=round(waited_s * 1000),
             expected_ms=round(job.expected_s * 1000),
