Keep inputs while another scheduler may be at the replicas; learn room at a take-over

Change: for 1.5 s after a hand-over, and 5 s after a result we gave up was missed, inputs are kept to the end of the call; who takes over asks makers for their room, and so does one who is told 'room'.

--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -11,7 +11,7 @@
 from calicopath_core.scheduling.engines import EngineBoard
 from calicopath_core.scheduling.jobs import Job, Piece, Result
 from calicopath_core.scheduling.messages import Placed, Rejected
-from calicopath_core.scheduling.stages import StageBatch, StageQueue
+from calicopath_core.scheduling.stages import StageBatch, StageQueue, StageReplica
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -34,6 +34,16 @@
 at once as calls go to idle replicas, over links of 10 Gbit/s. Tried on the bench; giving the inputs
 up only when the call has ended left the makers without room for as long as a call takes."""
 
+OVERLAP_S = 1.5
+"""How long after a hand-over another scheduler's calls may be before ours at a replica, whose turn
+then comes later: the one that leaves finishes what it has begun."""
+
+REPORT_TIMEOUT_S = 0.3
+"""How long a replica's word on its room is waited for; the users' replicas answer in a few ms."""
+
+DOUBT_S = 5.0
+"""How long inputs are kept until the end of calls after a replica found one gone."""
+
 TICK_S = 0.05
 JOB_MEMORY_S = 30.0
 """How long a job may stay without its box telling its end; longer than the users' deadlines."""
@@ -80,6 +90,10 @@
     async def free(self, address: str, handles: list[str]) -> None:
         """Give results up; raise `BackendError`."""
 
+    @abstractmethod
+    async def free_bytes(self, replica: Replica) -> float:
+        """Return the room for results that a replica has left; raise `BackendError`."""
+
 
 class SchedulerObserver(ABC):
     """Learn of the scheduler's decisions."""
@@ -98,6 +112,10 @@
     def on_rejected(self, job: Job, reason: str, retry_after_s: float) -> None:
         """Note a job that is not placed."""
 
+    @abstractmethod
+    def on_report_failed(self, replica: Replica, error: Exception) -> None:
+        """Note a replica that did not tell its room."""
+
     @abstractmethod
     def on_free_failed(self, address: str, count: int, error: BackendError) -> None:
         """Note results that could not be given up; they run out by themselves."""
@@ -126,6 +144,7 @@
         self.boards: dict[str, EngineBoard] = {}
         self.to_free: dict[str, list[str]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
+        self.alone_from = 0.0
         replicas.listeners.append(self.on_replicas)
 
     def on_deployment(self, deployment: Deployment) -> None:
@@ -362,8 +381,32 @@
             self.after_call(job)
         self.dispatch()
 
+    def on_hand_over(self) -> None:
+        """Note that another box schedules or has scheduled beside this one until now."""
+        self.alone_from = max(self.alone_from, self.clock.monotonic() + OVERLAP_S)
+
+    def on_take_over(self) -> None:
+        """Learn what room another scheduler's results take."""
+        self.on_hand_over()
+        for queue in self.queues.values():
+            for target in queue.replicas.values():
+                self.spawn(self.learn_room(queue, target))
+
+    async def learn_room(self, queue: StageQueue, target: StageReplica) -> None:
+        """Ask a replica how much room it has; without an answer its own word is waited for."""
+        try:
+            async with asyncio.timeout(REPORT_TIMEOUT_S):
+                free_bytes = await self.caller.free_bytes(target.replica)
+        except (BackendError, TimeoutError) as error:
+            self.observer.on_report_failed(target.replica, error)
+            return
+        target.on_free_bytes(free_bytes, queue.spec, self.clock.monotonic())
+        self.dispatch()
+
     def on_fetched(self, batch: StageBatch) -> None:
         """Give the inputs up that every piece reading them has fetched."""
+        if self.clock.monotonic() < self.alone_from:
+            return
         for piece in batch.pieces:
             piece.fetched = True
         for job in {id(piece.job): piece.job for piece in batch.pieces}.values():
@@ -433,6 +476,8 @@
                 return
             job.results[piece.phase][piece.index] = made
             return
+        if result.reason == 'gone' and self.freed_early(piece):
+            self.alone_from = max(self.alone_from, self.clock.monotonic() + DOUBT_S)
         if piece.stale:
             return
         if result.reason == 'gone':
@@ -442,10 +487,19 @@
             self.reject(job, 'deadline-passed')
             return
         full = result.reason == 'room'
-        if full:
+        if full and batch.target.no_room_until <= self.clock.monotonic():
             queue.no_room(batch, self.clock.monotonic())
+            self.spawn(self.learn_room(queue, batch.target))
         self.try_again(queue, piece, full=full)
 
+    def freed_early(self, piece: Piece) -> bool:
+        """Tell whether an input was given up before the piece had it, not lost with its maker."""
+        return any(
+            item is not None and item.freed and item.maker in self.replicas.replicas
+            for need in piece.work.needs
+            for item in piece.job.results[need]
+        )
+
     def remake_inputs(self, job: Job, piece: Piece) -> None:
         """Make the inputs of a piece anew, since its replica found one gone."""
         if job.pieces.get(piece.phase) is None or piece not in job.pieces[piece.phase]:
--- a/packages/core/calicopath_core/scheduling/stages.py
+++ b/packages/core/calicopath_core/scheduling/stages.py
@@ -39,10 +39,12 @@
 LARGE_BYTES = 200_000
 """A result of this size is worth keeping beside the others of its request."""
 
-NO_ROOM_S = 0.25
-"""How long a replica that had no room for a result is believed to have none: about as long as a
-call, after which the stage that follows frees some."""
+NO_ROOM_S = 0.15
+"""How long a replica that had no room for a result is left alone, whatever it tells of its room,
+which is some 100 ms old."""
 
+FOREIGN_S = 1.5
+"""How long room that others have booked is believed to be taken: a stage and the one after it."""
 
 USUAL_FILL = 0.75
 """The part of a call that is filled under load; measured on the bench: 0.6 to 0.9."""
@@ -78,6 +80,8 @@
         self.failures = 0
         self.idle_until = 0.0
         self.no_room_until = 0.0
+        self.foreign_bytes = 0.0
+        self.foreign_until = 0.0
         self.due_at = 0.0
         self.slowness = 1.0
         self.measured_at = 0.0
@@ -99,7 +103,14 @@
         """Return the bytes free for results, as far as known; none after it said so itself."""
         if now < self.no_room_until:
             return 0.0
-        return spec.room_bytes * ROOM_SHARE - self.booked_bytes - self.reserved_bytes
+        foreign = self.foreign_bytes if now < self.foreign_until else 0.0
+        return spec.room_bytes * ROOM_SHARE - self.booked_bytes - self.reserved_bytes - foreign
+
+    def on_free_bytes(self, free_bytes: float, spec: StageSpec, now: float) -> None:
+        """Note the room that the replica tells of: what is missing, others have booked."""
+        own = self.booked_bytes + self.reserved_bytes
+        self.foreign_bytes = max(0.0, spec.room_bytes - free_bytes - own)
+        self.foreign_until = now + FOREIGN_S
 
     def free(self, handle: str) -> None:
         """Give the room of a result back."""
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -59,6 +59,7 @@
 STAGE_FAILED = Event(704, 'warning', 'stage failed', 'A call to a stage brought not every result.')
 FREE_FAILED = Event(705, 'warning', 'free failed', 'Results were not given up; they run out.')
 SCHEDULER_CHANGED = Event(706, 'warning', 'scheduler changed', 'Another box schedules now.')
+REPORT_FAILED = Event(708, 'warning', 'report failed', 'A replica did not tell its room.')
 PEER_MESSAGE_BAD = Event(707, 'warning', 'peer message bad', 'A message could not be decoded.')
 
 DEPLOYMENT_APPLIED = Event(801, 'info', 'deployment applied', 'A newer version is in force.')
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -85,7 +85,7 @@
             clock=self.clock,
             election=self.election,
             send=self.link.send,
-            on_scheduler=observer.on_scheduler,
+            on_scheduler=self.on_scheduler,
             contact_age_s=self.contact_age_s,
         )
         self.link.scheduler, self.link.client = self.scheduler, self.client
@@ -202,6 +202,14 @@
             ranks={item.name: item.priority for item in deployment.tenants_by_key.values()},
         )
 
+    def on_scheduler(self, address: str, asked_again: int) -> None:
+        """Note that another box schedules now."""
+        if address == self.own.address:
+            self.scheduler.on_take_over()
+        else:
+            self.scheduler.on_hand_over()
+        self.observer.on_scheduler(address, asked_again)
+
     def tick(self) -> None:
         """Do what is due by time."""
         now = self.clock.monotonic()
@@ -212,6 +220,7 @@
         """Ask for no more callers and hand scheduling over."""
         self.leaving = True
         self.election.leaving = True
+        self.scheduler.on_hand_over()
         self.link.ping_all()
         for candidate in self.election.candidates.values():
             if candidate.heard_at is not None:
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -126,6 +126,10 @@
             retry_after_ms=round(retry_after_s * 1000),
         )
 
+    def on_report_failed(self, replica: Replica, error: Exception) -> None:
+        """Note a replica that did not tell its room."""
+        events.emit(log, events.REPORT_FAILED, replica=replica.id, error=repr(error))
+
     def on_free_failed(self, address: str, count: int, error: BackendError) -> None:
         """Note results that could not be given up."""
         events.emit(log, events.FREE_FAILED, maker=address, results=count, error=str(error))
--- a/testkit/gateway.py
+++ b/testkit/gateway.py
@@ -267,6 +267,11 @@
         """Lose every result of a replica that died."""
         self.live = {handle: maker for handle, maker in self.live.items() if maker != replica}
 
+    async def free_bytes(self, replica: Replica) -> float:
+        """Return the room that is left."""
+        held = sum(maker == replica.id for maker in self.live.values())
+        return max(0.0, STAGE.room_bytes - held * RESULT_BYTES)
+
     async def free(self, address: str, handles: list[str]) -> None:
         """Give results up."""
         for handle in handles:
