Hand jobs over with what is made of them; finish what is begun, hold back what would wait later

Change: a leaving scheduler hands its jobs over with their results; boxes keep what is made of their jobs, and ask the next scheduler with it; jobs whose results grow old go first; a job is not begun while later stages have 0.8 s of begun work before it; what can't be made any more is told so at once.

--- a/packages/core/calicopath_core/scheduling/client.py
+++ b/packages/core/calicopath_core/scheduling/client.py
@@ -8,7 +8,16 @@
 import msgspec
 
 from calicopath_core.exceptions import CalicopathError
-from calicopath_core.scheduling.messages import Place, Placed, Rejected, RunEnded, RunStarted
+from calicopath_core.scheduling.messages import (
+    Adopt,
+    MadeResult,
+    Place,
+    Placed,
+    Progress,
+    Rejected,
+    RunEnded,
+    RunStarted,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -36,8 +45,25 @@
         self.place = place
         self.asked_at = now
         self.targets: list[str] = []
+        self.results: dict[tuple[int, int], MadeResult] = {}
         self.answer: asyncio.Future[Placed] = asyncio.get_running_loop().create_future()
 
+    def on_progress(self, message: Progress) -> None:
+        """Keep what was made, for another scheduler."""
+        for item in message.results:
+            self.results[item.phase, item.index] = item
+        for key, item in self.results.items():
+            if item.phase in message.freed:
+                self.results[key] = msgspec.structs.replace(item, freed=True)
+
+    def question(self, now: float) -> Place | Adopt:
+        """Return what the next scheduler is asked: with what is made already, if anything is."""
+        place = self.aged(now)
+        if not self.results:
+            return place
+        waited_s = now - self.asked_at
+        return Adopt(place=place, results=tuple(self.results.values()), waited_s=waited_s)
+
     def aged(self, now: float) -> Place:
         """Return the question with the time that is left now."""
         spent_s = now - self.asked_at
@@ -83,7 +109,7 @@
         if asked.targets:
             gone = RunEnded(job=asked.place.job, sender=self.election.own.name, failed=False)
             self.send(asked.targets[-1], gone)
-        self.send(self.target, asked.aged(now))
+        self.send(self.target, asked.question(now))
         asked.targets.append(self.target)
 
     def check(self) -> None:
@@ -121,10 +147,20 @@
             self.check()
             self.ask_again()
 
+    def on_progress(self, message: Progress) -> None:
+        """Take in what a scheduler has made of a job."""
+        asked = self.asked.get(message.job)
+        if asked is not None:
+            asked.on_progress(message)
+
     def on_placed(self, message: Placed) -> None:
         """Take a scheduler's answer in; the first one counts."""
         asked = self.asked.get(message.job)
-        if asked is not None and not asked.answer.done():
+        if asked is None:
+            return
+        if message.scheduler not in asked.targets:
+            asked.targets.append(message.scheduler)
+        if not asked.answer.done():
             asked.answer.set_result(message)
 
     def on_rejected(self, message: Rejected) -> None:
--- a/packages/core/calicopath_core/scheduling/engines.py
+++ b/packages/core/calicopath_core/scheduling/engines.py
@@ -43,12 +43,20 @@
 """A run not heard of for this long is forgotten; longer than any deadline of the users."""
 
 
+FOREIGN_S = 1.0
+"""How long the work that a leaving scheduler has placed is counted at least: prompts are read by
+then, or told of no more."""
+
+
 class Run(NamedTuple):
-    """Hold what a run weighs on its engine; `prefill_s` counts until the first event."""
+    """Hold what a run weighs on its engine; `prefill_s` counts until the first event.
+
+    It is forgotten at `until`, in monotonic seconds, if its end is never told.
+    """
 
     prefill_s: float
     decode_s: float
-    begun_at: float
+    until: float
 
 
 class Kept(NamedTuple):
@@ -179,7 +187,7 @@
         """Count a run on its engine."""
         engine, prompt = choice.engine, job.place.prompt
         prefill_s = engine.uncached(prompt) * PREFILL_S_A_TOKEN
-        engine.runs[job.id] = Run(prefill_s, prompt.tokens_out * DECODE_S_A_TOKEN, now)
+        engine.runs[job.id] = Run(prefill_s, prompt.tokens_out * DECODE_S_A_TOKEN, now + LOST_RUN_S)
         engine.remember(prompt, self.kv_tokens, now)
 
     def started(self, replica_id: str, job_id: str) -> None:
@@ -204,9 +212,19 @@
             engine.cached.clear()
             engine.cached_tokens = 0
 
+    def loads(self) -> dict[str, float]:
+        """Return the work that waits at each engine, in seconds."""
+        return {name: engine.load_s() for name, engine in self.engines.items() if engine.runs}
+
+    def on_foreign_load(self, sender: str, replica_id: str, load_s: float, now: float) -> None:
+        """Count work that another scheduler has placed, for about as long as it takes."""
+        engine = self.engines.get(replica_id)
+        if engine is not None:
+            engine.runs[f'of {sender}'] = Run(load_s, 0.0, now + max(FOREIGN_S, load_s))
+
     def forget_lost(self, now: float) -> None:
         """Drop runs whose end was never told."""
         for engine in self.engines.values():
             for job_id, run in list(engine.runs.items()):
-                if now - run.begun_at > LOST_RUN_S:
+                if run.until <= now:
                     del engine.runs[job_id]
--- a/packages/core/calicopath_core/scheduling/jobs.py
+++ b/packages/core/calicopath_core/scheduling/jobs.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from calicopath_core.scheduling.messages import MadeResult
+
 if TYPE_CHECKING:
     from collections.abc import Container
 
@@ -75,10 +77,11 @@
 
 
 class Result:
-    """Hold where a piece's result lies; `zone` is its maker's."""
+    """Hold where a piece's result lies; `zone` is its maker's, `made_at` in monotonic seconds."""
 
-    def __init__(self, *, handle: str, maker: str, zone: str, size: int) -> None:
+    def __init__(self, *, handle: str, maker: str, zone: str, size: int, made_at: float) -> None:
         self.handle = handle
+        self.made_at = made_at
         self.maker = maker
         self.zone = zone
         self.size = size
@@ -101,6 +104,7 @@
         self.placed_on: str | None = None
         self.ended = False
         self.expected_s = 0.0
+        self.open_calls = 0
         self.tries = 0
         self.tail_s: dict[int, float] = {}
         self.zones: dict[int, str] = {}
@@ -110,6 +114,23 @@
         """Tell whether an engine already failed this request: its caller is waiting midway."""
         return self.place.resumed
 
+    @property
+    def begun(self) -> bool:
+        """Tell whether work was spent on the job that would be lost with it."""
+        return self.open_calls > 0 or any(
+            item is not None for made in self.results.values() for item in made
+        )
+
+    def oldest_result_s(self, now: float) -> float:
+        """Return the age of the oldest result that is still needed."""
+        ages = [
+            now - item.made_at
+            for made in self.results.values()
+            for item in made
+            if item is not None and not item.freed
+        ]
+        return max(ages, default=0.0)
+
     @property
     def id(self) -> str:
         """Return the job's identifier."""
@@ -155,6 +176,22 @@
             if result is not None
         ]
 
+    def made(self, phase: int, index: int) -> MadeResult | None:
+        """Describe a result for another scheduler, if it is there."""
+        item = self.results[phase][index]
+        if item is None:
+            return None
+        return MadeResult(phase, index, item.handle, item.maker, item.zone, item.size, item.freed)
+
+    def all_made(self) -> tuple[MadeResult, ...]:
+        """Describe every result for another scheduler."""
+        found = [
+            self.made(phase, index)
+            for phase, results in self.results.items()
+            for index in range(len(results))
+        ]
+        return tuple(item for item in found if item is not None)
+
     def crossing_bytes(self, results: list[Result], zone: str) -> int:
         """Return how many bytes of results lie in other zones."""
         return sum(item.size for item in results if item.zone != zone)
--- a/packages/core/calicopath_core/scheduling/messages.py
+++ b/packages/core/calicopath_core/scheduling/messages.py
@@ -60,12 +60,54 @@
 
 
 class Placed(msgspec.Struct, frozen=True, tag='ok'):
-    """Answer with the engine chosen and the handles that it must fetch."""
+    """Answer with the engine chosen and the handles that it must fetch.
+
+    `scheduler` is the address of the box that chose, which may have taken the job over.
+    """
 
     job: str
     replica: str
     inputs: tuple[str, ...]
     cost_s: float
+    scheduler: str
+
+
+class MadeResult(msgspec.Struct, frozen=True, array_like=True):
+    """Describe a result that was made already; `freed` says that all its readers have it."""
+
+    phase: int
+    index: int
+    handle: str
+    maker: str
+    zone: str
+    size: int
+    freed: bool
+
+
+class Adopt(msgspec.Struct, frozen=True, tag='ad'):
+    """Hand a job to the next scheduler with what is made of it; it has waited for `waited_s`."""
+
+    place: Place
+    results: tuple[MadeResult, ...]
+    waited_s: float
+
+
+class Progress(msgspec.Struct, frozen=True, tag='pr'):
+    """Tell a job's box what was made of it, and the phases whose results were given up.
+
+    The box hands that to another scheduler if this one falls silent.
+    """
+
+    job: str
+    results: tuple[MadeResult, ...]
+    freed: tuple[int, ...]
+
+
+class EngineLoads(msgspec.Struct, frozen=True, tag='el'):
+    """Tell the next scheduler the seconds of work that wait at engines, by replica."""
+
+    sender: str
+    loads: dict[str, float]
 
 
 class Rejected(msgspec.Struct, frozen=True, tag='no'):
@@ -113,4 +155,4 @@
     sequence: int
 
 
-MESSAGES = (Place, Placed, Rejected, RunStarted, RunEnded, Ping, Pong)
+MESSAGES = (Place, Placed, Adopt, Progress, EngineLoads, Rejected, RunStarted, RunEnded, Ping, Pong)
--- /dev/null
+++ b/packages/core/calicopath_core/scheduling/pacing.py
@@ -0,0 +1,50 @@
+"""Hold jobs back whose later stages have enough to do: results that wait only take room."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from calicopath_core.scheduling.jobs import Job
+    from calicopath_core.scheduling.stages import StageQueue
+
+AHEAD_S = 0.8
+"""How much work of begun jobs may wait for a stage before more is sent its way: two calls, so that
+no replica falls idle while a first stage works."""
+
+
+class Pacing:
+    """Decide which jobs wait before their first stage."""
+
+    def held(self, jobs: Iterable[Job], queues: Mapping[str, StageQueue]) -> set[str]:
+        """Return the jobs not begun that would wait at a later stage behind what is begun."""
+        open_jobs = [job for job in jobs if job.placed_on is None and not job.ended]
+        fresh = [job for job in open_jobs if not job.begun and not job.resumed]
+        if not fresh:
+            return set()
+        begun = [job for job in open_jobs if job.begun]
+        waits = {rank: waits_s(begun, rank, queues) for rank in {j.place.priority for j in fresh}}
+        return {job.id for job in fresh if self.must_wait(job, waits[job.place.priority])}
+
+    def must_wait(self, job: Job, waits: Mapping[str, float]) -> bool:
+        """Tell whether a later stage of a job has enough to do."""
+        return any(
+            waits.get(phase.service, 0.0) > AHEAD_S for phase in job.place.phases if phase.needs
+        )
+
+
+def waits_s(begun: Iterable[Job], rank: int, queues: Mapping[str, StageQueue]) -> dict[str, float]:
+    """Return the seconds of work by service that go before a job of some rank."""
+    pieces: dict[str, int] = defaultdict(int)
+    for job in begun:
+        if job.place.priority <= rank:
+            for number, phase in enumerate(job.place.phases):
+                pieces[phase.service] += job.uncalled(number)
+    return {
+        service: count / max(0.1, queues[service].rate())
+        for service, count in pieces.items()
+        if service in queues
+    }
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -6,22 +6,23 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+import msgspec
+
 from calicopath_core.backends.base import BackendError, NotStarted
 from calicopath_core.scheduling.admission import Admission
 from calicopath_core.scheduling.engines import EngineBoard
 from calicopath_core.scheduling.jobs import Job, Piece, Result
-from calicopath_core.scheduling.messages import Placed, Rejected
+from calicopath_core.scheduling.messages import Adopt, EngineLoads, Placed, Progress, Rejected
+from calicopath_core.scheduling.pacing import Pacing
 from calicopath_core.scheduling.stages import StageBatch, StageQueue, StageReplica
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
-    import msgspec
-
     from calicopath_core.clock import Clock
     from calicopath_core.fleet.deployment import Deployment
     from calicopath_core.fleet.replicas import Replica, ReplicaTable
-    from calicopath_core.scheduling.messages import Place, RunEnded, RunStarted
+    from calicopath_core.scheduling.messages import MadeResult, Place, RunEnded, RunStarted
 
 MAX_PIECE_TRIES = 4
 """A piece that failed this often ends its job."""
@@ -112,6 +113,10 @@
     def on_rejected(self, job: Job, reason: str, retry_after_s: float) -> None:
         """Note a job that is not placed."""
 
+    @abstractmethod
+    def on_handed_over(self, job: Job, successor: str, results: int) -> None:
+        """Note a job that the next scheduler goes on with."""
+
     @abstractmethod
     def on_report_failed(self, replica: Replica, error: Exception) -> None:
         """Note a replica that did not tell its room."""
@@ -132,13 +137,17 @@
         caller: StageCaller,
         send: Callable[[str, msgspec.Struct], None],
         observer: SchedulerObserver,
+        own_address: str,
     ) -> None:
         self.clock = clock
         self.replicas = replicas
         self.caller = caller
         self.send = send
         self.observer = observer
+        self.own_address = own_address
+        self.successor: str | None = None
         self.admission = Admission()
+        self.pacing = Pacing()
         self.jobs: dict[str, Job] = {}
         self.queues: dict[str, StageQueue] = {}
         self.boards: dict[str, EngineBoard] = {}
@@ -190,12 +199,20 @@
         for board in self.boards.values():
             board.forget_lost(now)
         self.admission.forget(now)
+        self.reject_hopeless(now)
         for job in list(self.jobs.values()):
             if now > job.deadline_at + JOB_MEMORY_S:
                 self.end(job)
         self.dispatch()
         self.free_due()
 
+    def reject_hopeless(self, now: float) -> None:
+        """Tell callers at once whose jobs were never begun and can't be made any more."""
+        for job in list(self.jobs.values()):
+            least_s = max(job.tail_s.values(), default=0.0)
+            if job.placed_on is None and not job.begun and now + least_s > job.deadline_at:
+                self.reject(job, 'overloaded')
+
     def on_place(self, place: Place) -> None:
         """Begin a job; a repeated message begins nothing twice."""
         if place.job in self.jobs:
@@ -203,6 +220,9 @@
         now = self.clock.monotonic()
         job = Job(place=place, now=now)
         self.jobs[place.job] = job
+        if self.successor is not None:
+            self.hand_over(job)
+            return
         board = self.boards.get(place.service)
         if board is None:
             self.reject(job, 'unknown-service')
@@ -234,6 +254,9 @@
         """Begin the phases that can be begun; place the job when its stages are done."""
         if job.ended or job.placed_on is not None:
             return
+        if self.successor is not None:
+            self.hand_over(job)
+            return
         while ready := job.ready_phases():
             for number in ready:
                 self.begin_phase(job, number)
@@ -244,6 +267,66 @@
             return
         self.dispatch()
 
+    def leave(self, successor: str) -> None:
+        """Hand every job to the next scheduler as soon as no call for it is under way."""
+        self.successor = successor
+        loads: dict[str, float] = {}
+        for board in self.boards.values():
+            loads.update(board.loads())
+        self.send(successor, EngineLoads(sender=self.own_address, loads=loads))
+        for job in list(self.jobs.values()):
+            self.hand_over(job)
+
+    def hand_over(self, job: Job) -> None:
+        """Give a job with what is made of it to the next scheduler."""
+        if job.open_calls or job.placed_on is not None or self.successor is None:
+            return
+        now = self.clock.monotonic()
+        results = job.all_made()
+        place = msgspec.structs.replace(
+            job.place,
+            objective_s=job.objective_at - now,
+            deadline_s=job.deadline_at - now,
+            asked_before=True,
+        )
+        waited_s = now - job.arrived_at
+        self.send(self.successor, Adopt(place=place, results=results, waited_s=waited_s))
+        self.observer.on_handed_over(job, self.successor, len(results))
+        job.ended = True
+        del self.jobs[job.id]
+        for queue in self.queues.values():
+            queue.drop_stale()
+
+    def on_adopt(self, message: Adopt) -> None:
+        """Go on with a job that another scheduler has begun."""
+        if message.place.job in self.jobs:
+            return
+        now = self.clock.monotonic()
+        job = Job(place=message.place, now=now)
+        job.arrived_at = now - message.waited_s
+        self.jobs[job.id] = job
+        if message.place.service not in self.boards:
+            self.reject(job, 'unknown-service')
+            return
+        for item in message.results:
+            made = Result(
+                handle=item.handle, maker=item.maker, zone=item.zone, size=item.size, made_at=now
+            )
+            made.freed = item.freed
+            job.results[item.phase][item.index] = made
+            queue = self.queues.get(message.place.phases[item.phase].service)
+            if queue is not None and not item.freed:
+                queue.book(item.maker, item.handle, item.size, now)
+        job.tail_s = self.tails(job)
+        self.advance(job)
+
+    def on_engine_loads(self, message: EngineLoads) -> None:
+        """Take in what a leaving scheduler has placed."""
+        now = self.clock.monotonic()
+        for board in self.boards.values():
+            for replica_id, load_s in message.loads.items():
+                board.on_foreign_load(message.sender, replica_id, load_s, now)
+
     def begin_phase(self, job: Job, number: int) -> None:
         """Let the pieces of a phase wait for calls; one without pieces is done at once."""
         now = self.clock.monotonic()
@@ -256,7 +339,8 @@
         for index in range(phase.pieces):
             piece = Piece(job=job, phase=number, index=index, tries=job.tries)
             job.pieces.setdefault(number, []).append(piece)
-            queue.add(piece, now)
+            if job.results[number][index] is None:
+                queue.add(piece, now)
 
     def place_engine(self, job: Job) -> None:
         """Choose the engine and tell the box."""
@@ -272,7 +356,13 @@
         self.admission.learn(job, now - job.arrived_at)
         inputs = tuple(result.handle for result in job.final_results())
         self.observer.on_placed(job, choice.engine.replica, choice.cost_s, now - job.arrived_at)
-        placed = Placed(job=job.id, replica=replica, inputs=inputs, cost_s=choice.cost_s)
+        placed = Placed(
+            job=job.id,
+            replica=replica,
+            inputs=inputs,
+            cost_s=choice.cost_s,
+            scheduler=self.own_address,
+        )
         self.send(job.place.reply_to, placed)
 
     def reject(self, job: Job, reason: str, retry_after_s: float = RETRY_AFTER_S) -> None:
@@ -338,11 +428,16 @@
 
     def dispatch(self) -> None:
         """Make every call that should be made now."""
+        if self.successor is not None:
+            return
         now = self.clock.monotonic()
+        held = self.pacing.held(self.jobs.values(), self.queues)
         for queue in self.queues.values():
-            while (batch := queue.next_batch(now)) is not None:
+            while (batch := queue.next_batch(now, held)) is not None:
                 # Described now: before the task runs, a job may have to make its inputs anew.
                 calls = [self.piece_call(piece, now) for piece in batch.pieces]
+                for job in jobs_of(batch):
+                    job.open_calls += 1
                 self.spawn(self.call(queue, batch, calls))
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
@@ -365,6 +460,7 @@
             return
         finally:
             fetched.cancel()
+        self.close_call(batch)
         now = self.clock.monotonic()
         made: dict[str, int] = {}
         for piece, result in zip(batch.pieces, results, strict=True):
@@ -377,7 +473,8 @@
         )
         for piece, result in zip(batch.pieces, results, strict=True):
             self.take_result(queue, batch, piece, result)
-        for job in {id(piece.job): piece.job for piece in batch.pieces}.values():
+        self.tell_made(batch)
+        for job in jobs_of(batch):
             self.after_call(job)
         self.dispatch()
 
@@ -403,20 +500,49 @@
         target.on_free_bytes(free_bytes, queue.spec, self.clock.monotonic())
         self.dispatch()
 
+    def close_call(self, batch: StageBatch) -> None:
+        """Note that a call is over."""
+        for job in jobs_of(batch):
+            job.open_calls -= 1
+
     def on_fetched(self, batch: StageBatch) -> None:
         """Give the inputs up that every piece reading them has fetched."""
         if self.clock.monotonic() < self.alone_from:
             return
         for piece in batch.pieces:
             piece.fetched = True
-        for job in {id(piece.job): piece.job for piece in batch.pieces}.values():
+        for job in jobs_of(batch):
             self.give_up_read(job)
 
     def give_up_read(self, job: Job) -> None:
         """Give the results up that all their readers have fetched."""
-        for number in job.results:
-            if job.readers_fetched(number):
-                self.give_up([item for item in job.results[number] if item is not None])
+        freed = []
+        for number, results in job.results.items():
+            kept = [item for item in results if item is not None and not item.freed]
+            if kept and job.readers_fetched(number):
+                self.give_up(kept)
+                freed.append(number)
+        if freed:
+            self.tell_progress(job, (), tuple(freed))
+
+    def tell_made(self, batch: StageBatch) -> None:
+        """Tell the boxes of a call's jobs which results it brought."""
+        for job in jobs_of(batch):
+            made = [
+                job.made(piece.phase, piece.index)
+                for piece in batch.pieces
+                if piece.job is job and not piece.stale
+            ]
+            results = tuple(item for item in made if item is not None)
+            if results:
+                self.tell_progress(job, results, ())
+
+    def tell_progress(
+        self, job: Job, results: tuple[MadeResult, ...], freed: tuple[int, ...]
+    ) -> None:
+        """Tell a job's box what another scheduler would have to know."""
+        if not job.ended and job.place.reply_to != self.own_address:
+            self.send(job.place.reply_to, Progress(job=job.id, results=results, freed=freed))
 
     def piece_call(self, piece: Piece, now: float) -> PieceCall:
         """Describe a piece to its replica."""
@@ -436,6 +562,7 @@
         self, queue: StageQueue, batch: StageBatch, error: Exception, begun: float
     ) -> None:
         """Let the pieces of a failed call wait again."""
+        self.close_call(batch)
         now = self.clock.monotonic()
         full = isinstance(error, NotStarted)
         queue.failed(batch, now, full=full)
@@ -444,6 +571,8 @@
         )
         for piece in batch.pieces:
             self.try_again(queue, piece, full=full)
+        for job in jobs_of(batch):
+            self.advance(job)
         self.dispatch()
 
     def try_again(self, queue: StageQueue, piece: Piece, *, full: bool) -> None:
@@ -469,7 +598,11 @@
         job = piece.job
         if result.handle is not None:
             made = Result(
-                handle=result.handle, maker=target.id, zone=target.zone, size=piece.result_bytes
+                handle=result.handle,
+                maker=target.id,
+                zone=target.zone,
+                size=piece.result_bytes,
+                made_at=self.clock.monotonic(),
             )
             if piece.stale:
                 self.give_up([made])
@@ -531,6 +664,11 @@
         self.advance(job)
 
 
+def jobs_of(batch: StageBatch) -> list[Job]:
+    """Return the jobs whose pieces a call holds, each once."""
+    return list({piece.job.id: piece.job for piece in batch.pieces}.values())
+
+
 def outcome_of(results: list[PieceResult]) -> str:
     """Return the reasons of a call's pieces in one word."""
     reasons = sorted({result.reason for result in results if result.reason})
--- a/packages/core/calicopath_core/scheduling/stages.py
+++ b/packages/core/calicopath_core/scheduling/stages.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Container, Iterable
 
     from calicopath_core.fleet.deployment import StageSpec
     from calicopath_core.fleet.replicas import Replica
@@ -32,6 +32,10 @@
 """A piece that moves less than this is made in any zone. Every piece of a phase fetches all results
 of the phase before, so a phase of ten pieces in another zone moves its inputs ten times."""
 
+OLD_RESULT_S = 1.8
+"""How old a result may grow before what reads it goes first: the users' results live for 4 s, and
+the stages that follow take about half of that."""
+
 BUSY_SHARE = 0.5
 """With more pieces waiting than this part of a call for each replica, no zone is waited for: what
 one zone can't take then makes others late."""
@@ -44,7 +48,8 @@
 which is some 100 ms old."""
 
 FOREIGN_S = 1.5
-"""How long room that others have booked is believed to be taken: a stage and the one after it."""
+"""How long room that others have booked is believed to be taken: what a dead scheduler left lives
+for 4 s at most, what one that leaves has made is freed within two calls."""
 
 USUAL_FILL = 0.75
 """The part of a call that is filled under load; measured on the bench: 0.6 to 0.9."""
@@ -181,9 +186,12 @@
         quick = sum(not item.is_slow(now) for item in self.replicas.values())
         return 2 * quick * self.spec.batch
 
-    def next_batch(self, now: float) -> StageBatch | None:
-        """Return the next call to make, or nothing while it is better to wait."""
-        if not self.waiting:
+    def next_batch(self, now: float, held: Container[str] = ()) -> StageBatch | None:
+        """Return the next call to make, or nothing while it is better to wait.
+
+        Pieces of the jobs that are `held` are left waiting.
+        """
+        if all(piece.job.id in held for piece in self.waiting):
             return None
         free = self.free_replicas(now)
         if not free:
@@ -191,7 +199,11 @@
         self.waiting.sort(key=lambda piece: order(piece, now))
         homes = self.homes(now) if self.is_calm() else set()
         for target in free:
-            near = [piece for piece in self.waiting if may_go(piece, target, homes, now)]
+            near = [
+                piece
+                for piece in self.waiting
+                if piece.job.id not in held and may_go(piece, target, homes, now)
+            ]
             if not near:
                 continue
             if len(near) < self.spec.batch and self.wait_s(len(free)) > self.waited_s(near, now):
@@ -259,6 +271,15 @@
         target.reserved_bytes += sum(piece.result_bytes for piece in pieces)
         return StageBatch(target, pieces)
 
+    def book(self, maker: str, handle: str, size: int, now: float) -> None:
+        """Count the room of a result that another scheduler had made."""
+        target = self.replicas.get(maker)
+        if target is not None:
+            target.bookings[handle] = Booking(size, now + self.spec.result_ttl_s)
+            target.booked_bytes += size
+            # It was counted as somebody else's when the replica told of its room.
+            target.foreign_bytes = max(0.0, target.foreign_bytes - size)
+
     def finished(self, batch: StageBatch, made: dict[str, int], now: float) -> None:
         """Turn the room booked into that of the results made, by handle and size."""
         target = batch.target
@@ -316,16 +337,14 @@
     return 0 < piece.slack_s(now) < SHORT_SLACK_S
 
 
-RESUMED_PRIORITY = -1
-"""Goes before every priority that a route may state."""
-
-
-def order(piece: Piece, now: float) -> tuple[bool, int, float]:
-    """Return by what pieces are served: jobs in time first, then priority, then objective.
+def order(piece: Piece, now: float) -> tuple[int, int, float]:
+    """Return by what pieces are served: jobs in time first, then rank, then objective.
 
-    A job whose stream broke midway goes first: its caller sees the pause.
+    Before them go jobs whose stream broke midway, since their callers see the pause, and jobs whose
+    results would soon run out and have to be made again.
     """
     job = piece.job
-    if job.resumed:
-        return (False, RESUMED_PRIORITY, job.arrived_at)
-    return (now > job.objective_at, job.place.priority, job.objective_at)
+    if job.resumed or job.oldest_result_s(now) > OLD_RESULT_S:
+        return (0, 0, job.arrived_at)
+    late = now > job.objective_at
+    return (2 if late else 1, job.place.priority, job.objective_at)
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -61,6 +61,7 @@
 SCHEDULER_CHANGED = Event(706, 'warning', 'scheduler changed', 'Another box schedules now.')
 REPORT_FAILED = Event(708, 'warning', 'report failed', 'A replica did not tell its room.')
 PEER_MESSAGE_BAD = Event(707, 'warning', 'peer message bad', 'A message could not be decoded.')
+JOB_HANDED_OVER = Event(709, 'info', 'job handed over', 'The next scheduler goes on with a job.')
 
 DEPLOYMENT_APPLIED = Event(801, 'info', 'deployment applied', 'A newer version is in force.')
 REPLICA_DROPPED = Event(802, 'info', 'replica dropped', 'A removal that was doubted is taken in.')
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -80,6 +80,7 @@
             caller=stages,
             send=self.link.send,
             observer=observer,
+            own_address=self.own.address,
         )
         self.client = SchedulerClient(
             clock=self.clock,
@@ -220,9 +221,11 @@
         """Ask for no more callers and hand scheduling over."""
         self.leaving = True
         self.election.leaving = True
-        self.scheduler.on_hand_over()
         self.link.ping_all()
         for candidate in self.election.candidates.values():
             if candidate.heard_at is not None:
                 # Boxes that see this one as a candidate learn at once that it leaves.
                 self.link.send(candidate.box.address, self.link.pong(0))
+        successor = self.election.scheduler(self.clock.monotonic()).address
+        if successor != self.own.address:
+            self.scheduler.leave(successor)
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -126,6 +126,17 @@
             retry_after_ms=round(retry_after_s * 1000),
         )
 
+    def on_handed_over(self, job: Job, successor: str, results: int) -> None:
+        """Note a job that the next scheduler goes on with."""
+        events.emit(
+            log,
+            events.JOB_HANDED_OVER,
+            request=job.place.call_id,
+            job=job.id,
+            scheduler=successor,
+            results=results,
+        )
+
     def on_report_failed(self, replica: Replica, error: Exception) -> None:
         """Note a replica that did not tell its room."""
         events.emit(log, events.REPORT_FAILED, replica=replica.id, error=repr(error))
--- a/packages/daemon/calicopathd/gateway/peers.py
+++ b/packages/daemon/calicopathd/gateway/peers.py
@@ -9,10 +9,13 @@
 from calicopath_core.scheduling.election import PING_S
 from calicopath_core.scheduling.messages import (
     MESSAGES,
+    Adopt,
+    EngineLoads,
     Ping,
     Place,
     Placed,
     Pong,
+    Progress,
     Rejected,
     RunEnded,
     RunStarted,
@@ -84,8 +87,14 @@
                 self.election.on_pong(message, self.clock.monotonic())
             case Place():
                 self.scheduler.on_place(message)
+            case Adopt():
+                self.scheduler.on_adopt(message)
+            case EngineLoads():
+                self.scheduler.on_engine_loads(message)
             case Placed():
                 self.client.on_placed(message)
+            case Progress():
+                self.client.on_progress(message)
             case Rejected():
                 self.client.on_rejected(message)
             case RunStarted():
--- a/packages/daemon/calicopathd/gateway/tests/fleet_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/fleet_tests.py
@@ -65,7 +65,7 @@
 
         self.run_virtual(scenario())
 
-    def test_a_leaving_scheduler_finishes_what_it_was_asked(self) -> None:
+    def test_a_leaving_scheduler_hands_its_jobs_over_with_what_is_made_of_them(self) -> None:
         async def scenario() -> None:
             fleet = GatewayFleet()
             await fleet.start()
