--- a/packages/core/calicopath_core/scheduling/election.py
+++ b/packages/core/calicopath_core/scheduling/election.py
@@ -23,8 +23,9 @@
 """A candidate not heard for this long is passed over: three pings lost, and some delay. Shorter
 takes pauses for deaths, longer holds requests up behind a dead scheduler."""
 
-NEW_GRACE_S = 0.5
-"""How long a candidate never heard is waited for after it was listed."""
+NEW_GRACE_S = 1.5
+"""How long a candidate never heard is waited for after it was listed: a box that has restarted is
+reached again only when its peers have connected anew, and must not schedule beside them."""
 
 
 TRUST_S = 2.0
--- a/packages/core/calicopath_core/scheduling/jobs.py
+++ b/packages/core/calicopath_core/scheduling/jobs.py
@@ -105,6 +105,7 @@
         self.ended = False
         self.expected_s = 0.0
         self.open_calls = 0
+        self.adopted = False
         self.tries = 0
         self.tail_s: dict[int, float] = {}
         self.zones: dict[int, str] = {}
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -254,7 +254,7 @@
         """Begin the phases that can be begun; place the job when its stages are done."""
         if job.ended or job.placed_on is not None:
             return
-        if self.successor is not None:
+        if self.successor is not None and not job.adopted:
             self.hand_over(job)
             return
         while ready := job.ready_phases():
@@ -267,15 +267,25 @@
             return
         self.dispatch()
 
-    def leave(self, successor: str) -> None:
-        """Hand every job to the next scheduler as soon as no call for it is under way."""
+    def take_up(self) -> None:
+        """Schedule what comes."""
+        self.successor = None
+
+    def give_way(self, successor: str) -> None:
+        """Hand every job to another scheduler as soon as no call for it is under way.
+
+        A job that was handed to this one stays: two boxes that each take the other for the
+        scheduler would send it to and fro.
+        """
         self.successor = successor
         loads: dict[str, float] = {}
         for board in self.boards.values():
             loads.update(board.loads())
-        self.send(successor, EngineLoads(sender=self.own_address, loads=loads))
+        if loads:
+            self.send(successor, EngineLoads(sender=self.own_address, loads=loads))
         for job in list(self.jobs.values()):
-            self.hand_over(job)
+            if not job.adopted:
+                self.hand_over(job)
 
     def hand_over(self, job: Job) -> None:
         """Give a job with what is made of it to the next scheduler."""
@@ -303,6 +313,7 @@
             return
         now = self.clock.monotonic()
         job = Job(place=message.place, now=now)
+        job.adopted = True
         job.arrived_at = now - message.waited_s
         self.jobs[job.id] = job
         if message.place.service not in self.boards:
@@ -428,8 +439,6 @@
 
     def dispatch(self) -> None:
         """Make every call that should be made now."""
-        if self.successor is not None:
-            return
         now = self.clock.monotonic()
         held = self.pacing.held(self.jobs.values(), self.queues)
         for queue in self.queues.values():
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -206,9 +206,11 @@
     def on_scheduler(self, address: str, asked_again: int) -> None:
         """Note that another box schedules now."""
         if address == self.own.address:
+            self.scheduler.take_up()
             self.scheduler.on_take_over()
         else:
             self.scheduler.on_hand_over()
+            self.scheduler.give_way(address)
         self.observer.on_scheduler(address, asked_again)
 
     def tick(self) -> None:
@@ -228,4 +230,4 @@
                 self.link.send(candidate.box.address, self.link.pong(0))
         successor = self.election.scheduler(self.clock.monotonic()).address
         if successor != self.own.address:
-            self.scheduler.leave(successor)
+            self.scheduler.give_way(successor)
--- a/packages/daemon/calicopathd/peers/zmq_transport.py
+++ b/packages/daemon/calicopathd/peers/zmq_transport.py
@@ -31,7 +31,8 @@
 class ZmqTransport(PeerTransport):
     """Keep the connections used last; drop messages rather than wait."""
 
-    def __init__(self, *, address: Address) -> None:
+    def __init__(self, *, address: Address, max_reconnect_ms: int = MAX_RECONNECT_MS) -> None:
+        self.max_reconnect_ms = max_reconnect_ms
         self.context = zmq.asyncio.Context()
         self.plain = zmq.Context(self.context)
         self.pull = self.context.socket(zmq.PULL)
@@ -89,7 +90,7 @@
         found.setsockopt(zmq.SNDHWM, SEND_QUEUE)
         found.setsockopt(zmq.LINGER, NO_LINGER)
         found.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
-        found.setsockopt(zmq.RECONNECT_IVL_MAX, MAX_RECONNECT_MS)
+        found.setsockopt(zmq.RECONNECT_IVL_MAX, self.max_reconnect_ms)
         found.setsockopt(zmq.IPV6, 1)
         found.connect(f'tcp://{address}')
         return found
