--- a/packages/core/calicopath_core/scheduling/jobs.py
+++ b/packages/core/calicopath_core/scheduling/jobs.py
@@ -12,6 +12,13 @@
     from calicopath_core.scheduling.messages import PhaseWork, Place
 
 
+LARGE_BYTES = 200_000
+"""A result of this size is worth keeping beside the others of its request, and making late."""
+
+EARLY_S = 0.5
+"""How much earlier than its job's longest chain needs it a large result may be made."""
+
+
 class Piece:
     """Hold one piece of one phase of a job."""
 
@@ -57,6 +64,17 @@
         siblings = self.work.pieces > 1 and self.phase in self.job.zones
         return inputs + (self.result_bytes * max(1, readers) if siblings else 0)
 
+    def is_early(self) -> bool:
+        """Tell whether the result would only wait, and take room, until other phases are done."""
+        if self.job.resumed or self.result_bytes < LARGE_BYTES or self.work.needs:
+            return False
+        others = [
+            tail_s
+            for phase, tail_s in self.job.tail_s.items()
+            if phase != self.phase and not self.job.phase_done(phase)
+        ]
+        return max(others, default=0.0) > self.job.tail_s.get(self.phase, 0.0) + EARLY_S
+
     def slack_s(self, now: float) -> float:
         """Return how long the piece may still wait for its job to meet the objective."""
         return self.job.objective_at - now - self.job.tail_s.get(self.phase, 0.0)
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -631,7 +631,6 @@
         full = result.reason == 'room'
         if full and batch.target.no_room_until <= self.clock.monotonic():
             queue.no_room(batch, self.clock.monotonic())
-            self.spawn(self.learn_room(queue, batch.target))
         self.try_again(queue, piece, full=full)
 
     def freed_early(self, piece: Piece) -> bool:
--- a/packages/core/calicopath_core/scheduling/stages.py
+++ b/packages/core/calicopath_core/scheduling/stages.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from calicopath_core.scheduling.jobs import LARGE_BYTES
+
 if TYPE_CHECKING:
     from collections.abc import Container, Iterable
 
@@ -32,7 +34,7 @@
 """A piece that moves less than this is made in any zone. Every piece of a phase fetches all results
 of the phase before, so a phase of ten pieces in another zone moves its inputs ten times."""
 
-OLD_RESULT_S = 1.8
+OLD_RESULT_S = 1.2
 """How old a result may grow before what reads it goes first: the users' results live for 4 s, and
 the stages that follow take about half of that."""
 
@@ -40,9 +42,6 @@
 """With more pieces waiting than this part of a call for each replica, no zone is waited for: what
 one zone can't take then makes others late."""
 
-LARGE_BYTES = 200_000
-"""A result of this size is worth keeping beside the others of its request."""
-
 NO_ROOM_S = 0.15
 """How long a replica that had no room for a result is left alone, whatever it tells of its room,
 which is some 100 ms old."""
@@ -202,7 +201,9 @@
             near = [
                 piece
                 for piece in self.waiting
-                if piece.job.id not in held and may_go(piece, target, homes, now)
+                if piece.job.id not in held
+                and not piece.is_early()
+                and may_go(piece, target, homes, now)
             ]
             if not near:
                 continue
