--- /dev/null
+++ b/packages/core/calicopath_core/scheduling/baseline.py
@@ -0,0 +1,39 @@
+"""Decide as the naive baseline does: every box for itself, any engine that has a slot."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from calicopath_core.scheduling.election import Election
+from calicopath_core.scheduling.engines import EngineBoard, EngineChoice
+
+if TYPE_CHECKING:
+    import random
+
+    from calicopath_core.scheduling.election import BoxAddress, Candidate
+    from calicopath_core.scheduling.jobs import Job
+
+
+class AloneElection(Election):
+    """Take no other box for the scheduler."""
+
+    def pinged(self, now: float) -> list[Candidate]:
+        """Return nobody."""
+        return []
+
+    def scheduler(self, now: float, own_age_s: float = 0.0) -> BoxAddress:
+        """Return this box."""
+        return self.own
+
+
+class RandomEngineBoard(EngineBoard):
+    """Choose any engine that has a slot, whatever it has to do."""
+
+    def __init__(self, *, slots: int, kv_tokens: int, rng: random.Random) -> None:
+        super().__init__(slots=slots, kv_tokens=kv_tokens)
+        self.rng = rng
+
+    def choose(self, job: Job, now: float) -> EngineChoice | None:
+        """Return one by chance."""
+        usable = [item for item in self.engines.values() if len(item.runs) < self.slots]
+        return EngineChoice(self.rng.choice(usable), 0.0) if usable else None
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -20,7 +20,7 @@
     from collections.abc import Callable, Coroutine
 
     from calicopath_core.clock import Clock
-    from calicopath_core.fleet.deployment import Deployment
+    from calicopath_core.fleet.deployment import Deployment, EngineSpec
     from calicopath_core.fleet.replicas import Replica, ReplicaTable
     from calicopath_core.scheduling.messages import MadeResult, Place, RunEnded, RunStarted
 
@@ -138,6 +138,7 @@
         send: Callable[[str, msgspec.Struct], None],
         observer: SchedulerObserver,
         own_address: str,
+        new_board: Callable[[EngineSpec], EngineBoard] | None = None,
     ) -> None:
         self.clock = clock
         self.replicas = replicas
@@ -145,6 +146,7 @@
         self.send = send
         self.observer = observer
         self.own_address = own_address
+        self.new_board = new_board or board_of
         self.successor: str | None = None
         self.admission = Admission()
         self.pacing = Pacing()
@@ -163,9 +165,7 @@
                 queue = self.queues.setdefault(name, StageQueue(service=name, spec=service.stage))
                 queue.spec = service.stage
             if service.engine is not None:
-                engine = service.engine
-                board = EngineBoard(slots=engine.slots, kv_tokens=engine.kv_tokens)
-                self.boards.setdefault(name, board)
+                self.boards.setdefault(name, self.new_board(service.engine))
         self.on_replicas()
 
     def on_replicas(self) -> None:
@@ -672,6 +672,11 @@
         self.advance(job)
 
 
+def board_of(spec: EngineSpec) -> EngineBoard:
+    """Return the board of a service's engines."""
+    return EngineBoard(slots=spec.slots, kv_tokens=spec.kv_tokens)
+
+
 def jobs_of(batch: StageBatch) -> list[Job]:
     """Return the jobs whose pieces a call holds, each once."""
     return list({piece.job.id: piece.job for piece in batch.pieces}.values())
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -19,6 +19,7 @@
 from calicopath_core.fleet.feed import KindFeed
 from calicopath_core.fleet.replicas import Replica, ReplicaTable
 from calicopath_core.fleet.store import RecordKind
+from calicopath_core.scheduling.baseline import AloneElection, RandomEngineBoard
 from calicopath_core.scheduling.client import SchedulerClient
 from calicopath_core.scheduling.election import BoxAddress, Election
 from calicopath_core.scheduling.scheduler import Scheduler
@@ -27,9 +28,10 @@
 
 if TYPE_CHECKING:
     from calicopath_core.exchanges.messages import ReplicaCaller
-    from calicopath_core.fleet.deployment import ClientLimits
+    from calicopath_core.fleet.deployment import ClientLimits, EngineSpec
     from calicopath_core.fleet.store import Change, FleetStore, Listing
     from calicopath_core.membership.transport import PeerTransport
+    from calicopath_core.scheduling.engines import EngineBoard
     from calicopath_core.scheduling.scheduler import StageCaller
     from calicopathd.gateway.observer import GatewayObserver
     from calicopathd.gateway.settings import GatewaySettings
@@ -50,6 +52,7 @@
         stages: StageCaller,
         observer: GatewayObserver,
         seed: int | None = None,
+        alone: bool = False,
     ) -> None:
         self.settings = settings
         self.store = store
@@ -65,7 +68,7 @@
             settings.box, str(settings.peer_listen), settings.failure_domain, self.life
         )
         self.boxes: dict[str, BoxAddress] = {}
-        self.election = Election(own=self.own)
+        self.election = AloneElection(own=self.own) if alone else Election(own=self.own)
         self.link = PeerLink(
             transport=transport,
             election=self.election,
@@ -81,6 +84,7 @@
             send=self.link.send,
             observer=observer,
             own_address=self.own.address,
+            new_board=self.random_board if alone else None,
         )
         self.client = SchedulerClient(
             clock=self.clock,
@@ -129,6 +133,10 @@
             on_disrupted=self.on_disrupted,
         )
 
+    def random_board(self, spec: EngineSpec) -> EngineBoard:
+        """Return a board of the naive baseline."""
+        return RandomEngineBoard(slots=spec.slots, kv_tokens=spec.kv_tokens, rng=self.rng)
+
     def new_job(self) -> str:
         """Return an identifier that no other job has, of this or another life."""
         return f'{self.life}-{next(self.job_numbers)}'
--- a/packages/daemon/calicopathd/gateway/run.py
+++ b/packages/daemon/calicopathd/gateway/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import signal
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,7 @@
     from calicopathd.gateway.box import GatewayBox
     from calicopathd.gateway.metrics import GatewayMetrics
     from calicopathd.gateway.settings import GatewaySettings
+    from calicopathd.logs import BoundedWriter
     from calicopathd.peers.zmq_transport import ZmqTransport
 
 log = structlog.get_logger(__name__)
@@ -67,15 +69,18 @@
         transport: ZmqTransport,
         exchange_handler: RequestHandler,
         ready_handler: RequestHandler,
-        metrics_handler: RequestHandler,
+        metrics_handler: MetricsHandler,
         reload: Callable[[], GatewaySettings],
+        log_writer: BoundedWriter,
     ) -> None:
         self.box = box
         self.transport = transport
         self.exchanges = HttpServer(handler=exchange_handler)
         self.ready = HttpServer(handler=ready_handler)
         self.metrics = HttpServer(handler=metrics_handler)
+        self.figures = metrics_handler.metrics
         self.reload = reload
+        self.log_writer = log_writer
         self.stop = asyncio.Event()
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -131,6 +136,8 @@
         was_ready = False
         while True:
             self.box.tick()
+            self.log_writer.flush()
+            self.set_figures()
             ready = self.box.ready()
             if ready != was_ready:
                 event = events.GATEWAY_READY if ready else events.GATEWAY_NOT_READY
@@ -138,6 +145,26 @@
             was_ready = ready
             await asyncio.sleep(TICK_S)
 
+    def set_figures(self) -> None:
+        """Set the gauges."""
+        box = self.box
+        age_s = box.contact_age_s()
+        self.figures.set_state(
+            ready=float(box.ready()),
+            scheduling=float(box.client.target == box.own.address),
+            config_version=box.config_version(),
+            store_age_seconds=-1.0 if math.isinf(age_s) else age_s,
+            replicas=len(box.replicas.replicas),
+            boxes_listed=box.election.boxes_sharing(),
+            jobs=len(box.scheduler.jobs),
+            exchanges_in_progress=self.exchanges.in_progress,
+            callers_connected=len(self.exchanges.connections),
+            peer_messages_sent=box.link.sent,
+            peer_messages_dropped=self.transport.dropped,
+            store_calls=sum(feed.calls for feed in box.feeds),
+            log_lines_dropped=self.log_writer.dropped,
+        )
+
     async def register(self) -> None:
         """Write the box's own record, until that has worked."""
         while True:
