--- a/packages/core/calicopath_core/exchanges/context.py
+++ b/packages/core/calicopath_core/exchanges/context.py
@@ -5,6 +5,7 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, NamedTuple
 
+from calicopath_core.backends.base import NotStarted
 from calicopath_core.exceptions import CalicopathError
 
 if TYPE_CHECKING:
@@ -43,6 +44,10 @@
         self.retry_after_s = retry_after_s
 
 
+class Declined(NotStarted):
+    """Report that a replica answered that it did not run the request: it works, and is reached."""
+
+
 class Ticket:
     """Follow one exchange: its route and deadline, what was tried, how it ended."""
 
@@ -101,8 +106,10 @@
         """Note an exchange that was refused before it had a route."""
 
     @abstractmethod
-    def on_attempt_failed(self, ticket: Ticket, replica: str, error: Exception) -> None:
-        """Note an attempt that gave no whole answer."""
+    def on_attempt_failed(
+        self, ticket: Ticket, replica: str, error: Exception, left_s: float
+    ) -> None:
+        """Note an attempt that gave no whole answer, and the time that was left."""
 
 
 class ExchangeContext(NamedTuple):
--- a/packages/core/calicopath_core/exchanges/plain.py
+++ b/packages/core/calicopath_core/exchanges/plain.py
@@ -46,7 +46,8 @@
         try:
             answer = await attempt(context, ticket, replica)
         except BackendError as error:
-            context.observer.on_attempt_failed(ticket, replica.id, error)
+            left_s = ticket.deadline_at - context.clock.monotonic()
+            context.observer.on_attempt_failed(ticket, replica.id, error, left_s)
             check_again(context, ticket, error)
             continue
         again = answer.head.status >= STATUS_SERVER_ERROR and may_repeat(context, ticket)
@@ -88,8 +89,9 @@
     if not ticket.expired(now) and may_repeat(context, ticket):
         return
     if ticket.may_have_run:
-        status = STATUS_GATEWAY_TIMEOUT if ticket.expired(now) else STATUS_BAD_GATEWAY
-        raise RefusedExchange(status, 'endpoint-failed') from error
+        if ticket.expired(now):
+            raise RefusedExchange(STATUS_GATEWAY_TIMEOUT, 'deadline-passed') from error
+        raise RefusedExchange(STATUS_BAD_GATEWAY, 'endpoint-failed') from error
     raise RefusedExchange(
         STATUS_UNAVAILABLE, 'endpoints-declined', retry_after_s=RETRY_SOON_S
     ) from error
--- a/packages/core/calicopath_core/exchanges/streams.py
+++ b/packages/core/calicopath_core/exchanges/streams.py
@@ -11,6 +11,7 @@
     STATUS_BAD_GATEWAY,
     STATUS_GATEWAY_TIMEOUT,
     STATUS_UNAVAILABLE,
+    Declined,
     RefusedExchange,
 )
 from calicopath_core.exchanges.events import EventSplitter
@@ -72,11 +73,13 @@
                 return self.pass_over(placed)
             try:
                 return await self.run(job, placed, replica)
-            except BackendError:
-                failed = True
+            except BackendError as error:
+                failed = not isinstance(error, Declined)
                 raise
         except BackendError as error:
-            self.context.observer.on_attempt_failed(self.ticket, placed.replica, error)
+            self.context.observer.on_attempt_failed(
+                self.ticket, placed.replica, error, self.left_s()
+            )
             self.check_again(error)
             return False
         finally:
@@ -147,7 +150,7 @@
         answer = await self.send(placed, replica)
         try:
             if answer.head.declined:
-                raise NotStarted(f'{replica.id} declined with {answer.head.status}')
+                raise Declined(f'{replica.id} declined with {answer.head.status}')
             ticket.may_have_run = True
             ticket.runs += 1
             if not answer.head.success:
@@ -254,4 +257,5 @@
         budget = self.context.budgets.of(ticket.service)
         if allowed and budget.take(now, self.context.election.boxes_sharing()):
             return
-        raise self.refusal('engine-failed', None) from error
+        reason = 'deadline-passed' if ticket.expired(now) else 'engine-failed'
+        raise self.refusal(reason, None) from error
--- a/packages/core/calicopath_core/scheduling/election.py
+++ b/packages/core/calicopath_core/scheduling/election.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from calicopath_core.scheduling.messages import Ping, Pong
+    from calicopath_core.scheduling.messages import Ping, Pong, Presence
 
 CANDIDATES = 3
 """Boxes, first by rank, that every box pings: enough that one of them lives through two losses."""
@@ -67,7 +67,7 @@
             return now - self.listed_at < NEW_GRACE_S
         return now - self.heard_at < SILENT_S
 
-    def hear(self, message: Ping | Pong, now: float) -> None:
+    def hear(self, message: Presence, now: float) -> None:
         """Note a sign of life; after a silence, trust has to grow again."""
         if self.heard_at is not None and now - self.heard_at >= SILENT_S:
             self.trusted_at = now + TRUST_S
@@ -119,7 +119,7 @@
         """Note a candidate's answer."""
         self.heard(pong, now)
 
-    def heard(self, message: Ping | Pong, now: float) -> Candidate | None:
+    def heard(self, message: Presence, now: float) -> Candidate | None:
         """Note a sign of life."""
         candidate = self.candidates.get(message.box)
         if candidate is None:
--- a/packages/core/calicopath_core/scheduling/messages.py
+++ b/packages/core/calicopath_core/scheduling/messages.py
@@ -133,7 +133,7 @@
     failed: bool
 
 
-class Ping(msgspec.Struct, frozen=True, tag='hi'):
+class Presence(msgspec.Struct, frozen=True):
     """Say that a box is alive, how old its word from the store is and whether it leaves."""
 
     box: str
@@ -144,15 +144,12 @@
     sequence: int
 
 
-class Pong(msgspec.Struct, frozen=True, tag='yo'):
-    """Answer a ping with the receiver's own state."""
+class Ping(Presence, frozen=True, tag='hi'):
+    """Tell of the sender and ask the receiver to tell of itself."""
 
-    box: str
-    address: str
-    config_version: int
-    contact_age_s: float
-    leaving: bool
-    sequence: int
+
+class Pong(Presence, frozen=True, tag='yo'):
+    """Answer a ping."""
 
 
 MESSAGES = (Place, Placed, Adopt, Progress, EngineLoads, Rejected, RunStarted, RunEnded, Ping, Pong)
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -3,48 +3,25 @@
 from __future__ import annotations
 
 import asyncio
-from abc import ABC, abstractmethod
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING
 
 import msgspec
 
-from calicopath_core.backends.base import BackendError, NotStarted
 from calicopath_core.scheduling.admission import Admission
 from calicopath_core.scheduling.engines import EngineBoard
 from calicopath_core.scheduling.jobs import Job, Piece, Result
 from calicopath_core.scheduling.messages import Adopt, EngineLoads, Placed, Progress, Rejected
-from calicopath_core.scheduling.pacing import Pacing
-from calicopath_core.scheduling.stages import StageBatch, StageQueue, StageReplica
+from calicopath_core.scheduling.stage_calls import MAX_PIECE_TRIES, JobKeeper, StageCalls
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Callable
 
     from calicopath_core.clock import Clock
     from calicopath_core.fleet.deployment import Deployment, EngineSpec
-    from calicopath_core.fleet.replicas import Replica, ReplicaTable
+    from calicopath_core.fleet.replicas import ReplicaTable
+    from calicopath_core.scheduling.interfaces import SchedulerObserver, StageCaller
     from calicopath_core.scheduling.messages import MadeResult, Place, RunEnded, RunStarted
 
-MAX_PIECE_TRIES = 4
-"""A piece that failed this often ends its job."""
-
-FREE_EVERY_S = 0.04
-"""How often results that are done with are given up, many in one call."""
-
-FETCHED_S = 0.08
-"""How long after a call began its replica has fetched the inputs: it does so at its turn, which is
-at once as calls go to idle replicas, over links of 10 Gbit/s. Tried on the bench; giving the inputs
-up only when the call has ended left the makers without room for as long as a call takes."""
-
-OVERLAP_S = 1.5
-"""How long after a hand-over another scheduler's calls may be before ours at a replica, whose turn
-then comes later: the one that leaves finishes what it has begun."""
-
-REPORT_TIMEOUT_S = 0.3
-"""How long a replica's word on its room is waited for; the users' replicas answer in a few ms."""
-
-DOUBT_S = 5.0
-"""How long inputs are kept until the end of calls after a replica found one gone."""
-
 TICK_S = 0.05
 JOB_MEMORY_S = 30.0
 """How long a job may stay without its box telling its end; longer than the users' deadlines."""
@@ -55,78 +32,8 @@
 RETRY_AFTER_S = 0.5
 """When a rejected job may come back, if nothing better is known."""
 
-CALL_GRACE_S = 1.0
-"""How much longer than expected a stage's call may take before it is given up. A slow replica
-works four times as long: a call of 0.37 s then ends before 1.5 s."""
-
-SLOW_FACTOR = 5.0
-
-
-class PieceCall(NamedTuple):
-    """Describe one piece of a stage's call; `inputs` is nothing for a phase that reads none."""
-
-    call_id: str
-    phase: int
-    number: int
-    remaining_s: float
-    piece_key: str
-    inputs: tuple[str, ...] | None
-
-
-class PieceResult(NamedTuple):
-    """Hold a piece's handle, or why there is none: `late`, `gone`, `room` or `error`."""
-
-    handle: str | None
-    reason: str = ''
-
-
-class StageCaller(ABC):
-    """Call the replicas of stages."""
-
-    @abstractmethod
-    async def run(self, replica: Replica, calls: list[PieceCall]) -> list[PieceResult]:
-        """Make one call; raise `NotStarted` if it was declined, else `MayHaveRun`."""
 
-    @abstractmethod
-    async def free(self, address: str, handles: list[str]) -> None:
-        """Give results up; raise `BackendError`."""
-
-    @abstractmethod
-    async def free_bytes(self, replica: Replica) -> float:
-        """Return the room for results that a replica has left; raise `BackendError`."""
-
-
-class SchedulerObserver(ABC):
-    """Learn of the scheduler's decisions."""
-
-    @abstractmethod
-    def on_stage_call(
-        self, service: str, replica: str, pieces: list[Piece], took_s: float, outcome: str
-    ) -> None:
-        """Note one call to a stage's replica."""
-
-    @abstractmethod
-    def on_placed(self, job: Job, replica: Replica, cost_s: float, waited_s: float) -> None:
-        """Note the engine chosen for a job."""
-
-    @abstractmethod
-    def on_rejected(self, job: Job, reason: str, retry_after_s: float) -> None:
-        """Note a job that is not placed."""
-
-    @abstractmethod
-    def on_handed_over(self, job: Job, successor: str, results: int) -> None:
-        """Note a job that the next scheduler goes on with."""
-
-    @abstractmethod
-    def on_report_failed(self, replica: Replica, error: Exception) -> None:
-        """Note a replica that did not tell its room."""
-
-    @abstractmethod
-    def on_free_failed(self, address: str, count: int, error: BackendError) -> None:
-        """Note results that could not be given up; they run out by themselves."""
-
-
-class Scheduler:
+class Scheduler(JobKeeper):
     """Hold the jobs that this box schedules; `send` takes an address and a message."""
 
     def __init__(
@@ -142,36 +49,31 @@
     ) -> None:
         self.clock = clock
         self.replicas = replicas
-        self.caller = caller
         self.send = send
         self.observer = observer
         self.own_address = own_address
         self.new_board = new_board or board_of
         self.successor: str | None = None
         self.admission = Admission()
-        self.pacing = Pacing()
         self.jobs: dict[str, Job] = {}
-        self.queues: dict[str, StageQueue] = {}
         self.boards: dict[str, EngineBoard] = {}
-        self.to_free: dict[str, list[str]] = {}
-        self.tasks: set[asyncio.Task[None]] = set()
-        self.alone_from = 0.0
+        self.stages = StageCalls(
+            clock=clock, replicas=replicas, caller=caller, observer=observer, keeper=self
+        )
         replicas.listeners.append(self.on_replicas)
 
     def on_deployment(self, deployment: Deployment) -> None:
         """Take in which services are stages or engines."""
         for name, service in deployment.services.items():
             if service.stage is not None:
-                queue = self.queues.setdefault(name, StageQueue(service=name, spec=service.stage))
-                queue.spec = service.stage
+                self.stages.set_spec(name, service.stage)
             if service.engine is not None:
                 self.boards.setdefault(name, self.new_board(service.engine))
         self.on_replicas()
 
     def on_replicas(self) -> None:
         """Take in which replicas there are."""
-        for name, queue in self.queues.items():
-            queue.set_replicas(self.replicas.usable(name))
+        self.stages.on_replicas()
         for name, board in self.boards.items():
             board.set_replicas(self.replicas.usable(name))
         self.remake_lost()
@@ -193,9 +95,6 @@
     def tick(self) -> None:
         """Do what is due."""
         now = self.clock.monotonic()
-        for queue in self.queues.values():
-            for target in queue.replicas.values():
-                target.expire(now)
         for board in self.boards.values():
             board.forget_lost(now)
         self.admission.forget(now)
@@ -203,8 +102,7 @@
         for job in list(self.jobs.values()):
             if now > job.deadline_at + JOB_MEMORY_S:
                 self.end(job)
-        self.dispatch()
-        self.free_due()
+        self.stages.tick(now)
 
     def reject_hopeless(self, now: float) -> None:
         """Tell callers at once whose jobs were never begun and can't be made any more."""
@@ -228,7 +126,7 @@
             self.reject(job, 'unknown-service')
             return
         engine_s = board.least_time_s(job, now)
-        verdict = self.admission.judge(job, self.jobs.values(), self.queues, engine_s, now)
+        verdict = self.admission.judge(job, self.jobs.values(), self.stages.queues, engine_s, now)
         if not verdict.admitted:
             self.reject(job, 'overloaded', verdict.retry_after_s)
             return
@@ -240,7 +138,7 @@
         found: dict[int, float] = {}
         for number in reversed(range(len(job.place.phases))):
             phase = job.place.phases[number]
-            queue = self.queues.get(phase.service)
+            queue = self.stages.queues.get(phase.service)
             own_s = queue.usual_s() if queue is not None and phase.pieces else 0.0
             readers = [
                 found.get(reader, 0.0)
@@ -265,7 +163,7 @@
         if job.stages_done:
             self.place_engine(job)
             return
-        self.dispatch()
+        self.stages.dispatch()
 
     def take_up(self) -> None:
         """Schedule what comes."""
@@ -304,8 +202,7 @@
         self.observer.on_handed_over(job, self.successor, len(results))
         job.ended = True
         del self.jobs[job.id]
-        for queue in self.queues.values():
-            queue.drop_stale()
+        self.stages.drop_stale()
 
     def on_adopt(self, message: Adopt) -> None:
         """Go on with a job that another scheduler has begun."""
@@ -325,7 +222,7 @@
             )
             made.freed = item.freed
             job.results[item.phase][item.index] = made
-            queue = self.queues.get(message.place.phases[item.phase].service)
+            queue = self.stages.queues.get(message.place.phases[item.phase].service)
             if queue is not None and not item.freed:
                 queue.book(item.maker, item.handle, item.size, now)
         job.tail_s = self.tails(job)
@@ -343,7 +240,7 @@
         now = self.clock.monotonic()
         job.started.add(number)
         phase = job.place.phases[number]
-        queue = self.queues.get(phase.service)
+        queue = self.stages.queues.get(phase.service)
         if queue is None:
             self.reject(job, 'unknown-stage')
             return
@@ -389,7 +286,7 @@
         if job is None or job.placed_on is None:
             return
         self.boards[job.place.service].started(job.placed_on, job.id)
-        self.give_up(job.all_results())
+        self.stages.give_up(job.all_results())
 
     def on_ended(self, message: RunEnded) -> None:
         """Note that a job is over."""
@@ -406,145 +303,8 @@
         """Forget a job and give its results up."""
         job.ended = True
         self.jobs.pop(job.id, None)
-        self.give_up(job.all_results())
-        for queue in self.queues.values():
-            queue.drop_stale()
-
-    def give_up(self, results: list[Result]) -> None:
-        """Have results freed at their makers soon."""
-        for result in results:
-            if result.freed:
-                continue
-            result.freed = True
-            self.to_free.setdefault(result.maker, []).append(result.handle)
-
-    def free_due(self) -> None:
-        """Send what is to be freed, one call a maker."""
-        for maker, handles in self.to_free.items():
-            replica = self.replicas.replicas.get(maker)
-            for queue in self.queues.values():
-                if maker in queue.replicas:
-                    for handle in handles:
-                        queue.replicas[maker].free(handle)
-            if replica is not None:
-                self.spawn(self.free(replica.address, handles))
-        self.to_free = {}
-
-    async def free(self, address: str, handles: list[str]) -> None:
-        """Give results up; if that fails they run out by themselves."""
-        try:
-            await self.caller.free(address, handles)
-        except BackendError as error:
-            self.observer.on_free_failed(address, len(handles), error)
-
-    def dispatch(self) -> None:
-        """Make every call that should be made now."""
-        now = self.clock.monotonic()
-        held = self.pacing.held(self.jobs.values(), self.queues)
-        for queue in self.queues.values():
-            while (batch := queue.next_batch(now, held)) is not None:
-                # Described now: before the task runs, a job may have to make its inputs anew.
-                calls = [self.piece_call(piece, now) for piece in batch.pieces]
-                for job in jobs_of(batch):
-                    job.open_calls += 1
-                self.spawn(self.call(queue, batch, calls))
-
-    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        """Run something in the background."""
-        task = asyncio.get_running_loop().create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
-    async def call(self, queue: StageQueue, batch: StageBatch, calls: list[PieceCall]) -> None:
-        """Make one call and take its results in."""
-        begun = self.clock.monotonic()
-        replica = batch.target.replica
-        fetched = asyncio.get_running_loop().call_later(FETCHED_S, self.on_fetched, batch)
-        limit_s = queue.expected_s(len(calls)) * SLOW_FACTOR + CALL_GRACE_S
-        try:
-            async with asyncio.timeout(limit_s):
-                results = await self.caller.run(replica, calls)
-        except (BackendError, TimeoutError) as error:
-            self.on_call_failed(queue, batch, error, begun)
-            return
-        finally:
-            fetched.cancel()
-        self.close_call(batch)
-        now = self.clock.monotonic()
-        made: dict[str, int] = {}
-        for piece, result in zip(batch.pieces, results, strict=True):
-            if result.handle is not None:
-                made[result.handle] = piece.result_bytes
-        queue.finished(batch, made, now)
-        batch.target.on_time(now - begun, queue.expected_s(len(calls)), now)
-        self.observer.on_stage_call(
-            queue.service, replica.id, batch.pieces, now - begun, outcome_of(results)
-        )
-        for piece, result in zip(batch.pieces, results, strict=True):
-            self.take_result(queue, batch, piece, result)
-        self.tell_made(batch)
-        for job in jobs_of(batch):
-            self.after_call(job)
-        self.dispatch()
-
-    def on_hand_over(self) -> None:
-        """Note that another box schedules or has scheduled beside this one until now."""
-        self.alone_from = max(self.alone_from, self.clock.monotonic() + OVERLAP_S)
-
-    def on_take_over(self) -> None:
-        """Learn what room another scheduler's results take."""
-        self.on_hand_over()
-        for queue in self.queues.values():
-            for target in queue.replicas.values():
-                self.spawn(self.learn_room(queue, target))
-
-    async def learn_room(self, queue: StageQueue, target: StageReplica) -> None:
-        """Ask a replica how much room it has; without an answer its own word is waited for."""
-        try:
-            async with asyncio.timeout(REPORT_TIMEOUT_S):
-                free_bytes = await self.caller.free_bytes(target.replica)
-        except (BackendError, TimeoutError) as error:
-            self.observer.on_report_failed(target.replica, error)
-            return
-        target.on_free_bytes(free_bytes, queue.spec, self.clock.monotonic())
-        self.dispatch()
-
-    def close_call(self, batch: StageBatch) -> None:
-        """Note that a call is over."""
-        for job in jobs_of(batch):
-            job.open_calls -= 1
-
-    def on_fetched(self, batch: StageBatch) -> None:
-        """Give the inputs up that every piece reading them has fetched."""
-        if self.clock.monotonic() < self.alone_from:
-            return
-        for piece in batch.pieces:
-            piece.fetched = True
-        for job in jobs_of(batch):
-            self.give_up_read(job)
-
-    def give_up_read(self, job: Job) -> None:
-        """Give the results up that all their readers have fetched."""
-        freed = []
-        for number, results in job.results.items():
-            kept = [item for item in results if item is not None and not item.freed]
-            if kept and job.readers_fetched(number):
-                self.give_up(kept)
-                freed.append(number)
-        if freed:
-            self.tell_progress(job, (), tuple(freed))
-
-    def tell_made(self, batch: StageBatch) -> None:
-        """Tell the boxes of a call's jobs which results it brought."""
-        for job in jobs_of(batch):
-            made = [
-                job.made(piece.phase, piece.index)
-                for piece in batch.pieces
-                if piece.job is job and not piece.stale
-            ]
-            results = tuple(item for item in made if item is not None)
-            if results:
-                self.tell_progress(job, results, ())
+        self.stages.give_up(job.all_results())
+        self.stages.drop_stale()
 
     def tell_progress(
         self, job: Job, results: tuple[MadeResult, ...], freed: tuple[int, ...]
@@ -553,94 +313,6 @@
         if not job.ended and job.place.reply_to != self.own_address:
             self.send(job.place.reply_to, Progress(job=job.id, results=results, freed=freed))
 
-    def piece_call(self, piece: Piece, now: float) -> PieceCall:
-        """Describe a piece to its replica."""
-        job = piece.job
-        inputs = tuple(result.handle for result in job.inputs_of(piece.phase))
-        reads = bool(piece.work.needs)
-        return PieceCall(
-            call_id=job.place.call_id,
-            phase=piece.phase,
-            number=piece.index,
-            remaining_s=max(0.0, job.deadline_at - now),
-            piece_key=job.place.piece_key,
-            inputs=inputs if reads else None,
-        )
-
-    def on_call_failed(
-        self, queue: StageQueue, batch: StageBatch, error: Exception, begun: float
-    ) -> None:
-        """Let the pieces of a failed call wait again."""
-        self.close_call(batch)
-        now = self.clock.monotonic()
-        full = isinstance(error, NotStarted)
-        queue.failed(batch, now, full=full)
-        self.observer.on_stage_call(
-            queue.service, batch.target.replica.id, batch.pieces, now - begun, repr(error)
-        )
-        for piece in batch.pieces:
-            self.try_again(queue, piece, full=full)
-        for job in jobs_of(batch):
-            self.advance(job)
-        self.dispatch()
-
-    def try_again(self, queue: StageQueue, piece: Piece, *, full: bool) -> None:
-        """Let a piece wait again, or end its job when it failed too often or its time is over."""
-        now = self.clock.monotonic()
-        if full:
-            piece.tries -= 1
-        if piece.stale:
-            return
-        if piece.tries >= MAX_PIECE_TRIES or now >= piece.job.deadline_at:
-            self.reject(piece.job, 'stage-failed')
-            return
-        if piece.inputs_gone:
-            self.remake_inputs(piece.job, piece)
-            return
-        queue.add(piece, now)
-
-    def take_result(
-        self, queue: StageQueue, batch: StageBatch, piece: Piece, result: PieceResult
-    ) -> None:
-        """Note a piece's result, or let it wait again."""
-        target = batch.target.replica
-        job = piece.job
-        if result.handle is not None:
-            made = Result(
-                handle=result.handle,
-                maker=target.id,
-                zone=target.zone,
-                size=piece.result_bytes,
-                made_at=self.clock.monotonic(),
-            )
-            if piece.stale:
-                self.give_up([made])
-                return
-            job.results[piece.phase][piece.index] = made
-            return
-        if result.reason == 'gone' and self.freed_early(piece):
-            self.alone_from = max(self.alone_from, self.clock.monotonic() + DOUBT_S)
-        if piece.stale:
-            return
-        if result.reason == 'gone':
-            self.remake_inputs(job, piece)
-            return
-        if result.reason == 'late':
-            self.reject(job, 'deadline-passed')
-            return
-        full = result.reason == 'room'
-        if full and batch.target.no_room_until <= self.clock.monotonic():
-            queue.no_room(batch, self.clock.monotonic())
-        self.try_again(queue, piece, full=full)
-
-    def freed_early(self, piece: Piece) -> bool:
-        """Tell whether an input was given up before the piece had it, not lost with its maker."""
-        return any(
-            item is not None and item.freed and item.maker in self.replicas.replicas
-            for need in piece.work.needs
-            for item in piece.job.results[need]
-        )
-
     def remake_inputs(self, job: Job, piece: Piece) -> None:
         """Make the inputs of a piece anew, since its replica found one gone."""
         if job.pieces.get(piece.phase) is None or piece not in job.pieces[piece.phase]:
@@ -654,35 +326,16 @@
         """Forget phases' results and go on from what is left."""
         tries = max((item.tries for made in job.pieces.values() for item in made), default=0)
         for phase in phases:
-            self.give_up([item for item in job.results[phase] if item is not None])
+            self.stages.give_up([item for item in job.results[phase] if item is not None])
             job.invalidate(phase)
-        for queue in self.queues.values():
-            queue.drop_stale()
+        self.stages.drop_stale()
         if tries >= MAX_PIECE_TRIES:
             self.reject(job, 'result-gone')
             return
         job.tries = tries
         self.advance(job)
 
-    def after_call(self, job: Job) -> None:
-        """Go on with a job after a call: free what was read, begin what can be begun."""
-        if job.ended:
-            return
-        self.give_up_read(job)
-        self.advance(job)
-
 
 def board_of(spec: EngineSpec) -> EngineBoard:
     """Return the board of a service's engines."""
     return EngineBoard(slots=spec.slots, kv_tokens=spec.kv_tokens)
-
-
-def jobs_of(batch: StageBatch) -> list[Job]:
-    """Return the jobs whose pieces a call holds, each once."""
-    return list({piece.job.id: piece.job for piece in batch.pieces}.values())
-
-
-def outcome_of(results: list[PieceResult]) -> str:
-    """Return the reasons of a call's pieces in one word."""
-    reasons = sorted({result.reason for result in results if result.reason})
-    return '+'.join(reasons) or 'ok'
--- /dev/null
+++ b/packages/core/calicopath_core/scheduling/stage_calls.py
@@ -0,0 +1,364 @@
+"""Make the stage calls that the queues decide on, and take their results in."""
+
+from __future__ import annotations
+
+import asyncio
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING, Any
+
+from calicopath_core.backends.base import BackendError, NotStarted
+from calicopath_core.scheduling.interfaces import PieceCall, PieceResult
+from calicopath_core.scheduling.jobs import Job, Piece, Result
+from calicopath_core.scheduling.pacing import Pacing
+from calicopath_core.scheduling.stages import StageQueue
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from calicopath_core.clock import Clock
+    from calicopath_core.fleet.deployment import StageSpec
+    from calicopath_core.fleet.replicas import ReplicaTable
+    from calicopath_core.scheduling.interfaces import SchedulerObserver, StageCaller
+    from calicopath_core.scheduling.messages import MadeResult
+    from calicopath_core.scheduling.stages import StageBatch, StageReplica
+
+MAX_PIECE_TRIES = 4
+"""A piece that failed this often ends its job."""
+
+FETCHED_S = 0.08
+"""How long after a call began its replica has fetched the inputs: it does so at its turn, which is
+at once as calls go to idle replicas, over links of 10 Gbit/s. Tried on the bench; giving the inputs
+up only when the call has ended left the makers without room for as long as a call takes."""
+
+OVERLAP_S = 1.5
+"""How long after a hand-over another scheduler's calls may be before ours at a replica, whose turn
+then comes later: the one that leaves finishes what it has begun."""
+
+REPORT_TIMEOUT_S = 0.3
+"""How long a replica's word on its room is waited for; the users' replicas answer in a few ms."""
+
+DOUBT_S = 5.0
+"""How long inputs are kept until the end of calls after a replica found one gone."""
+
+CALL_GRACE_S = 1.0
+"""How much longer than expected a stage's call may take before it is given up. A slow replica
+works four times as long: a call of 0.37 s then ends before 1.5 s."""
+
+SLOW_FACTOR = 5.0
+
+
+class JobKeeper(ABC):
+    """Keep the jobs that calls are made for."""
+
+    jobs: dict[str, Job]
+
+    @abstractmethod
+    def advance(self, job: Job) -> None:
+        """Begin what can be begun of a job."""
+
+    @abstractmethod
+    def reject(self, job: Job, reason: str) -> None:
+        """End a job that can't be made."""
+
+    @abstractmethod
+    def remake_inputs(self, job: Job, piece: Piece) -> None:
+        """Make the inputs of a piece anew."""
+
+    @abstractmethod
+    def tell_progress(
+        self, job: Job, results: tuple[MadeResult, ...], freed: tuple[int, ...]
+    ) -> None:
+        """Tell a job's box what was made and given up."""
+
+
+class StageCalls:
+    """Hold the queues of stages, the calls under way and the results to be given up.
+
+    Until `alone_from`, in monotonic seconds, another scheduler's calls may be at the replicas too,
+    and inputs are kept until a call has ended.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        replicas: ReplicaTable,
+        caller: StageCaller,
+        observer: SchedulerObserver,
+        keeper: JobKeeper,
+    ) -> None:
+        self.clock = clock
+        self.replicas = replicas
+        self.caller = caller
+        self.observer = observer
+        self.keeper = keeper
+        self.pacing = Pacing()
+        self.queues: dict[str, StageQueue] = {}
+        self.to_free: dict[str, list[str]] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.alone_from = 0.0
+
+    def set_spec(self, service: str, spec: StageSpec) -> None:
+        """Take in what a stage's replicas can do."""
+        queue = self.queues.setdefault(service, StageQueue(service=service, spec=spec))
+        queue.spec = spec
+
+    def on_replicas(self) -> None:
+        """Take in which replicas there are."""
+        for name, queue in self.queues.items():
+            queue.set_replicas(self.replicas.usable(name))
+
+    def tick(self, now: float) -> None:
+        """Do what is due by time."""
+        for queue in self.queues.values():
+            for target in queue.replicas.values():
+                target.expire(now)
+        self.dispatch()
+        self.free_due()
+
+    def drop_stale(self) -> None:
+        """Forget the pieces that are not wanted any more."""
+        for queue in self.queues.values():
+            queue.drop_stale()
+
+    def on_hand_over(self) -> None:
+        """Note that another box schedules or has scheduled beside this one until now."""
+        self.alone_from = max(self.alone_from, self.clock.monotonic() + OVERLAP_S)
+
+    def on_take_over(self) -> None:
+        """Learn what room another scheduler's results take."""
+        self.on_hand_over()
+        for queue in self.queues.values():
+            for target in queue.replicas.values():
+                self.spawn(self.learn_room(queue, target))
+
+    async def learn_room(self, queue: StageQueue, target: StageReplica) -> None:
+        """Ask a replica how much room it has; without an answer its own word is waited for."""
+        try:
+            async with asyncio.timeout(REPORT_TIMEOUT_S):
+                free_bytes = await self.caller.free_bytes(target.replica)
+        except (BackendError, TimeoutError) as error:
+            self.observer.on_report_failed(target.replica, error)
+            return
+        target.on_free_bytes(free_bytes, queue.spec, self.clock.monotonic())
+        self.dispatch()
+
+    def dispatch(self) -> None:
+        """Make every call that should be made now."""
+        now = self.clock.monotonic()
+        held = self.pacing.held(self.keeper.jobs.values(), self.queues)
+        for queue in self.queues.values():
+            while (batch := queue.next_batch(now, held)) is not None:
+                # Described now: before the task runs, a job may have to make its inputs anew.
+                calls = [self.piece_call(piece, now) for piece in batch.pieces]
+                for job in jobs_of(batch):
+                    job.open_calls += 1
+                self.spawn(self.call(queue, batch, calls))
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run something in the background."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def call(self, queue: StageQueue, batch: StageBatch, calls: list[PieceCall]) -> None:
+        """Make one call and take its results in."""
+        begun = self.clock.monotonic()
+        replica = batch.target.replica
+        fetched = asyncio.get_running_loop().call_later(FETCHED_S, self.on_fetched, batch)
+        limit_s = queue.expected_s(len(calls)) * SLOW_FACTOR + CALL_GRACE_S
+        try:
+            async with asyncio.timeout(limit_s):
+                results = await self.caller.run(replica, calls)
+        except (BackendError, TimeoutError) as error:
+            self.on_call_failed(queue, batch, error, begun)
+            return
+        finally:
+            fetched.cancel()
+        self.close_call(batch)
+        now = self.clock.monotonic()
+        made: dict[str, int] = {}
+        for piece, result in zip(batch.pieces, results, strict=True):
+            if result.handle is not None:
+                made[result.handle] = piece.result_bytes
+        queue.finished(batch, made, now)
+        batch.target.on_time(now - begun, queue.expected_s(len(calls)), now)
+        self.observer.on_stage_call(
+            queue.service, replica.id, batch.pieces, now - begun, outcome_of(results)
+        )
+        for piece, result in zip(batch.pieces, results, strict=True):
+            self.take_result(queue, batch, piece, result)
+        self.tell_made(batch)
+        for job in jobs_of(batch):
+            self.after_call(job)
+        self.dispatch()
+
+    def piece_call(self, piece: Piece, now: float) -> PieceCall:
+        """Describe a piece to its replica."""
+        job = piece.job
+        inputs = tuple(result.handle for result in job.inputs_of(piece.phase))
+        reads = bool(piece.work.needs)
+        return PieceCall(
+            call_id=job.place.call_id,
+            phase=piece.phase,
+            number=piece.index,
+            remaining_s=max(0.0, job.deadline_at - now),
+            piece_key=job.place.piece_key,
+            inputs=inputs if reads else None,
+        )
+
+    def close_call(self, batch: StageBatch) -> None:
+        """Note that a call is over."""
+        for job in jobs_of(batch):
+            job.open_calls -= 1
+
+    def on_fetched(self, batch: StageBatch) -> None:
+        """Give the inputs up that every piece reading them has fetched."""
+        if self.clock.monotonic() < self.alone_from:
+            return
+        for piece in batch.pieces:
+            piece.fetched = True
+        for job in jobs_of(batch):
+            self.give_up_read(job)
+
+    def give_up_read(self, job: Job) -> None:
+        """Give the results up that all their readers have fetched."""
+        freed = []
+        for number, results in job.results.items():
+            kept = [item for item in results if item is not None and not item.freed]
+            if kept and job.readers_fetched(number):
+                self.give_up(kept)
+                freed.append(number)
+        if freed:
+            self.keeper.tell_progress(job, (), tuple(freed))
+
+    def tell_made(self, batch: StageBatch) -> None:
+        """Tell the boxes of a call's jobs which results it brought."""
+        for job in jobs_of(batch):
+            made = [
+                job.made(piece.phase, piece.index)
+                for piece in batch.pieces
+                if piece.job is job and not piece.stale
+            ]
+            results = tuple(item for item in made if item is not None)
+            if results:
+                self.keeper.tell_progress(job, results, ())
+
+    def on_call_failed(
+        self, queue: StageQueue, batch: StageBatch, error: Exception, begun: float
+    ) -> None:
+        """Let the pieces of a failed call wait again."""
+        self.close_call(batch)
+        now = self.clock.monotonic()
+        full = isinstance(error, NotStarted)
+        queue.failed(batch, now, full=full)
+        self.observer.on_stage_call(
+            queue.service, batch.target.replica.id, batch.pieces, now - begun, repr(error)
+        )
+        for piece in batch.pieces:
+            self.try_again(queue, piece, full=full)
+        for job in jobs_of(batch):
+            self.keeper.advance(job)
+        self.dispatch()
+
+    def try_again(self, queue: StageQueue, piece: Piece, *, full: bool) -> None:
+        """Let a piece wait again, or end its job when it failed too often or its time is over."""
+        now = self.clock.monotonic()
+        if full:
+            piece.tries -= 1
+        if piece.stale:
+            return
+        if piece.tries >= MAX_PIECE_TRIES or now >= piece.job.deadline_at:
+            self.keeper.reject(piece.job, 'stage-failed')
+            return
+        if piece.inputs_gone:
+            self.keeper.remake_inputs(piece.job, piece)
+            return
+        queue.add(piece, now)
+
+    def take_result(
+        self, queue: StageQueue, batch: StageBatch, piece: Piece, result: PieceResult
+    ) -> None:
+        """Note a piece's result, or let it wait again."""
+        target = batch.target.replica
+        job = piece.job
+        if result.handle is not None:
+            made = Result(
+                handle=result.handle,
+                maker=target.id,
+                zone=target.zone,
+                size=piece.result_bytes,
+                made_at=self.clock.monotonic(),
+            )
+            if piece.stale:
+                self.give_up([made])
+                return
+            job.results[piece.phase][piece.index] = made
+            return
+        if result.reason == 'gone' and self.freed_early(piece):
+            self.alone_from = max(self.alone_from, self.clock.monotonic() + DOUBT_S)
+        if piece.stale:
+            return
+        if result.reason == 'gone':
+            self.keeper.remake_inputs(job, piece)
+            return
+        if result.reason == 'late':
+            self.keeper.reject(job, 'deadline-passed')
+            return
+        full = result.reason == 'room'
+        if full and batch.target.no_room_until <= self.clock.monotonic():
+            queue.no_room(batch, self.clock.monotonic())
+        self.try_again(queue, piece, full=full)
+
+    def freed_early(self, piece: Piece) -> bool:
+        """Tell whether an input was given up before the piece had it, not lost with its maker."""
+        return any(
+            item is not None and item.freed and item.maker in self.replicas.replicas
+            for need in piece.work.needs
+            for item in piece.job.results[need]
+        )
+
+    def give_up(self, results: list[Result]) -> None:
+        """Have results freed at their makers soon."""
+        for result in results:
+            if result.freed:
+                continue
+            result.freed = True
+            self.to_free.setdefault(result.maker, []).append(result.handle)
+
+    def free_due(self) -> None:
+        """Send what is to be freed, one call a maker."""
+        for maker, handles in self.to_free.items():
+            replica = self.replicas.replicas.get(maker)
+            for queue in self.queues.values():
+                if maker in queue.replicas:
+                    for handle in handles:
+                        queue.replicas[maker].free(handle)
+            if replica is not None:
+                self.spawn(self.free(replica.address, handles))
+        self.to_free = {}
+
+    async def free(self, address: str, handles: list[str]) -> None:
+        """Give results up; if that fails they run out by themselves."""
+        try:
+            await self.caller.free(address, handles)
+        except BackendError as error:
+            self.observer.on_free_failed(address, len(handles), error)
+
+    def after_call(self, job: Job) -> None:
+        """Go on with a job after a call: free what was read, begin what can be begun."""
+        if job.ended:
+            return
+        self.give_up_read(job)
+        self.keeper.advance(job)
+
+
+def jobs_of(batch: StageBatch) -> list[Job]:
+    """Return the jobs whose pieces a call holds, each once."""
+    return list({piece.job.id: piece.job for piece in batch.pieces}.values())
+
+
+def outcome_of(results: list[PieceResult]) -> str:
+    """Return the reasons of a call's pieces in one word."""
+    reasons = sorted({result.reason for result in results if result.reason})
+    return '+'.join(reasons) or 'ok'
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -22,6 +22,7 @@
 from calicopath_core.scheduling.baseline import AloneElection, RandomEngineBoard
 from calicopath_core.scheduling.client import SchedulerClient
 from calicopath_core.scheduling.election import BoxAddress, Election
+from calicopath_core.scheduling.messages import Pong
 from calicopath_core.scheduling.scheduler import Scheduler
 from calicopathd import events
 from calicopathd.gateway.peers import PeerLink
@@ -32,7 +33,7 @@
     from calicopath_core.fleet.store import Change, FleetStore, Listing
     from calicopath_core.membership.transport import PeerTransport
     from calicopath_core.scheduling.engines import EngineBoard
-    from calicopath_core.scheduling.scheduler import StageCaller
+    from calicopath_core.scheduling.interfaces import StageCaller
     from calicopathd.gateway.observer import GatewayObserver
     from calicopathd.gateway.settings import GatewaySettings
 
@@ -215,9 +216,9 @@
         """Note that another box schedules now."""
         if address == self.own.address:
             self.scheduler.take_up()
-            self.scheduler.on_take_over()
+            self.scheduler.stages.on_take_over()
         else:
-            self.scheduler.on_hand_over()
+            self.scheduler.stages.on_hand_over()
             self.scheduler.give_way(address)
         self.observer.on_scheduler(address, asked_again)
 
@@ -235,7 +236,7 @@
         for candidate in self.election.candidates.values():
             if candidate.heard_at is not None:
                 # Boxes that see this one as a candidate learn at once that it leaves.
-                self.link.send(candidate.box.address, self.link.pong(0))
+                self.link.send(candidate.box.address, self.link.presence(Pong, 0))
         successor = self.election.scheduler(self.clock.monotonic()).address
         if successor != self.own.address:
             self.scheduler.give_way(successor)
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -8,7 +8,7 @@
 
 from calicopath_core.exchanges.context import ExchangeObserver
 from calicopath_core.fleet.feed import FeedObserver
-from calicopath_core.scheduling.scheduler import SchedulerObserver
+from calicopath_core.scheduling.interfaces import SchedulerObserver
 from calicopathd import events
 
 if TYPE_CHECKING:
@@ -62,7 +62,9 @@
             reason=refusal.reason,
         )
 
-    def on_attempt_failed(self, ticket: Ticket, replica: str, error: Exception) -> None:
+    def on_attempt_failed(
+        self, ticket: Ticket, replica: str, error: Exception, left_s: float
+    ) -> None:
         """Note an attempt that gave no whole answer."""
         self.metrics.attempts_failed.inc({'service': ticket.service})
         events.emit(
@@ -72,6 +74,7 @@
             replica=replica,
             may_have_run=ticket.may_have_run,
             sends=ticket.sends,
+            left_ms=round(left_s * 1000),
             error=str(error),
         )
 
--- a/packages/daemon/calicopathd/gateway/peers.py
+++ b/packages/daemon/calicopathd/gateway/peers.py
@@ -82,7 +82,7 @@
         match message:
             case Ping():
                 self.election.on_ping(message, self.clock.monotonic())
-                self.send(message.address, self.pong(message.sequence))
+                self.send(message.address, self.presence(Pong, message.sequence))
             case Pong():
                 self.election.on_pong(message, self.clock.monotonic())
             case Place():
@@ -102,10 +102,10 @@
             case RunEnded():
                 self.scheduler.on_ended(message)
 
-    def pong(self, sequence: int) -> Pong:
+    def presence(self, kind: type[Ping] | type[Pong], sequence: int) -> Ping | Pong:
         """Return what this box says of itself."""
         own = self.election.own
-        return Pong(
+        return kind(
             box=own.name,
             address=own.address,
             config_version=self.config_version(),
@@ -116,18 +116,9 @@
 
     def ping_all(self) -> None:
         """Ping every candidate."""
-        now = self.clock.monotonic()
-        own = self.election.own
         self.election.sequence += 1
-        ping = Ping(
-            box=own.name,
-            address=own.address,
-            config_version=self.config_version(),
-            contact_age_s=self.contact_age_s(),
-            leaving=self.election.leaving,
-            sequence=self.election.sequence,
-        )
-        for candidate in self.election.pinged(now):
+        ping = self.presence(Ping, self.election.sequence)
+        for candidate in self.election.pinged(self.clock.monotonic()):
             self.send(candidate.box.address, ping)
 
     async def run(self) -> None:
--- a/packages/daemon/calicopathd/gateway/tests/exchanges_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/exchanges_tests.py
@@ -166,6 +166,20 @@
 
         self.play('letter', {'engine-north': ['declined'], 'engine-south': ['none']}, check)
 
+    def test_an_engine_that_declines_is_not_taken_for_a_broken_one(self) -> None:
+        def check(fleet: GatewayFleet, sink: FakeSink) -> None:
+            board = fleet.boxes['box-0'].box.scheduler.boards['engine']
+            self.assertEqual([0.0, 0.0], [item.ejected_until for item in board.engines.values()])
+
+        self.play('draft', {ANY: ['declined']}, check)
+
+    def test_an_engine_that_breaks_is_left_alone_for_a_while(self) -> None:
+        def check(fleet: GatewayFleet, sink: FakeSink) -> None:
+            board = fleet.boxes['box-0'].box.scheduler.boards['engine']
+            self.assertGreater(max(item.ejected_until for item in board.engines.values()), now())
+
+        self.play('draft', {ANY: ['break:2']}, check)
+
     def test_a_client_that_resumes_is_answered_from_where_it_stopped(self) -> None:
         def check(fleet: GatewayFleet, sink: FakeSink) -> None:
             self.assertEqual([5, 6], sink.event_ids)
@@ -193,7 +207,7 @@
             for task in fleet.served:
                 task.cancel()
             await asyncio.sleep(0.05)
-            queues = fleet.boxes['box-0'].box.scheduler.queues
+            queues = fleet.boxes['box-0'].box.scheduler.stages.queues
             self.assertEqual(0, sum(len(queue.waiting) for queue in queues.values()))
 
         self.play_work(work)
--- a/testkit/gateway.py
+++ b/testkit/gateway.py
@@ -37,8 +37,8 @@
     Record,
     RecordKind,
 )
+from calicopath_core.scheduling.interfaces import PieceCall, PieceResult, StageCaller
 from calicopath_core.scheduling.messages import Prompt, PromptPart
-from calicopath_core.scheduling.scheduler import PieceCall, PieceResult, StageCaller
 from calicopathd.gateway.box import GatewayBox
 from calicopathd.gateway.metrics import GatewayMetrics
 from calicopathd.gateway.observer import GatewayObserver
@@ -431,7 +431,7 @@
 
     def kill(self) -> None:
         """End everything at once, as a kill does."""
-        for task in [*self.tasks, *self.box.scheduler.tasks]:
+        for task in [*self.tasks, *self.box.scheduler.stages.tasks]:
             task.cancel()
 
 
--- a/tools/tests/docs_tests.py
+++ b/tools/tests/docs_tests.py
@@ -19,7 +19,8 @@
         self.assertGreater(len(named), 30)
         missing = []
         for path, case, test in named:
-            source = (ROOT / 'packages' / path).read_text()
+            folder = 'platform' if path.startswith('calicopath_platform/') else 'packages'
+            source = (ROOT / folder / path).read_text()
             body = source.partition(f'class {case}(')[2].partition('\nclass ')[0]
             if f'def {test}(' not in body:
                 missing.append(f'{path}::{case}::{test}')
