--- a/packages/core/calicopath_core/scheduling/engines.py
+++ b/packages/core/calicopath_core/scheduling/engines.py
@@ -29,9 +29,12 @@
 """How long after its last use an engine is believed to keep a part; the users price what is read
 again within 9.1 to 9.6 s."""
 
-TIME_SHARE = 0.25
+TIME_SHARE = 0.3
 """The part of the time left that an engine may need for prices to decide; beyond it, time does."""
 
+HURRIED_SHARE = 0.3
+"""The part of its price that counts for an engine when there is no time to wait for a cheap one."""
+
 TOO_LATE_S = 10.0
 """Sorts engines that need more time than that behind those that don't."""
 
@@ -150,8 +153,9 @@
         for engine in candidates:
             time_s = self.time_s(engine, job)
             price_s = self.price_s(engine, job, inputs, kept, now)
-            late_s = TOO_LATE_S if time_s > left_s else 0.0
-            costs.append((time_s + price_s + late_s, time_s, engine))
+            if time_s > left_s:
+                price_s = TOO_LATE_S + HURRIED_SHARE * price_s
+            costs.append((time_s + price_s, time_s, engine))
         _, time_s, engine = min(costs, key=lambda item: item[0])
         return EngineChoice(engine, time_s)
 
--- a/packages/core/calicopath_core/scheduling/stages.py
+++ b/packages/core/calicopath_core/scheduling/stages.py
@@ -34,6 +34,9 @@
 """A piece that moves less than this is made in any zone. Every piece of a phase fetches all results
 of the phase before, so a phase of ten pieces in another zone moves its inputs ten times."""
 
+SPARE_STEP_S = 0.4
+"""Jobs whose time to spare differs by less than about a call are told apart by rank."""
+
 OLD_RESULT_S = 1.2
 """How old a result may grow before what reads it goes first: the users' results live for 4 s, and
 the stages that follow take about half of that."""
@@ -338,14 +341,18 @@
     return 0 < piece.slack_s(now) < SHORT_SLACK_S
 
 
-def order(piece: Piece, now: float) -> tuple[int, int, float]:
-    """Return by what pieces are served: jobs in time first, then rank, then objective.
+def order(piece: Piece, now: float) -> tuple[int, int, int, float]:
+    """Return by what pieces are served: jobs in time by what time they have to spare, then rank.
 
-    Before them go jobs whose stream broke midway, since their callers see the pause, and jobs whose
-    results would soon run out and have to be made again.
+    While there is time for all, those with least to spare go first whatever their rank; when there
+    is not, all have little to spare and rank decides. Before them go jobs whose stream broke
+    midway, since their callers see the pause, and jobs whose results would soon run out and have
+    to be made again; after them, jobs that are late already.
     """
     job = piece.job
     if job.resumed or job.oldest_result_s(now) > OLD_RESULT_S:
-        return (0, 0, job.arrived_at)
-    late = now > job.objective_at
-    return (2 if late else 1, job.place.priority, job.objective_at)
+        return (0, 0, 0, job.arrived_at)
+    if now > job.objective_at:
+        return (2, 0, job.place.priority, job.objective_at)
+    spare = max(0, int(piece.slack_s(now) / SPARE_STEP_S))
+    return (1, spare, job.place.priority, job.objective_at)
