--- a/packages/core/calicopath_core/scheduling/stages.py
+++ b/packages/core/calicopath_core/scheduling/stages.py
@@ -13,7 +13,7 @@
     from calicopath_core.fleet.replicas import Replica
     from calicopath_core.scheduling.jobs import Piece
 
-GATHER_S = 0.12
+GATHER_S = 0.06
 """How long a call waits to be filled when one replica alone is free; tried on the bench at 0.15."""
 
 ROOM_SHARE = 0.95
@@ -26,9 +26,9 @@
 FULL_S = 0.05
 """How long a replica that declined a call as full is left alone."""
 
-SHORT_SLACK_S = 0.8
-"""A piece that can wait no longer than this goes to any zone: two calls, the one at work in its own
-zone and one that goes before."""
+SHORT_SLACK_S = 1.1
+"""A piece that can wait no longer than this goes to any zone: three calls, the one at work in its own
+zone and two that go before."""
 
 WORTH_WAITING_BYTES = 150_000
 """A piece that moves less than this is made in any zone. Every piece of a phase fetches all results
@@ -41,8 +41,8 @@
 """How old a result may grow before what reads it goes first: the users' results live for 4 s, and
 the stages that follow take about half of that."""
 
-BUSY_SHARE = 0.5
-"""With more pieces waiting than this part of a call for each replica, no zone is waited for: what
+BUSY_SHARE = 1.0
+"""With more pieces waiting than this many calls for each replica, no zone is waited for: what
 one zone can't take then makes others late."""
 
 NO_ROOM_S = 0.15
