--- /dev/null
+++ b/packages/core/calicopath_core/fleet/tests/replicas_tests.py
@@ -0,0 +1,53 @@
+"""Test what a removal around a disruption of the store is worth."""
+
+from __future__ import annotations
+
+import testtools
+
+from calicopath_core.fleet.replicas import DISRUPTED_S, HOLD_S, Replica, ReplicaTable
+
+ONE = Replica('i-1', 's', 'a:1', 'z', 4, False)
+TWO = Replica('i-2', 's', 'b:1', 'z', 4, False)
+
+
+class Removal(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.table = ReplicaTable()
+        self.table.replace([ONE, TWO], 0.0)
+
+    def usable(self) -> list[str]:
+        """Return the replicas that take new work."""
+        return sorted(item.id for item in self.table.usable('s'))
+
+    def test_a_removal_in_calm_is_taken_in_at_once(self) -> None:
+        self.table.remove('i-1', 1.0)
+        self.assertEqual(['i-2'], self.usable())
+
+    def test_one_around_a_disruption_is_held_shorter_than_the_drain_time(self) -> None:
+        self.table.on_disrupted(1.0)
+        self.table.remove('i-1', 2.0)
+        self.assertEqual(['i-1', 'i-2'], self.usable())
+        self.assertEqual([], self.table.expire(2.0 + HOLD_S / 2))
+        self.assertEqual(['i-1'], self.table.expire(2.0 + HOLD_S))
+        self.assertEqual(['i-2'], self.usable())
+        self.assertLess(HOLD_S, 2.0)
+
+    def test_an_entry_that_comes_back_in_time_was_never_gone(self) -> None:
+        self.table.on_disrupted(1.0)
+        self.table.replace([TWO], 2.0)
+        self.table.put(ONE)
+        self.table.expire(10.0)
+        self.assertEqual(['i-1', 'i-2'], self.usable())
+
+    def test_doubt_ends(self) -> None:
+        self.table.on_disrupted(1.0)
+        self.table.remove('i-1', 1.0 + DISRUPTED_S)
+        self.assertEqual(['i-2'], self.usable())
+
+    def test_one_that_said_it_leaves_is_believed_whatever_happens(self) -> None:
+        self.table.put(ONE._replace(draining=True))
+        self.assertEqual(['i-2'], self.usable())
+        self.table.on_disrupted(1.0)
+        self.table.remove('i-1', 1.1)
+        self.assertNotIn('i-1', self.table.replicas)
--- /dev/null
+++ b/packages/core/calicopath_core/scheduling/tests/admission_tests.py
@@ -0,0 +1,83 @@
+"""Test who is let in, who is told to come back when, and who waits before the first stage."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import testtools
+
+from calicopath_core.scheduling.admission import MIN_RETRY_S, RETRY_SHARE, Admission
+from calicopath_core.scheduling.pacing import Pacing
+from calicopath_core.scheduling.tests.work import job, phase, queue, replica, result
+
+
+def crowd(count: int, **changes: Any) -> list[Any]:
+    """Return jobs that wait for the same stage."""
+    return [job(f'other-{number}', phase(count=4), **changes) for number in range(count)]
+
+
+class Door(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.queues = {'look': queue(replica('r'))}
+        self.admission = Admission()
+
+    def judge(self, item: Any, others: list[Any]) -> Any:
+        """Return the verdict on a job."""
+        return self.admission.judge(item, others, self.queues, 0.1, 0.0)
+
+    def test_a_job_that_can_be_made_in_time_is_let_in(self) -> None:
+        self.assertTrue(self.judge(job('one', phase()), []).admitted)
+
+    def test_one_that_would_be_far_too_late_is_told_when_to_come_back(self) -> None:
+        verdict = self.judge(job('one', phase()), crowd(40))
+        self.assertFalse(verdict.admitted)
+        self.assertGreaterEqual(verdict.retry_after_s, MIN_RETRY_S)
+        self.assertLessEqual(verdict.retry_after_s, RETRY_SHARE * 8.0)
+
+    def test_work_of_lower_rank_is_not_in_its_way(self) -> None:
+        self.assertTrue(self.judge(job('one', phase(), priority=0), crowd(40, priority=5)).admitted)
+
+    def test_one_that_comes_back_is_not_refused_again_for_being_late(self) -> None:
+        self.assertFalse(self.judge(job('one', phase()), crowd(12)).admitted)
+        again = job('two', phase(), call_id='other', prompt=job('one').place.prompt)
+        self.assertTrue(self.judge(again, crowd(12)).admitted)
+
+    def test_one_that_an_earlier_scheduler_had_let_in_is_let_in(self) -> None:
+        self.assertTrue(self.judge(job('one', phase(), asked_before=True), crowd(12)).admitted)
+
+    def test_nobody_is_let_in_who_cannot_be_made_before_the_deadline(self) -> None:
+        self.assertFalse(self.judge(job('one', phase(), asked_before=True), crowd(60)).admitted)
+
+    def test_a_broken_stream_and_one_without_stages_are_always_let_in(self) -> None:
+        self.assertTrue(self.judge(job('one', phase(), resumed=True), crowd(60)).admitted)
+        self.assertTrue(self.judge(job('two'), crowd(60)).admitted)
+
+    def test_the_estimate_follows_what_jobs_take_within_bounds(self) -> None:
+        item = job('one', phase())
+        item.expected_s = 1.0
+        for _ in range(200):
+            self.admission.learn(item, 10.0)
+        self.assertEqual(2.0, self.admission.bias)
+
+    def test_what_was_refused_is_forgotten(self) -> None:
+        self.judge(job('one', phase()), crowd(40))
+        self.admission.forget(1000.0)
+        self.assertEqual({}, self.admission.refused)
+
+
+class Pace(testtools.TestCase):
+    def held(self, begun: int) -> set[str]:
+        """Return what is held behind so many begun jobs."""
+        queues = {'look': queue(replica('r')), 'rank': queue(replica('s'))}
+        chain = (phase('look'), phase('rank', (0,), count=4))
+        jobs = [job(f'begun-{number}', *chain) for number in range(begun)]
+        for item in jobs:
+            item.results[0][0] = result('h')
+        fresh = job('fresh', *chain)
+        short = job('short', phase('look'))
+        return Pacing().held([*jobs, fresh, short], queues)
+
+    def test_a_job_waits_while_its_later_stages_have_enough_to_do(self) -> None:
+        self.assertEqual(set(), self.held(1))
+        self.assertEqual({'fresh'}, self.held(8))
--- /dev/null
+++ b/packages/core/calicopath_core/scheduling/tests/election_tests.py
@@ -0,0 +1,89 @@
+"""Test who is taken for the scheduler as boxes fall silent, come back and lose the store."""
+
+from __future__ import annotations
+
+import testtools
+
+from calicopath_core.scheduling.election import (
+    CANDIDATES,
+    FRESH_S,
+    NEW_GRACE_S,
+    SILENT_S,
+    TRUST_S,
+    BoxAddress,
+    Election,
+)
+from calicopath_core.scheduling.messages import Pong
+
+
+def box(number: int, order: int | None = None) -> BoxAddress:
+    """Return a box whose record is as old as its number says, unless told otherwise."""
+    return BoxAddress(f'b{number}', f'b{number}:7', 'z', f'life-{number}', order or number)
+
+
+def pong(number: int, *, age_s: float = 0.0, leaving: bool = False) -> Pong:
+    """Return a box's answer to a ping."""
+    return Pong(f'b{number}', f'b{number}:7', 1, age_s, leaving, 1)
+
+
+class Choice(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.election = Election(own=box(3))
+        self.election.on_listed([box(number) for number in range(1, 6)], 0.0)
+
+    def hear(self, now: float, *numbers: int) -> None:
+        """Hear boxes."""
+        for number in numbers:
+            self.election.on_pong(pong(number), now)
+
+    def chosen(self, now: float) -> str:
+        """Return the scheduler's name."""
+        return self.election.scheduler(now).name
+
+    def test_the_oldest_record_schedules(self) -> None:
+        self.hear(1.0, 1, 2)
+        self.assertEqual('b1', self.chosen(1.0))
+
+    def test_a_box_that_is_not_listed_yet_ranks_itself_last(self) -> None:
+        election = Election(own=box(1)._replace(life='another'))
+        election.on_listed([box(1), box(2)], 0.0)
+        election.on_pong(pong(2), 0.1)
+        self.assertEqual('b2', election.scheduler(0.1).name)
+
+    def test_a_silent_box_is_passed_over_and_trusted_again_after_a_while(self) -> None:
+        self.hear(1.0, 1, 2)
+        self.hear(1.0 + SILENT_S / 2, 2)
+        self.assertEqual('b2', self.chosen(1.0 + SILENT_S))
+        back = 1.1 + SILENT_S
+        self.hear(back, 1, 2)
+        self.assertEqual('b2', self.chosen(back))
+        end = back + TRUST_S
+        for step in range(1, 5):
+            self.hear(back + step * TRUST_S / 4, 1, 2)
+        self.assertEqual('b1', self.chosen(end))
+
+    def test_one_never_heard_is_waited_for_no_longer_than_its_grace(self) -> None:
+        self.assertEqual('b1', self.chosen(NEW_GRACE_S / 2))
+        self.assertEqual('b3', self.chosen(NEW_GRACE_S))
+
+    def test_fresh_word_goes_before_rank_unless_nobody_has_any(self) -> None:
+        stale = FRESH_S + 1
+        for number in (1, 2, 4, 5):
+            self.election.on_pong(pong(number, age_s=stale), 1.0)
+        self.assertEqual('b3', self.election.scheduler(1.0, 0.1).name)
+        self.assertEqual('b1', self.election.scheduler(1.0, stale).name)
+
+    def test_one_that_leaves_gets_nothing_new_but_is_still_heard(self) -> None:
+        self.election.on_pong(pong(1, leaving=True), 1.0)
+        self.hear(1.0, 2)
+        self.assertEqual('b2', self.chosen(1.0))
+        self.assertTrue(self.election.hears('b1:7', 1.0))
+
+    def test_enough_candidates_are_pinged_before_they_are_needed(self) -> None:
+        self.assertEqual(4, len(self.election.pinged(0.1)))
+        self.hear(0.2, 1, 2, 4, 5)
+        self.assertEqual(CANDIDATES, len(self.election.pinged(0.3)))
+
+    def test_budgets_are_split_among_all_boxes_listed(self) -> None:
+        self.assertEqual(5, self.election.boxes_sharing())
--- /dev/null
+++ b/packages/core/calicopath_core/scheduling/tests/stages_tests.py
@@ -0,0 +1,218 @@
+"""Test how pieces become calls: order, filling, room, zones, slow replicas."""
+
+from __future__ import annotations
+
+import testtools
+
+from calicopath_core.scheduling.stages import (
+    FULL_S,
+    GATHER_S,
+    NO_ROOM_S,
+    OLD_RESULT_S,
+    SLOW_MEMORY_S,
+)
+from calicopath_core.scheduling.tests.work import SPEC, job, phase, queue, replica, result, wait
+
+LATER = GATHER_S + 0.01
+LARGE = 300_000
+
+
+class Order(testtools.TestCase):
+    def served(self, *jobs: object, now: float = LATER) -> list[str]:
+        """Return the jobs in the order in which one replica serves them."""
+        target = queue(replica('r'), spec=SPEC._replace(batch=1))
+        for item in jobs:
+            wait(target, item)  # type: ignore[arg-type]
+        found = []
+        while (batch := target.next_batch(now)) is not None:
+            found.append(batch.pieces[0].job.id)
+            target.finished(batch, {}, now)
+        return found
+
+    def test_least_time_to_spare_goes_first_whatever_the_rank(self) -> None:
+        calm = job('calm', phase(), priority=0, objective_s=5.0)
+        hurried = job('hurried', phase(), priority=2, objective_s=1.0)
+        self.assertEqual(['hurried', 'calm'], self.served(calm, hurried))
+
+    def test_rank_decides_between_jobs_with_as_little_to_spare(self) -> None:
+        low = job('low', phase(), priority=2, objective_s=0.2)
+        high = job('high', phase(), priority=0, objective_s=0.3)
+        self.assertEqual(['high', 'low'], self.served(low, high))
+
+    def test_what_is_late_gives_way_to_what_is_not(self) -> None:
+        late = job('late', phase(), objective_s=0.01)
+        timely = job('timely', phase(), priority=2)
+        self.assertEqual(['timely', 'late'], self.served(late, timely))
+
+    def test_old_results_and_broken_streams_go_first(self) -> None:
+        fresh = job('fresh', phase(), objective_s=0.5)
+        old = job('old', phase(), phase(), objective_s=9.0)
+        old.results[1][0] = result('h', made_at=LATER - OLD_RESULT_S - 0.1)
+        broken = job('broken', phase(), objective_s=9.0, resumed=True)
+        self.assertEqual({'old', 'broken'}, set(self.served(fresh, old, broken)[:2]))
+
+
+class Filling(testtools.TestCase):
+    def test_a_call_that_is_not_full_waits_a_little_and_no_more(self) -> None:
+        target = queue(replica('r'))
+        wait(target, job('one', phase(count=2)))
+        self.assertIsNone(target.next_batch(0.0))
+        batch = target.next_batch(LATER)
+        assert batch is not None
+        self.assertEqual(2, len(batch.pieces))
+
+    def test_a_full_call_waits_for_nothing_and_is_never_overfull(self) -> None:
+        target = queue(replica('r'))
+        wait(target, job('one', phase(count=6)))
+        batch = target.next_batch(0.0)
+        assert batch is not None
+        self.assertEqual(SPEC.batch, len(batch.pieces))
+        self.assertIsNone(target.next_batch(0.0))
+
+    def test_pieces_of_several_jobs_share_a_call(self) -> None:
+        target = queue(replica('r'))
+        for name in ('one', 'two'):
+            wait(target, job(name, phase(count=2)))
+        batch = target.next_batch(0.0)
+        assert batch is not None
+        self.assertEqual({'one', 'two'}, {piece.job.id for piece in batch.pieces})
+
+    def test_pieces_of_jobs_that_are_over_are_dropped(self) -> None:
+        target = queue(replica('r'))
+        gone = job('gone', phase())
+        wait(target, gone)
+        gone.ended = True
+        target.drop_stale()
+        self.assertEqual([], target.waiting)
+
+    def test_jobs_that_are_held_back_wait(self) -> None:
+        target = queue(replica('r'))
+        wait(target, job('held', phase(count=4)))
+        self.assertIsNone(target.next_batch(LATER, {'held'}))
+
+
+class Room(testtools.TestCase):
+    def test_no_more_results_are_made_than_there_is_room_for(self) -> None:
+        target = queue(replica('r'))
+        wait(target, job('one', phase(size=LARGE, count=4)))
+        batch = target.next_batch(LATER)
+        assert batch is not None
+        self.assertEqual(3, len(batch.pieces))
+        target.finished(batch, {'h1': LARGE, 'h2': LARGE, 'h3': LARGE}, 0.5)
+        self.assertIsNone(target.next_batch(0.6))
+        target.replicas['r'].free('h1')
+        self.assertIsNotNone(target.next_batch(0.6))
+
+    def test_room_comes_back_when_results_run_out(self) -> None:
+        target = queue(replica('r'))
+        wait(target, job('one', phase(size=LARGE, count=4)))
+        batch = target.next_batch(LATER)
+        assert batch is not None
+        target.finished(batch, {'h1': LARGE, 'h2': LARGE, 'h3': LARGE}, 0.5)
+        target.replicas['r'].expire(0.5 + SPEC.result_ttl_s)
+        self.assertIsNotNone(target.next_batch(5.0))
+
+    def test_a_replica_that_had_none_is_left_alone_for_a_while(self) -> None:
+        target = queue(replica('r'))
+        wait(target, job('one', phase(count=2)))
+        batch = target.next_batch(LATER)
+        assert batch is not None
+        target.finished(batch, {}, LATER)
+        target.no_room(batch, LATER)
+        for piece in batch.pieces:
+            target.add(piece, LATER)
+        self.assertIsNone(target.next_batch(LATER + NO_ROOM_S / 2))
+        self.assertIsNotNone(target.next_batch(LATER + NO_ROOM_S))
+
+    def test_what_others_have_booked_is_counted_until_it_is_adopted(self) -> None:
+        target = queue(replica('r'))
+        maker = target.replicas['r']
+        maker.on_free_bytes(400_000, SPEC, 0.0)
+        before = maker.room_left(SPEC, 0.1)
+        target.book('r', 'h1', LARGE, 0.1)
+        self.assertEqual(before, maker.room_left(SPEC, 0.1))
+
+    def test_a_large_result_is_not_made_long_before_it_is_needed(self) -> None:
+        target = queue(replica('r'))
+        staged = job('staged', phase(size=LARGE), phase(), phase(needs=(1,)))
+        staged.tail_s = {0: 0.7, 1: 1.6, 2: 0.8}
+        wait(target, staged, 0)
+        self.assertIsNone(target.next_batch(LATER))
+        staged.results[1][0] = result('h')
+        self.assertIsNotNone(target.next_batch(LATER))
+
+
+class Zones(testtools.TestCase):
+    def reading(self, size: int, **changes: object) -> object:
+        """Return a job whose second phase reads a result in zone b."""
+        found = job('reader', phase(size=size), phase(needs=(0,), count=2), **changes)
+        found.results[0][0] = result('h', zone='b', size=size)
+        return found
+
+    def test_much_to_move_waits_for_its_zone_while_there_is_time(self) -> None:
+        target = queue(replica('far', 'a'), replica('near', 'b'))
+        near = target.replicas['near']
+        near.calls, near.due_at = 1, 9.0
+        wait(target, self.reading(LARGE), 1)  # type: ignore[arg-type]
+        self.assertIsNone(target.next_batch(LATER))
+        near.calls = 0
+        batch = target.next_batch(LATER)
+        assert batch is not None
+        self.assertEqual('near', batch.target.replica.id)
+
+    def test_it_goes_anywhere_if_little_is_moved_or_time_is_short(self) -> None:
+        for item in (self.reading(1_000), self.reading(LARGE, objective_s=0.6)):
+            target = queue(replica('far', 'a'), replica('near', 'b'))
+            target.replicas['near'].calls = 1
+            target.replicas['near'].due_at = 9.0
+            wait(target, item, 1)  # type: ignore[arg-type]
+            self.assertIsNotNone(target.next_batch(LATER))
+
+    def test_a_zone_whose_replica_is_overdue_or_gone_is_not_waited_for(self) -> None:
+        overdue = queue(replica('far', 'a'), replica('near', 'b'))
+        overdue.replicas['near'].calls = 1
+        wait(overdue, self.reading(LARGE), 1)  # type: ignore[arg-type]
+        self.assertIsNotNone(overdue.next_batch(LATER))
+        gone = queue(replica('far', 'a'))
+        wait(gone, self.reading(LARGE), 1)  # type: ignore[arg-type]
+        self.assertIsNotNone(gone.next_batch(LATER))
+
+
+class Failing(testtools.TestCase):
+    def test_a_slow_replica_is_used_only_when_the_others_cannot_keep_up(self) -> None:
+        target = queue(replica('slow'), replica('quick'))
+        slow = target.replicas['slow']
+        slow.on_time(2.0, 0.4, 0.0)
+        target.replicas['quick'].calls = 1
+        wait(target, job('one', phase(count=2)))
+        self.assertIsNone(target.next_batch(LATER))
+        wait(target, job('many', phase(count=20)))
+        self.assertIsNotNone(target.next_batch(LATER))
+
+    def test_a_slow_replica_is_tried_again(self) -> None:
+        target = queue(replica('slow'), replica('quick'))
+        target.replicas['slow'].on_time(2.0, 0.4, 0.0)
+        target.replicas['quick'].calls = 1
+        wait(target, job('one', phase(count=2)))
+        self.assertIsNone(target.next_batch(LATER))
+        self.assertIsNotNone(target.next_batch(SLOW_MEMORY_S))
+
+    def test_a_replica_that_fails_is_left_alone_longer_each_time(self) -> None:
+        target = queue(replica('r'))
+        pauses = []
+        for number in range(3):
+            wait(target, job(f'j{number}', phase(count=4)))
+            now = 100.0 * (number + 1)
+            batch = target.next_batch(now)
+            assert batch is not None
+            target.failed(batch, now, full=False)
+            pauses.append(target.replicas['r'].idle_until - now)
+        self.assertEqual([1.0, 2.0, 4.0], pauses)
+
+    def test_a_full_replica_is_asked_again_soon(self) -> None:
+        target = queue(replica('r'))
+        wait(target, job('one', phase(count=4)))
+        batch = target.next_batch(0.0)
+        assert batch is not None
+        target.failed(batch, 0.0, full=True)
+        self.assertEqual((FULL_S, 0), (target.replicas['r'].idle_until, target.replicas['r'].calls))
--- /dev/null
+++ b/packages/core/calicopath_core/scheduling/tests/work.py
@@ -0,0 +1,75 @@
+"""Make jobs, replicas and queues for tests."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from calicopath_core.fleet.deployment import StageSpec
+from calicopath_core.fleet.replicas import Replica
+from calicopath_core.scheduling.jobs import Job, Piece, Result
+from calicopath_core.scheduling.messages import PhaseWork, Place, Prompt, PromptPart
+from calicopath_core.scheduling.stages import StageQueue
+
+SPEC = StageSpec(
+    concurrency=1, batch=4, call_s=0.2, piece_s=0.05, room_bytes=1_000_000, result_ttl_s=4.0
+)
+
+
+def replica(name: str, zone: str = 'a', service: str = 'look') -> Replica:
+    """Return a replica."""
+    return Replica(name, service, f'{name}:1', zone, 1, False)
+
+
+def prompt(*parts: tuple[str, int], out: int = 10) -> Prompt:
+    """Return a prompt of some parts."""
+    found = tuple(PromptPart(name, tokens) for name, tokens in parts)
+    return Prompt('m', found, sum(part.tokens for part in found), out)
+
+
+def phase(
+    service: str = 'look', needs: tuple[int, ...] = (), size: int = 100, count: int = 1
+) -> Any:
+    """Return a phase."""
+    return PhaseWork(service, needs, size, count)
+
+
+def job(name: str, *phases: Any, now: float = 0.0, **changes: Any) -> Job:
+    """Return a job whose pieces all stand for their phases."""
+    fields: dict[str, Any] = {
+        'job': name,
+        'reply_to': 'b1:7',
+        'zone': 'a',
+        'call_id': name,
+        'piece_key': name,
+        'priority': 0,
+        'objective_s': 3.0,
+        'deadline_s': 8.0,
+        'service': 'engine',
+        'phases': tuple(phases),
+        'prompt': prompt((f'own-{name}', 100)),
+    }
+    found = Job(place=Place(**(fields | changes)), now=now)
+    for number, work in enumerate(found.place.phases):
+        found.pieces[number] = [
+            Piece(job=found, phase=number, index=index) for index in range(work.pieces)
+        ]
+    return found
+
+
+def result(handle: str, zone: str = 'a', size: int = 100, made_at: float = 0.0) -> Result:
+    """Return a result."""
+    return Result(handle=handle, maker=f'maker-{zone}', zone=zone, size=size, made_at=made_at)
+
+
+def queue(*replicas: Replica, spec: StageSpec = SPEC) -> StageQueue:
+    """Return a queue before some replicas."""
+    found = StageQueue(service='look', spec=spec)
+    found.set_replicas(replicas)
+    return found
+
+
+def wait(target: StageQueue, owner: Job, number: int = 0, now: float = 0.0) -> None:
+    """Let the pieces of a job's phase wait."""
+    owner.started.add(number)
+    for piece in owner.pieces[number]:
+        target.add(piece, now)
