--- a/packages/core/calicopath_core/scheduling/tests/stages_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/stages_tests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING, Any
+
 import testtools
 
 from calicopath_core.scheduling.stages import (
@@ -13,16 +15,19 @@
 )
 from calicopath_core.scheduling.tests.work import SPEC, job, phase, queue, replica, result, wait
 
+if TYPE_CHECKING:
+    from calicopath_core.scheduling.jobs import Job
+
 LATER = GATHER_S + 0.01
 LARGE = 300_000
 
 
 class Order(testtools.TestCase):
-    def served(self, *jobs: object, now: float = LATER) -> list[str]:
+    def served(self, *jobs: Job, now: float = LATER) -> list[str]:
         """Return the jobs in the order in which one replica serves them."""
         target = queue(replica('r'), spec=SPEC._replace(batch=1))
         for item in jobs:
-            wait(target, item)  # type: ignore[arg-type]
+            wait(target, item)
         found = []
         while (batch := target.next_batch(now)) is not None:
             found.append(batch.pieces[0].job.id)
@@ -143,7 +148,7 @@
 
 
 class Zones(testtools.TestCase):
-    def reading(self, size: int, **changes: object) -> object:
+    def reading(self, size: int, **changes: Any) -> Job:
         """Return a job whose second phase reads a result in zone b."""
         found = job('reader', phase(size=size), phase(needs=(0,), count=2), **changes)
         found.results[0][0] = result('h', zone='b', size=size)
@@ -153,7 +158,7 @@
         target = queue(replica('far', 'a'), replica('near', 'b'))
         near = target.replicas['near']
         near.calls, near.due_at = 1, 9.0
-        wait(target, self.reading(LARGE), 1)  # type: ignore[arg-type]
+        wait(target, self.reading(LARGE), 1)
         self.assertIsNone(target.next_batch(LATER))
         near.calls = 0
         batch = target.next_batch(LATER)
@@ -165,16 +170,16 @@
             target = queue(replica('far', 'a'), replica('near', 'b'))
             target.replicas['near'].calls = 1
             target.replicas['near'].due_at = 9.0
-            wait(target, item, 1)  # type: ignore[arg-type]
+            wait(target, item, 1)
             self.assertIsNotNone(target.next_batch(LATER))
 
     def test_a_zone_whose_replica_is_overdue_or_gone_is_not_waited_for(self) -> None:
         overdue = queue(replica('far', 'a'), replica('near', 'b'))
         overdue.replicas['near'].calls = 1
-        wait(overdue, self.reading(LARGE), 1)  # type: ignore[arg-type]
+        wait(overdue, self.reading(LARGE), 1)
         self.assertIsNotNone(overdue.next_batch(LATER))
         gone = queue(replica('far', 'a'))
-        wait(gone, self.reading(LARGE), 1)  # type: ignore[arg-type]
+        wait(gone, self.reading(LARGE), 1)
         self.assertIsNotNone(gone.next_batch(LATER))
 
 
