Refuse as not run what still waits when a box has to end

Cause: a stopping box ended 7 s after SIGTERM while requests waited for stages or an engine; their connections were closed without a word. Ruled out: requests at replicas (nothing had been sent). Change: 0.8 s before it ends a box refuses what still waits, with 503 and the time to come back.

--- a/packages/core/calicopath_core/scheduling/client.py
+++ b/packages/core/calicopath_core/scheduling/client.py
@@ -25,6 +25,9 @@
     from calicopath_core.clock import Clock
     from calicopath_core.scheduling.election import Election
 
+STOPPING_RETRY_S = 0.2
+"""When a caller may come back that waited at a box which has to end: at once, to another box."""
+
 CHECK_S = 0.05
 """How often it is looked whether another box schedules now."""
 
@@ -181,6 +184,13 @@
         if asked is not None and not asked.answer.done():
             asked.answer.cancel()
 
+    def refuse_waiting(self) -> None:
+        """End the wait of every job that has no place yet, since this box has to end."""
+        for asked in self.asked.values():
+            if not asked.answer.done():
+                error = PlacementRejected('stopping', retry_after_s=STOPPING_RETRY_S)
+                asked.answer.set_exception(error)
+
     def tell(self, job: str, message: msgspec.Struct) -> None:
         """Tell every scheduler that was asked about a job."""
         asked = self.asked.get(job)
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -47,6 +47,7 @@
 GATEWAY_STOPPED = Event(505, 'info', 'gateway stopped', 'The process exits.')
 GATEWAY_RELOADED = Event(506, 'info', 'gateway reloaded', 'The settings were read again.')
 REGISTER_FAILED = Event(507, 'warning', 'register failed', "The box's own record was not written.")
+GATEWAY_REFUSING = Event(508, 'info', 'gateway refusing', 'What still waits is refused as not run.')
 
 EXCHANGE_ENDED = Event(601, 'info', 'exchange ended', 'An exchange has its one final answer.')
 EXCHANGE_REFUSED = Event(602, 'info', 'exchange refused', 'A request has no route, key or view.')
--- a/packages/daemon/calicopathd/gateway/run.py
+++ b/packages/daemon/calicopathd/gateway/run.py
@@ -34,6 +34,10 @@
 EXIT_MARGIN_S = 1.0
 """How long before the kill a stopping box gives up what is still in progress."""
 
+REFUSE_MARGIN_S = 0.8
+"""How long before it ends a box refuses what still waits for stages or an engine: time for the
+answers to reach their callers, and for streams that run to end."""
+
 REGISTER_PAUSE_S = 0.5
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
@@ -187,7 +191,10 @@
         await asyncio.sleep(min(BALANCER_LAG_S, grace_s / 2))
         self.exchanges.close_idle()
         left_s = grace_s - (self.box.clock.monotonic() - begun)
-        await self.exchanges.wait_idle(max(0.0, left_s))
+        if not await self.exchanges.wait_idle(max(0.0, left_s - REFUSE_MARGIN_S)):
+            events.emit(log, events.GATEWAY_REFUSING, in_progress=self.exchanges.in_progress)
+            self.box.client.refuse_waiting()
+            await self.exchanges.wait_idle(REFUSE_MARGIN_S)
         try:
             await self.box.store.withdraw(self.box.own)
         except FleetStoreError as error:
--- a/packages/daemon/calicopathd/gateway/tests/fleet_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/fleet_tests.py
@@ -81,6 +81,22 @@
 
         self.run_virtual(scenario())
 
+    def test_what_waits_when_a_box_has_to_end_is_refused_as_not_run(self) -> None:
+        async def scenario() -> None:
+            fleet = GatewayFleet()
+            await fleet.start()
+            sinks = [fleet.serve('box-1', exchange(number, 'draft', now())) for number in range(6)]
+            await asyncio.sleep(0.1)
+            fleet.boxes['box-1'].box.client.refuse_waiting()
+            await asyncio.sleep(0.01)
+            self.assertEqual({(503, 'stopping')}, {(sink.status, sink.reason) for sink in sinks})
+            self.assertNotIn(None, [sink.retry_after_s for sink in sinks])
+            await asyncio.sleep(1.0)
+            self.assertEqual([], fleet.replicas.sent)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
     def test_a_box_that_hears_nobody_schedules_by_itself(self) -> None:
         async def scenario() -> None:
             fleet = GatewayFleet()
