--- a/packages/clients/calicopath_clients/tests/http1_tests.py
+++ b/packages/clients/calicopath_clients/tests/http1_tests.py
@@ -188,6 +188,25 @@
 
         self.assertEqual((b'own', 1), self.play(script, get))
 
+    def test_an_answer_that_comes_before_the_body_was_read_leaves_no_bytes_to_the_next_call(
+        self,
+    ) -> None:
+        async def script(reader: Any, writer: Any) -> None:
+            writer.write(answer(b'early'))
+            await asyncio.sleep(0.2)
+
+        async def work(pool: HttpPool, address: str) -> list[bytes]:
+            found = []
+            for body in (b'x' * 8_000_000, b''):
+                length = ('Content-Length', str(len(body)))
+                head = CallHead('POST', '/x', (*HEAD.headers, length))
+                call = await pool.call(address, head, body, accepts=mine)
+                found.append(await call.read_all())
+                call.close()
+            return found
+
+        self.assertEqual(([b'early', b'early'], 2), self.play(script, work))
+
     def test_the_wish_to_close_is_kept(self) -> None:
         async def script(reader: Any, writer: Any) -> None:
             await read_request(reader)
