--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -29,6 +29,11 @@
 USUAL_ENGINE_S = 0.4
 """What an engine usually takes to a first event, its queue included; measured on the bench."""
 
+ENGINE_FETCH_S = 0.15
+"""How long after its choice an engine has fetched a job's results. The users' engines fetch them
+when the request comes, before it waits for its turn; until the first event, as was tried before,
+they took a maker's room for about as long again as a call."""
+
 RETRY_AFTER_S = 0.5
 """When a rejected job may come back, if nothing better is known."""
 
@@ -99,11 +104,19 @@
             board.forget_lost(now)
         self.admission.forget(now)
         self.reject_hopeless(now)
+        self.give_up_fetched(now)
         for job in list(self.jobs.values()):
             if now > job.deadline_at + JOB_MEMORY_S:
                 self.end(job)
         self.stages.tick(now)
 
+    def give_up_fetched(self, now: float) -> None:
+        """Give the results up that engines have fetched."""
+        for job in self.jobs.values():
+            if job.placed_at is not None and now >= job.placed_at + ENGINE_FETCH_S:
+                job.placed_at = None
+                self.stages.give_up(job.all_results())
+
     def reject_hopeless(self, now: float) -> None:
         """Tell callers at once whose jobs were never begun and can't be made any more."""
         for job in list(self.jobs.values()):
@@ -261,6 +274,7 @@
         board.begin(choice, job, now)
         replica = choice.engine.replica.id
         job.placed_on = replica
+        job.placed_at = now
         self.admission.learn(job, now - job.arrived_at)
         inputs = tuple(result.handle for result in job.final_results())
         self.observer.on_placed(job, choice.engine.replica, choice.cost_s, now - job.arrived_at)
--- a/packages/daemon/calicopathd/gateway/tests/fleet_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/fleet_tests.py
@@ -8,6 +8,7 @@
 from calicopath_core.fleet.store import RecordKind
 from testkit.cases import VirtualCase
 from testkit.gateway import GatewayFleet
+from testkit.gateway_replicas import ANY
 from testkit.gateway_world import EVENTS, deployment, exchange, replicas
 
 if TYPE_CHECKING:
@@ -182,6 +183,23 @@
 
         self.run_virtual(scenario())
 
+    def test_results_take_no_room_while_an_engine_that_has_fetched_them_reads(self) -> None:
+        async def scenario() -> None:
+            fleet = GatewayFleet()
+            await fleet.start()
+            fleet.replicas.faults[ANY] = ['busy']
+            sink = serve_draft(fleet, 1, skip='')
+            while not fleet.replicas.sent:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.3)
+            self.assertEqual([], sink.event_ids)
+            self.assertEqual({}, fleet.stages.live)
+            await fleet.settle()
+            self.assertEqual(WHOLE, sink.event_ids)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
 
 class Configuration(VirtualCase):
     def test_a_newer_version_is_in_force_everywhere_and_an_older_one_never_again(self) -> None:
--- a/testkit/gateway_replicas.py
+++ b/testkit/gateway_replicas.py
@@ -119,6 +119,9 @@
         self.engine.running.discard(self.outbound.exchange.call_id)
 
 
+BUSY_S = 1.0
+"""How long an engine with the fault `busy` reads before its first event."""
+
 ANY = '*'
 """Names the faults of whichever replica is called next."""
 
@@ -167,6 +170,8 @@
             raise MayHaveRun('reset')
         if fault == 'dark':
             await asyncio.sleep(3600)
+        if fault == 'busy':
+            await asyncio.sleep(BUSY_S)
         if fault == 'error':
             return FakeBody(head=AnswerHead(500, (), False, None), body=b'no')
         if outbound.replica.service == 'engine':
