Hear of the store's return in under two seconds; hold what is missing until it may be back

A watch sent into a silent store hung for 2.8 s and up to 0.8 s of pause came on top, so a change made at its return was in force after up to 3.6 s. Change: while the store does not answer a watch waits 0.1 s; a removal is held until 2 s after the last sign of the disruption; lost history alone is no disruption, so what the new list lacks is gone; an empty list of a kind is taken in like any other. Ruled out by reading: the pool's connections (each call after a failure opens a new one).

--- a/packages/core/calicopath_core/fleet/feed.py
+++ b/packages/core/calicopath_core/fleet/feed.py
@@ -19,6 +19,11 @@
 """How long a watch waits. A store that falls silent is noticed only when a watch is overdue, and a
 configuration must be in force 2 s after it was acknowledged."""
 
+PROBE_S = 0.1
+"""How long a watch waits while the store does not answer: a call that hangs is then noticed within
+0.9 s, so that a box hears of the store's return, and of what was changed since, in under 2 s. The
+users count a box as in touch 3 s after it, and a change as in force 2 s after it was made."""
+
 FIRST_PAUSE_S = 0.1
 MAX_PAUSE_S = 0.8
 """How long a failed call is waited out: doubled each time, with jitter, so that boxes do not come
@@ -82,8 +87,8 @@
                 await self.step()
                 pause_s = FIRST_PAUSE_S
             except HistoryLost:
+                # No entry lapses by that: what the list does not hold is gone.
                 self.observer.on_history_lost(self.kind, self.revision or 0)
-                self.on_disrupted()
                 self.revision = None
             except FleetStoreError as error:
                 self.on_failure(error)
@@ -99,7 +104,8 @@
             self.on_listing(listing)
             self.revision = listing.revision
             return
-        found = await self.store.watch(self.kind, self.revision, WAIT_S)
+        wait_s = PROBE_S if self.lost else WAIT_S
+        found = await self.store.watch(self.kind, self.revision, wait_s)
         self.on_contact()
         for change in found.changes:
             self.on_change(change)
--- a/packages/core/calicopath_core/fleet/replicas.py
+++ b/packages/core/calicopath_core/fleet/replicas.py
@@ -7,13 +7,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-HOLD_S = 1.5
-"""How long an entry that goes around a disruption of the store stays in use. An entry that was
-dropped by mistake comes back within about 2 s; one that left serves for the drain time, 2 s or
-more, after the store took its removal."""
-
-DISRUPTED_S = 6.0
-"""How long after a disruption of the store the removal of an entry is doubted."""
+BACK_S = 2.0
+"""How long after the store's return entries that lapsed while it was away may take to be back, as
+the users' pages say; one that is still missing then is gone. In that time, too, a box is not held
+to the drain time for what it has not been told of."""
 
 
 class Replica(NamedTuple):
@@ -38,12 +35,12 @@
         self.by_service: dict[str, list[Replica]] = {}
 
     def on_disrupted(self, now: float) -> None:
-        """Note that the store could not be read."""
+        """Note that the store could not be read until now."""
         self.disrupted_at = now
 
-    def doubted(self, now: float) -> bool:
-        """Tell whether removals may be by mistake."""
-        return self.disrupted_at is not None and now - self.disrupted_at < DISRUPTED_S
+    def doubted_until(self, now: float) -> float:
+        """Return until when a removal that is seen now may be by mistake; `now` if it can't be."""
+        return now if self.disrupted_at is None else max(now, self.disrupted_at + BACK_S)
 
     def put(self, replica: Replica) -> None:
         """Take in a replica's entry."""
@@ -56,8 +53,9 @@
         """Take an entry's removal in: at once, or after a while if it is doubted."""
         if replica_id not in self.replicas or replica_id in self.leaving_at:
             return
-        if self.doubted(now) and not self.replicas[replica_id].draining:
-            self.leaving_at[replica_id] = now + HOLD_S
+        until = self.doubted_until(now)
+        if until > now and not self.replicas[replica_id].draining:
+            self.leaving_at[replica_id] = until
             return
         del self.replicas[replica_id]
         self.changed()
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -6,6 +6,7 @@
 import math
 import os
 import random
+from functools import partial
 from typing import TYPE_CHECKING
 
 import structlog
@@ -129,8 +130,8 @@
             clock=self.clock,
             rng=self.rng,
             observer=self.observer,
-            on_listing=self.on_listing,
-            on_change=self.on_change,
+            on_listing=partial(self.on_listing, kind),
+            on_change=partial(self.on_change, kind),
             on_disrupted=self.on_disrupted,
         )
 
@@ -167,21 +168,25 @@
         """Note that the store does not tell everything."""
         self.replicas.on_disrupted(self.clock.monotonic())
 
-    def on_listing(self, listing: Listing) -> None:
+    def on_listing(self, kind: RecordKind, listing: Listing) -> None:
         """Take a whole kind in."""
-        records = list(listing.records.values())
-        replicas = [record for record in records if isinstance(record, Replica)]
-        boxes = [record for record in records if isinstance(record, BoxAddress)]
-        for record in records:
-            if isinstance(record, Deployment):
-                self.on_deployment(record)
-        if replicas:
-            self.replicas.replace(replicas, self.clock.monotonic())
-        if boxes:
-            self.boxes = {box.name: box for box in boxes}
-            self.election.on_listed(boxes, self.clock.monotonic())
-
-    def on_change(self, change: Change) -> None:
+        now = self.clock.monotonic()
+        records = listing.records
+        if kind is RecordKind.REPLICA:
+            self.replicas.replace(
+                [item for item in records.values() if isinstance(item, Replica)], now
+            )
+        elif kind is RecordKind.BOX:
+            self.boxes = {
+                name: item for name, item in records.items() if isinstance(item, BoxAddress)
+            }
+            self.election.on_listed(self.boxes.values(), now)
+        else:
+            for record in records.values():
+                if isinstance(record, Deployment):
+                    self.on_deployment(record)
+
+    def on_change(self, kind: RecordKind, change: Change) -> None:
         """Take one record's change in."""
         now = self.clock.monotonic()
         record = change.record
@@ -192,10 +197,10 @@
         elif isinstance(record, BoxAddress):
             self.boxes[change.name] = record
             self.election.on_listed(self.boxes.values(), now)
-        elif change.name in self.boxes:
-            del self.boxes[change.name]
+        elif kind is RecordKind.BOX:
+            self.boxes.pop(change.name, None)
             self.election.on_listed(self.boxes.values(), now)
-        else:
+        elif kind is RecordKind.REPLICA:
             self.replicas.remove(change.name, now)
 
     def on_deployment(self, deployment: Deployment) -> None:
--- a/packages/daemon/calicopathd/gateway/tests/fleet_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/fleet_tests.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from calicopath_core.fleet.replicas import BACK_S
 from calicopath_core.fleet.store import RecordKind
 from testkit.cases import VirtualCase
 from testkit.gateway import GatewayFleet
@@ -216,6 +217,63 @@
 
         self.run_virtual(scenario())
 
+    def test_a_change_made_as_a_silent_store_returns_is_in_force_before_boxes_are_in_touch(
+        self,
+    ) -> None:
+        async def scenario(silent_after_s: float) -> set[int]:
+            fleet = GatewayFleet(count=1)
+            await fleet.start()
+            await asyncio.sleep(silent_after_s)
+            store = fleet.boxes['box-0'].store
+            store.silent = True
+            await asyncio.sleep(5.0)
+            store.silent = False
+            fleet.store.write(RecordKind.DEPLOYMENT, 'main', deployment(9))
+            await asyncio.sleep(BACK_S)
+            found = versions(fleet)
+            await fleet.stop()
+            return found
+
+        for step in range(20):
+            self.assertEqual({9}, self.run_virtual(scenario(step * 0.1)), f'step {step}')
+
+    def test_what_is_missing_from_a_list_after_lost_history_alone_is_gone_at_once(self) -> None:
+        async def scenario() -> None:
+            fleet = GatewayFleet(count=1)
+            await fleet.start()
+            fleet.store.log.clear()
+            fleet.store.records[RecordKind.REPLICA].pop('desk-north')
+            fleet.store.write(RecordKind.BOX, 'box-9', None)
+            fleet.store.forget_history()
+            await asyncio.sleep(2.1)
+            box = fleet.boxes['box-0'].box
+            self.assertEqual(['desk-south'], [item.id for item in box.replicas.usable('desk')])
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
+    def test_replicas_missing_after_an_outage_are_used_until_they_must_be_back(self) -> None:
+        async def scenario() -> None:
+            fleet = GatewayFleet(count=1)
+            await fleet.start()
+            box = fleet.boxes['box-0']
+            box.store.cut = True
+            await asyncio.sleep(5.0)
+            for replica in replicas():
+                fleet.store.write(RecordKind.REPLICA, replica.id, None)
+            box.store.cut = False
+            await asyncio.sleep(1.5)
+            self.assertTrue(box.box.ready())
+            for replica in replicas():
+                if replica.zone == 'south':
+                    fleet.store.write(RecordKind.REPLICA, replica.id, replica)
+            await asyncio.sleep(1.5)
+            box.box.tick()
+            self.assertEqual(['desk-south'], [item.id for item in box.box.replicas.usable('desk')])
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
     def test_history_that_the_store_forgot_is_read_anew(self) -> None:
         async def scenario() -> None:
             fleet = GatewayFleet()
--- a/testkit/gateway_store.py
+++ b/testkit/gateway_store.py
@@ -46,12 +46,17 @@
         self.forgotten = self.revision
 
 
+CALL_TIMEOUT_S = 0.8
+"""How long a call to a silent store hangs beyond what it was asked to wait, as the adapter's do."""
+
+
 class FakeStoreClient(FleetStore):
-    """Give one box the store; `cut` keeps it away."""
+    """Give one box the store; `cut` keeps it away at once, `silent` after the time a call takes."""
 
     def __init__(self, *, store: FakeStore) -> None:
         self.store = store
         self.cut = False
+        self.silent = False
         self.calls = 0
 
     def check(self) -> None:
@@ -60,21 +65,32 @@
         if self.cut:
             raise FleetStoreError('cut off')
 
+    async def hang(self, wait_s: float) -> None:
+        """Fail a call as a silent store does."""
+        self.calls += 1
+        await asyncio.sleep(wait_s + CALL_TIMEOUT_S)
+        raise FleetStoreError('silent')
+
     async def list(self, kind: RecordKind) -> Listing:
         """Return every record."""
         await asyncio.sleep(0.004)
+        if self.silent:
+            await self.hang(0.0)
         self.check()
         return Listing(dict(self.store.records[kind]), self.store.revision)
 
     async def watch(self, kind: RecordKind, revision: int, wait_s: float) -> Changes:
         """Return what has changed."""
         self.check()
+        began = asyncio.get_running_loop().time()
         ends_at = asyncio.get_running_loop().time() + wait_s
         while True:
             if revision < self.store.forgotten:
                 raise HistoryLost(kind.value)
             found = [item for at, of, item in self.store.log if at > revision and of is kind]
             left_s = ends_at - asyncio.get_running_loop().time()
+            if self.silent:
+                await self.hang(wait_s - (asyncio.get_running_loop().time() - began))
             if found or left_s <= 0:
                 self.check()
                 return Changes(tuple(found), self.store.revision)
