Take a box for cut off only where the store answers others meanwhile

By age alone the scheduler passed for cut off, handed 31 jobs over, was chosen again 0.2 s later, and three boxes went on calling the same replicas with jobs they had adopted. Change: pings tell how old the last answer is, how long the store has failed the box and how steadily it had answered; a box goes last only if another was answered after it began to fail, for 2 s. Ruled out: load (the boxes used 5% of a core).

--- a/packages/core/calicopath_core/fleet/feed.py
+++ b/packages/core/calicopath_core/fleet/feed.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
+from calicopath_core.fleet.contact import StoreContact
 from calicopath_core.fleet.store import FleetStoreError, HistoryLost
 
 if TYPE_CHECKING:
@@ -71,7 +73,8 @@
         self.on_disrupted = on_disrupted
         self.revision: int | None = None
         self.contact_at: float | None = None
-        self.lost = False
+        self.failing_since: float | None = None
+        self.steady_since = 0.0
         self.calls = 0
 
     @property
@@ -104,18 +107,26 @@
             self.on_listing(listing)
             self.revision = listing.revision
             return
-        wait_s = PROBE_S if self.lost else WAIT_S
+        wait_s = PROBE_S if self.failing_since is not None else WAIT_S
         found = await self.store.watch(self.kind, self.revision, wait_s)
         self.on_contact()
         for change in found.changes:
             self.on_change(change)
         self.revision = max(self.revision, found.revision)
 
+    def contact(self) -> StoreContact:
+        """Return how the store answers this box."""
+        now = self.clock.monotonic()
+        age_s = math.inf if self.contact_at is None else now - self.contact_at
+        failing_s = 0.0 if self.failing_since is None else now - self.failing_since
+        return StoreContact(age_s, failing_s, now - self.steady_since)
+
     def on_contact(self) -> None:
         """Note that the store answered."""
         now = self.clock.monotonic()
-        if self.lost:
-            self.lost = False
+        if self.failing_since is not None:
+            self.failing_since = None
+            self.steady_since = now
             self.on_disrupted()
             self.observer.on_regained(self.kind, now - (self.contact_at or now))
         self.contact_at = now
@@ -123,6 +134,6 @@
     def on_failure(self, error: FleetStoreError) -> None:
         """Note that the store did not answer."""
         self.on_disrupted()
-        if not self.lost:
-            self.lost = True
+        if self.failing_since is None:
+            self.failing_since = self.clock.monotonic()
             self.observer.on_lost(self.kind, error)
--- a/packages/core/calicopath_core/scheduling/baseline.py
+++ b/packages/core/calicopath_core/scheduling/baseline.py
@@ -4,12 +4,14 @@
 
 from typing import TYPE_CHECKING
 
+from calicopath_core.fleet.contact import STEADY
 from calicopath_core.scheduling.election import Election
 from calicopath_core.scheduling.engines import EngineBoard, EngineChoice
 
 if TYPE_CHECKING:
     import random
 
+    from calicopath_core.fleet.contact import StoreContact
     from calicopath_core.scheduling.election import BoxAddress, Candidate
     from calicopath_core.scheduling.jobs import Job
 
@@ -21,7 +23,7 @@
         """Return nobody."""
         return []
 
-    def scheduler(self, now: float, own_age_s: float = 0.0) -> BoxAddress:
+    def scheduler(self, now: float, own: StoreContact = STEADY) -> BoxAddress:
         """Return this box."""
         return self.own
 
--- a/packages/core/calicopath_core/scheduling/client.py
+++ b/packages/core/calicopath_core/scheduling/client.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from calicopath_core.exceptions import CalicopathError
+from calicopath_core.fleet.contact import STEADY
 from calicopath_core.scheduling.messages import (
     Adopt,
     MadeResult,
@@ -23,6 +24,7 @@
     from collections.abc import Callable
 
     from calicopath_core.clock import Clock
+    from calicopath_core.fleet.contact import StoreContact
     from calicopath_core.scheduling.election import Election
 
 STOPPING_RETRY_S = 0.2
@@ -88,13 +90,13 @@
         election: Election,
         send: Callable[[str, msgspec.Struct], None],
         on_scheduler: Callable[[str, int], None],
-        contact_age_s: Callable[[], float] = lambda: 0.0,
+        contact: Callable[[], StoreContact] = lambda: STEADY,
     ) -> None:
         self.clock = clock
         self.election = election
         self.send = send
         self.on_scheduler = on_scheduler
-        self.contact_age_s = contact_age_s
+        self.contact = contact
         self.asked: dict[str, Asked] = {}
         self.target = election.own.address
 
@@ -118,7 +120,7 @@
     def check(self) -> None:
         """See who schedules now."""
         now = self.clock.monotonic()
-        target = self.election.scheduler(now, self.contact_age_s()).address
+        target = self.election.scheduler(now, self.contact()).address
         if target == self.target:
             return
         self.target = target
--- a/packages/core/calicopath_core/scheduling/election.py
+++ b/packages/core/calicopath_core/scheduling/election.py
@@ -10,9 +10,12 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from calicopath_core.fleet.contact import STEADY, UNKNOWN
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from calicopath_core.fleet.contact import StoreContact
     from calicopath_core.scheduling.messages import Ping, Pong, Presence
 
 CANDIDATES = 3
@@ -32,11 +35,6 @@
 """How long a candidate that had fallen silent must be heard again before it may schedule."""
 
 
-FRESH_S = 2.8
-"""How old a box's word from the store may be before another schedules: a watch that waits 2 s, and
-some delay. A box cut off from the store does not hear of replicas that leave."""
-
-
 class BoxAddress(NamedTuple):
     """Name a box and the address on which its peers reach it.
 
@@ -59,7 +57,7 @@
         self.heard_at: float | None = None
         self.leaving = False
         self.trusted_at = 0.0
-        self.contact_age_s = 0.0
+        self.contact = UNKNOWN
 
     def alive(self, now: float) -> bool:
         """Tell whether the box was heard lately, or is too new to tell."""
@@ -73,7 +71,7 @@
             self.trusted_at = now + TRUST_S
         self.heard_at = now
         self.leaving = message.leaving
-        self.contact_age_s = message.contact_age_s
+        self.contact = message.contact
 
     def may_schedule(self, now: float) -> bool:
         """Tell whether the box may be given work."""
@@ -141,22 +139,15 @@
                 break
         return found
 
-    def scheduler(self, now: float, own_age_s: float = 0.0) -> BoxAddress:
+    def scheduler(self, now: float, own: StoreContact = STEADY) -> BoxAddress:
         """Return the box that schedules, as far as this box can tell; itself if it hears nobody.
 
-        Boxes with fresh word from the store go first; if none has any, age does not count.
+        `own` is this box's contact with the store. Boxes that are behind another go last.
         """
-        able = [
-            name
-            for name in self.ranked
-            if (
-                not self.leaving
-                if name == self.own.name
-                else self.candidates[name].may_schedule(now)
-            )
-        ]
-        fresh = [name for name in able if self.age_s(name, own_age_s) < FRESH_S]
-        chosen = (fresh or able or [self.own.name])[0]
+        able = [name for name in self.ranked if self.is_able(name, now)]
+        contacts = {name: self.contact_of(name, own, now) for name in able}
+        current = [name for name in able if not contacts[name].is_behind_any(contacts.values())]
+        chosen = (current or able or [self.own.name])[0]
         return self.own if chosen == self.own.name else self.candidates[chosen].box
 
     def is_able(self, name: str, now: float) -> bool:
@@ -165,9 +156,13 @@
             return not self.leaving
         return self.candidates[name].may_schedule(now)
 
-    def age_s(self, name: str, own_age_s: float) -> float:
-        """Return how old a box's word from the store is."""
-        return own_age_s if name == self.own.name else self.candidates[name].contact_age_s
+    def contact_of(self, name: str, own: StoreContact, now: float) -> StoreContact:
+        """Return how the store answers a box, as far as this box was told."""
+        if name == self.own.name:
+            return own
+        candidate = self.candidates[name]
+        heard_at = now if candidate.heard_at is None else candidate.heard_at
+        return candidate.contact.later(now - heard_at)
 
     def hears(self, address: str, now: float) -> bool:
         """Tell whether the box at an address, leaving or not, was heard lately."""
--- a/packages/core/calicopath_core/scheduling/messages.py
+++ b/packages/core/calicopath_core/scheduling/messages.py
@@ -8,6 +8,9 @@
 
 import msgspec
 
+# msgspec reads this annotation when the program runs.
+from calicopath_core.fleet.contact import StoreContact
+
 
 class PhaseWork(msgspec.Struct, frozen=True, array_like=True):
     """Describe one phase of a job and how many pieces it has."""
@@ -134,12 +137,12 @@
 
 
 class Presence(msgspec.Struct, frozen=True):
-    """Say that a box is alive, how old its word from the store is and whether it leaves."""
+    """Say that a box is alive, how the store answers it and whether it leaves."""
 
     box: str
     address: str
     config_version: int
-    contact_age_s: float
+    contact: StoreContact
     leaving: bool
     sequence: int
 
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import itertools
-import math
 import os
 import random
 from functools import partial
@@ -30,6 +29,7 @@
 
 if TYPE_CHECKING:
     from calicopath_core.exchanges.messages import ReplicaCaller
+    from calicopath_core.fleet.contact import StoreContact
     from calicopath_core.fleet.deployment import ClientLimits, EngineSpec
     from calicopath_core.fleet.store import Change, FleetStore, Listing
     from calicopath_core.membership.transport import PeerTransport
@@ -76,7 +76,7 @@
             election=self.election,
             clock=self.clock,
             config_version=self.config_version,
-            contact_age_s=self.contact_age_s,
+            contact=self.contact,
             on_bad=observer.on_bad_message,
         )
         self.scheduler = Scheduler(
@@ -93,7 +93,7 @@
             election=self.election,
             send=self.link.send,
             on_scheduler=self.on_scheduler,
-            contact_age_s=self.contact_age_s,
+            contact=self.contact,
         )
         self.link.scheduler, self.link.client = self.scheduler, self.client
         self.feeds = [
@@ -147,10 +147,9 @@
         """Return the version of the configuration in force here, 0 for none."""
         return self.view.current.version if self.view.current is not None else 0
 
-    def contact_age_s(self) -> float:
-        """Return how old this box's word on replicas from the store is."""
-        contact_at = self.feeds[1].contact_at
-        return math.inf if contact_at is None else self.clock.monotonic() - contact_at
+    def contact(self) -> StoreContact:
+        """Return how the store answers this box's questions about replicas."""
+        return self.feeds[1].contact()
 
     def limits(self) -> ClientLimits:
         """Return what callers may send at the moment."""
@@ -242,6 +241,6 @@
             if candidate.heard_at is not None:
                 # Boxes that see this one as a candidate learn at once that it leaves.
                 self.link.send(candidate.box.address, self.link.presence(Pong, 0))
-        successor = self.election.scheduler(self.clock.monotonic()).address
+        successor = self.election.scheduler(self.clock.monotonic(), self.contact()).address
         if successor != self.own.address:
             self.scheduler.give_way(successor)
--- a/packages/daemon/calicopathd/gateway/peers.py
+++ b/packages/daemon/calicopathd/gateway/peers.py
@@ -27,6 +27,7 @@
     import msgspec
 
     from calicopath_core.clock import Clock
+    from calicopath_core.fleet.contact import StoreContact
     from calicopath_core.membership.transport import PeerTransport
     from calicopath_core.scheduling.client import SchedulerClient
     from calicopath_core.scheduling.election import Election
@@ -43,14 +44,14 @@
         election: Election,
         clock: Clock,
         config_version: Callable[[], int],
-        contact_age_s: Callable[[], float],
+        contact: Callable[[], StoreContact],
         on_bad: Callable[[str], None],
     ) -> None:
         self.transport = transport
         self.election = election
         self.clock = clock
         self.config_version = config_version
-        self.contact_age_s = contact_age_s
+        self.contact = contact
         self.on_bad = on_bad
         self.decoder = MessageDecoder(types=MESSAGES)
         self.scheduler: Scheduler | None = None
@@ -109,7 +110,7 @@
             box=own.name,
             address=own.address,
             config_version=self.config_version(),
-            contact_age_s=self.contact_age_s(),
+            contact=self.contact(),
             leaving=self.election.leaving,
             sequence=sequence,
         )
--- a/packages/daemon/calicopathd/gateway/run.py
+++ b/packages/daemon/calicopathd/gateway/run.py
@@ -154,7 +154,7 @@
     def set_figures(self) -> None:
         """Set the gauges."""
         box = self.box
-        age_s = box.contact_age_s()
+        age_s = box.contact().age_s
         self.figures.set_state(
             ready=float(box.ready()),
             scheduling=float(box.client.target == box.own.address),
--- a/packages/daemon/calicopathd/gateway/tests/fleet_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/fleet_tests.py
@@ -144,6 +144,28 @@
 
         self.run_virtual(scenario())
 
+    def test_an_outage_that_boxes_notice_one_after_the_other_hands_no_job_over(self) -> None:
+        async def scenario() -> set[str]:
+            fleet = GatewayFleet()
+            await fleet.start()
+            seen: set[str] = set()
+            for box in fleet.boxes.values():
+                box.store.silent = True
+                await asyncio.sleep(0.5)
+            for _ in range(100):
+                await asyncio.sleep(0.05)
+                seen |= fleet.schedulers()
+            for box in fleet.boxes.values():
+                box.store.silent = False
+                await asyncio.sleep(0.3)
+                seen |= fleet.schedulers()
+            await asyncio.sleep(3.0)
+            seen |= fleet.schedulers()
+            await fleet.stop()
+            return seen
+
+        self.assertEqual({'box-0:7'}, self.run_virtual(scenario()))
+
     def test_what_a_dead_maker_held_is_made_anew_elsewhere(self) -> None:
         async def scenario() -> None:
             fleet = GatewayFleet()
