--- a/packages/core/calicopath_core/scheduling/interfaces.py
+++ b/packages/core/calicopath_core/scheduling/interfaces.py
@@ -29,6 +29,17 @@
     reason: str = ''
 
 
+class StageReport(NamedTuple):
+    """Hold what a stage's replica tells of itself, as it stood some 100 ms before.
+
+    `free_bytes` is the most that may be free for results, `idle` says that no call is at work or
+    waits there.
+    """
+
+    free_bytes: float
+    idle: bool
+
+
 class StageCaller(ABC):
     """Call the replicas of stages."""
 
@@ -41,8 +52,8 @@
         """Give results up; raise `BackendError`."""
 
     @abstractmethod
-    async def free_bytes(self, replica: Replica) -> float:
-        """Return the room for results that a replica has left; raise `BackendError`."""
+    async def report(self, replica: Replica) -> StageReport:
+        """Return what a replica tells of itself; raise `BackendError`."""
 
 
 class SchedulerObserver(ABC):
--- a/packages/core/calicopath_core/scheduling/jobs.py
+++ b/packages/core/calicopath_core/scheduling/jobs.py
@@ -30,6 +30,11 @@
         self.called = False
         self.fetched = False
 
+    @property
+    def name(self) -> str:
+        """Return a name that no other piece has, nor another try of this one."""
+        return f'{self.job.id}/{self.phase}/{self.index}/{self.tries}'
+
     @property
     def work(self) -> PhaseWork:
         """Return the phase that the piece belongs to."""
--- /dev/null
+++ b/packages/core/calicopath_core/scheduling/overdue.py
@@ -0,0 +1,81 @@
+"""Look after calls that take too long: is the replica slow, or was the answer lost?"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from calicopath_core.backends.base import BackendError, MayHaveRun
+
+if TYPE_CHECKING:
+    from calicopath_core.clock import Clock
+    from calicopath_core.fleet.replicas import Replica
+    from calicopath_core.scheduling.interfaces import (
+        PieceCall,
+        PieceResult,
+        SchedulerObserver,
+        StageCaller,
+    )
+
+OVERDUE_FACTOR = 1.3
+REPORT_LAG_S = 0.15
+"""When a call is looked into: after this many times what is stated, and so much more, since
+replicas tell of themselves as they stood some 100 ms before."""
+
+LOOK_AGAIN_S = 0.15
+"""When a replica that seems idle is asked again: a single report may be older than the call."""
+
+SLOW_LOOK_FACTOR = 2.0
+"""A replica found at work is asked again when the call has taken this many times as long."""
+
+IDLE_LOOKS = 2
+"""Reports of no work in a row after which an answer counts as lost."""
+
+REPORT_TIMEOUT_S = 0.3
+"""How long a replica's word on itself is waited for; the users' replicas answer in a few ms."""
+
+
+class AnswerLost(MayHaveRun):
+    """Report that a replica is done with a call whose answer has not come."""
+
+
+class CallWatch:
+    """Make calls to stages and look into those that are overdue."""
+
+    def __init__(self, *, clock: Clock, caller: StageCaller, observer: SchedulerObserver) -> None:
+        self.clock = clock
+        self.caller = caller
+        self.observer = observer
+
+    async def run(
+        self, replica: Replica, calls: list[PieceCall], expected_s: float, limit_s: float
+    ) -> list[PieceResult]:
+        """Make a call that should take `expected_s`; raise `BackendError` or `TimeoutError`."""
+        begun = self.clock.monotonic()
+        answer = asyncio.ensure_future(self.caller.run(replica, calls))
+        try:
+            look_s = expected_s * OVERDUE_FACTOR + REPORT_LAG_S
+            idle_looks = 0
+            while True:
+                spent_s = self.clock.monotonic() - begun
+                await asyncio.wait({answer}, timeout=max(0.0, min(look_s, limit_s) - spent_s))
+                if answer.done():
+                    return answer.result()
+                spent_s = self.clock.monotonic() - begun
+                if spent_s >= limit_s:
+                    raise TimeoutError(f'{replica.id} took over {limit_s:.3f} s')
+                idle_looks = idle_looks + 1 if await self.is_idle(replica) else 0
+                if idle_looks >= IDLE_LOOKS and not answer.done():
+                    raise AnswerLost(f'{replica.id} is done and has not answered')
+                look_s = spent_s + LOOK_AGAIN_S if idle_looks else spent_s * SLOW_LOOK_FACTOR
+        finally:
+            answer.cancel()
+
+    async def is_idle(self, replica: Replica) -> bool:
+        """Tell whether a replica says that it has no work; without an answer it may have."""
+        try:
+            async with asyncio.timeout(REPORT_TIMEOUT_S):
+                return (await self.caller.report(replica)).idle
+        except (BackendError, TimeoutError) as error:
+            self.observer.on_report_failed(replica, error)
+            return False
--- a/packages/core/calicopath_core/scheduling/stage_calls.py
+++ b/packages/core/calicopath_core/scheduling/stage_calls.py
@@ -9,6 +9,7 @@
 from calicopath_core.backends.base import BackendError, NotStarted
 from calicopath_core.scheduling.interfaces import PieceCall, PieceResult
 from calicopath_core.scheduling.jobs import Job, Piece, Result
+from calicopath_core.scheduling.overdue import REPORT_TIMEOUT_S, AnswerLost, CallWatch
 from calicopath_core.scheduling.pacing import Pacing
 from calicopath_core.scheduling.stages import StageQueue
 
@@ -34,9 +35,6 @@
 """How long after a hand-over another scheduler's calls may be before ours at a replica, whose turn
 then comes later: the one that leaves finishes what it has begun."""
 
-REPORT_TIMEOUT_S = 0.3
-"""How long a replica's word on its room is waited for; the users' replicas answer in a few ms."""
-
 DOUBT_S = 5.0
 """How long inputs are kept until the end of calls after a replica found one gone."""
 
@@ -93,6 +91,7 @@
         self.observer = observer
         self.keeper = keeper
         self.pacing = Pacing()
+        self.watch = CallWatch(clock=clock, caller=caller, observer=observer)
         self.queues: dict[str, StageQueue] = {}
         self.to_free: dict[str, list[str]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
@@ -136,11 +135,11 @@
         """Ask a replica how much room it has; without an answer its own word is waited for."""
         try:
             async with asyncio.timeout(REPORT_TIMEOUT_S):
-                free_bytes = await self.caller.free_bytes(target.replica)
+                report = await self.caller.report(target.replica)
         except (BackendError, TimeoutError) as error:
             self.observer.on_report_failed(target.replica, error)
             return
-        target.on_free_bytes(free_bytes, queue.spec, self.clock.monotonic())
+        target.on_free_bytes(report.free_bytes, queue.spec, self.clock.monotonic())
         self.dispatch()
 
     def dispatch(self) -> None:
@@ -166,10 +165,10 @@
         begun = self.clock.monotonic()
         replica = batch.target.replica
         fetched = asyncio.get_running_loop().call_later(FETCHED_S, self.on_fetched, batch)
-        limit_s = queue.expected_s(len(calls)) * SLOW_FACTOR + CALL_GRACE_S
+        expected_s = queue.expected_s(len(calls))
+        limit_s = expected_s * SLOW_FACTOR + CALL_GRACE_S
         try:
-            async with asyncio.timeout(limit_s):
-                results = await self.caller.run(replica, calls)
+            results = await self.watch.run(replica, calls, expected_s, limit_s)
         except (BackendError, TimeoutError) as error:
             self.on_call_failed(queue, batch, error, begun)
             return
@@ -182,7 +181,7 @@
             if result.handle is not None:
                 made[result.handle] = piece.result_bytes
         queue.finished(batch, made, now)
-        batch.target.on_time(now - begun, queue.expected_s(len(calls)), now)
+        batch.target.on_time(now - begun, expected_s, now)
         self.observer.on_stage_call(
             queue.service, replica.id, batch.pieces, now - begun, outcome_of(results)
         )
@@ -251,7 +250,10 @@
         self.close_call(batch)
         now = self.clock.monotonic()
         full = isinstance(error, NotStarted)
-        queue.failed(batch, now, full=full)
+        if isinstance(error, AnswerLost):
+            queue.answer_lost(batch, now)
+        else:
+            queue.failed(batch, now, full=full)
         self.observer.on_stage_call(
             queue.service, batch.target.replica.id, batch.pieces, now - begun, repr(error)
         )
--- a/packages/core/calicopath_core/scheduling/stages.py
+++ b/packages/core/calicopath_core/scheduling/stages.py
@@ -299,6 +299,11 @@
         """Note that a replica had no room for a result."""
         batch.target.no_room_until = now + NO_ROOM_S
 
+    def answer_lost(self, batch: StageBatch, now: float) -> None:
+        """Count the room of results that were made and that nobody can give up."""
+        sizes = {f'lost {piece.name}': piece.result_bytes for piece in batch.pieces}
+        self.finished(batch, sizes, now)
+
     def failed(self, batch: StageBatch, now: float, *, full: bool) -> None:
         """Leave a replica alone for a while that failed a call or was full."""
         target = batch.target
--- a/packages/daemon/calicopathd/gateway/tests/fleet_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/fleet_tests.py
@@ -194,6 +194,34 @@
 
         self.run_virtual(scenario())
 
+    def test_a_call_whose_answer_is_lost_is_made_again_as_soon_as_its_replica_is_idle(self) -> None:
+        async def scenario() -> None:
+            fleet = GatewayFleet()
+            await fleet.start()
+            fleet.stages.broken['look-north'] = 'mute'
+            begun = now()
+            sinks = [serve_draft(fleet, number, skip='') for number in range(2)]
+            await asyncio.sleep(0.1)
+            fleet.stages.broken.clear()
+            await fleet.settle()
+            self.assertEqual([WHOLE] * 2, [sink.event_ids for sink in sinks])
+            self.assertLess(now() - begun, 2.0)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
+    def test_a_slow_replica_at_work_is_not_taken_for_one_that_lost_its_answer(self) -> None:
+        async def scenario() -> None:
+            fleet = GatewayFleet()
+            await fleet.start()
+            fleet.stages.broken['look-north'] = fleet.stages.broken['look-south'] = 'slow'
+            sinks = await load(fleet, 2)
+            self.assertEqual([WHOLE] * 2, [sink.event_ids for sink in sinks])
+            self.assertEqual(6, sum(len(calls) for _, calls in fleet.stages.calls))
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
     def test_results_are_given_up_when_nobody_needs_them(self) -> None:
         async def scenario() -> None:
             fleet = GatewayFleet()
--- a/testkit/gateway_replicas.py
+++ b/testkit/gateway_replicas.py
@@ -13,7 +13,7 @@
     ReplicaCaller,
     ReplySink,
 )
-from calicopath_core.scheduling.interfaces import PieceCall, PieceResult, StageCaller
+from calicopath_core.scheduling.interfaces import PieceCall, PieceResult, StageCaller, StageReport
 
 if TYPE_CHECKING:
     from calicopath_core.exchanges.messages import Headers, Outbound
@@ -52,6 +52,10 @@
             await asyncio.sleep(slow * (STAGE.call_s + STAGE.piece_s * len(calls)))
         finally:
             self.at_work[replica.id] -= 1
+        if fault == 'mute':
+            for _ in calls:
+                self.make(replica.id)
+            await asyncio.sleep(3600)
         return [
             PieceResult(None, 'gone') if lost else PieceResult(self.make(replica.id))
             for lost in gone
@@ -73,10 +77,11 @@
         """Lose every result of a replica that died."""
         self.live = {handle: maker for handle, maker in self.live.items() if maker != replica}
 
-    async def free_bytes(self, replica: Replica) -> float:
-        """Return the room that is left."""
+    async def report(self, replica: Replica) -> StageReport:
+        """Return the room that is left, and whether a call is at work."""
         held = sum(maker == replica.id for maker in self.live.values())
-        return max(0.0, STAGE.room_bytes - held * RESULT_BYTES)
+        free_bytes = max(0.0, STAGE.room_bytes - held * RESULT_BYTES)
+        return StageReport(free_bytes, idle=not self.at_work.get(replica.id, 0))
 
     async def free(self, address: str, handles: list[str]) -> None:
         """Give results up."""
