Tell a job's box who goes on with it, and ask again when that one is silent

Change: HandedOver names the new scheduler to the job's box; a question names the scheduler it misses, and a job is not handed to that one; Place has the election looked at first; a question without any word for 1 s is sent once more (a known job is not begun twice). Tests: fail without the change; one counts messages, since jobs went to and fro without 'missed'.

--- a/packages/core/calicopath_core/scheduling/client.py
+++ b/packages/core/calicopath_core/scheduling/client.py
@@ -11,6 +11,7 @@
 from calicopath_core.fleet.contact import STEADY
 from calicopath_core.scheduling.messages import (
     Adopt,
+    HandedOver,
     MadeResult,
     Place,
     Placed,
@@ -30,6 +31,10 @@
 STOPPING_RETRY_S = 0.2
 """When a caller may come back that waited at a box which has to end: at once, to another box."""
 
+REMIND_S = 1.0
+"""When a scheduler that has told nothing of a job is asked once more: a message, or an answer, may
+be lost with a connection. It begins nothing twice."""
+
 CHECK_S = 0.05
 """How often it is looked whether another box schedules now."""
 
@@ -49,6 +54,7 @@
     def __init__(self, *, place: Place, now: float) -> None:
         self.place = place
         self.asked_at = now
+        self.remind_at = now + REMIND_S
         self.targets: list[str] = []
         self.results: dict[tuple[int, int], MadeResult] = {}
         self.answer: asyncio.Future[Placed] = asyncio.get_running_loop().create_future()
@@ -61,15 +67,18 @@
             if item.phase in message.freed:
                 self.results[key] = msgspec.structs.replace(item, freed=True)
 
-    def question(self, now: float) -> Place | Adopt:
-        """Return what the next scheduler is asked: with what is made already, if anything is."""
-        place = self.aged(now)
+    def question(self, now: float, missed: str = '') -> Place | Adopt:
+        """Return what the next scheduler is asked: with what is made already, if anything is.
+
+        `missed` is the address of a scheduler that fell silent over the job.
+        """
+        place = self.aged(now, missed)
         if not self.results:
             return place
         waited_s = now - self.asked_at
         return Adopt(place=place, results=tuple(self.results.values()), waited_s=waited_s)
 
-    def aged(self, now: float) -> Place:
+    def aged(self, now: float, missed: str) -> Place:
         """Return the question with the time that is left now."""
         spent_s = now - self.asked_at
         return msgspec.structs.replace(
@@ -77,6 +86,7 @@
             objective_s=self.place.objective_s - spent_s,
             deadline_s=self.place.deadline_s - spent_s,
             asked_before=bool(self.targets),
+            missed=missed,
         )
 
 
@@ -111,10 +121,11 @@
 
     def ask(self, asked: Asked, now: float) -> None:
         """Hand a job to the scheduler of the moment; take it from one asked before."""
-        if asked.targets:
+        missed = asked.targets[-1] if asked.targets else ''
+        if missed:
             gone = RunEnded(job=asked.place.job, sender=self.election.own.name, failed=False)
-            self.send(asked.targets[-1], gone)
-        self.send(self.target, asked.question(now))
+            self.send(missed, gone)
+        self.send(self.target, asked.question(now, missed))
         asked.targets.append(self.target)
 
     def check(self) -> None:
@@ -128,6 +139,13 @@
         lost = self.lost(now)
         self.on_scheduler(target, len(lost))
 
+    def remind(self, now: float) -> None:
+        """Ask the schedulers once more that have told nothing of a job for a while."""
+        for asked in self.asked.values():
+            if not asked.answer.done() and asked.targets and now >= asked.remind_at:
+                asked.remind_at = now + REMIND_S
+                self.send(asked.targets[-1], asked.question(now))
+
     def lost(self, now: float) -> list[Asked]:
         """Return the jobs not answered whose scheduler has fallen silent."""
         return [
@@ -151,13 +169,23 @@
             await asyncio.sleep(CHECK_S)
             self.check()
             self.ask_again()
+            self.remind(self.clock.monotonic())
 
     def on_progress(self, message: Progress) -> None:
         """Take in what a scheduler has made of a job."""
         asked = self.asked.get(message.job)
         if asked is not None:
+            asked.remind_at = self.clock.monotonic() + REMIND_S
             asked.on_progress(message)
 
+    def on_handed_over(self, message: HandedOver) -> None:
+        """Wait for the scheduler that goes on with a job; ask again if it is silent already."""
+        asked = self.asked.get(message.job)
+        if asked is None or asked.answer.done():
+            return
+        asked.targets.append(message.scheduler)
+        self.ask_again()
+
     def on_placed(self, message: Placed) -> None:
         """Take a scheduler's answer in; the first one counts."""
         asked = self.asked.get(message.job)
--- a/packages/core/calicopath_core/scheduling/messages.py
+++ b/packages/core/calicopath_core/scheduling/messages.py
@@ -42,7 +42,8 @@
 
     `job` is unique to one attempt of one request; `reply_to` is the asking box's peer address.
     `exclude` are engines not to choose; `resumed` says that one failed the request midway,
-    `asked_before` that an earlier scheduler had let the job in and fell silent.
+    `asked_before` that an earlier scheduler had let the job in and fell silent; `missed` is its
+    address, to which the job must not be handed over.
     `objective_s` and `deadline_s` are what is left of them when the message is sent.
     """
 
@@ -60,6 +61,7 @@
     exclude: tuple[str, ...] = ()
     resumed: bool = False
     asked_before: bool = False
+    missed: str = ''
 
 
 class Placed(msgspec.Struct, frozen=True, tag='ok'):
@@ -106,6 +108,13 @@
     freed: tuple[int, ...]
 
 
+class HandedOver(msgspec.Struct, frozen=True, tag='ho'):
+    """Tell a job's box which scheduler goes on with it: that is the one to wait for, or to miss."""
+
+    job: str
+    scheduler: str
+
+
 class EngineLoads(msgspec.Struct, frozen=True, tag='el'):
     """Tell the next scheduler the seconds of work that wait at engines, by replica."""
 
@@ -155,4 +164,16 @@
     """Answer a ping."""
 
 
-MESSAGES = (Place, Placed, Adopt, Progress, EngineLoads, Rejected, RunStarted, RunEnded, Ping, Pong)
+MESSAGES = (
+    Place,
+    Placed,
+    Adopt,
+    Progress,
+    HandedOver,
+    EngineLoads,
+    Rejected,
+    RunStarted,
+    RunEnded,
+    Ping,
+    Pong,
+)
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -10,7 +10,14 @@
 from calicopath_core.scheduling.admission import Admission
 from calicopath_core.scheduling.engines import EngineBoard
 from calicopath_core.scheduling.jobs import Job, Piece, Result
-from calicopath_core.scheduling.messages import Adopt, EngineLoads, Placed, Progress, Rejected
+from calicopath_core.scheduling.messages import (
+    Adopt,
+    EngineLoads,
+    HandedOver,
+    Placed,
+    Progress,
+    Rejected,
+)
 from calicopath_core.scheduling.stage_calls import MAX_PIECE_TRIES, JobKeeper, StageCalls
 
 if TYPE_CHECKING:
@@ -131,9 +138,10 @@
         now = self.clock.monotonic()
         job = Job(place=place, now=now)
         self.jobs[place.job] = job
-        if self.successor is not None:
+        if self.successor is not None and place.missed != self.successor:
             self.hand_over(job)
             return
+        job.adopted = self.successor is not None
         board = self.boards.get(place.service)
         if board is None:
             self.reject(job, 'unknown-service')
@@ -212,6 +220,7 @@
         )
         waited_s = now - job.arrived_at
         self.send(self.successor, Adopt(place=place, results=results, waited_s=waited_s))
+        self.send(job.place.reply_to, HandedOver(job=job.id, scheduler=self.successor))
         self.observer.on_handed_over(job, self.successor, len(results))
         job.ended = True
         del self.jobs[job.id]
--- a/packages/daemon/calicopathd/gateway/peers.py
+++ b/packages/daemon/calicopathd/gateway/peers.py
@@ -11,6 +11,7 @@
     MESSAGES,
     Adopt,
     EngineLoads,
+    HandedOver,
     Ping,
     Place,
     Placed,
@@ -87,6 +88,8 @@
             case Pong():
                 self.election.on_pong(message, self.clock.monotonic())
             case Place():
+                # Others may have noticed before this box that the former scheduler is silent.
+                self.client.check()
                 self.scheduler.on_place(message)
             case Adopt():
                 self.scheduler.on_adopt(message)
@@ -96,6 +99,8 @@
                 self.client.on_placed(message)
             case Progress():
                 self.client.on_progress(message)
+            case HandedOver():
+                self.client.on_handed_over(message)
             case Rejected():
                 self.client.on_rejected(message)
             case RunStarted():
--- a/packages/daemon/calicopathd/gateway/tests/fleet_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/fleet_tests.py
@@ -104,6 +104,47 @@
 
         self.run_virtual(scenario())
 
+    def test_jobs_handed_to_a_scheduler_that_is_dead_are_asked_for_again(self) -> None:
+        async def scenario() -> None:
+            fleet = GatewayFleet()
+            await fleet.start()
+            # box-1 believes for long that the scheduler it once gave way to is alive.
+            fleet.kill('box-0')
+            candidate = fleet.boxes['box-1'].box.election.candidates['box-0']
+            for _ in range(30):
+                candidate.heard_at = now()
+                await asyncio.sleep(0.05)
+            self.assertEqual('box-1:7', fleet.boxes['box-2'].box.client.target)
+            begun, sent = now(), fleet.boxes['box-2'].box.link.sent
+            sinks = [fleet.serve('box-2', exchange(number, 'draft', now())) for number in range(4)]
+            for _ in range(10):
+                candidate.heard_at = now()
+                await asyncio.sleep(0.05)
+            await fleet.settle()
+            self.assertEqual([WHOLE] * 4, [sink.event_ids for sink in sinks])
+            self.assertLess(now() - begun, 3.0)
+            # It does not go to and fro between the one that hands over and the asking box.
+            self.assertLess(fleet.boxes['box-2'].box.link.sent - sent, 60)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
+    def test_a_question_that_is_lost_on_the_way_is_asked_once_more(self) -> None:
+        async def scenario() -> None:
+            fleet = GatewayFleet()
+            await fleet.start()
+            fleet.network.blocked = lambda source, target: source == 'box-2:7'
+            sink = fleet.serve('box-2', exchange(1, 'draft', now()))
+            await asyncio.sleep(0.1)
+            fleet.network.blocked = lambda source, target: False
+            begun = now()
+            await fleet.settle()
+            self.assertEqual(WHOLE, sink.event_ids)
+            self.assertLess(now() - begun, 3.0)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
     def test_a_box_that_hears_nobody_schedules_by_itself(self) -> None:
         async def scenario() -> None:
             fleet = GatewayFleet()
