--- a/packages/core/calicopath_core/scheduling/stages.py
+++ b/packages/core/calicopath_core/scheduling/stages.py
@@ -353,12 +353,13 @@
     While there is time for all, those with least to spare go first whatever their rank; when there
     is not, all have little to spare and rank decides. Before them go jobs whose stream broke
     midway, since their callers see the pause, and jobs whose results would soon run out and have
-    to be made again; after them, jobs that are late already.
+    to be made again; after them, jobs that are late or will be: were they to go first, as those with
+    least to spare, a backlog of some seconds would make every job late that comes after it.
     """
     job = piece.job
     if job.resumed or job.oldest_result_s(now) > OLD_RESULT_S:
         return (0, 0, 0, job.arrived_at)
-    if now > job.objective_at:
+    if piece.slack_s(now) < 0:
         return (2, 0, job.place.priority, job.objective_at)
     spare = max(0, int(piece.slack_s(now) / SPARE_STEP_S))
     return (1, spare, job.place.priority, job.objective_at)
--- a/packages/core/calicopath_core/scheduling/tests/stages_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/stages_tests.py
@@ -49,6 +49,13 @@
         timely = job('timely', phase(), priority=2)
         self.assertEqual(['timely', 'late'], self.served(late, timely))
 
+    def test_what_can_not_be_in_time_any_more_gives_way_to_what_can(self) -> None:
+        hopeless = job('hopeless', phase(), objective_s=1.0)
+        hopeless.tail_s = {0: 1.5}
+        timely = job('timely', phase(), priority=2, objective_s=3.0)
+        timely.tail_s = {0: 1.5}
+        self.assertEqual(['timely', 'hopeless'], self.served(hopeless, timely))
+
     def test_old_results_and_broken_streams_go_first(self) -> None:
         fresh = job('fresh', phase(), objective_s=0.5)
         old = job('old', phase(), phase(), objective_s=9.0)
