Soak real processes under seeded faults; keep a start of hundreds of boxes linear

tools/soak: boxes as processes over loopback before protocol stand-ins; links that delay, reset, cut one way or silence; kill, pause, stop, reload; the store down, silent, losing answers, forgetting; replicas that crash or drain; changes in series.

Now at most three unanswered candidates are pinged, records of a batch are taken in together, idle loops run a quarter as often.

--- a/packages/core/calicopath_core/fleet/feed.py
+++ b/packages/core/calicopath_core/fleet/feed.py
@@ -28,7 +28,7 @@
 back together."""
 
 
-MODE_CHECK_S = 0.1
+MODE_CHECK_S = 0.2
 """How often a box that hears the store through others looks whether it still does."""
 
 
--- a/packages/core/calicopath_core/scheduling/client.py
+++ b/packages/core/calicopath_core/scheduling/client.py
@@ -36,7 +36,8 @@
 be lost with a connection. It begins nothing twice."""
 
 CHECK_S = 0.05
-"""How often it is looked whether another box schedules now."""
+IDLE_CHECK_S = 0.2
+"""How often it is looked whether another box schedules now, with and without jobs."""
 
 
 class PlacementRejected(CalicopathError):
@@ -166,7 +167,7 @@
     async def run(self) -> None:
         """Look often who schedules until cancelled."""
         while True:
-            await asyncio.sleep(CHECK_S)
+            await asyncio.sleep(CHECK_S if self.asked else IDLE_CHECK_S)
             self.check()
             self.ask_again()
             self.remind(self.clock.monotonic())
--- a/packages/core/calicopath_core/scheduling/election.py
+++ b/packages/core/calicopath_core/scheduling/election.py
@@ -8,12 +8,13 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING, NamedTuple
 
 from calicopath_core.fleet.contact import STEADY, UNKNOWN
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Iterator
 
     from calicopath_core.fleet.contact import StoreContact
     from calicopath_core.scheduling.messages import Ping, Pong, Presence
@@ -21,6 +22,9 @@
 CANDIDATES = 3
 """Boxes, first by rank, that every box pings: enough that one of them lives through two losses."""
 
+COMPARED = 8
+"""Boxes, first by rank, whose contact with the store is compared: more than are ever pinged."""
+
 PING_S = 0.2
 SILENT_S = 0.7
 """A candidate not heard for this long is passed over: three pings lost, and some delay. Shorter
@@ -57,6 +61,7 @@
         self.box = box
         self.listed_at = listed_at
         self.heard_at: float | None = None
+        self.pinged_at: float | None = None
         self.leaving = False
         self.trusted_at = 0.0
         self.contact = UNKNOWN
@@ -72,9 +77,16 @@
         if self.heard_at is not None and now - self.heard_at >= SILENT_S:
             self.trusted_at = now + TRUST_S
         self.heard_at = now
+        self.pinged_at = None
         self.leaving = message.leaving
         self.contact = message.contact
 
+    def ping(self, now: float) -> bool:
+        """Note that the box is pinged; tell whether it still has the time to answer."""
+        if self.pinged_at is None:
+            self.pinged_at = now
+        return now - self.pinged_at < SILENT_S
+
     def may_schedule(self, now: float) -> bool:
         """Tell whether the box may be given work."""
         return self.alive(now) and not self.leaving and now >= self.trusted_at
@@ -130,7 +142,11 @@
         return candidate
 
     def pinged(self, now: float) -> list[Candidate]:
-        """Return the candidates to ping: enough from the front that some may schedule."""
+        """Return the candidates to ping: enough from the front that some may schedule.
+
+        Those that still have the time to answer count as good: when all boxes start at once nobody
+        was heard yet, and each would ping every other.
+        """
         found: list[Candidate] = []
         good = 0
         for name in self.ranked:
@@ -138,7 +154,9 @@
                 continue
             candidate = self.candidates[name]
             found.append(candidate)
-            good += candidate.heard_at is not None and candidate.may_schedule(now)
+            in_time = candidate.ping(now)
+            heard = candidate.heard_at is not None
+            good += candidate.may_schedule(now) if heard else in_time
             if good >= CANDIDATES:
                 break
         return found
@@ -148,12 +166,16 @@
 
         `own` is this box's contact with the store. Boxes that are behind another go last.
         """
-        able = [name for name in self.ranked if self.is_able(name, now)]
+        able = list(itertools.islice(self.able(now), COMPARED))
         contacts = {name: self.contact_of(name, own, now) for name in able}
         current = [name for name in able if not contacts[name].is_behind_any(contacts.values())]
         chosen = (current or able or [self.own.name])[0]
         return self.own if chosen == self.own.name else self.candidates[chosen].box
 
+    def able(self, now: float) -> Iterator[str]:
+        """Yield the boxes that are there to schedule, in rank order."""
+        return (name for name in self.ranked if self.is_able(name, now))
+
     def is_able(self, name: str, now: float) -> bool:
         """Tell whether a box is there to schedule."""
         if name == self.own.name:
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -106,6 +106,8 @@
 
     def tick(self) -> None:
         """Do what is due."""
+        if not self.jobs and self.stages.is_idle:
+            return
         now = self.clock.monotonic()
         for board in self.boards.values():
             board.forget_lost(now)
--- a/packages/core/calicopath_core/scheduling/stage_calls.py
+++ b/packages/core/calicopath_core/scheduling/stage_calls.py
@@ -107,6 +107,15 @@
         for name, queue in self.queues.items():
             queue.set_replicas(self.replicas.usable(name))
 
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether nothing waits, is at work or is to be freed."""
+        return (
+            not self.to_free
+            and not self.tasks
+            and not any(queue.waiting for queue in self.queues.values())
+        )
+
     def tick(self, now: float) -> None:
         """Do what is due by time."""
         for queue in self.queues.values():
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -205,7 +205,9 @@
         self.publisher.on_listed(kind, listing.revision)
 
     def on_changed(self, kind: RecordKind, revision: int, names: Iterable[str]) -> None:
-        """Hand changes on to the boxes that hear the store through this one."""
+        """Take boxes in together, and hand changes on to those that hear the store through this."""
+        if kind is RecordKind.BOX:
+            self.on_boxes(self.clock.monotonic())
         self.publisher.on_changed(kind, revision, names)
 
     def on_boxes(self, now: float) -> None:
@@ -223,10 +225,8 @@
             self.replicas.put(record)
         elif isinstance(record, BoxAddress):
             self.boxes[change.name] = record
-            self.on_boxes(now)
         elif kind is RecordKind.BOX:
             self.boxes.pop(change.name, None)
-            self.on_boxes(now)
         elif kind is RecordKind.REPLICA:
             self.replicas.remove(change.name, now)
 
--- a/packages/daemon/calicopathd/gateway/run.py
+++ b/packages/daemon/calicopathd/gateway/run.py
@@ -28,7 +28,7 @@
 
 log = structlog.get_logger(__name__)
 
-TICK_S = 0.1
+TICK_S = 0.2
 BALANCER_LAG_S = 3.0
 """How long the platform's balancer may go on sending callers to a box that is not ready: it asks
 each second and needs two answers in a row."""
--- a/packages/daemon/calicopathd/peers/zmq_transport.py
+++ b/packages/daemon/calicopathd/peers/zmq_transport.py
@@ -31,8 +31,15 @@
 class ZmqTransport(PeerTransport):
     """Keep the connections used last; drop messages rather than wait."""
 
-    def __init__(self, *, address: Address, max_reconnect_ms: int = MAX_RECONNECT_MS) -> None:
+    def __init__(
+        self,
+        *,
+        address: Address,
+        max_reconnect_ms: int = MAX_RECONNECT_MS,
+        max_connections: int = MAX_CONNECTIONS,
+    ) -> None:
         self.max_reconnect_ms = max_reconnect_ms
+        self.max_connections = max_connections
         self.context = zmq.asyncio.Context()
         self.plain = zmq.Context(self.context)
         self.pull = self.context.socket(zmq.PULL)
@@ -79,7 +86,7 @@
         if found is None:
             found = self.connect(address)
             self.sockets[address] = found
-            if len(self.sockets) > MAX_CONNECTIONS:
+            if len(self.sockets) > self.max_connections:
                 self.sockets.popitem(last=False)[1].close()
         self.sockets.move_to_end(address)
         return found
--- /dev/null
+++ b/tools/soak/links.py
@@ -0,0 +1,90 @@
+"""Carry connections over loopback, and hold up, cut or lose what they carry."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+from tools.soak.schedule import LinkMode
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+DELAY_S = 0.15
+POLL_S = 0.02
+CHUNK = 65536
+
+
+class Link:
+    """Stand between one side and a server; `mode` holds for open and for new connections."""
+
+    def __init__(self, *, target: str) -> None:
+        self.target = target
+        self.mode = LinkMode.PASS
+        self.address = ''
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    def set_mode(self, mode: LinkMode) -> None:
+        """Change what the link does; a reset cuts what is open."""
+        self.mode = mode
+        if mode is LinkMode.RESET:
+            self.cut()
+
+    def cut(self) -> None:
+        """Reset every open connection."""
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    @contextlib.asynccontextmanager
+    async def served(self) -> AsyncIterator[str]:
+        """Yield the link's own address while it is up."""
+        server = await asyncio.start_server(self.handle, '127.0.0.1', 0)
+        self.address = f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
+        try:
+            yield self.address
+        finally:
+            server.close()
+            self.mode = LinkMode.PASS
+            self.cut()
+
+    async def handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Carry one connection."""
+        if self.mode is LinkMode.RESET:
+            writer.transport.abort()
+            return
+        self.writers.add(writer)
+        host, _, port = self.target.rpartition(':')
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            self.writers.discard(writer)
+            return
+        self.writers.add(far_writer)
+        try:
+            await asyncio.gather(
+                self.carry(reader, far_writer, LinkMode.NO_WAY_OUT),
+                self.carry(far_reader, writer, LinkMode.NO_WAY_BACK),
+            )
+        finally:
+            for item in (writer, far_writer):
+                self.writers.discard(item)
+                item.close()
+
+    async def carry(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, blocked: LinkMode
+    ) -> None:
+        """Carry bytes one way; while the link is `blocked` or silent they wait."""
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK):
+                if self.mode is LinkMode.DELAY:
+                    await asyncio.sleep(DELAY_S)
+                while self.mode in (LinkMode.SILENT, blocked):
+                    await asyncio.sleep(POLL_S)
+                writer.write(data)
+                await writer.drain()
+            if writer.can_write_eof():
+                writer.write_eof()
+            return
+        writer.transport.abort()
--- /dev/null
+++ b/tools/soak/schedule.py
@@ -0,0 +1,106 @@
+"""Draw what goes wrong, when and for how long, from a seed."""
+
+from __future__ import annotations
+
+import enum
+import random
+from typing import NamedTuple
+
+
+class FaultKind(enum.Enum):
+    """Name what goes wrong; a target is the number of a box or of a replica."""
+
+    KILL_BOX = 'kill-box'
+    PAUSE_BOX = 'pause-box'
+    STOP_BOX = 'stop-box'
+    RELOAD_BOX = 'reload-box'
+    STORE_DOWN = 'store-down'
+    STORE_SILENT = 'store-silent'
+    STORE_LOSES_ANSWERS = 'store-loses-answers'
+    STORE_FORGETS = 'store-forgets'
+    STORE_LINK = 'store-link'
+    REPLICA_LINK = 'replica-link'
+    REPLICA_CRASH = 'replica-crash'
+    REPLICA_DRAINS = 'replica-drains'
+    CHANGE = 'change'
+
+
+class LinkMode(enum.Enum):
+    """Say what a link does with connections and bytes."""
+
+    PASS = 'pass'
+    DELAY = 'delay'
+    RESET = 'reset'
+    SILENT = 'silent'
+    NO_WAY_OUT = 'no-way-out'
+    NO_WAY_BACK = 'no-way-back'
+
+
+PLANNED = frozenset(
+    {FaultKind.STOP_BOX, FaultKind.RELOAD_BOX, FaultKind.CHANGE, FaultKind.REPLICA_DRAINS}
+)
+"""What is no fault but an operator's work: nothing may be cut by it."""
+
+BROKEN_LINKS = (
+    LinkMode.DELAY,
+    LinkMode.RESET,
+    LinkMode.SILENT,
+    LinkMode.NO_WAY_OUT,
+    LinkMode.NO_WAY_BACK,
+)
+LONGEST_S = 5.0
+GAP_S = 0.7
+"""The mean time between two steps; they last up to `LONGEST_S` and so overlap."""
+
+SERIES = 4
+"""Changes of one kind that may come right after each other."""
+
+
+class Step(NamedTuple):
+    """Hold one step; times are seconds, from the start of the schedule."""
+
+    at_s: float
+    kind: FaultKind
+    target: int
+    for_s: float
+    link: LinkMode
+
+    @property
+    def ends_s(self) -> float:
+        """Return when it is over."""
+        return self.at_s + self.for_s
+
+
+def draw(seed: int, *, seconds: float, boxes: int, replicas: int) -> list[Step]:
+    """Return the steps of a seed, in order; the same for the same arguments."""
+    rng = random.Random(seed)
+    kinds = list(FaultKind)
+    found: list[Step] = []
+    at_s = 1.0
+    while at_s < seconds:
+        kind = rng.choice(kinds)
+        of_replicas = kind.value.startswith('replica')
+        target = rng.randrange(replicas if of_replicas else boxes)
+        series = rng.randint(1, SERIES) if kind in PLANNED and rng.random() < 0.3 else 1
+        for number in range(series):
+            step = Step(
+                at_s=round(at_s + 0.2 * number, 3),
+                kind=kind,
+                target=(target + number) % (replicas if of_replicas else boxes),
+                for_s=round(rng.uniform(0.3, LONGEST_S), 3),
+                link=rng.choice(BROKEN_LINKS),
+            )
+            found.append(step)
+        at_s += rng.expovariate(1 / GAP_S)
+    return sorted(found, key=lambda step: step.at_s)
+
+
+def calm(steps: list[Step], begin_s: float, end_s: float, *, own: Step | None = None) -> bool:
+    """Tell whether no fault but `own` touches a span."""
+    return not any(
+        step is not own
+        and step.kind not in PLANNED
+        and step.at_s <= end_s
+        and step.ends_s >= begin_s
+        for step in steps
+    )
--- /dev/null
+++ b/tools/soak/tests/checks_tests.py
@@ -0,0 +1,138 @@
+"""Test that the soak's checks see what must not be, and only that."""
+
+from __future__ import annotations
+
+import itertools
+from typing import Any
+
+import testtools
+
+from tools.soak import checks
+from tools.soak.records import EVENTS, RequestKind, Run, Seen, StopSeen
+from tools.soak.schedule import FaultKind, LinkMode, Step, calm, draw
+
+WHOLE = tuple(range(1, EVENTS + 1))
+
+
+def seen(kind: RequestKind, **changes: Any) -> Seen:
+    """Return a request that was served well."""
+    fields: dict[str, Any] = {
+        'call_id': 'c-1',
+        'kind': kind,
+        'box': 0,
+        'life': 1,
+        'began': 10.0,
+        'ended': 10.5,
+        'status': 200,
+        'whole': True,
+        'sealed': True,
+        'body': b'c-1 desk',
+        'event_ids': WHOLE if kind in (RequestKind.DRAFT, RequestKind.LETTER) else (),
+    }
+    return Seen(**(fields | changes))
+
+
+def run(began: float = 10.0, ended: float | None = 10.5) -> Run:
+    """Return a run."""
+    found = Run(call_id='c-1', replica='i-1', began=began, first=1)
+    found.ended = ended
+    return found
+
+
+def step(kind: FaultKind, at_s: float, for_s: float = 1.0) -> Step:
+    """Return a step."""
+    return Step(at_s, kind, 0, for_s, LinkMode.RESET)
+
+
+class Answers(testtools.TestCase):
+    def test_what_is_right_is_no_problem(self) -> None:
+        good = [seen(RequestKind.READ), seen(RequestKind.DRAFT), seen(RequestKind.READ, status=503)]
+        self.assertEqual([], checks.answers_are_right(good))
+
+    def test_each_wrong_answer_is_seen(self) -> None:
+        wrong = [
+            seen(RequestKind.READ, sealed=False),
+            seen(RequestKind.READ, body=b'c-2 desk'),
+            seen(RequestKind.DRAFT, event_ids=(1, 3)),
+            seen(RequestKind.DRAFT, event_ids=(1, 1, 2), whole=False),
+            seen(RequestKind.LETTER, event_ids=WHOLE[:-1]),
+        ]
+        for item in wrong:
+            self.assertEqual(1, len(checks.answers_are_right([item])), str(item))
+
+    def test_a_stream_that_was_cut_is_right_as_far_as_it_goes(self) -> None:
+        cut = seen(RequestKind.DRAFT, event_ids=(1, 2), whole=False)
+        self.assertEqual([], checks.answers_are_right([cut]))
+
+
+class Runs(testtools.TestCase):
+    def test_two_runs_of_what_can_not_be_repeated(self) -> None:
+        paid = [seen(RequestKind.PAY)]
+        self.assertEqual([], checks.nothing_runs_twice(paid, [run()]))
+        self.assertEqual(1, len(checks.nothing_runs_twice(paid, [run(), run()])))
+        read = [seen(RequestKind.READ)]
+        self.assertEqual([], checks.nothing_runs_twice(read, [run(), run()]))
+
+    def test_a_refusal_of_what_ran(self) -> None:
+        refused = [seen(RequestKind.LETTER, status=503)]
+        self.assertEqual([], checks.nothing_runs_twice(refused, []))
+        self.assertEqual(1, len(checks.nothing_runs_twice(refused, [run()])))
+
+    def test_a_run_that_nobody_asked_for(self) -> None:
+        self.assertEqual(1, len(checks.no_unknown_request_ran([], [run()], set())))
+        self.assertEqual([], checks.no_unknown_request_ran([], [run()], {'c-1'}))
+
+    def test_runs_of_one_stream_at_the_same_time(self) -> None:
+        together = [run(10.0, 14.0), run(11.0, 15.0)]
+        self.assertEqual(1, len(checks.runs_do_not_overlap(together, [], 20.0)))
+        fault = [step(FaultKind.REPLICA_LINK, 10.5)]
+        self.assertEqual([], checks.runs_do_not_overlap(together, fault, 20.0))
+        after = [run(10.0, 11.0), run(11.0, 15.0)]
+        self.assertEqual([], checks.runs_do_not_overlap(after, [], 20.0))
+
+    def test_work_for_a_replica_that_has_left(self) -> None:
+        late = [run(20.0)]
+        self.assertEqual(1, len(checks.drained_replicas_get_nothing(late, {'i-1': 15.0}, [])))
+        self.assertEqual([], checks.drained_replicas_get_nothing(late, {'i-1': 19.0}, []))
+        fault = [step(FaultKind.STORE_DOWN, 14.0)]
+        self.assertEqual([], checks.drained_replicas_get_nothing(late, {'i-1': 15.0}, fault))
+
+
+class Boxes(testtools.TestCase):
+    def test_a_version_that_was_in_force_and_is_denied(self) -> None:
+        served = seen(RequestKind.PROBE, since=3)
+        denied = seen(RequestKind.PROBE, since=3, status=404, began=11.0, ended=11.1)
+        self.assertEqual(1, len(checks.configuration_never_goes_back([denied, served])))
+        other = denied._replace(life=2)
+        self.assertEqual([], checks.configuration_never_goes_back([served, other]))
+
+    def test_a_stop_that_cuts_fails_or_takes_long(self) -> None:
+        stop = StopSeen(0, 10.2, 12.0, 0)
+        cut = seen(RequestKind.READ, status=0, whole=False)
+        self.assertEqual([], checks.stops_cut_nothing([stop], [seen(RequestKind.READ)], []))
+        self.assertEqual(1, len(checks.stops_cut_nothing([stop], [cut], [])))
+        fault = [step(FaultKind.REPLICA_CRASH, 9.0)]
+        self.assertEqual([], checks.stops_cut_nothing([stop], [cut], fault))
+        self.assertEqual(1, len(checks.stops_cut_nothing([stop._replace(code=1)], [], [])))
+        self.assertEqual(1, len(checks.stops_cut_nothing([stop._replace(ended=99.0)], [], [])))
+
+
+class Schedule(testtools.TestCase):
+    def test_a_seed_always_gives_the_same_steps_and_another_seed_others(self) -> None:
+        def steps(seed: int) -> list[Step]:
+            return draw(seed, seconds=20.0, boxes=4, replicas=9)
+
+        self.assertEqual(steps(1), steps(1))
+        self.assertNotEqual(steps(1), steps(2))
+
+    def test_every_kind_is_drawn_and_steps_overlap(self) -> None:
+        steps = [item for seed in range(20) for item in draw(seed, seconds=20, boxes=4, replicas=9)]
+        self.assertEqual(set(FaultKind), {item.kind for item in steps})
+        pairs = itertools.pairwise(steps)
+        self.assertTrue(any(later.at_s < earlier.ends_s for earlier, later in pairs))
+
+    def test_planned_work_leaves_a_span_calm(self) -> None:
+        self.assertTrue(calm([step(FaultKind.CHANGE, 1.0)], 0.0, 5.0))
+        self.assertFalse(calm([step(FaultKind.KILL_BOX, 1.0)], 0.0, 5.0))
+        self.assertFalse(calm([step(FaultKind.KILL_BOX, 1.0, 3.0)], 3.5, 5.0))
+        self.assertTrue(calm([step(FaultKind.KILL_BOX, 1.0, 1.0)], 3.5, 5.0))
--- /dev/null
+++ b/tools/soak/world.py
@@ -0,0 +1,217 @@
+"""Hold a running fleet: store, replicas, links and boxes, and do to it what a step says."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import tempfile
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from calicopath_platform import names
+from calicopath_platform.tests.soak_replicas import SoakReplica, soak_config, soak_settings
+from calicopath_platform.tests.standins import StoreStandIn
+from testkit.ports import free_ports
+from tools.soak.boxes import BoxProcess
+from tools.soak.links import Link
+from tools.soak.records import Run, StopSeen
+from tools.soak.schedule import FaultKind, LinkMode
+
+if TYPE_CHECKING:
+    from tools.soak.schedule import Step
+
+SERVICES = ('engine', 'look', 'desk')
+REPLICAS_A_SERVICE = 3
+REPLICAS = len(SERVICES) * REPLICAS_A_SERVICE
+ZONES = ('north', 'south')
+DOWN_S = 0.5
+STATUS_DOWN = 503
+
+
+class Slot:
+    """Hold one place of a replica: its link, and the incarnation that is there."""
+
+    def __init__(self, *, number: int, link: Link) -> None:
+        self.number = number
+        self.service = SERVICES[number % len(SERVICES)]
+        self.zone = ZONES[number % len(ZONES)]
+        self.link = link
+        self.life = 0
+        self.replica: SoakReplica | None = None
+        self.stack = contextlib.AsyncExitStack()
+        self.lock = asyncio.Lock()
+
+
+class World:
+    """Own everything that runs; times are seconds since it was made."""
+
+    def __init__(self, *, boxes: int) -> None:
+        self.began = time.monotonic()
+        self.folder = Path(tempfile.mkdtemp(prefix='calicopath-soak-'))
+        self.store = StoreStandIn()
+        self.store_links: list[Link] = []
+        self.slots: list[Slot] = []
+        self.boxes: list[BoxProcess] = []
+        self.count = boxes
+        self.runs: list[Run] = []
+        self.handles: dict[str, str] = {}
+        self.drained: dict[str, float] = {}
+        self.stops: list[StopSeen] = []
+        self.version = 1
+        self.stack = contextlib.AsyncExitStack()
+
+    def now(self) -> float:
+        """Return the seconds since the world was made."""
+        return time.monotonic() - self.began
+
+    async def start(self) -> None:
+        """Start store, replicas and boxes."""
+        self.store.put(names.CONFIG_KIND, names.CONFIG_NAME, soak_config(self.version))
+        runner = web.AppRunner(self.store.app(), shutdown_timeout=0.1)
+        await runner.setup()
+        self.stack.push_async_callback(runner.cleanup)
+        site = web.TCPSite(runner, '127.0.0.1', 0)
+        await site.start()
+        store = '{}:{}'.format(*runner.addresses[0][:2])
+        for number in range(REPLICAS):
+            link = Link(target='')
+            await self.stack.enter_async_context(link.served())
+            self.slots.append(Slot(number=number, link=link))
+            await self.enter_replica(self.slots[-1])
+        for number in range(self.count):
+            await self.add_box(number, store)
+
+    async def add_box(self, number: int, store: str) -> None:
+        """Start a box that reaches the store over a link of its own."""
+        link = Link(target=store)
+        address = await self.stack.enter_async_context(link.served())
+        self.store_links.append(link)
+        frontend, ready, *internal = free_ports(4)
+        peers, metrics = sorted(internal)
+        path = self.folder / f'box-{number}.toml'
+        zone = ZONES[number % len(ZONES)]
+        text = soak_settings(f'box-{number}', zone, (frontend, ready, peers, metrics), address)
+        path.write_text(text)
+        box = BoxProcess(
+            number=number,
+            path=path,
+            log=self.folder / f'box-{number}.log',
+            frontend=f'127.0.0.1:{frontend}',
+        )
+        self.boxes.append(box)
+        await box.start()
+
+    async def enter_replica(self, slot: Slot) -> None:
+        """Start a new incarnation and announce it."""
+        slot.life += 1
+        slot.replica = SoakReplica(
+            name=f'i-{slot.number}-{slot.life}',
+            service=slot.service,
+            zone=slot.zone,
+            clock=self.now,
+            runs=self.runs,
+            handles=self.handles,
+        )
+        slot.link.target = await slot.stack.enter_async_context(slot.replica.served())
+        self.announce(slot, 'ready')
+
+    def announce(self, slot: Slot, state: str) -> None:
+        """Write a replica's entry."""
+        assert slot.replica is not None
+        spec = {
+            'service': slot.service,
+            'address': slot.link.address,
+            'zone': slot.zone,
+            'version': '1',
+            'slots': 8,
+            'state': state,
+            'warmupLeftMs': 0,
+            'sequence': 1,
+        }
+        self.store.put(names.REPLICA_KIND, slot.replica.name, spec)
+
+    async def close(self) -> None:
+        """End what runs."""
+        for box in self.boxes:
+            if box.handle is not None and box.handle.returncode is None:
+                await box.kill()
+        for slot in self.slots:
+            await slot.stack.aclose()
+        await self.stack.aclose()
+
+    async def apply(self, step: Step) -> None:
+        """Do what a step says, for as long as it says."""
+        match step.kind:
+            case FaultKind.KILL_BOX | FaultKind.PAUSE_BOX | FaultKind.STOP_BOX:
+                await self.to_box(step, self.boxes[step.target])
+            case FaultKind.RELOAD_BOX:
+                self.boxes[step.target].send(signal.SIGHUP)
+            case FaultKind.STORE_LINK:
+                await self.to_link(step, self.store_links[step.target], step.link)
+            case FaultKind.REPLICA_LINK:
+                await self.to_link(step, self.slots[step.target].link, step.link)
+            case FaultKind.STORE_SILENT:
+                for link in self.store_links:
+                    link.set_mode(LinkMode.SILENT)
+                await asyncio.sleep(step.for_s)
+                for link in self.store_links:
+                    link.set_mode(LinkMode.PASS)
+            case FaultKind.STORE_DOWN:
+                self.store.fail_with = STATUS_DOWN
+                await asyncio.sleep(step.for_s)
+                self.store.fail_with = None
+            case FaultKind.STORE_LOSES_ANSWERS:
+                self.store.lose_answers = True
+                await asyncio.sleep(step.for_s)
+                self.store.lose_answers = False
+            case FaultKind.STORE_FORGETS:
+                self.store.history_from = self.store.revision
+            case FaultKind.REPLICA_CRASH | FaultKind.REPLICA_DRAINS:
+                await self.to_replica(step, self.slots[step.target])
+            case FaultKind.CHANGE:
+                self.version += 1
+                self.store.put(names.CONFIG_KIND, names.CONFIG_NAME, soak_config(self.version))
+
+    async def to_link(self, step: Step, link: Link, mode: LinkMode) -> None:
+        """Break one link for a while."""
+        link.set_mode(mode)
+        await asyncio.sleep(step.for_s)
+        link.set_mode(LinkMode.PASS)
+
+    async def to_box(self, step: Step, box: BoxProcess) -> None:
+        """Kill, pause or stop a box, unless something is done to it already."""
+        if box.busy:
+            return
+        box.busy = True
+        try:
+            if step.kind is FaultKind.PAUSE_BOX:
+                box.send(signal.SIGSTOP)
+                await asyncio.sleep(step.for_s)
+                box.send(signal.SIGCONT)
+                return
+            if step.kind is FaultKind.KILL_BOX:
+                await box.kill()
+            else:
+                self.stops.append(await box.stop(self.now, StopSeen))
+            await asyncio.sleep(DOWN_S)
+            await box.start()
+        finally:
+            box.busy = False
+
+    async def to_replica(self, step: Step, slot: Slot) -> None:
+        """Have a replica crash, or leave as announced, and another come in its place."""
+        async with slot.lock:
+            assert slot.replica is not None
+            name = slot.replica.name
+            if step.kind is FaultKind.REPLICA_DRAINS:
+                self.announce(slot, 'draining')
+                self.drained[name] = self.now()
+                await asyncio.sleep(step.for_s + 2.0)
+            await slot.stack.aclose()
+            self.store.delete(names.REPLICA_KIND, name)
+            await asyncio.sleep(DOWN_S)
+            await self.enter_replica(slot)
