Split boxes and replicas into groups of at most 110 boxes, each with a scheduler

Cause: a scheduling box takes a third of a core at 74 boxes; at 300, with ten times the traffic of 30, it would need more than a core. Ways weighed: by failure domain (a lost domain loses its group's stages), by hash (uneven: 26 replicas in three groups differ by a third), even shares where each name takes the group it draws highest that is not full. Chosen: the last; a name that goes moves few others.

--- a/packages/core/calicopath_core/scheduling/election.py
+++ b/packages/core/calicopath_core/scheduling/election.py
@@ -12,11 +12,13 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from calicopath_core.fleet.contact import STEADY, UNKNOWN
+from calicopath_core.scheduling.groups import assign, group_count
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
     from calicopath_core.fleet.contact import StoreContact
+    from calicopath_core.fleet.replicas import Replica
     from calicopath_core.scheduling.messages import Ping, Pong, Presence
 
 CANDIDATES = 3
@@ -93,13 +95,18 @@
 
 
 class Election:
-    """Hold the boxes listed, in rank order, and choose the scheduler among those heard."""
+    """Hold the boxes listed and choose the scheduler of this box's group among those heard.
+
+    `ranked` are the boxes of the group in rank order, this one included.
+    """
 
     def __init__(self, *, own: BoxAddress) -> None:
         self.own = own
         self.candidates: dict[str, Candidate] = {}
         self.own_order: int | None = None
         self.ranked: list[str] = [own.name]
+        self.groups = 1
+        self.group = 0
         self.sequence = 0
         self.leaving = False
 
@@ -115,7 +122,12 @@
         for name in list(self.candidates):
             if name not in listed:
                 del self.candidates[name]
-        self.ranked = sorted([*self.candidates, self.own.name], key=self.rank)
+        names = [*self.candidates, self.own.name]
+        self.groups = group_count(len(names), self.groups)
+        assigned = assign(names, self.groups)
+        self.group = assigned[self.own.name]
+        members = [name for name in names if assigned[name] == self.group]
+        self.ranked = sorted(members, key=self.rank)
 
     def rank(self, name: str) -> tuple[bool, float, str]:
         """Return by what boxes are ordered; the least schedules, a box not listed yet last."""
@@ -203,4 +215,12 @@
 
         Boxes that are listed and dead make each share smaller, never the whole larger.
         """
-        return len(self.ranked)
+        return len(self.candidates) + 1
+
+    def share_of(self, replicas: list[Replica]) -> list[Replica]:
+        """Return those of a service's replicas that this box's group calls; all if it has none."""
+        if self.groups == 1:
+            return replicas
+        assigned = assign((replica.id for replica in replicas), self.groups)
+        mine = [replica for replica in replicas if assigned[replica.id] == self.group]
+        return mine or replicas
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -25,7 +25,7 @@
 
     from calicopath_core.clock import Clock
     from calicopath_core.fleet.deployment import Deployment, EngineSpec
-    from calicopath_core.fleet.replicas import ReplicaTable
+    from calicopath_core.fleet.replicas import Replica, ReplicaTable
     from calicopath_core.scheduling.interfaces import SchedulerObserver, StageCaller
     from calicopath_core.scheduling.messages import MadeResult, Place, RunEnded, RunStarted
 
@@ -57,6 +57,7 @@
         send: Callable[[str, msgspec.Struct], None],
         observer: SchedulerObserver,
         own_address: str,
+        share_of: Callable[[list[Replica]], list[Replica]],
         new_board: Callable[[EngineSpec], EngineBoard] | None = None,
     ) -> None:
         self.clock = clock
@@ -64,13 +65,19 @@
         self.send = send
         self.observer = observer
         self.own_address = own_address
+        self.share_of = share_of
         self.new_board = new_board or board_of
         self.successor: str | None = None
         self.admission = Admission()
         self.jobs: dict[str, Job] = {}
         self.boards: dict[str, EngineBoard] = {}
         self.stages = StageCalls(
-            clock=clock, replicas=replicas, caller=caller, observer=observer, keeper=self
+            clock=clock,
+            replicas=replicas,
+            caller=caller,
+            observer=observer,
+            keeper=self,
+            share_of=share_of,
         )
         replicas.listeners.append(self.on_replicas)
 
@@ -87,7 +94,7 @@
         """Take in which replicas there are."""
         self.stages.on_replicas()
         for name, board in self.boards.items():
-            board.set_replicas(self.replicas.usable(name))
+            board.set_replicas(self.share_of(self.replicas.usable(name)))
         self.remake_lost()
 
     def remake_lost(self) -> None:
--- a/packages/core/calicopath_core/scheduling/stage_calls.py
+++ b/packages/core/calicopath_core/scheduling/stage_calls.py
@@ -14,11 +14,11 @@
 from calicopath_core.scheduling.stages import StageQueue
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Callable, Coroutine
 
     from calicopath_core.clock import Clock
     from calicopath_core.fleet.deployment import StageSpec
-    from calicopath_core.fleet.replicas import ReplicaTable
+    from calicopath_core.fleet.replicas import Replica, ReplicaTable
     from calicopath_core.scheduling.interfaces import SchedulerObserver, StageCaller
     from calicopath_core.scheduling.messages import MadeResult
     from calicopath_core.scheduling.stages import StageBatch, StageReplica
@@ -84,12 +84,14 @@
         caller: StageCaller,
         observer: SchedulerObserver,
         keeper: JobKeeper,
+        share_of: Callable[[list[Replica]], list[Replica]],
     ) -> None:
         self.clock = clock
         self.replicas = replicas
         self.caller = caller
         self.observer = observer
         self.keeper = keeper
+        self.share_of = share_of
         self.pacing = Pacing()
         self.watch = CallWatch(clock=clock, caller=caller, observer=observer)
         self.queues: dict[str, StageQueue] = {}
@@ -105,7 +107,7 @@
     def on_replicas(self) -> None:
         """Take in which replicas there are."""
         for name, queue in self.queues.items():
-            queue.set_replicas(self.replicas.usable(name))
+            queue.set_replicas(self.share_of(self.replicas.usable(name)))
 
     @property
     def is_idle(self) -> bool:
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -93,6 +93,7 @@
             send=self.link.send,
             observer=observer,
             own_address=self.own.address,
+            share_of=self.election.share_of,
             new_board=self.random_board if alone else None,
         )
         self.client = SchedulerClient(
@@ -212,7 +213,11 @@
 
     def on_boxes(self, now: float) -> None:
         """Take in which boxes there are."""
+        before = (self.election.groups, self.election.group)
         self.election.on_listed(self.boxes.values(), now)
+        if before != (self.election.groups, self.election.group):
+            self.observer.on_group(self.election.group, self.election.groups)
+            self.scheduler.on_replicas()
         self.subscription.on_listed(self.boxes.values())
 
     def on_change(self, kind: RecordKind, change: Change) -> None:
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -153,6 +153,10 @@
         self.metrics.scheduler_changes.inc({})
         events.emit(log, events.SCHEDULER_CHANGED, scheduler=address, jobs_asked_again=waiting)
 
+    def on_group(self, group: int, groups: int) -> None:
+        """Note that this box belongs to another group."""
+        events.emit(log, events.GROUP_CHANGED, group=group, groups=groups)
+
     def on_source(self, relay: str | None) -> None:
         """Note that this box hears the store through another relay, or by itself."""
         events.emit(log, events.SOURCE_CHANGED, relay=relay)
