Bound connections: a box's share of what a replica accepts, callers' by the descriptors

A box opens at most 0.8 of a replica's maxConnections divided by the boxes listed, four at least; beyond that the call counts as not started and goes elsewhere. Callers beyond 0.6 of the descriptors are closed unread, counted in callers_turned_away. Tests fail without either bound.

--- a/packages/clients/calicopath_clients/http1/connections.py
+++ b/packages/clients/calicopath_clients/http1/connections.py
@@ -46,6 +46,7 @@
         self.used_at = 0.0
         self.idle_limit_s: float | None = None
         self.paused = False
+        self.on_closed: Callable[[], None] = lambda: None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Bound how long a silent peer is waited for."""
@@ -176,6 +177,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """End the call that was waiting."""
         self.closed = True
+        self.on_closed()
         self.fail(MayHaveRun(f'the connection was lost: {error!r}'))
 
     def abort(self) -> None:
--- a/packages/clients/calicopath_clients/http1/pool.py
+++ b/packages/clients/calicopath_clients/http1/pool.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
+from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
 from calicopath_clients.http1.connections import Connection
@@ -25,6 +27,9 @@
 FRESH_IDLE_S = 1.0
 """How long a connection may have rested to be good for what can't be repeated."""
 
+MAX_OPEN = 256
+"""Connections to one server where nothing tells this box's share; a bound on descriptors."""
+
 MAX_IDLE = 8
 """Idle connections kept an address; a bound on descriptors and on a server's connections."""
 
@@ -68,11 +73,18 @@
 
 
 class HttpPool:
-    """Make calls; `max_per_address` bounds the connections to one server."""
+    """Make calls; `share_of` bounds the connections to a server, in use and idle ones together."""
 
-    def __init__(self, *, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> None:
+    def __init__(
+        self,
+        *,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        share_of: Callable[[str], int] = lambda address: MAX_OPEN,
+    ) -> None:
         self.connect_timeout_s = connect_timeout_s
+        self.share_of = share_of
         self.idle: dict[str, list[Connection]] = {}
+        self.open: Counter[str] = Counter()
         self.opened = 0
 
     async def call(
@@ -120,17 +132,30 @@
         return None
 
     async def connect(self, address: str) -> Connection:
-        """Open a connection; raise `NotStarted`."""
+        """Open a connection; raise `NotStarted`, also if this box has its share of them."""
+        if self.open[address] >= self.share_of(address):
+            raise NotStarted(f'{address} has {self.open[address]} connections of this box')
         host, _, port = address.rpartition(':')
         loop = asyncio.get_running_loop()
         self.opened += 1
+        self.open[address] += 1
         try:
             async with asyncio.timeout(self.connect_timeout_s):
                 _, connection = await loop.create_connection(Connection, host, int(port))
-        except (OSError, TimeoutError) as error:
-            raise NotStarted(f'{address} cannot be reached: {error!r}') from error
+        except BaseException as error:
+            self.on_closed(address)
+            if isinstance(error, OSError | TimeoutError):
+                raise NotStarted(f'{address} cannot be reached: {error!r}') from error
+            raise
+        connection.on_closed = partial(self.on_closed, address)
         return connection
 
+    def on_closed(self, address: str) -> None:
+        """Note that a connection is gone."""
+        self.open[address] -= 1
+        if not self.open[address]:
+            del self.open[address]
+
     def give_back(self, address: str, connection: Connection) -> None:
         """Keep a connection for the next call if it is good."""
         if not connection.usable:
--- a/packages/clients/calicopath_clients/tests/http1_tests.py
+++ b/packages/clients/calicopath_clients/tests/http1_tests.py
@@ -254,3 +254,37 @@
     sock = writer.get_extra_info('socket')
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
     writer.transport.abort()
+
+
+class Shares(HttpCase):
+    def test_no_more_connections_are_opened_than_this_box_may_and_closed_ones_count_no_more(
+        self,
+    ) -> None:
+        async def script(reader: Any, writer: Any) -> None:
+            await read_request(reader)
+            await asyncio.sleep(0.05)
+            writer.write(answer(b'one', extra='Connection: close\r\n'))
+
+        async def work(pool: HttpPool, address: str) -> list[Any]:
+            pool.share_of = lambda _: 2
+            calls = [get(pool, address) for _ in range(3)]
+            found = await asyncio.gather(*calls, return_exceptions=True)
+            await asyncio.sleep(0.05)
+            return [*found, dict(pool.open), await get(pool, address)]
+
+        found, connections = self.play(script, work)
+        refused = [item for item in found if isinstance(item, NotStarted)]
+        self.assertEqual(1, len(refused))
+        self.assertEqual([b'one'] * 3, [item for item in found if isinstance(item, bytes)])
+        self.assertIn({}, found)
+        self.assertEqual(3, connections)
+
+    def test_a_server_that_is_not_there_holds_no_share(self) -> None:
+        async def work() -> dict[str, int]:
+            pool = HttpPool(share_of=lambda _: 1)
+            for _ in range(3):
+                with testtools.ExpectedException(NotStarted, '.*reached.*'):
+                    await pool.call('127.0.0.1:1', HEAD, b'')
+            return dict(pool.open)
+
+        self.assertEqual({}, asyncio.run(work()))
--- a/packages/core/calicopath_core/fleet/replicas.py
+++ b/packages/core/calicopath_core/fleet/replicas.py
@@ -33,6 +33,7 @@
         self.disrupted_at: float | None = None
         self.listeners: list[Callable[[], None]] = []
         self.by_service: dict[str, list[Replica]] = {}
+        self.by_address: dict[str, Replica] = {}
 
     def on_disrupted(self, now: float) -> None:
         """Note that the store could not be read until some time."""
@@ -82,6 +83,7 @@
     def changed(self) -> None:
         """Index anew and tell the listeners."""
         self.by_service = {}
+        self.by_address = {replica.address: replica for replica in self.replicas.values()}
         for replica in self.replicas.values():
             if not replica.draining:
                 self.by_service.setdefault(replica.service, []).append(replica)
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -41,6 +41,13 @@
     from calicopathd.gateway.observer import GatewayObserver
     from calicopathd.gateway.settings import GatewaySettings
 
+CONNECTIONS_USED = 0.8
+"""The part of a replica's connections that boxes use together: a restarted box opens new ones while
+the replica still holds the old."""
+
+LEAST_CONNECTIONS = 4
+"""What a box may open in any case: a stage's call, one that gives results up, and reports."""
+
 log = structlog.get_logger(__name__)
 
 
@@ -168,6 +175,16 @@
         """Return how the store answers this box, or the relay that it hears."""
         return self.subscription.contact()
 
+    def connection_share(self, address: str) -> int:
+        """Return how many connections to a replica are this box's part of what it accepts."""
+        replica = self.replicas.by_address.get(address)
+        deployment = self.view.current
+        service = deployment.services.get(replica.service) if deployment and replica else None
+        if service is None:
+            return LEAST_CONNECTIONS
+        share = service.max_connections * CONNECTIONS_USED / self.election.boxes_sharing()
+        return max(LEAST_CONNECTIONS, int(share))
+
     def limits(self) -> ClientLimits:
         """Return what callers may send at the moment."""
         return self.view.current.limits if self.view.current is not None else DEFAULT_LIMITS
--- a/packages/daemon/calicopathd/gateway/connection.py
+++ b/packages/daemon/calicopathd/gateway/connection.py
@@ -58,6 +58,11 @@
         """Begin to wait for the first request."""
         # uvloop's transports are no subclasses of asyncio's.
         self.transport = cast('asyncio.Transport', transport)
+        if len(self.server.connections) >= self.server.max_connections:
+            self.server.turned_away += 1
+            self.refused = True
+            self.abort()
+            return
         self.transport.set_write_buffer_limits(high=MAX_WAITING_BYTES)
         self.server.connections.add(self)
         self.await_request()
--- a/packages/daemon/calicopathd/gateway/run.py
+++ b/packages/daemon/calicopathd/gateway/run.py
@@ -81,7 +81,9 @@
     ) -> None:
         self.box = box
         self.transport = transport
-        self.exchanges = HttpServer(handler=exchange_handler)
+        self.exchanges = HttpServer(
+            handler=exchange_handler, max_connections=box.settings.max_callers
+        )
         self.ready = HttpServer(handler=ready_handler)
         self.metrics = HttpServer(handler=metrics_handler)
         self.figures = metrics_handler.metrics
@@ -166,6 +168,7 @@
             jobs=len(box.scheduler.jobs),
             exchanges_in_progress=self.exchanges.in_progress,
             callers_connected=len(self.exchanges.connections),
+            callers_turned_away=self.exchanges.turned_away,
             peer_messages_sent=box.link.sent,
             peer_messages_dropped=self.transport.dropped,
             hears_store_itself=float(not box.subscription.follows()),
--- a/packages/daemon/calicopathd/gateway/server.py
+++ b/packages/daemon/calicopathd/gateway/server.py
@@ -17,11 +17,20 @@
     from calicopathd.gateway.requests import RequestHandler
 
 
+MAX_CONNECTIONS = 1024
+"""Connections of callers where the settings name no other number."""
+
+
 class HttpServer:
-    """Listen on one address; a stop closes connections as they fall idle."""
+    """Listen on one address; a stop closes connections as they fall idle.
+
+    Beyond `max_connections` new ones are closed unread, so that descriptors are left for the rest.
+    """
 
-    def __init__(self, *, handler: RequestHandler) -> None:
+    def __init__(self, *, handler: RequestHandler, max_connections: int = MAX_CONNECTIONS) -> None:
         self.handler = handler
+        self.max_connections = max_connections
+        self.turned_away = 0
         self.connections: set[ServerConnection] = set()
         self.in_progress = 0
         self.closing = False
--- a/packages/daemon/calicopathd/gateway/settings.py
+++ b/packages/daemon/calicopathd/gateway/settings.py
@@ -8,6 +8,10 @@
     from calicopath_core.exchanges.budget import BudgetTerms
 
 
+CALLERS_SHARE = 0.6
+"""The part of the descriptors that connections of callers may take; the rest are for replicas,
+peers, the store and files."""
+
 SMALL_CORES = 0.8
 SMALL_LINK_MBPS = 50.0
 """A box with less than this works for others only if no other box can: scheduling took 0.2 to 0.3
@@ -45,6 +49,12 @@
     retry_budget: BudgetTerms
     cpu_cores: float
     link_mbps: float
+    max_descriptors: int
+
+    @property
+    def max_callers(self) -> int:
+        """Return how many connections of callers a box holds at once."""
+        return int(self.max_descriptors * CALLERS_SHARE)
 
     @property
     def small(self) -> bool:
--- a/packages/daemon/calicopathd/gateway/tests/fleet_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/fleet_tests.py
@@ -7,6 +7,7 @@
 
 from calicopath_core.fleet.replicas import BACK_S
 from calicopath_core.fleet.store import RecordKind
+from calicopathd.gateway.box import LEAST_CONNECTIONS
 from testkit.cases import VirtualCase
 from testkit.gateway import GatewayFleet
 from testkit.gateway_replicas import ANY
@@ -394,6 +395,20 @@
         self.run_virtual(scenario())
 
 
+class Connections(VirtualCase):
+    def test_all_boxes_together_stay_below_what_a_replica_accepts(self) -> None:
+        async def scenario() -> None:
+            fleet = GatewayFleet()
+            await fleet.start()
+            shares = [box.box.connection_share('desk-north:1') for box in fleet.boxes.values()]
+            self.assertEqual([20] * 4, shares)
+            unknown = fleet.boxes['box-0'].box.connection_share('nowhere:1')
+            self.assertEqual(LEAST_CONNECTIONS, unknown)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
+
 class Draining(VirtualCase):
     def test_an_engine_that_leaves_gets_nothing_that_a_stale_scheduler_chose(self) -> None:
         async def scenario() -> None:
--- a/packages/daemon/calicopathd/gateway/tests/server_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/server_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING, Any
 
 import testtools
@@ -91,6 +92,38 @@
         return self.play(work)
 
 
+class Connections(ServerCase):
+    def test_beyond_the_bound_they_are_closed_unread_and_room_comes_back(self) -> None:
+        async def work(server: HttpServer, port: int) -> list[bytes]:
+            server.max_connections = 2
+            request = b'GET /x HTTP/1.1\r\n\r\n'
+            open_ones = [await asyncio.open_connection('127.0.0.1', port) for _ in range(2)]
+            await asyncio.sleep(0.02)
+            found = [await first_bytes(port, request)]
+            open_ones[0][1].close()
+            await asyncio.sleep(0.02)
+            found.append(await first_bytes(port, request))
+            open_ones[1][1].close()
+            return [*found, str(server.turned_away).encode()]
+
+        (turned, served, count), handler = self.play(work)
+        self.assertEqual(b'', turned)
+        self.assertThat(served, StartsWith(OK))
+        self.assertEqual(b'1', count)
+        self.assertEqual(1, len(handler.requests))
+
+
+async def first_bytes(port: int, data: bytes) -> bytes:
+    """Send bytes on a new connection and return what comes first."""
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    found = b''
+    with contextlib.suppress(ConnectionError):
+        writer.write(data)
+        found = await reader.read(100)
+    writer.close()
+    return found
+
+
 class Requests(ServerCase):
     def test_chunks_and_lengths_come_whole_and_unchanged(self) -> None:
         chunked = (
--- a/testkit/gateway.py
+++ b/testkit/gateway.py
@@ -136,4 +136,5 @@
         retry_budget=TERMS,
         cpu_cores=1.0,
         link_mbps=1000.0,
+        max_descriptors=1000,
     )
