Keep the settings in force when the file is unsound on a reload, and say so

Seen in the soak: a settings file that had lost a field made the reload raise inside the signal handler; the box went on, without a line of its own in the catalogue.

--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -49,6 +49,9 @@
 REGISTER_FAILED = Event(507, 'warning', 'register failed', "The box's own record was not written.")
 GATEWAY_REFUSING = Event(508, 'info', 'gateway refusing', 'What still waits is refused as not run.')
 
+RELOAD_FAILED = Event(
+    509, 'error', 'reload failed', 'The settings file is unsound; the old hold on.'
+)
 EXCHANGE_ENDED = Event(601, 'info', 'exchange ended', 'An exchange has its one final answer.')
 EXCHANGE_REFUSED = Event(602, 'info', 'exchange refused', 'A request has no route, key or view.')
 EXCHANGE_BAD = Event(603, 'info', 'exchange bad', 'A request could not be read.')
--- a/packages/daemon/calicopathd/gateway/run.py
+++ b/packages/daemon/calicopathd/gateway/run.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from calicopath_core.exceptions import CalicopathError
 from calicopath_core.fleet.store import FleetStoreError
 from calicopathd import events
 from calicopathd.box.tasks import keep_running
@@ -134,8 +135,12 @@
         )
 
     def on_reload(self) -> None:
-        """Take the settings in that may change without a restart."""
-        settings = self.reload()
+        """Take the settings in that may change without a restart; keep the old ones if unsound."""
+        try:
+            settings = self.reload()
+        except CalicopathError as error:
+            events.emit(log, events.RELOAD_FAILED, error=str(error))
+            return
         self.box.settings = settings
         self.box.executor.context.budgets.set_terms(settings.retry_budget)
         events.emit(log, events.GATEWAY_RELOADED, box=settings.box)
