--- a/packages/core/calicopath_core/scheduling/stage_calls.py
+++ b/packages/core/calicopath_core/scheduling/stage_calls.py
@@ -21,7 +21,8 @@
     from calicopath_core.fleet.replicas import Replica, ReplicaTable
     from calicopath_core.scheduling.interfaces import SchedulerObserver, StageCaller
     from calicopath_core.scheduling.messages import MadeResult
-    from calicopath_core.scheduling.stages import StageBatch, StageReplica
+    from calicopath_core.scheduling.stage_replicas import StageReplica
+    from calicopath_core.scheduling.stages import StageBatch
 
 MAX_PIECE_TRIES = 4
 """A piece that failed this often ends its job."""
--- a/packages/core/calicopath_core/scheduling/stages.py
+++ b/packages/core/calicopath_core/scheduling/stages.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from calicopath_core.scheduling.jobs import LARGE_BYTES
+from calicopath_core.scheduling.order import groups, may_go, order
+from calicopath_core.scheduling.stage_replicas import OVERDUE_FACTOR, Booking, StageReplica
 
 if TYPE_CHECKING:
     from collections.abc import Container, Iterable
@@ -17,9 +19,6 @@
 """How long a call waits to be filled when one replica alone is free; on the bench 20 and 60 ms were
 alike, 120 ms was worse: while all replicas work, pieces gather by themselves."""
 
-ROOM_SHARE = 0.95
-"""The part of a replica's room that is planned for: results are about the size that is stated."""
-
 EJECT_S = 1.0
 MAX_EJECT_S = 8.0
 """How long a replica that failed a call is left alone; doubled with each failure in a row."""
@@ -27,21 +26,6 @@
 FULL_S = 0.05
 """How long a replica that declined a call as full is left alone."""
 
-SHORT_SLACK_S = 1.1
-"""A piece that can wait no longer than this goes to any zone: three calls, the one at work in its
-own zone and two that go before."""
-
-WORTH_WAITING_BYTES = 150_000
-"""A piece that moves less than this is made in any zone. Every piece of a phase fetches all results
-of the phase before, so a phase of ten pieces in another zone moves its inputs ten times."""
-
-SPARE_STEP_S = 0.4
-"""Jobs whose time to spare differs by less than about a call are told apart by rank."""
-
-OLD_RESULT_S = 1.2
-"""How old a result may grow before what reads it goes first: the users' results live for 4 s, and
-the stages that follow take about half of that."""
-
 BUSY_SHARE = 1.0
 """With more pieces waiting than this many calls for each replica, no zone is waited for: what
 one zone can't take then makes others late."""
@@ -50,88 +34,9 @@
 """How long a replica that had no room for a result is left alone, whatever it tells of its room,
 which is some 100 ms old."""
 
-FOREIGN_S = 1.5
-"""How long room that others have booked is believed to be taken: what a dead scheduler left lives
-for 4 s at most, what one that leaves has made is freed within two calls."""
-
 USUAL_FILL = 0.75
 """The part of a call that is filled under load; measured on the bench: 0.6 to 0.9."""
 
-SLOWNESS_SMOOTHING = 0.5
-SLOW_FACTOR = 1.8
-"""A replica whose calls take this many times what is stated is only used when the others can't
-keep up: waiting for another one's call to end and using that is as quick at twice the time."""
-
-OVERDUE_FACTOR = 1.3
-"""A call that takes this many times what is stated is not waited for any longer."""
-
-SLOW_MEMORY_S = 3.0
-"""How long a replica is thought slow without being tried."""
-
-
-class Booking(NamedTuple):
-    """Hold room for one result until it is freed or has run out, in monotonic seconds."""
-
-    size: int
-    until: float
-
-
-class StageReplica:
-    """Hold what this scheduler knows of one replica: calls at work, room, failures."""
-
-    def __init__(self, *, replica: Replica) -> None:
-        self.replica = replica
-        self.calls = 0
-        self.bookings: dict[str, Booking] = {}
-        self.booked_bytes = 0
-        self.reserved_bytes = 0
-        self.failures = 0
-        self.idle_until = 0.0
-        self.no_room_until = 0.0
-        self.foreign_bytes = 0.0
-        self.foreign_until = 0.0
-        self.due_at = 0.0
-        self.slowness = 1.0
-        self.measured_at = 0.0
-
-    def on_time(self, took_s: float, expected_s: float, now: float) -> None:
-        """Note how long a call took against what is stated."""
-        self.slowness += SLOWNESS_SMOOTHING * (took_s / expected_s - self.slowness)
-        self.measured_at = now
-
-    def is_overdue(self, now: float) -> bool:
-        """Tell whether a call takes longer than it should: the replica may be slow or gone."""
-        return self.calls > 0 and now > self.due_at
-
-    def is_slow(self, now: float) -> bool:
-        """Tell whether calls take much longer here; after a while that is tried again."""
-        return self.slowness > SLOW_FACTOR and now - self.measured_at < SLOW_MEMORY_S
-
-    def room_left(self, spec: StageSpec, now: float) -> float:
-        """Return the bytes free for results, as far as known; none after it said so itself."""
-        if now < self.no_room_until:
-            return 0.0
-        foreign = self.foreign_bytes if now < self.foreign_until else 0.0
-        return spec.room_bytes * ROOM_SHARE - self.booked_bytes - self.reserved_bytes - foreign
-
-    def on_free_bytes(self, free_bytes: float, spec: StageSpec, now: float) -> None:
-        """Note the room that the replica tells of: what is missing, others have booked."""
-        own = self.booked_bytes + self.reserved_bytes
-        self.foreign_bytes = max(0.0, spec.room_bytes - free_bytes - own)
-        self.foreign_until = now + FOREIGN_S
-
-    def free(self, handle: str) -> None:
-        """Give the room of a result back."""
-        booking = self.bookings.pop(handle, None)
-        if booking is not None:
-            self.booked_bytes -= booking.size
-
-    def expire(self, now: float) -> None:
-        """Give the room of results back that have run out."""
-        for handle, booking in list(self.bookings.items()):
-            if booking.until <= now:
-                self.free(handle)
-
 
 class StageBatch(NamedTuple):
     """Hold the pieces of one call and the replica that gets it."""
@@ -328,39 +233,3 @@
     def expected_s(self, pieces: int) -> float:
         """Return what a call with so many pieces takes, in seconds."""
         return self.spec.call_s + self.spec.piece_s * pieces
-
-
-def groups(pieces: list[Piece]) -> list[list[Piece]]:
-    """Return pieces by job and phase, in order."""
-    found: dict[tuple[str, int], list[Piece]] = {}
-    for piece in pieces:
-        found.setdefault((piece.job.id, piece.phase), []).append(piece)
-    return list(found.values())
-
-
-def may_go(piece: Piece, target: StageReplica, homes: set[str], now: float) -> bool:
-    """Tell whether a piece may be made at a replica: at home, or anywhere if that can't wait."""
-    home = piece.home
-    if home is None or home == target.replica.zone or home not in homes:
-        return True
-    if piece.job.resumed or piece.moved_bytes() < WORTH_WAITING_BYTES:
-        return True
-    return 0 < piece.slack_s(now) < SHORT_SLACK_S
-
-
-def order(piece: Piece, now: float) -> tuple[int, int, int, float]:
-    """Return by what pieces are served: jobs in time by what time they have to spare, then rank.
-
-    While there is time for all, those with least to spare go first whatever their rank; when there
-    is not, all have little to spare and rank decides. Before them go jobs whose stream broke
-    midway, since their callers see the pause, and jobs whose results would soon run out and have
-    to be made again; after them, jobs that are late or will be: were they to go first, as those
-    with least to spare, a backlog of some seconds would make every job late that comes after it.
-    """
-    job = piece.job
-    if job.resumed or job.oldest_result_s(now) > OLD_RESULT_S:
-        return (0, 0, 0, job.arrived_at)
-    if piece.slack_s(now) < 0:
-        return (2, 0, job.place.priority, job.objective_at)
-    spare = max(0, int(piece.slack_s(now) / SPARE_STEP_S))
-    return (1, spare, job.place.priority, job.objective_at)
--- a/packages/core/calicopath_core/scheduling/tests/stages_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/stages_tests.py
@@ -6,12 +6,12 @@
 
 import testtools
 
+from calicopath_core.scheduling.order import OLD_RESULT_S
+from calicopath_core.scheduling.stage_replicas import SLOW_MEMORY_S
 from calicopath_core.scheduling.stages import (
     FULL_S,
     GATHER_S,
     NO_ROOM_S,
-    OLD_RESULT_S,
-    SLOW_MEMORY_S,
 )
 from calicopath_core.scheduling.tests.work import SPEC, job, phase, queue, replica, result, wait
 
--- a/testkit/servers.py
+++ b/testkit/servers.py
@@ -25,6 +25,19 @@
         await runner.cleanup()
 
 
+@contextlib.asynccontextmanager
+async def listening(
+    serve: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]],
+) -> AsyncIterator[str]:
+    """Yield the address, `host:port`, at which each connection is served."""
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()[:2]
+    try:
+        yield f'{host}:{port}'
+    finally:
+        server.close()
+
+
 @contextlib.asynccontextmanager
 async def scripted(
     script: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]],
@@ -36,12 +49,8 @@
             await script(reader, writer)
         writer.close()
 
-    server = await asyncio.start_server(serve, '127.0.0.1', 0)
-    port = server.sockets[0].getsockname()[1]
-    try:
-        yield f'http://127.0.0.1:{port}'
-    finally:
-        server.close()
+    async with listening(serve) as address:
+        yield f'http://{address}'
 
 
 async def read_request(reader: asyncio.StreamReader) -> bytes:
--- a/tools/soak/links.py
+++ b/tools/soak/links.py
@@ -6,6 +6,7 @@
 import contextlib
 from typing import TYPE_CHECKING
 
+from testkit.servers import listening
 from tools.soak.schedule import LinkMode
 
 if TYPE_CHECKING:
@@ -39,14 +40,12 @@
     @contextlib.asynccontextmanager
     async def served(self) -> AsyncIterator[str]:
         """Yield the link's own address while it is up."""
-        server = await asyncio.start_server(self.handle, '127.0.0.1', 0)
-        self.address = f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
-        try:
-            yield self.address
-        finally:
-            server.close()
-            self.mode = LinkMode.PASS
-            self.cut()
+        async with listening(self.handle) as self.address:
+            try:
+                yield self.address
+            finally:
+                self.mode = LinkMode.PASS
+                self.cut()
 
     async def handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Carry one connection."""
