--- a/packages/daemon/calicopathd/gateway/run.py
+++ b/packages/daemon/calicopathd/gateway/run.py
@@ -41,6 +41,10 @@
 """How long before it ends a box refuses what still waits for stages or an engine: time for the
 answers to reach their callers, and for streams that run to end."""
 
+WITHDRAW_S = 0.4
+"""How long a stopping box waits for the store to take its record away: with `EXIT_MARGIN_S` it is
+gone before the kill. What is left over is overwritten when a box of that name starts."""
+
 REGISTER_PAUSE_S = 0.5
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
@@ -208,7 +212,12 @@
             events.emit(log, events.GATEWAY_REFUSING, in_progress=self.exchanges.in_progress)
             self.box.client.refuse_waiting()
             await self.exchanges.wait_idle(REFUSE_MARGIN_S)
+        await self.withdraw()
+
+    async def withdraw(self) -> None:
+        """Remove the box's own record, unless the store takes longer than there is time."""
         try:
-            await self.box.store.withdraw(self.box.own)
-        except FleetStoreError as error:
-            events.emit(log, events.REGISTER_FAILED, error=str(error))
+            async with asyncio.timeout(WITHDRAW_S):
+                await self.box.store.withdraw(self.box.own)
+        except (FleetStoreError, TimeoutError) as error:
+            events.emit(log, events.REGISTER_FAILED, error=repr(error))
