--- a/packages/core/calicopath_core/scheduling/stage_calls.py
+++ b/packages/core/calicopath_core/scheduling/stage_calls.py
@@ -99,6 +99,7 @@
         self.to_free: dict[str, list[str]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.alone_from = 0.0
+        self.room_unknown = False
 
     def set_spec(self, service: str, spec: StageSpec) -> None:
         """Take in what a stage's replicas can do."""
@@ -137,8 +138,17 @@
         self.alone_from = max(self.alone_from, self.clock.monotonic() + OVERLAP_S)
 
     def on_take_over(self) -> None:
-        """Learn what room another scheduler's results take."""
+        """Learn what room another scheduler's results take, once there is work for it.
+
+        A box that starts takes itself for the scheduler until it hears others: it must not connect
+        to every replica for that.
+        """
         self.on_hand_over()
+        self.room_unknown = True
+
+    def learn_all_room(self) -> None:
+        """Ask every replica how much room it has."""
+        self.room_unknown = False
         for queue in self.queues.values():
             for target in queue.replicas.values():
                 self.spawn(self.learn_room(queue, target))
@@ -157,6 +167,8 @@
     def dispatch(self) -> None:
         """Make every call that should be made now."""
         now = self.clock.monotonic()
+        if self.room_unknown and any(queue.waiting for queue in self.queues.values()):
+            self.learn_all_room()
         held = self.pacing.held(self.keeper.jobs.values(), self.queues, now)
         for queue in self.queues.values():
             while (batch := queue.next_batch(now, held)) is not None:
--- a/packages/daemon/calicopathd/gateway/tests/fleet_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/fleet_tests.py
@@ -264,6 +264,22 @@
 
         self.run_virtual(scenario())
 
+    def test_replicas_are_asked_for_their_room_only_by_a_box_that_has_work_for_them(self) -> None:
+        async def scenario() -> None:
+            fleet = GatewayFleet()
+            await fleet.start()
+            self.assertEqual(0, fleet.stages.reports)
+            await load(fleet, 1)
+            self.assertEqual(0, fleet.stages.reports)
+            fleet.kill('box-0')
+            await asyncio.sleep(1.0)
+            self.assertEqual(0, fleet.stages.reports)
+            await load(fleet, 1)
+            self.assertEqual(4, fleet.stages.reports)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
     def test_results_are_given_up_when_nobody_needs_them(self) -> None:
         async def scenario() -> None:
             fleet = GatewayFleet()
--- a/testkit/gateway_replicas.py
+++ b/testkit/gateway_replicas.py
@@ -32,6 +32,7 @@
         self.at_work: dict[str, int] = {}
         self.most_at_work = 0
         self.wrong_inputs = 0
+        self.reports = 0
 
     async def run(self, replica: Replica, calls: list[PieceCall]) -> list[PieceResult]:
         """Make one call."""
@@ -79,6 +80,7 @@
 
     async def report(self, replica: Replica) -> StageReport:
         """Return the room that is left, and whether a call is at work."""
+        self.reports += 1
         held = sum(maker == replica.id for maker in self.live.values())
         free_bytes = max(0.0, STAGE.room_bytes - held * RESULT_BYTES)
         return StageReport(free_bytes, idle=not self.at_work.get(replica.id, 0))
--- a/tools/soak/boxes.py
+++ b/tools/soak/boxes.py
@@ -20,16 +20,17 @@
 
 PYTHON_PATH = ('packages/core', 'packages/clients', 'packages/daemon', 'platform')
 STOP_LIMIT_S = 40.0
+POLL_S = 0.05
 
 
 class BoxProcess:
     """Hold a box's settings file, its process and how often it was started."""
 
-    def __init__(self, *, number: int, path: Path, log: Path, frontend: str) -> None:
+    def __init__(self, *, number: int, path: Path, log: Path) -> None:
         self.number = number
         self.path = path
         self.log = log
-        self.frontend = frontend
+        self.frontend = ''
         self.handle: asyncio.subprocess.Process | None = None
         self.life = 0
         self.busy = False
@@ -45,6 +46,20 @@
                 stdout=output, stderr=output,
             )  # fmt: skip
 
+    async def listens(self) -> bool:
+        """Wait until the box listens; tell whether it does, or has ended."""
+        assert self.handle is not None
+        host, _, port = self.frontend.rpartition(':')
+        while self.handle.returncode is None:
+            try:
+                _, writer = await asyncio.open_connection(host, int(port))
+            except OSError:
+                await asyncio.sleep(POLL_S)
+                continue
+            writer.close()
+            return True
+        return False
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal to this process only."""
         assert self.handle is not None
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -29,6 +29,9 @@
 REPLICAS = len(SERVICES) * REPLICAS_A_SERVICE
 ZONES = ('north', 'south')
 DOWN_S = 0.5
+PORT_TRIES = 5
+"""How often a box is given other ports when somebody took one before it listened."""
+
 STATUS_DOWN = 503
 
 
@@ -90,20 +93,27 @@
         link = Link(target=store)
         address = await self.stack.enter_async_context(link.served())
         self.store_links.append(link)
-        frontend, ready, *internal = free_ports(4)
-        peers, metrics = sorted(internal)
-        path = self.folder / f'box-{number}.toml'
-        zone = ZONES[number % len(ZONES)]
-        text = soak_settings(f'box-{number}', zone, (frontend, ready, peers, metrics), address)
-        path.write_text(text)
         box = BoxProcess(
             number=number,
-            path=path,
+            path=self.folder / f'box-{number}.toml',
             log=self.folder / f'box-{number}.log',
-            frontend=f'127.0.0.1:{frontend}',
         )
         self.boxes.append(box)
-        await box.start()
+        for _ in range(PORT_TRIES):
+            self.give_ports(box, address)
+            await box.start()
+            if await box.listens():
+                return
+        raise RuntimeError(f'box {number} does not listen: {box.log.read_text()}')
+
+    def give_ports(self, box: BoxProcess, store: str) -> None:
+        """Write a box's settings with ports that were free a moment ago."""
+        frontend, ready, *internal = free_ports(4)
+        peers, metrics = sorted(internal)
+        zone = ZONES[box.number % len(ZONES)]
+        ports = (frontend, ready, peers, metrics)
+        box.path.write_text(soak_settings(f'box-{box.number}', zone, ports, store))
+        box.frontend = f'127.0.0.1:{frontend}'
 
     async def enter_replica(self, slot: Slot) -> None:
         """Start a new incarnation and announce it."""
