--- a/packages/core/calicopath_core/scheduling/stage_calls.py
+++ b/packages/core/calicopath_core/scheduling/stage_calls.py
@@ -137,14 +137,16 @@
         """Note that another box schedules or has scheduled beside this one until now."""
         self.alone_from = max(self.alone_from, self.clock.monotonic() + OVERLAP_S)
 
-    def on_take_over(self) -> None:
-        """Learn what room another scheduler's results take, once there is work for it.
+    def on_take_over(self, *, has_work: bool) -> None:
+        """Learn what room another scheduler's results take, if there is work or when there is.
 
         A box that starts takes itself for the scheduler until it hears others: it must not connect
         to every replica for that.
         """
         self.on_hand_over()
         self.room_unknown = True
+        if has_work:
+            self.learn_all_room()
 
     def learn_all_room(self) -> None:
         """Ask every replica how much room it has."""
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -270,7 +270,7 @@
         """Note that another box schedules now."""
         if address == self.own.address:
             self.scheduler.take_up()
-            self.scheduler.stages.on_take_over()
+            self.scheduler.stages.on_take_over(has_work=asked_again > 0)
         else:
             self.scheduler.stages.on_hand_over()
             self.scheduler.give_way(address)
