Take a batch of replicas in as one change

Shown by itself: 998 replicas in three groups took 0.63 s of processor time to take in, 3,000 would take nine times that; now 3,000 take 0.01 s. The test counts how often listeners are told.

--- a/packages/core/calicopath_core/fleet/feed.py
+++ b/packages/core/calicopath_core/fleet/feed.py
@@ -40,12 +40,8 @@
         """Take in every record of a kind."""
 
     @abstractmethod
-    def on_change(self, kind: RecordKind, change: Change) -> None:
-        """Take in one record's new state."""
-
-    @abstractmethod
-    def on_changed(self, kind: RecordKind, revision: int, names: Iterable[str]) -> None:
-        """Note the records that changed up to a revision, after each was taken in."""
+    def on_changes(self, kind: RecordKind, revision: int, changes: list[Change]) -> None:
+        """Take in the new state of records that changed up to a revision, each named once."""
 
     @abstractmethod
     def on_disrupted(self) -> None:
@@ -179,9 +175,8 @@
                 self.records.pop(change.name, None)
             else:
                 self.records[change.name] = change.record
-            self.handler.on_change(self.kind, change)
         if newest:
-            self.handler.on_changed(self.kind, revision, newest)
+            self.handler.on_changes(self.kind, revision, list(newest.values()))
 
     def take_update(self, since: int | None, revision: int, changes: list[Change]) -> None:
         """Take in what a relay has sent: changes after `since`, or every record if that is none."""
--- a/packages/core/calicopath_core/fleet/replicas.py
+++ b/packages/core/calicopath_core/fleet/replicas.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Iterator
 
 BACK_S = 2.0
 """How long after the store's return entries that lapsed while it was away may take to be back, as
@@ -34,6 +35,19 @@
         self.listeners: list[Callable[[], None]] = []
         self.by_service: dict[str, list[Replica]] = {}
         self.by_address: dict[str, Replica] = {}
+        self.batches = 0
+        self.stale = False
+
+    @contextlib.contextmanager
+    def batch(self) -> Iterator[None]:
+        """Take many entries in as one change: the index and the listeners cost as much as one."""
+        self.batches += 1
+        try:
+            yield
+        finally:
+            self.batches -= 1
+            if self.stale and not self.batches:
+                self.changed()
 
     def on_disrupted(self, now: float) -> None:
         """Note that the store could not be read until some time."""
@@ -64,11 +78,12 @@
     def replace(self, replicas: Iterable[Replica], now: float) -> None:
         """Take in a whole list."""
         listed = {replica.id: replica for replica in replicas}
-        for replica in listed.values():
-            self.put(replica)
-        for replica_id in list(self.replicas):
-            if replica_id not in listed:
-                self.remove(replica_id, now)
+        with self.batch():
+            for replica in listed.values():
+                self.put(replica)
+            for replica_id in list(self.replicas):
+                if replica_id not in listed:
+                    self.remove(replica_id, now)
 
     def expire(self, now: float) -> list[str]:
         """Drop the entries whose doubt has ended and return their identifiers."""
@@ -81,7 +96,10 @@
         return due
 
     def changed(self) -> None:
-        """Index anew and tell the listeners."""
+        """Index anew and tell the listeners, or do so at the end of a batch."""
+        self.stale = self.batches > 0
+        if self.stale:
+            return
         self.by_service = {}
         self.by_address = {replica.address: replica for replica in self.replicas.values()}
         for replica in self.replicas.values():
--- a/packages/core/calicopath_core/fleet/tests/replicas_tests.py
+++ b/packages/core/calicopath_core/fleet/tests/replicas_tests.py
@@ -39,6 +39,20 @@
         self.table.remove('i-1', 0.9 + BACK_S)
         self.assertEqual(['i-1'], self.table.expire(1.0 + BACK_S))
 
+    def test_many_entries_are_one_change_for_those_who_listen(self) -> None:
+        told: list[int] = []
+        self.table.listeners.append(lambda: told.append(len(self.table.usable('s'))))
+        many = [ONE._replace(id=f'n-{number}') for number in range(100)]
+        self.table.replace(many, 1.0)
+        self.assertEqual([100], told)
+        with self.table.batch():
+            for item in many[:50]:
+                self.table.remove(item.id, 2.0)
+            self.assertEqual([100], told)
+        self.assertEqual([100, 50], told)
+        self.table.put(ONE)
+        self.assertEqual([100, 50, 51], told)
+
     def test_an_entry_that_comes_back_in_time_was_never_gone(self) -> None:
         self.table.on_disrupted(1.0)
         self.table.replace([TWO], 2.0)
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -29,8 +29,6 @@
 from calicopathd.gateway.peers import PeerLink
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from calicopath_core.exchanges.messages import ReplicaCaller
     from calicopath_core.fleet.contact import StoreContact
     from calicopath_core.fleet.deployment import ClientLimits, EngineSpec
@@ -222,11 +220,14 @@
                     self.on_deployment(record)
         self.publisher.on_listed(kind, listing.revision)
 
-    def on_changed(self, kind: RecordKind, revision: int, names: Iterable[str]) -> None:
-        """Take boxes in together, and hand changes on to those that hear the store through this."""
+    def on_changes(self, kind: RecordKind, revision: int, changes: list[Change]) -> None:
+        """Take records in together, and hand them on to boxes that hear the store through this."""
+        with self.replicas.batch():
+            for change in changes:
+                self.on_change(kind, change)
         if kind is RecordKind.BOX:
             self.on_boxes(self.clock.monotonic())
-        self.publisher.on_changed(kind, revision, names)
+        self.publisher.on_changed(kind, revision, [change.name for change in changes])
 
     def on_boxes(self, now: float) -> None:
         """Take in which boxes there are."""
