--- a/packages/daemon/calicopathd/gateway/metrics.py
+++ b/packages/daemon/calicopathd/gateway/metrics.py
@@ -29,6 +29,9 @@
         self.scheduler_changes = self.counter(
             'scheduler_changes_total', 'Times that another box was taken for the scheduler.'
         )
+        self.forged_headers = self.counter(
+            'forged_headers_total', 'Headers of callers that only the system may set; dropped.'
+        )
         self.state = Gauge(
             'calicopath_gateway_state', 'State of the box.', self.const, self.registry
         )
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -181,6 +181,11 @@
         """Note a peer's message that can't be decoded."""
         events.emit(log, events.PEER_MESSAGE_BAD, error=error)
 
+    def on_forged_headers(self, count: int) -> None:
+        """Count headers that a caller may not set; the request goes on without them."""
+        if count:
+            self.metrics.forged_headers.add({}, count)
+
     def on_bad_request(self, status: int, reason: str) -> None:
         """Note a request that was refused before it was read."""
         self.metrics.on_exchange('none', 'bad', 0.0, None)
