Learn what engines take to a first event, by the size of the prompt

Cause: 0.4 s was taken for every job, found on two customers; here engines take 0.04 s at the median for the shortest prompts and 0.18 s for the longest, so that jobs passed for late 0.2 s too early and gave way. Change: a mean that follows what is seen by 0.05 an observation, each of 2 s at most, from a prior of 0.4 s.

--- /dev/null
+++ b/packages/core/calicopath_core/scheduling/beliefs.py
@@ -0,0 +1,44 @@
+"""Hold what a scheduler believes of the world and learns from what it sees."""
+
+from __future__ import annotations
+
+FIRST_EVENT_S = 0.4
+"""What an engine is believed to take to a first event before any was seen, its queue included."""
+
+FOLLOW = 0.05
+"""The weight of the newest observation: some twenty decide, a second or two of a busy fleet."""
+
+MOST_S = 2.0
+"""An observation counts as this at most, so that one engine that hangs does not decide."""
+
+
+class Span:
+    """Follow how long something takes, in seconds."""
+
+    def __init__(self, *, prior_s: float) -> None:
+        self.mean_s = prior_s
+
+    def learn(self, took_s: float) -> None:
+        """Take an observation in."""
+        seen_s = min(MOST_S, max(0.0, took_s))
+        self.mean_s += FOLLOW * (seen_s - self.mean_s)
+
+
+class EngineTimes:
+    """Follow the time from an engine's choice to its first event, by the size of the prompt.
+
+    Prompts whose lengths have as many binary digits are taken for alike.
+    """
+
+    def __init__(self) -> None:
+        self.spans: dict[int, Span] = {}
+
+    def learn(self, prompt_tokens: int, took_s: float) -> None:
+        """Take an observation in."""
+        size = prompt_tokens.bit_length()
+        self.spans.setdefault(size, Span(prior_s=FIRST_EVENT_S)).learn(took_s)
+
+    def expected_s(self, prompt_tokens: int) -> float:
+        """Return what a prompt of some length is believed to take."""
+        span = self.spans.get(prompt_tokens.bit_length())
+        return FIRST_EVENT_S if span is None else span.mean_s
--- a/packages/core/calicopath_core/scheduling/jobs.py
+++ b/packages/core/calicopath_core/scheduling/jobs.py
@@ -140,6 +140,7 @@
         self.pieces: dict[int, list[Piece]] = {}
         self.placed_on: str | None = None
         self.placed_at: float | None = None
+        self.engine_at: float | None = None
         self.ended = False
         self.expected_s = 0.0
         self.open_calls = 0
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from calicopath_core.scheduling.admission import Admission
+from calicopath_core.scheduling.beliefs import EngineTimes
 from calicopath_core.scheduling.engines import EngineBoard
 from calicopath_core.scheduling.jobs import Job, Piece, Result
 from calicopath_core.scheduling.messages import (
@@ -33,9 +34,6 @@
 JOB_MEMORY_S = 30.0
 """How long a job may stay without its box telling its end; longer than the users' deadlines."""
 
-USUAL_ENGINE_S = 0.4
-"""What an engine usually takes to a first event, its queue included; measured on the bench."""
-
 ENGINE_FETCH_S = 0.05
 """How long after its choice an engine has fetched a job's results: it does so when the request
 comes, before it waits for its turn; two crossings between zones and 1.5 MB over 10 Gbit/s take
@@ -70,6 +68,7 @@
         self.new_board = new_board or board_of
         self.successor: str | None = None
         self.admission = Admission()
+        self.engine_times = EngineTimes()
         self.jobs: dict[str, Job] = {}
         self.boards: dict[str, EngineBoard] = {}
         self.stages = StageCalls(
@@ -167,6 +166,7 @@
     def tails(self, job: Job) -> dict[int, float]:
         """Return for each phase what is expected from its call to the engine's first event."""
         found: dict[int, float] = {}
+        engine_s = self.engine_times.expected_s(job.place.prompt.tokens_in)
         for number in reversed(range(len(job.place.phases))):
             phase = job.place.phases[number]
             queue = self.stages.queues.get(phase.service)
@@ -176,7 +176,7 @@
                 for reader, other in enumerate(job.place.phases)
                 if number in other.needs
             ]
-            found[number] = own_s + max(readers, default=USUAL_ENGINE_S)
+            found[number] = own_s + max(readers, default=engine_s)
         return found
 
     def advance(self, job: Job) -> None:
@@ -295,7 +295,7 @@
         board.begin(choice, job, now)
         replica = choice.engine.replica.id
         job.placed_on = replica
-        job.placed_at = now
+        job.placed_at = job.engine_at = now
         self.admission.learn(job, now - job.arrived_at)
         inputs = tuple(result.handle for result in job.final_results())
         self.observer.on_placed(job, choice.engine.replica, choice.cost_s, now - job.arrived_at)
@@ -320,6 +320,9 @@
         job = self.jobs.get(message.job)
         if job is None or job.placed_on is None:
             return
+        if job.engine_at is not None:
+            took_s = self.clock.monotonic() - job.engine_at
+            self.engine_times.learn(job.place.prompt.tokens_in, took_s)
         self.boards[job.place.service].started(job.placed_on, job.id)
         self.stages.give_up(job.all_results())
 
