--- a/packages/core/calicopath_core/scheduling/stage_calls.py
+++ b/packages/core/calicopath_core/scheduling/stage_calls.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from calicopath_core.backends.base import BackendError, NotStarted
+from calicopath_core.scheduling.freeing import ResultFreeing
 from calicopath_core.scheduling.interfaces import PieceCall, PieceResult
 from calicopath_core.scheduling.jobs import Job, Piece, Result
 from calicopath_core.scheduling.overdue import REPORT_TIMEOUT_S, AnswerLost, CallWatch
@@ -44,9 +45,6 @@
 DOUBT_S = 5.0
 """How long inputs are kept until the end of calls after a replica found one gone."""
 
-FREE_GATHER_S = 0.01
-"""How long results that are given up are gathered, so that a maker gets one call for several."""
-
 CALL_GRACE_S = 1.0
 """How much longer than expected a stage's call may take before it is given up. A slow replica
 works four times as long: a call of 0.37 s then ends before 1.5 s."""
@@ -79,7 +77,7 @@
 
 
 class StageCalls:
-    """Hold the queues of stages, the calls under way and the results to be given up.
+    """Hold the queues of stages and the calls under way.
 
     Until `alone_from`, in monotonic seconds, another scheduler's calls may be at the replicas too,
     and inputs are kept until a call has ended.
@@ -104,8 +102,13 @@
         self.pacing = Pacing()
         self.watch = CallWatch(clock=clock, caller=caller, observer=observer)
         self.queues: dict[str, StageQueue] = {}
-        self.to_free: dict[str, list[str]] = {}
-        self.free_timer: asyncio.TimerHandle | None = None
+        self.freeing = ResultFreeing(
+            replicas=replicas,
+            caller=caller,
+            observer=observer,
+            spawn=self.spawn,
+            on_freed=self.on_freed,
+        )
         self.tasks: set[asyncio.Task[None]] = set()
         self.alone_from = 0.0
         self.room_unknown = False
@@ -124,7 +127,7 @@
     def is_idle(self) -> bool:
         """Tell whether nothing waits, is at work or is to be freed."""
         return (
-            not self.to_free
+            not self.freeing.waiting
             and not self.tasks
             and not any(queue.waiting for queue in self.queues.values())
         )
@@ -374,37 +377,12 @@
 
     def give_up(self, results: list[Result]) -> None:
         """Have results freed at their makers soon."""
-        for result in results:
-            if result.freed:
-                continue
-            result.freed = True
-            self.to_free.setdefault(result.maker, []).append(result.handle)
-        if self.to_free and self.free_timer is None:
-            loop = asyncio.get_running_loop()
-            self.free_timer = loop.call_later(FREE_GATHER_S, self.free_due)
-
-    def free_due(self) -> None:
-        """Send what is to be freed, one call a maker."""
-        self.free_timer = None
-        for maker, handles in self.to_free.items():
-            replica = self.replicas.replicas.get(maker)
-            if replica is not None:
-                self.spawn(self.free(replica, handles))
-        self.to_free = {}
-
-    async def free(self, replica: Replica, handles: list[str]) -> None:
-        """Give results up; if that fails they run out by themselves.
-
-        Their room counts as free once the maker has answered: a call on another connection may
-        overtake this one, and would find the room still taken.
-        """
-        try:
-            await self.caller.free(replica.address, handles)
-        except BackendError as error:
-            self.observer.on_free_failed(replica.address, len(handles), error)
-            return
+        self.freeing.add(results)
+
+    def on_freed(self, maker: str, handles: list[str]) -> None:
+        """Count the room of results as free that their maker has given up."""
         for queue in self.queues.values():
-            target = queue.replicas.get(replica.id)
+            target = queue.replicas.get(maker)
             if target is not None:
                 for handle in handles:
                     target.free(handle)
--- a/packages/core/calicopath_core/scheduling/tests/freeing_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/freeing_tests.py
@@ -7,8 +7,9 @@
 
 from calicopath_core.backends.base import MayHaveRun
 from calicopath_core.fleet.replicas import ReplicaTable
+from calicopath_core.scheduling.freeing import GATHER_S
 from calicopath_core.scheduling.interfaces import StageCaller
-from calicopath_core.scheduling.stage_calls import FREE_GATHER_S, StageCalls
+from calicopath_core.scheduling.stage_calls import StageCalls
 from calicopath_core.scheduling.stages import StageBatch
 from calicopath_core.scheduling.tests.work import SPEC, job, phase, replica, result
 from testkit.cases import VirtualCase
@@ -61,11 +62,11 @@
         return self.run_virtual(scenario())
 
     def test_room_is_taken_until_the_maker_has_answered(self) -> None:
-        moments = [FREE_GATHER_S + ANSWER_S / 2, FREE_GATHER_S + 2 * ANSWER_S]
+        moments = [GATHER_S + ANSWER_S / 2, GATHER_S + 2 * ANSWER_S]
         self.assertEqual([SIZE, 0], self.booked_after(moments))
 
     def test_room_stays_taken_if_the_maker_cannot_be_reached(self) -> None:
-        moments = [FREE_GATHER_S + 2 * ANSWER_S]
+        moments = [GATHER_S + 2 * ANSWER_S]
         self.assertEqual([SIZE], self.booked_after(moments, MayHaveRun('reset')))
 
 
