--- a/packages/core/calicopath_core/scheduling/stages.py
+++ b/packages/core/calicopath_core/scheduling/stages.py
@@ -36,7 +36,7 @@
 which is some 100 ms old."""
 
 USUAL_FILL = 0.75
-"""The part of a call that is filled under load; measured on the bench: 0.6 to 0.9."""
+"""The part of a call that is filled under load: 0.6 to 0.9, the mean over the calls of a day."""
 
 
 class StageBatch(NamedTuple):
