Look at waiting pieces by group, once for all calls of a moment

Pieces of one phase of a job are alike, so they wait and are ordered as one group; a look holds for all calls of a moment; events of one moment are decided on together; jobs not placed yet are kept apart from those that run; an engine's load is counted as it changes. The order is in waiting.py, zones are in placing.py.

The replay is new (testkit/replay): load patterns on virtual time before fake stages and engines.

--- a/packages/core/calicopath_core/scheduling/engines.py
+++ b/packages/core/calicopath_core/scheduling/engines.py
@@ -72,37 +72,66 @@
     used_at: float
 
 
+class PartKeys(NamedTuple):
+    """Hold by what a prompt's parts are known, with their lengths in tokens, and its length."""
+
+    keys: tuple[tuple[str, int], ...]
+    tokens_in: int
+
+    @property
+    def shared(self) -> tuple[tuple[str, int], ...]:
+        """Return the parts that other requests may have too: all but the request's own."""
+        return self.keys[:-1]
+
+
+def part_keys(prompt: Prompt) -> PartKeys:
+    """Return by what a prompt's parts are known: a part is kept for one model."""
+    keys = tuple((f'{prompt.model}/{part.id}', part.tokens) for part in prompt.parts)
+    return PartKeys(keys, prompt.tokens_in)
+
+
 class Engine:
     """Hold one engine's runs and the prompt parts that were sent there."""
 
     def __init__(self, *, replica: Replica) -> None:
         self.replica = replica
         self.runs: dict[str, Run] = {}
+        self.load_s = 0.0
         self.cached: OrderedDict[str, Kept] = OrderedDict()
         self.cached_tokens = 0
         self.failures = 0
         self.ejected_until = 0.0
 
-    def load_s(self) -> float:
-        """Return the work that waits there, in seconds of the engine's time."""
-        return sum(run.prefill_s + run.decode_s for run in self.runs.values())
-
-    def uncached(self, prompt: Prompt) -> int:
+    def put_run(self, job_id: str, run: Run) -> None:
+        """Count a run in place of one of that name; `load_s` is the work that waits here."""
+        self.drop_run(job_id)
+        self.runs[job_id] = run
+        self.load_s += run.prefill_s + run.decode_s
+
+    def drop_run(self, job_id: str) -> None:
+        """Count a run no more."""
+        run = self.runs.pop(job_id, None)
+        if run is not None:
+            self.load_s -= run.prefill_s + run.decode_s
+        if not self.runs:
+            # What sums of fractions leave over must not add up over days.
+            self.load_s = 0.0
+
+    def uncached(self, parts: PartKeys) -> int:
         """Return the prompt tokens that would have to be read."""
         kept = 0
-        for part in prompt.parts:
-            if f'{prompt.model}/{part.id}' not in self.cached:
+        for key, tokens in parts.keys:
+            if key not in self.cached:
                 break
-            kept += part.tokens
-        return max(0, prompt.tokens_in - kept)
+            kept += tokens
+        return max(0, parts.tokens_in - kept)
 
-    def remember(self, prompt: Prompt, capacity: int, now: float) -> None:
+    def remember(self, parts: PartKeys, capacity: int, now: float) -> None:
         """Note the parts that the engine holds once it has read a prompt."""
-        for part in prompt.parts:
-            key = f'{prompt.model}/{part.id}'
+        for key, tokens in parts.keys:
             if key not in self.cached:
-                self.cached_tokens += part.tokens
-            self.cached[key] = Kept(part.tokens, now)
+                self.cached_tokens += tokens
+            self.cached[key] = Kept(tokens, now)
             self.cached.move_to_end(key)
         while self.cached_tokens > capacity and self.cached:
             self.cached_tokens -= self.cached.popitem(last=False)[1].tokens
@@ -150,12 +179,13 @@
         candidates = healthy or usable
         if not candidates:
             return None
-        kept = self.kept_elsewhere(job.place.prompt, now)
+        parts = part_keys(job.place.prompt)
+        kept = self.kept_elsewhere(parts, now)
         left_s = (job.objective_at - now) * TIME_SHARE
         costs = []
         for engine in candidates:
-            time_s = self.time_s(engine, job)
-            price_s = self.price_s(engine, job, inputs, kept, now)
+            time_s = self.time_s(engine, parts)
+            price_s = self.price_s(engine, parts, inputs, kept, now)
             if time_s > left_s:
                 price_s = TOO_LATE_S + HURRIED_SHARE * price_s
             costs.append((time_s + price_s, time_s, engine))
@@ -164,38 +194,37 @@
 
     def least_time_s(self, job: Job, now: float) -> float:
         """Return when the first event of a job would come from the best engine of the moment."""
+        parts = part_keys(job.place.prompt)
         healthy = [item for item in self.engines.values() if item.ejected_until <= now]
-        return min((self.time_s(engine, job) for engine in healthy), default=0.0)
+        return min((self.time_s(engine, parts) for engine in healthy), default=0.0)
 
-    def time_s(self, engine: Engine, job: Job) -> float:
-        """Return the seconds of work before a job's first event on an engine."""
-        own_s = engine.uncached(job.place.prompt) * PREFILL_S_A_TOKEN
-        return engine.load_s() + own_s
+    def time_s(self, engine: Engine, parts: PartKeys) -> float:
+        """Return the seconds of work before a prompt's first event on an engine."""
+        return engine.load_s + engine.uncached(parts) * PREFILL_S_A_TOKEN
 
     def price_s(
-        self, engine: Engine, job: Job, inputs: list[Result], kept: set[str], now: float
+        self, engine: Engine, parts: PartKeys, inputs: list[Result], kept: set[str], now: float
     ) -> float:
         """Return what else a job costs on an engine: results moved and parts read again."""
-        crossing = sum(item.size for item in inputs if item.zone != engine.replica.zone)
-        prompt = job.place.prompt
+        zone = engine.replica.zone
+        crossing = sum(item.size for item in inputs if item.zone != zone)
         again = sum(
-            part.tokens
-            for part in prompt.parts[:-1]
-            if (key := f'{prompt.model}/{part.id}') in kept and not engine.keeps(key, now)
+            tokens for key, tokens in parts.shared if key in kept and not engine.keeps(key, now)
         )
         return crossing * CROSSING_S_A_BYTE + again * REREAD_S_A_TOKEN
 
-    def kept_elsewhere(self, prompt: Prompt, now: float) -> set[str]:
+    def kept_elsewhere(self, parts: PartKeys, now: float) -> set[str]:
         """Return the shared parts of a prompt that any engine keeps."""
-        keys = [f'{prompt.model}/{part.id}' for part in prompt.parts[:-1]]
-        return {key for key in keys if any(item.keeps(key, now) for item in self.engines.values())}
+        engines = self.engines.values()
+        return {key for key, _ in parts.shared if any(item.keeps(key, now) for item in engines)}
 
     def begin(self, choice: EngineChoice, job: Job, now: float) -> None:
         """Count a run on its engine."""
-        engine, prompt = choice.engine, job.place.prompt
-        prefill_s = engine.uncached(prompt) * PREFILL_S_A_TOKEN
-        engine.runs[job.id] = Run(prefill_s, prompt.tokens_out * DECODE_S_A_TOKEN, now + LOST_RUN_S)
-        engine.remember(prompt, self.kv_tokens, now)
+        engine, parts = choice.engine, part_keys(job.place.prompt)
+        prefill_s = engine.uncached(parts) * PREFILL_S_A_TOKEN
+        decode_s = job.place.prompt.tokens_out * DECODE_S_A_TOKEN
+        engine.put_run(job.id, Run(prefill_s, decode_s, now + LOST_RUN_S))
+        engine.remember(parts, self.kv_tokens, now)
 
     def started(self, replica_id: str, job_id: str) -> None:
         """Note that an engine has read a prompt, and so works well."""
@@ -204,14 +233,14 @@
         if engine is None or run is None:
             return
         engine.failures = 0
-        engine.runs[job_id] = run._replace(prefill_s=0.0)
+        engine.put_run(job_id, run._replace(prefill_s=0.0))
 
     def ended(self, replica_id: str, job_id: str, *, failed: bool, now: float) -> None:
         """Take a run off its engine; a failure leaves the engine alone for a while."""
         engine = self.engines.get(replica_id)
         if engine is None:
             return
-        engine.runs.pop(job_id, None)
+        engine.drop_run(job_id)
         if failed:
             engine.failures += 1
             pause_s = min(MAX_EJECT_S, EJECT_S * 2 ** (engine.failures - 1))
@@ -221,17 +250,17 @@
 
     def loads(self) -> dict[str, float]:
         """Return the work that waits at each engine, in seconds."""
-        return {name: engine.load_s() for name, engine in self.engines.items() if engine.runs}
+        return {name: engine.load_s for name, engine in self.engines.items() if engine.runs}
 
     def on_foreign_load(self, sender: str, replica_id: str, load_s: float, now: float) -> None:
         """Count work that another scheduler has placed, for about as long as it takes."""
         engine = self.engines.get(replica_id)
         if engine is not None:
-            engine.runs[f'of {sender}'] = Run(load_s, 0.0, now + max(FOREIGN_S, load_s))
+            engine.put_run(f'of {sender}', Run(load_s, 0.0, now + max(FOREIGN_S, load_s)))
 
     def forget_lost(self, now: float) -> None:
         """Drop runs whose end was never told."""
         for engine in self.engines.values():
             for job_id, run in list(engine.runs.items()):
                 if run.until <= now:
-                    del engine.runs[job_id]
+                    engine.drop_run(job_id)
--- a/packages/core/calicopath_core/scheduling/interfaces.py
+++ b/packages/core/calicopath_core/scheduling/interfaces.py
@@ -88,9 +88,9 @@
 
 
 class JobKeeper(ABC):
-    """Keep the jobs that calls are made for."""
+    """Keep the jobs that calls are made for; `unplaced` are those that have no engine yet."""
 
-    jobs: dict[str, Job]
+    unplaced: dict[str, Job]
 
     @abstractmethod
     def advance(self, job: Job) -> None:
--- a/packages/core/calicopath_core/scheduling/jobs.py
+++ b/packages/core/calicopath_core/scheduling/jobs.py
@@ -196,7 +196,7 @@
 
     def phase_done(self, phase: int) -> bool:
         """Tell whether every piece of a phase has its result."""
-        return all(result is not None for result in self.results[phase])
+        return None not in self.results[phase]
 
     @property
     def stages_done(self) -> bool:
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -71,6 +71,7 @@
         self.admission = Admission()
         self.engine_times = EngineTimes()
         self.jobs: dict[str, Job] = {}
+        self.unplaced: dict[str, Job] = {}
         self.boards: dict[str, EngineBoard] = {}
         self.stages = StageCalls(
             clock=clock,
@@ -100,8 +101,8 @@
 
     def remake_lost(self) -> None:
         """Make the results anew that lay at replicas that are gone and are still needed."""
-        for job in list(self.jobs.values()):
-            if job.placed_on is None and not job.ended:
+        for job in list(self.unplaced.values()):
+            if not job.ended:
                 lost = job.lost_phases(self.replicas.replicas)
                 if lost:
                     self.remake(job, lost)
@@ -135,9 +136,9 @@
 
     def reject_hopeless(self, now: float) -> None:
         """Tell callers at once whose jobs can't be made before their deadline any more."""
-        for job in list(self.jobs.values()):
-            if job.placed_on is None and now + job.least_s() > job.deadline_at:
-                others, queues = self.jobs.values(), self.stages.queues
+        for job in list(self.unplaced.values()):
+            if now + job.least_s() > job.deadline_at:
+                others, queues = self.unplaced.values(), self.stages.queues
                 room_in_s = self.admission.room_in_s(job, others, queues, now)
                 self.reject(job, 'hopeless', self.admission.return_s(job, room_in_s, now))
 
@@ -147,7 +148,7 @@
             return
         now = self.clock.monotonic()
         job = Job(place=place, now=now)
-        self.jobs[place.job] = job
+        self.jobs[place.job] = self.unplaced[place.job] = job
         if self.successor is not None and place.missed != self.successor:
             self.hand_over(job)
             return
@@ -157,7 +158,8 @@
             self.reject(job, 'unknown-service')
             return
         engine_s = board.least_time_s(job, now)
-        verdict = self.admission.judge(job, self.jobs.values(), self.stages.queues, engine_s, now)
+        others = self.unplaced.values()
+        verdict = self.admission.judge(job, others, self.stages.queues, engine_s, now)
         if not verdict.admitted:
             self.reject(job, 'overloaded', verdict.retry_after_s)
             return
@@ -195,7 +197,7 @@
         if job.stages_done:
             self.place_engine(job)
             return
-        self.stages.dispatch()
+        self.stages.dispatch_soon()
 
     def take_up(self) -> None:
         """Schedule what comes."""
@@ -234,8 +236,8 @@
         self.send(job.place.reply_to, HandedOver(job=job.id, scheduler=self.successor))
         self.observer.on_handed_over(job, self.successor, len(results))
         job.ended = True
-        del self.jobs[job.id]
-        self.stages.drop_stale()
+        del self.jobs[job.id], self.unplaced[job.id]
+        self.stages.drop_stale(job)
 
     def on_adopt(self, message: Adopt) -> None:
         """Go on with a job that another scheduler has begun."""
@@ -245,7 +247,7 @@
         job = Job(place=message.place, now=now)
         job.adopted = True
         job.arrived_at = now - message.waited_s
-        self.jobs[job.id] = job
+        self.jobs[job.id] = self.unplaced[job.id] = job
         if message.place.service not in self.boards:
             self.reject(job, 'unknown-service')
             return
@@ -296,6 +298,7 @@
         board.begin(choice, job, now)
         replica = choice.engine.replica.id
         job.placed_on = replica
+        del self.unplaced[job.id]
         job.placed_at = job.engine_at = now
         self.admission.learn(job, now - job.arrived_at)
         inputs = tuple(result.handle for result in job.final_results())
@@ -342,8 +345,9 @@
         """Forget a job and give its results up."""
         job.ended = True
         self.jobs.pop(job.id, None)
+        self.unplaced.pop(job.id, None)
         self.stages.give_up(job.all_results())
-        self.stages.drop_stale()
+        self.stages.drop_stale(job)
 
     def tell_progress(
         self, job: Job, results: tuple[MadeResult, ...], freed: tuple[int, ...]
@@ -367,7 +371,7 @@
         for phase in phases:
             self.stages.give_up([item for item in job.results[phase] if item is not None])
             job.invalidate(phase)
-        self.stages.drop_stale()
+        self.stages.drop_stale(job)
         if tries >= MAX_PIECE_TRIES:
             self.reject(job, 'result-gone')
             return
--- a/packages/core/calicopath_core/scheduling/stage_calls.py
+++ b/packages/core/calicopath_core/scheduling/stage_calls.py
@@ -85,6 +85,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.alone_from = 0.0
         self.room_unknown = False
+        self.is_dispatch_due = False
 
     def set_spec(self, service: str, spec: StageSpec) -> None:
         """Take in what a stage's replicas can do."""
@@ -112,10 +113,10 @@
                 target.expire(now)
         self.dispatch()
 
-    def drop_stale(self) -> None:
-        """Forget the pieces that are not wanted any more."""
+    def drop_stale(self, job: Job) -> None:
+        """Forget the pieces of a job that are not wanted any more."""
         for queue in self.queues.values():
-            queue.drop_stale()
+            queue.drop_stale(job)
 
     def on_hand_over(self) -> None:
         """Note that another box schedules or has scheduled beside this one until now."""
@@ -148,16 +149,26 @@
             self.observer.on_report_failed(target.replica, error)
             return
         target.on_free_bytes(report.free_bytes, queue.spec, self.clock.monotonic())
-        self.dispatch()
+        self.dispatch_soon()
+
+    def dispatch_soon(self) -> None:
+        """Make the calls that should be made once what happens at this moment is taken in.
+
+        A call that brings the results of eight jobs, or a burst of requests, is decided on once.
+        """
+        if not self.is_dispatch_due:
+            self.is_dispatch_due = True
+            asyncio.get_running_loop().call_soon(self.dispatch)
 
     def dispatch(self) -> None:
         """Make every call that should be made now."""
+        self.is_dispatch_due = False
         now = self.clock.monotonic()
         if self.room_unknown and any(queue.waiting for queue in self.queues.values()):
             self.learn_all_room()
-        held = self.pacing.held(self.keeper.jobs.values(), self.queues, now)
+        held = self.pacing.held(self.keeper.unplaced.values(), self.queues, now)
         for queue in self.queues.values():
-            while (batch := queue.next_batch(now, held)) is not None:
+            for batch in queue.batches(now, held):
                 # Described now: before the task runs, a job may have to make its inputs anew.
                 calls = [self.piece_call(piece, now) for piece in batch.pieces]
                 for job in jobs_of(batch):
@@ -200,7 +211,7 @@
         self.tell_made(batch)
         for job in jobs_of(batch):
             self.after_call(job)
-        self.dispatch()
+        self.dispatch_soon()
 
     def piece_call(self, piece: Piece, now: float) -> PieceCall:
         """Describe a piece to its replica."""
@@ -289,7 +300,7 @@
             self.try_again(queue, piece, full=full)
         for job in jobs_of(batch):
             self.keeper.advance(job)
-        self.dispatch()
+        self.dispatch_soon()
 
     def try_again(self, queue: StageQueue, piece: Piece, *, full: bool) -> None:
         """Let a piece wait again, or end its job when it failed too often or its time is over."""
@@ -359,7 +370,7 @@
             if target is not None:
                 for handle in handles:
                     target.free(handle)
-        self.dispatch()
+        self.dispatch_soon()
 
     def after_call(self, job: Job) -> None:
         """Go on with a job after a call: free what was read, begin what can be begun."""
--- a/packages/core/calicopath_core/scheduling/stages.py
+++ b/packages/core/calicopath_core/scheduling/stages.py
@@ -2,19 +2,20 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING, NamedTuple
 
 from calicopath_core.scheduling.jobs import LARGE_BYTES
-from calicopath_core.scheduling.order import groups, may_go, order
+from calicopath_core.scheduling.placing import Home, home_of, may_go, zone_waits
 from calicopath_core.scheduling.stage_replicas import OVERDUE_FACTOR, Booking, StageReplica
+from calicopath_core.scheduling.waiting import WaitingPieces, rank_again
 
 if TYPE_CHECKING:
-    from collections.abc import Container, Iterable
+    from collections.abc import Container, Iterable, Iterator
 
     from calicopath_core.fleet.deployment import StageSpec
     from calicopath_core.fleet.replicas import Replica
-    from calicopath_core.scheduling.jobs import Piece
+    from calicopath_core.scheduling.jobs import Job, Piece
+    from calicopath_core.scheduling.waiting import PieceGroup, RankedGroup
 
 GATHER_S = 0.03
 """How long a call waits to be filled when one replica alone is free. Mean worth is the same from
@@ -53,8 +54,7 @@
         self.service = service
         self.spec = spec
         self.replicas: dict[str, StageReplica] = {}
-        self.waiting: list[Piece] = []
-        self.since: dict[int, float] = {}
+        self.waiting = WaitingPieces()
 
     def set_replicas(self, replicas: Iterable[Replica]) -> None:
         """Take in which replicas there are; calls at work on those gone end by themselves."""
@@ -70,15 +70,11 @@
         """Let a piece wait."""
         piece.note_called(False)
         piece.fetched = False
-        self.waiting.append(piece)
-        self.since[id(piece)] = now
+        self.waiting.add(piece, now)
 
-    def drop_stale(self) -> None:
-        """Forget the pieces of jobs that are over, or that are made anew."""
-        for piece in self.waiting:
-            if piece.stale:
-                self.since.pop(id(piece), None)
-        self.waiting = [piece for piece in self.waiting if not piece.stale]
+    def drop_stale(self, job: Job) -> None:
+        """Forget the pieces of a job that is over, or that it makes anew."""
+        self.waiting.drop_stale(job)
 
     def free_replicas(self, now: float) -> list[StageReplica]:
         """Return the replicas that could take a call now, those with most room first."""
@@ -96,29 +92,44 @@
         quick = sum(not item.is_slow(now) for item in self.replicas.values())
         return 2 * quick * self.spec.batch
 
-    def next_batch(self, now: float, held: Container[str] = ()) -> StageBatch | None:
-        """Return the next call to make, or nothing while it is better to wait.
+    def batches(self, now: float, held: Container[str] = ()) -> Iterator[StageBatch]:
+        """Yield the calls to make now; pieces of the jobs that are `held` are left waiting.
 
-        Pieces of the jobs that are `held` are left waiting.
+        What waits is looked at once for all of them: at 195 boxes calls are decided on every 2 ms.
         """
-        if all(piece.job.id in held for piece in self.waiting):
-            return None
-        free = self.free_replicas(now)
-        if not free:
-            return None
-        self.waiting.sort(key=lambda piece: order(piece, now))
-        homes = self.homes(now) if self.is_calm() else {}
+        if not self.waiting or not self.free_replicas(now):
+            return
+        ranked = self.waiting.ready(held, now)
+        homes = {item.number: home_of(item.group.first, now) for item in ranked}
+        while ranked and (free := self.free_replicas(now)):
+            batch = self.next_of(free, ranked, homes, now)
+            if batch is None:
+                return
+            for item in rank_again(ranked, batch.pieces, now):
+                homes[item.number] = home_of(item.group.first, now)
+            yield batch
+
+    def next_batch(self, now: float, held: Container[str] = ()) -> StageBatch | None:
+        """Return the next call to make, or nothing while it is better to wait."""
+        return next(self.batches(now, held), None)
+
+    def next_of(
+        self,
+        free: list[StageReplica],
+        ranked: list[RankedGroup],
+        homes: dict[int, Home],
+        now: float,
+    ) -> StageBatch | None:
+        """Return a call of waiting groups to one of the free replicas, the first that it suits."""
+        tied = self.is_calm() and any(homes[item.number].zone for item in ranked)
+        waits = zone_waits(self.replicas.values(), self.spec, now) if tied else {}
         for target in free:
-            near = [
-                piece
-                for piece in self.waiting
-                if piece.job.id not in held
-                and not piece.is_early()
-                and may_go(piece, target, homes, now)
-            ]
+            zone = target.replica.zone
+            near = [item.group for item in ranked if may_go(homes[item.number], zone, waits)]
             if not near:
                 continue
-            if len(near) < self.spec.batch and self.wait_s(len(free)) > self.waited_s(near, now):
+            count = sum(len(group.pieces) for group in near)
+            if count < self.spec.batch and self.wait_s(len(free)) > waited_s(near, now):
                 continue
             pieces = self.fitting(near, target, now)
             if pieces:
@@ -129,41 +140,26 @@
         """Tell whether few enough pieces wait for zones to matter."""
         return len(self.waiting) <= BUSY_SHARE * self.spec.batch * len(self.replicas)
 
-    def homes(self, now: float) -> dict[str, float]:
-        """Return the zones in which a replica is worth waiting for, and for how many seconds."""
-        found: dict[str, float] = {}
-        for item in self.replicas.values():
-            if item.idle_until > now or item.is_slow(now) or item.is_overdue(now):
-                continue
-            if item.room_left(self.spec, now) <= 0:
-                continue
-            zone = item.replica.zone
-            found[zone] = min(found.get(zone, math.inf), item.busy_s(now))
-        return found
-
-    def waited_s(self, pieces: list[Piece], now: float) -> float:
-        """Return how long the piece that waits longest has waited."""
-        return now - min(self.since[id(piece)] for piece in pieces)
-
     def wait_s(self, free: int) -> float:
         """Return how long a call that is not full may wait: longer, the fewer replicas are free."""
         usable = max(1, len(self.replicas))
         return GATHER_S * (1 - (free - 1) / usable)
 
-    def fitting(self, near: list[Piece], target: StageReplica, now: float) -> list[Piece]:
+    def fitting(self, near: list[PieceGroup], target: StageReplica, now: float) -> list[Piece]:
         """Return the pieces, in order, that one call to a replica can take.
 
         Large results of one job are kept together, so that its engine can be near all of them.
         """
         room = target.room_left(self.spec, now)
         found: list[Piece] = []
-        for group in groups(near):
-            size = group[0].result_bytes
-            free = min(self.spec.batch - len(found), int(room // size) if size else len(group))
-            whole = len(group) <= free
-            if not whole and found and size >= LARGE_BYTES and len(group) <= self.spec.batch:
+        for group in near:
+            size = group.result_bytes
+            pieces = group.pieces
+            free = min(self.spec.batch - len(found), int(room // size) if size else len(pieces))
+            whole = len(pieces) <= free
+            if not whole and found and size >= LARGE_BYTES and len(pieces) <= self.spec.batch:
                 continue
-            taken = group[: max(0, free)]
+            taken = pieces[: max(0, free)]
             found.extend(taken)
             room -= size * len(taken)
             if len(found) == self.spec.batch:
@@ -172,10 +168,8 @@
 
     def take(self, target: StageReplica, pieces: list[Piece], now: float) -> StageBatch:
         """Take pieces out of the queue and book their room."""
-        taken = {id(piece) for piece in pieces}
-        self.waiting = [piece for piece in self.waiting if id(piece) not in taken]
+        self.waiting.remove(pieces)
         for piece in pieces:
-            self.since.pop(id(piece), None)
             piece.tries += 1
             piece.note_called(True)
             piece.job.zones.setdefault(piece.phase, target.replica.zone)
@@ -236,3 +230,8 @@
     def expected_s(self, pieces: int) -> float:
         """Return what a call with so many pieces takes, in seconds."""
         return self.spec.call_s + self.spec.piece_s * pieces
+
+
+def waited_s(groups: list[PieceGroup], now: float) -> float:
+    """Return how long the group that waits longest has waited."""
+    return now - min(group.since for group in groups)
--- a/packages/core/calicopath_core/scheduling/tests/stages_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/stages_tests.py
@@ -6,7 +6,6 @@
 
 import testtools
 
-from calicopath_core.scheduling.order import OLD_RESULT_S
 from calicopath_core.scheduling.stage_replicas import SLOW_MEMORY_S
 from calicopath_core.scheduling.stages import (
     FULL_S,
@@ -14,6 +13,7 @@
     NO_ROOM_S,
 )
 from calicopath_core.scheduling.tests.work import SPEC, job, phase, queue, replica, result, wait
+from calicopath_core.scheduling.waiting import OLD_RESULT_S
 
 if TYPE_CHECKING:
     from calicopath_core.scheduling.jobs import Job
@@ -107,8 +107,8 @@
         gone = job('gone', phase())
         wait(target, gone)
         gone.ended = True
-        target.drop_stale()
-        self.assertEqual([], target.waiting)
+        target.drop_stale(gone)
+        self.assertEqual(0, len(target.waiting))
 
     def test_jobs_that_are_held_back_wait(self) -> None:
         target = queue(replica('r'))
--- /dev/null
+++ b/testkit/replay/engines.py
@@ -0,0 +1,49 @@
+"""Stand for model engines: prompts are read one after the other, tokens come beside each other."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from calicopath_core.fleet.deployment import EngineSpec
+    from calicopath_core.scheduling.messages import Prompt
+
+PREFILL_S_A_TOKEN = 1 / 32_400
+FIRST_S = 0.064
+STEP_S = 0.00612
+STEP_S_A_RUN = 0.0000234
+AGAIN_WITHIN_S = 9.5
+
+
+class ReplayEngine:
+    """Hold one engine on virtual time, in monotonic seconds."""
+
+    def __init__(self, *, spec: EngineSpec) -> None:
+        self.spec = spec
+        self.free_at = 0.0
+        self.running = 0
+        self.parts: OrderedDict[str, int] = OrderedDict()
+        self.held = 0
+
+    def read(self, prompt: Prompt, now: float) -> tuple[float, int]:
+        """Return when the first event comes and how many tokens had to be read."""
+        kept = 0
+        for part in prompt.parts:
+            if part.id not in self.parts:
+                break
+            kept += part.tokens
+        uncached = max(0, prompt.tokens_in - kept)
+        self.free_at = max(now, self.free_at) + uncached * PREFILL_S_A_TOKEN
+        for part in prompt.parts:
+            if part.id not in self.parts:
+                self.held += part.tokens
+            self.parts[part.id] = part.tokens
+            self.parts.move_to_end(part.id)
+        while self.held > self.spec.kv_tokens:
+            self.held -= self.parts.popitem(last=False)[1]
+        return self.free_at + FIRST_S, uncached
+
+    def decode_s(self, tokens: int) -> float:
+        """Return what so many tokens take beside what runs now."""
+        return tokens * (STEP_S + STEP_S_A_RUN * self.running)
--- /dev/null
+++ b/testkit/replay/fleet.py
@@ -0,0 +1,111 @@
+"""Describe the fleet and the kinds of requests that load patterns are replayed on."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from calicopath_core.fleet.deployment import EngineSpec, StageSpec
+from calicopath_core.fleet.replicas import Replica
+from calicopath_core.scheduling.messages import PhaseWork
+
+ENGINE = 'engine'
+FIRST, SECOND, THIRD = 'retrieve', 'rank', 'check'
+LARGE_RESULT, MIDDLE_RESULT, SMALL_RESULT = 1_500_000, 60_000, 6_000
+
+
+class JobKind(NamedTuple):
+    """Describe one kind of request: its stages, prompt, times in seconds, worth and rate.
+
+    A request has `shared` and `session` prompt parts that others have too, and `own` tokens of its
+    own. `late_worth` is what an answer after the objective is worth. `large_share` is the share of
+    requests whose first phase, of large results, is not left out; `chained` says whether a chain
+    of three more phases follows.
+    """
+
+    name: str
+    priority: int
+    rate: float
+    objective_s: float
+    deadline_s: float
+    worth: float
+    late_worth: float
+    large_share: float
+    large_pieces: int
+    chained: bool
+    shared_tokens: int
+    shared_parts: int
+    session_tokens: int
+    sessions: int
+    own_tokens: int
+    tokens_out: int
+
+
+URGENT = JobKind(
+    'urgent', 0, 28.0, 1.6, 8.0, 4.7, 0.7, 0.7, 10, False, 2520, 4, 3780, 988, 2890, 50
+)
+MIDDLE = JobKind('middle', 1, 36.0, 3.1, 6.0, 1.1, 0.17, 0.0, 0, True, 341, 39, 227, 1296, 1800, 24)
+PATIENT = JobKind(
+    'patient', 2, 27.0, 3.6, 20.0, 0.48, 0.07, 0.4, 6, True, 103, 39, 69, 652, 543, 250
+)
+KINDS = (URGENT, MIDDLE, PATIENT)
+
+
+class Fleet(NamedTuple):
+    """Hold how many boxes, zones and replicas there are, and what replicas can do."""
+
+    boxes: int
+    zones: int
+    engines: int
+    stages: dict[str, int]
+    specs: dict[str, StageSpec]
+    engine: EngineSpec
+    scale: float
+
+    @property
+    def zone_names(self) -> list[str]:
+        """Return the zones."""
+        return [f'zone-{number}' for number in range(self.zones)]
+
+    def replicas(self) -> list[Replica]:
+        """Return every replica, those of a service spread over the zones."""
+        counts = {ENGINE: self.engines, **self.stages}
+        names = self.zone_names
+        found = []
+        for service, count in counts.items():
+            for number in range(count):
+                name = f'{service}-{number}'
+                zone = names[number % len(names)]
+                found.append(Replica(name, service, f'{name}:80', zone, 1, False))
+        return found
+
+
+SPECS = {
+    FIRST: StageSpec(1, 8, 0.2, 0.021, 18_000_000, 4.0),
+    SECOND: StageSpec(1, 16, 0.2, 0.011, 2_100_000, 4.0),
+    THIRD: StageSpec(1, 22, 0.2, 0.0078, 290_000, 4.0),
+}
+USUAL_BOXES = 195
+
+
+def fleet_of(boxes: int = USUAL_BOXES, zones: int = 6) -> Fleet:
+    """Return a fleet of so many boxes, with replicas and requests in proportion."""
+    scale = boxes / USUAL_BOXES
+
+    def share(count: int) -> int:
+        return max(2, round(count * scale))
+
+    stages = {FIRST: share(11), SECOND: share(18), THIRD: share(21)}
+    return Fleet(boxes, zones, share(39), stages, SPECS, EngineSpec(48, 266_342), scale)
+
+
+def phases_of(kind: JobKind, large: int, checks: int) -> tuple[PhaseWork, ...]:
+    """Return the phases of one request with so many large results and last pieces."""
+    found = []
+    if kind.large_pieces:
+        found.append(PhaseWork(FIRST, (), LARGE_RESULT, large))
+    if kind.chained:
+        begin = len(found)
+        found.append(PhaseWork(FIRST, (), 8_000, 1))
+        found.append(PhaseWork(SECOND, (begin,), MIDDLE_RESULT, 6))
+        found.append(PhaseWork(THIRD, (begin + 1,), SMALL_RESULT, checks))
+    return tuple(found)
--- /dev/null
+++ b/testkit/replay/world.py
@@ -0,0 +1,425 @@
+"""Replay a pattern of load: callers, one scheduler at a time, fake stages and engines."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from calicopath_core.fleet.deployment import Deployment, ServiceSpec
+from calicopath_core.fleet.replicas import Replica, ReplicaTable
+from calicopath_core.scheduling.client import Asked
+from calicopath_core.scheduling.interfaces import PieceCall, SchedulerObserver
+from calicopath_core.scheduling.messages import Place, Placed, Progress, Rejected, RunEnded
+from calicopath_core.scheduling.messages import RunStarted as Started
+from calicopath_core.scheduling.scheduler import Scheduler
+from testkit.replay import outcomes as counting
+from testkit.replay.engines import AGAIN_WITHIN_S, ReplayEngine
+from testkit.replay.fleet import ENGINE, Fleet, fleet_of
+from testkit.replay.load import PATTERNS, Arrival, Blow, Generator, Pattern
+from testkit.replay.outcomes import Figures, Outcome
+from testkit.replay.stages import ReplayStages
+from testkit.virtual import VirtualClock, run_virtual
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    import msgspec
+
+    from calicopath_core.scheduling.jobs import Job, Piece
+
+NETWORK_S = 0.002
+"""What a message between boxes takes."""
+
+NOTICED_S = 0.75
+"""After what time boxes give a silent scheduler up."""
+
+DOWN_S = 1.4
+"""How long everything is away after it was killed."""
+
+RETURN_S = 0.5
+"""Within what time callers come back whose boxes were killed."""
+
+TRIES = 2
+RETRY_SHARE = 1 / 3
+"""Callers wait as long as they are told, but at most this share of the time they have left."""
+
+TIMED = ('on_place', 'on_adopt', 'on_started', 'on_ended', 'tick', 'advance')
+TIMED_STAGES = ('dispatch', 'on_freed', 'tell_made', 'take_result', 'give_up_read', 'on_fetched')
+
+
+class CountingObserver(SchedulerObserver):
+    """Count decisions."""
+
+    def __init__(self) -> None:
+        self.rejected: dict[str, int] = {}
+        self.used_s = 0.0
+
+    def on_stage_call(
+        self, service: str, replica: str, pieces: list[Piece], took_s: float, outcome: str
+    ) -> None:
+        """Do nothing."""
+
+    def on_placed(self, job: Job, replica: Replica, cost_s: float, waited_s: float) -> None:
+        """Do nothing."""
+
+    def on_rejected(self, job: Job, reason: str, retry_after_s: float) -> None:
+        """Count a refusal by its reason."""
+        self.rejected[reason] = self.rejected.get(reason, 0) + 1
+
+    def on_handed_over(self, job: Job, successor: str, results: int) -> None:
+        """Do nothing."""
+
+    def on_report_failed(self, replica: Replica, error: Exception) -> None:
+        """Do nothing."""
+
+    def on_free_failed(self, address: str, count: int, error: Exception) -> None:
+        """Do nothing."""
+
+
+class Stopwatch:
+    """Add up the processor time that a scheduler's own work takes, calls within calls once."""
+
+    def __init__(self) -> None:
+        self.depth = 0
+        self.spent_s = 0.0
+
+    def wrap(self, target: Any, names: tuple[str, ...]) -> None:
+        """Time some methods of an object."""
+        for name in names:
+            setattr(target, name, self.timed(getattr(target, name)))
+
+    def timed(self, work: Callable[..., Any]) -> Callable[..., Any]:
+        """Return a function that times another."""
+
+        def run(*args: Any, **named: Any) -> Any:
+            self.depth += 1
+            begun = time.process_time()
+            try:
+                return work(*args, **named)
+            finally:
+                self.depth -= 1
+                if self.depth == 0:
+                    self.spent_s += time.process_time() - begun
+
+        return run
+
+
+class Variant(NamedTuple):
+    """Name a scheduler to replay against; `change` swaps mechanisms of a new one."""
+
+    name: str
+    change: Callable[[Scheduler], None] = lambda scheduler: None
+
+
+class World:
+    """Hold one replay."""
+
+    def __init__(self, *, fleet: Fleet, pattern: Pattern, seed: int, variant: Variant) -> None:
+        self.fleet = fleet
+        self.pattern = pattern
+        self.rng = random.Random(seed + 1)
+        self.variant = variant
+        self.arrivals = Generator(fleet=fleet, pattern=pattern, seed=seed).arrivals()
+        self.clock = VirtualClock()
+        self.table = ReplicaTable()
+        self.sizes: dict[tuple[str, int], int] = {}
+        self.stages = ReplayStages(specs=fleet.specs, size_of=self.size_of)
+        self.engines = {
+            item.id: ReplayEngine(spec=fleet.engine)
+            for item in fleet.replicas()
+            if item.service == ENGINE
+        }
+        self.zones = {item.id: item.zone for item in fleet.replicas()}
+        self.observer = CountingObserver()
+        self.stopwatch = Stopwatch()
+        self.asked: dict[str, Asked] = {}
+        self.scheduler: Scheduler | None = None
+        self.running: asyncio.Task[None] | None = None
+        self.down_until = 0.0
+        self.deaths = 0
+        self.read_at: dict[str, float] = {}
+        self.reread_tokens = 0
+        self.used_s = 0.0
+        self.outcomes: list[Outcome] = []
+
+    def size_of(self, call: PieceCall) -> int:
+        """Return how large a piece's result is."""
+        return self.sizes[call.call_id, call.phase]
+
+    def new_scheduler(self) -> Scheduler:
+        """Start a scheduler that knows nothing yet."""
+        for replica in self.fleet.replicas():
+            if replica.id not in self.table.replicas and not self.stages.maker(replica.id).dead:
+                self.table.put(replica)
+        found = Scheduler(
+            clock=self.clock,
+            replicas=self.table,
+            caller=self.stages,
+            send=self.send,
+            observer=self.observer,
+            own_address=f'scheduler-{self.deaths}',
+            share_of=lambda replicas: replicas,
+        )
+        self.variant.change(found)
+        found.on_deployment(self.deployment())
+        self.stopwatch.wrap(found, TIMED)
+        self.stopwatch.wrap(found.stages, TIMED_STAGES)
+        self.running = asyncio.create_task(found.run())
+        return found
+
+    def deployment(self) -> Deployment:
+        """Return the services that there are."""
+        stages = [ServiceSpec(name, '', 100, spec, None) for name, spec in self.fleet.specs.items()]
+        engine = ServiceSpec(ENGINE, '', 100, None, self.fleet.engine)
+        return Deployment(
+            version=1,
+            routes=(),
+            services=(*stages, engine),
+            tenants=(),
+            limits=None,  # type: ignore[arg-type]
+        )
+
+    def send(self, address: str, message: msgspec.Struct) -> None:
+        """Bring a scheduler's message to the box that asked."""
+        asyncio.get_running_loop().call_later(NETWORK_S, self.on_message, message)
+
+    def on_message(self, message: msgspec.Struct) -> None:
+        """Take a scheduler's answer in."""
+        asked = self.asked.get(getattr(message, 'job', ''))
+        if asked is None:
+            return
+        if isinstance(message, Progress):
+            asked.on_progress(message)
+        elif isinstance(message, Placed | Rejected) and not asked.answer.done():
+            asked.answer.set_result(message)  # type: ignore[arg-type]
+
+    def tell(self, message: msgspec.Struct) -> None:
+        """Bring a box's message to the scheduler of the moment."""
+
+        def arrive() -> None:
+            scheduler = self.scheduler
+            if scheduler is None:
+                return
+            if isinstance(message, Place):
+                scheduler.on_place(message)
+            elif isinstance(message, Started):
+                scheduler.on_started(message)
+            elif isinstance(message, RunEnded):
+                scheduler.on_ended(message)
+            else:
+                scheduler.on_adopt(message)  # type: ignore[arg-type]
+
+        asyncio.get_running_loop().call_later(NETWORK_S, arrive)
+
+    async def play(self) -> Figures:
+        """Replay the pattern and return its figures."""
+        self.scheduler = self.new_scheduler()
+        blows = [asyncio.create_task(self.strike(blow)) for blow in self.pattern.blows]
+        callers = [asyncio.create_task(self.call(item)) for item in self.arrivals]
+        await asyncio.gather(*callers)
+        await asyncio.gather(*blows)
+        await self.stop_scheduler()
+        return self.figures()
+
+    async def strike(self, blow: Blow) -> None:
+        """Let something happen to replicas or the scheduler."""
+        await asyncio.sleep(blow.at)
+        if blow.what == 'killed':
+            self.down_until = self.clock.monotonic() + DOWN_S
+            self.deaths += 1
+            await self.stop_scheduler()
+            await asyncio.sleep(DOWN_S)
+            await self.start_next(with_jobs=False)
+        elif blow.what == 'silent':
+            self.deaths += 1
+            await self.stop_scheduler()
+            await asyncio.sleep(NOTICED_S)
+            await self.start_next(with_jobs=True)
+        else:
+            await self.strike_replicas(blow)
+
+    async def strike_replicas(self, blow: Blow) -> None:
+        """Slow or lose a share of a service's replicas for a while."""
+        listed = [item for item in self.fleet.replicas() if item.service == blow.service]
+        struck = self.rng.sample(listed, round(len(listed) * blow.share))
+        for replica in struck:
+            if blow.what == 'slow':
+                self.stages.maker(replica.id).slow = 4.0
+            else:
+                self.stages.kill(replica.id)
+        if blow.what == 'lost':
+            await asyncio.sleep(1.0)
+            for replica in struck:
+                self.table.remove(replica.id, self.clock.monotonic())
+        await asyncio.sleep(blow.for_s)
+        for replica in struck:
+            maker = self.stages.maker(replica.id)
+            maker.slow, maker.dead = 1.0, False
+            self.table.put(replica)
+
+    async def stop_scheduler(self) -> None:
+        """End the scheduler and its calls; what replicas have begun they finish."""
+        scheduler, self.scheduler = self.scheduler, None
+        if scheduler is None or self.running is None:
+            return
+        self.table.listeners.remove(scheduler.on_replicas)
+        tasks = [self.running, *scheduler.stages.tasks]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def start_next(self, *, with_jobs: bool) -> None:
+        """Start the next scheduler; boxes that live ask it for what the last one left."""
+        self.scheduler = self.new_scheduler()
+        waiting = [item for item in self.asked.values() if not item.answer.done()]
+        self.scheduler.stages.on_take_over(has_work=with_jobs and bool(waiting))
+        if with_jobs:
+            now = self.clock.monotonic()
+            for asked in waiting:
+                asked.targets.append(self.scheduler.own_address)
+                self.tell(asked.question(now, missed='gone'))
+
+    async def call(self, arrival: Arrival) -> None:
+        """Send one request and, if it may, once more."""
+        await asyncio.sleep(arrival.at)
+        refusals = 0
+        answered: float | None = None
+        for number in range(TRIES):
+            if self.clock.monotonic() < self.down_until:
+                await self.wait_for_boxes()
+            left_s = arrival.at + arrival.kind.deadline_s - self.clock.monotonic()
+            if left_s <= 0:
+                break
+            result = await self.attempt(arrival, number, left_s)
+            if result == 0.0:
+                answered = self.clock.monotonic() - arrival.at
+                break
+            refusals += 1
+            await asyncio.sleep(min(result, RETRY_SHARE * left_s))
+        self.outcomes.append(Outcome(arrival, answered, refusals))
+
+    async def wait_for_boxes(self) -> None:
+        """Wait until boxes are back, each caller a little differently."""
+        back_s = self.down_until - self.clock.monotonic()
+        await asyncio.sleep(back_s + RETURN_S * self.rng.random())
+
+    async def attempt(self, arrival: Arrival, number: int, left_s: float) -> float:
+        """Make one try; return 0 if its answer began, else when the caller may come back."""
+        name = f'{arrival.name}-{number}'
+        for index, phase in enumerate(arrival.phases):
+            self.sizes[name, index] = phase.result_bytes
+        place = self.question(arrival, name, left_s)
+        asked = self.asked[name] = Asked(place=place, now=self.clock.monotonic())
+        deaths = self.deaths
+        self.tell(place)
+        try:
+            async with asyncio.timeout(left_s):
+                answer: Any = await self.answer_of(asked, deaths)
+        except TimeoutError:
+            self.forget(name)
+            return left_s
+        if answer is None or isinstance(answer, Rejected):
+            self.forget(name)
+            return 1.0 if answer is None else max(0.001, answer.retry_after_s)
+        return await self.run_engine(arrival, name, answer)
+
+    async def answer_of(self, asked: Asked, deaths: int) -> Any:
+        """Return a scheduler's answer, or nothing if the box that asked died first."""
+        while not asked.answer.done():
+            await asyncio.wait({asked.answer}, timeout=0.05)
+            if self.clock.monotonic() < self.down_until:
+                return None
+        return asked.answer.result()
+
+    def question(self, arrival: Arrival, name: str, left_s: float) -> Place:
+        """Return what the scheduler is asked."""
+        kind = arrival.kind
+        return Place(
+            job=name,
+            reply_to='box',
+            zone=arrival.zone,
+            call_id=name,
+            piece_key=name,
+            priority=kind.priority,
+            objective_s=kind.objective_s - (kind.deadline_s - left_s),
+            deadline_s=left_s,
+            service=ENGINE,
+            phases=arrival.phases,
+            prompt=arrival.prompt,
+        )
+
+    async def run_engine(self, arrival: Arrival, name: str, placed: Placed) -> float:
+        """Run a placed request; return 0 once its first event came."""
+        engine, zone = self.engines[placed.replica], self.zones[placed.replica]
+        await asyncio.sleep(NETWORK_S)
+        for handle in placed.inputs:
+            item = self.stages.kept.get(handle)
+            if item is None:
+                self.stages.gone += 1
+                self.forget(name)
+                return 0.01
+            self.used_s += item.work_s
+            if item.zone != zone:
+                self.stages.crossed_bytes += item.size
+        now = self.clock.monotonic()
+        self.count_reread(arrival, engine, now)
+        first_at, _ = engine.read(arrival.prompt, now)
+        engine.running += 1
+        await asyncio.sleep(first_at - now)
+        self.tell(Started(job=name, sender='box'))
+        decode_s = engine.decode_s(arrival.prompt.tokens_out)
+        asyncio.get_running_loop().call_later(decode_s, self.end_run, engine, name)
+        return 0.0
+
+    def count_reread(self, arrival: Arrival, engine: ReplayEngine, now: float) -> None:
+        """Count the shared parts that are read though an engine has read them lately."""
+        kept = True
+        for part in arrival.prompt.parts[:-1]:
+            kept = kept and part.id in engine.parts
+            read_at = self.read_at.get(part.id)
+            if not kept and read_at is not None and now - read_at < AGAIN_WITHIN_S:
+                self.reread_tokens += part.tokens
+            self.read_at[part.id] = now
+
+    def end_run(self, engine: ReplayEngine, name: str) -> None:
+        """End a run."""
+        engine.running -= 1
+        self.forget(name)
+
+    def forget(self, name: str) -> None:
+        """Tell that a job is over."""
+        self.asked.pop(name, None)
+        self.tell(RunEnded(job=name, sender='box', failed=False))
+
+    def figures(self) -> Figures:
+        """Return what was measured."""
+        jobs = max(1, len(self.asked) + len(self.outcomes))
+        made_s = max(1e-9, self.stages.work_s)
+        return Figures(
+            worth=counting.share(self.outcomes),
+            worst_window=counting.worst_window(self.outcomes),
+            by_kind=counting.by_kind(self.outcomes),
+            by_workspace=counting.by_workspace(self.outcomes),
+            refused=sum(item.refusals for item in self.outcomes),
+            reread_tokens=self.reread_tokens,
+            crossed_bytes=self.stages.crossed_bytes,
+            thrown_away=made_s,
+            calls=self.stages.calls,
+            without_room=self.stages.without_room,
+            cost_ms=1000 * self.stopwatch.spent_s / jobs,
+        )
+
+
+def replay(
+    pattern: str, seed: int, variant: Variant | None = None, fleet: Fleet | None = None
+) -> Figures:
+    """Replay a pattern of load and return its figures."""
+    world = World(
+        fleet=fleet or fleet_of(),
+        pattern=PATTERNS[pattern],
+        seed=seed,
+        variant=variant or Variant('ours'),
+    )
+    return run_virtual(world.play())
