Let relays tell a box that starts, and the fleet have a few relays

A start cost ten to twenty calls to the store: every box listed three kinds in pages and its watch of boxes returned for each other box that registered. Now a box writes its record, reads which boxes are relays (an object that the first relay keeps), and hears the rest from them; it reads by itself where none answers in 1.2 s. Changes of boxes are gathered for 0.4 s. Relays are three of the fleet, of different zones, in place of one a zone.

Calls are counted by cause on the metrics page (store_calls_total).

--- a/packages/core/calicopath_core/fleet/feed.py
+++ b/packages/core/calicopath_core/fleet/feed.py
@@ -8,14 +8,14 @@
 from typing import TYPE_CHECKING
 
 from calicopath_core.fleet.contact import StoreContact
-from calicopath_core.fleet.store import FleetStoreError, HistoryLost, Listing
+from calicopath_core.fleet.store import FleetStoreError, HistoryLost, Listing, RecordKind
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Iterable
 
     from calicopath_core.clock import Clock
-    from calicopath_core.fleet.store import Change, FleetStore, Record, RecordKind
+    from calicopath_core.fleet.store import Change, FleetStore, Record
 
 PROBE_S = 0.1
 """How long a watch waits while the store does not answer: a call that hangs is then noticed within
@@ -32,6 +32,14 @@
 """How often a box that hears the store through others looks whether it still does."""
 
 
+HELD_CHECK_S = 0.02
+"""How often a box looks whether it may read the store by itself by now."""
+
+GATHER_S = {RecordKind.DEPLOYMENT: 0.0, RecordKind.REPLICA: 0.04, RecordKind.BOX: 0.4}
+"""How long changes that follow a change are gathered into one call. While 195 boxes start, a watch
+of boxes would else return for each; nothing in time depends on a box that has just come."""
+
+
 class FeedHandler(ABC):
     """Take in what a feed brings."""
 
@@ -55,6 +63,10 @@
     def follows(self) -> bool:
         """Tell whether the box hears the store through others."""
 
+    @abstractmethod
+    def may_read(self, kind: RecordKind) -> bool:
+        """Tell whether the box may read a kind of the store: not while relays may still tell it."""
+
     @abstractmethod
     def wait_s(self, kind: RecordKind) -> float:
         """Return how long a watch waits."""
@@ -122,13 +134,17 @@
         """Follow the store until cancelled."""
         pause_s = FIRST_PAUSE_S
         while True:
+            if not self.mode.may_read(self.kind):
+                await asyncio.sleep(HELD_CHECK_S)
+                continue
             if self.synced and self.mode.follows():
                 self.end_failure()
                 await asyncio.sleep(MODE_CHECK_S)
                 continue
             try:
-                await self.step()
+                changed = await self.step()
                 pause_s = FIRST_PAUSE_S
+                await asyncio.sleep(GATHER_S[self.kind] if changed else 0.0)
             except HistoryLost:
                 # No entry lapses by that: what the list does not hold is gone.
                 self.observer.on_history_lost(self.kind, self.revision or 0)
@@ -138,19 +154,20 @@
                 await asyncio.sleep(pause_s * self.rng.uniform(0.5, 1.0))
                 pause_s = min(self.mode.longest_pause_s(), pause_s * 2)
 
-    async def step(self) -> None:
-        """Make one call and hand on what it brings."""
+    async def step(self) -> bool:
+        """Make one call and hand on what it brings; tell whether that was a change."""
         self.calls += 1
         if self.revision is None or self.must_list:
             listing = await self.store.list(self.kind)
             self.on_contact()
             self.must_list = False
             self.take_listing(listing)
-            return
+            return False
         wait_s = PROBE_S if self.failing_since is not None else self.mode.wait_s(self.kind)
         found = await self.store.watch(self.kind, self.revision, wait_s)
         self.on_contact()
         self.take_changes(found.changes, found.revision)
+        return bool(found.changes)
 
     def take_listing(self, listing: Listing) -> None:
         """Take every record in, unless newer ones are held."""
--- a/packages/core/calicopath_core/fleet/relays.py
+++ b/packages/core/calicopath_core/fleet/relays.py
@@ -1,8 +1,8 @@
 """Decide which boxes follow the store for others, and whom a box hears the store's changes from.
 
 A waiting watch a kind and box costs the store more than all else at many boxes. So a few boxes of
-each failure domain are relays: they watch, and the others subscribe to two of them. A box whose
-relays are silent, or whom the store fails, watches by itself.
+the fleet, of different failure domains, are relays: they watch, and the others subscribe to two of
+them. A box whose relays are silent, or whom the store fails, watches by itself.
 """
 
 from __future__ import annotations
@@ -27,9 +27,9 @@
 """With fewer boxes for each relay every box follows the store itself: a relay asks the store more
 than twice as often as a box for itself does."""
 
-BOXES_A_RELAY = 60
-"""Boxes of a failure domain that one relay serves: at two subscriptions a second from each, some
-150 messages a second, 1.5% of a core."""
+BOXES_A_RELAY = 100
+"""Boxes that one relay serves at most: each box hears two, so a relay of a fleet of 195 answers
+130 boxes, 2.5 times a second each."""
 
 SOURCES = 2
 """Relays that a box hears: one may be cut off from the store without knowing it yet."""
@@ -80,7 +80,8 @@
 class RelayChoice:
     """Hold the boxes listed and the relays heard, for one box.
 
-    A box that `announces` tells others of itself, whether they hear the store through it or not.
+    A box that `announces` tells others of itself, whether they hear the store through it or not;
+    the one that `is_first` writes down which boxes are relays.
     """
 
     def __init__(self, *, own: BoxAddress) -> None:
@@ -89,14 +90,23 @@
         self.sources: dict[str, Source] = {}
         self.candidates: list[str] = []
         self.announces = False
+        self.is_first = False
 
     def on_listed(self, boxes: Iterable[BoxAddress]) -> None:
         """Take in the boxes of the store's list."""
         listed = list(boxes)
-        self.relays = choose_relays(listed)
-        self.announces = any(box.name == self.own.name for box in self.relays)
-        if len(listed) < LEAST_BOXES_A_RELAY * len(self.relays):
-            self.relays = []
+        chosen = choose_relays(listed)
+        self.announces = any(box.name == self.own.name for box in chosen)
+        self.is_first = bool(chosen) and chosen[0].name == self.own.name
+        self.take(chosen if len(listed) >= LEAST_BOXES_A_RELAY * len(chosen) else [])
+
+    def on_noted(self, relays: Iterable[BoxAddress]) -> None:
+        """Take in which boxes are relays by what is written down, until the list is known."""
+        self.take(list(relays))
+
+    def take(self, relays: list[BoxAddress]) -> None:
+        """Take in which boxes are relays."""
+        self.relays = relays
         others = [box for box in self.relays if box.name != self.own.name]
         others.sort(key=lambda box: (box.zone != self.own.zone, draw(self.own.name, box.name)))
         self.candidates = [box.address for box in others]
@@ -146,22 +156,28 @@
         return next(usable, None)
 
     def store_fails_relays(self, now: float) -> bool:
-        """Tell whether relays are heard and the store fails all of those."""
+        """Tell whether relays are heard and the store fails all of those.
+
+        Never at a relay: others wait for its word that the store is back.
+        """
+        if self.is_relay:
+            return False
         alive = [source for source in self.sources.values() if source.alive(now)]
         return bool(alive) and all(source.contact.failing_s > 0 for source in alive)
 
 
 def choose_relays(boxes: Iterable[BoxAddress]) -> list[BoxAddress]:
-    """Return the relays among some boxes: the oldest of each failure domain, small ones last."""
+    """Return the relays among some boxes: the oldest, of different zones first, small ones last."""
     ranked = sorted(boxes, key=lambda box: (box.small, box.order, box.name))
-    by_zone: dict[str, list[BoxAddress]] = {}
+    wanted = max(LEAST_RELAYS, math.ceil(len(ranked) / BOXES_A_RELAY))
+    zones: dict[str, int] = {}
+    places = []
     for box in ranked:
-        by_zone.setdefault(box.zone, []).append(box)
-    found: list[BoxAddress] = []
-    for listed in by_zone.values():
-        found.extend(listed[: math.ceil(len(listed) / BOXES_A_RELAY)])
-    rest = [box for box in ranked if box not in found]
-    return found + rest[: max(0, LEAST_RELAYS - len(found))]
+        place = zones.get(box.zone, 0)
+        zones[box.zone] = place + 1
+        places.append((box.small, place))
+    order = sorted(range(len(ranked)), key=lambda number: (*places[number], number))
+    return [ranked[number] for number in order[:wanted]]
 
 
 def draw(box: str, relay: str) -> bytes:
--- /dev/null
+++ b/packages/core/calicopath_core/fleet/starting.py
@@ -0,0 +1,127 @@
+"""Let a box that starts ask the store next to nothing: relays tell it what the store holds.
+
+Answers many starts at once: a start of 195 boxes, a rolling restart of all, everything killed. A
+box that read every kind by itself made ten to twenty calls a start. Now it writes its record, reads
+which boxes are relays, and hears the rest from them; it reads by itself only where none answers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from calicopath_core.fleet.store import FleetStoreError, RecordKind
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from calicopath_core.fleet.relays import RelayChoice
+    from calicopath_core.fleet.store import FleetStore
+    from calicopath_core.scheduling.election import BoxAddress
+
+REGISTERED_S = 0.5
+"""How long the box's own record is waited for: a list read after it holds every older box."""
+
+SECOND_LOOK_S = 0.6
+"""When a small box looks again for relays that nobody has written down yet: as a fleet starts, the
+boxes that will be relays have read the list and written themselves down by then."""
+
+RELAYS_S = 1.2
+"""How long relays may take to tell everything: they answer in some ms, and in under a second while
+they read it themselves as a fleet starts."""
+
+LISTED_S = 1.0
+"""How long the list of boxes may take before the box reads everything by itself."""
+
+START_S = 4.0
+"""How long all of this may take, with a store that answers slowly."""
+
+CHECK_S = 0.02
+
+
+class Start:
+    """Hold how far a box's start has come; `open_kinds` are those it may read of the store."""
+
+    def __init__(
+        self,
+        *,
+        own: BoxAddress,
+        store: FleetStore,
+        choice: RelayChoice,
+        subscribe: Callable[[str], None],
+        synced: Callable[[RecordKind], bool],
+        on_unread: Callable[[FleetStoreError], None],
+    ) -> None:
+        self.own = own
+        self.store = store
+        self.choice = choice
+        self.subscribe = subscribe
+        self.synced = synced
+        self.on_unread = on_unread
+        self.registered = False
+        self.open_kinds: frozenset[RecordKind] = frozenset()
+
+    def may_read(self, kind: RecordKind) -> bool:
+        """Tell whether the box may read a kind of the store by itself."""
+        only_list = len(self.open_kinds) == 1
+        return kind in self.open_kinds and not (only_list and self.synced(kind))
+
+    async def run(self) -> None:
+        """Come to know everything, by relays if they answer; then the store may be read."""
+        try:
+            async with asyncio.timeout(START_S):
+                await self.ask_relays()
+        except TimeoutError:
+            pass
+        finally:
+            self.open_kinds = frozenset(RecordKind)
+
+    async def ask_relays(self) -> None:
+        """Return once everything is known, or once the box should read it by itself."""
+        await self.until(lambda: self.registered, REGISTERED_S)
+        noted = await self.noted_relays()
+        if any(box.name == self.own.name for box in noted):
+            # This box was a relay before it restarted; if all were killed, others wait for it.
+            return
+        if noted and await self.hear(noted):
+            return
+        self.open_kinds = frozenset({RecordKind.BOX})
+        await self.until(lambda: self.synced(RecordKind.BOX), LISTED_S)
+        self.open_kinds = frozenset()
+        if not self.choice.is_relay:
+            await self.hear(self.choice.relays)
+
+    async def noted_relays(self) -> tuple[BoxAddress, ...]:
+        """Return the relays that are written down in the store, as far as it answers."""
+        found = await self.read_relays()
+        if found is None and self.own.small:
+            await asyncio.sleep(SECOND_LOOK_S)
+            found = await self.read_relays()
+        return found or ()
+
+    async def read_relays(self) -> tuple[BoxAddress, ...] | None:
+        """Return what the store holds, or nothing if nobody wrote it or the store fails."""
+        try:
+            return await self.store.read_relays()
+        except FleetStoreError as error:
+            self.on_unread(error)
+            return None
+
+    async def hear(self, relays: Iterable[BoxAddress]) -> bool:
+        """Subscribe to relays; tell whether they have told everything in time."""
+        self.choice.on_noted(relays)
+        for address in self.choice.candidates:
+            self.subscribe(address)
+        return await self.until(self.knows_all, RELAYS_S)
+
+    def knows_all(self) -> bool:
+        """Tell whether every kind was read once."""
+        return all(self.synced(kind) for kind in RecordKind)
+
+    async def until(self, holds: Callable[[], bool], limit_s: float) -> bool:
+        """Wait until something holds, for a while at most; tell whether it does."""
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + limit_s
+        while not holds() and loop.time() < ends_at:
+            await asyncio.sleep(CHECK_S)
+        return holds()
--- a/packages/core/calicopath_core/fleet/store.py
+++ b/packages/core/calicopath_core/fleet/store.py
@@ -65,6 +65,20 @@
         Raise `HistoryLost` or `FleetStoreError`.
         """
 
+    @abstractmethod
+    async def read_relays(self) -> tuple[BoxAddress, ...] | None:
+        """Return the relays that are written down, nothing if none ever were.
+
+        Raise `FleetStoreError`.
+        """
+
+    @abstractmethod
+    async def write_relays(self, relays: tuple[BoxAddress, ...]) -> None:
+        """Write down which boxes are relays; raise `FleetStoreError`.
+
+        Boxes that start ask them first; nothing safe rests on it.
+        """
+
     @abstractmethod
     async def register(self, box: BoxAddress) -> None:
         """Write this box's own record; raise `FleetStoreError`. Doing it twice is harmless."""
--- a/packages/core/calicopath_core/fleet/subscription.py
+++ b/packages/core/calicopath_core/fleet/subscription.py
@@ -17,7 +17,8 @@
 )
 from calicopath_core.fleet.relays import SUBSCRIBE_S, RelayChoice
 from calicopath_core.fleet.replicas import BACK_S
-from calicopath_core.fleet.store import RecordKind
+from calicopath_core.fleet.starting import Start
+from calicopath_core.fleet.store import FleetStoreError, RecordKind
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -26,6 +27,7 @@
     from calicopath_core.fleet.contact import StoreContact
     from calicopath_core.fleet.feed import KindFeed
     from calicopath_core.fleet.publisher import Publisher
+    from calicopath_core.fleet.store import FleetStore
     from calicopath_core.scheduling.election import BoxAddress
 
 WAIT_S = 2.0
@@ -44,6 +46,11 @@
 store is away knows no other box."""
 
 
+NOTE_S = 0.3
+"""How often it is looked whether other boxes are relays than is written down. As a fleet starts
+the first relays change several times within this."""
+
+
 class Subscription(FollowMode):
     """Keep one box's subscriptions to relays, and its subscribers."""
 
@@ -57,6 +64,8 @@
         on_disrupted: Callable[[float], None],
         on_bad: Callable[[str], None],
         on_source: Callable[[str | None], None],
+        store: FleetStore,
+        on_unread: Callable[[FleetStoreError], None],
     ) -> None:
         self.own = own
         self.clock = clock
@@ -70,11 +79,26 @@
         self.boxes: list[BoxAddress] = []
         self.leaving = False
         self.source: str | None = None
+        self.store = store
+        self.on_unread = on_unread
+        self.noted: tuple[BoxAddress, ...] | None = None
+        self.start = Start(
+            own=own,
+            store=store,
+            choice=self.choice,
+            subscribe=self.subscribe,
+            synced=lambda kind: self.feeds[kind].synced,
+            on_unread=on_unread,
+        )
 
     def follows(self) -> bool:
         """Tell whether the box hears the store through a relay."""
         return self.choice.current(self.clock.monotonic()) is not None
 
+    def may_read(self, kind: RecordKind) -> bool:
+        """Tell whether the box may read a kind of the store by itself."""
+        return self.start.may_read(kind)
+
     def wait_s(self, kind: RecordKind) -> float:
         """Return how long a watch waits."""
         relayed = self.publisher.subscribers and kind is not RecordKind.BOX
@@ -156,7 +180,35 @@
             if box.name != self.own.name and not self.publisher.hears(box.address, ANNOUNCE_S):
                 self.send(box.address, self.beat())
 
+    async def note_relays(self) -> None:
+        """Write down which boxes are relays when that has changed, if this is the first of them.
+
+        A store that fails is asked again with the next round.
+        """
+        relays = tuple(self.choice.relays)
+        if not self.choice.is_first or self.leaving or relays == self.noted:
+            return
+        try:
+            await self.store.write_relays(relays)
+        except FleetStoreError as error:
+            self.on_unread(error)
+            return
+        self.noted = relays
+
+    async def note_often(self) -> None:
+        """Keep what is written down of relays up to date until cancelled."""
+        while True:
+            await asyncio.sleep(NOTE_S)
+            await self.note_relays()
+
     async def run(self) -> None:
+        """Start, then keep subscriptions, and this box's work as a relay, until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.start.run())
+            group.create_task(self.note_often())
+            group.create_task(self.renew_often())
+
+    async def renew_often(self) -> None:
         """Renew subscriptions, and announce this box if it is a relay, until cancelled."""
         announced_at = 0.0
         while True:
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -67,6 +67,7 @@
 PEER_MESSAGE_BAD = Event(707, 'warning', 'peer message bad', 'A message could not be decoded.')
 JOB_HANDED_OVER = Event(709, 'info', 'job handed over', 'The next scheduler goes on with a job.')
 
+RELAYS_UNREAD = Event(711, 'warning', 'relays unread', 'Relays were not read or written down.')
 GROUP_CHANGED = Event(710, 'info', 'group changed', 'Another group of boxes decides for this one.')
 DEPLOYMENT_APPLIED = Event(801, 'info', 'deployment applied', 'A newer version is in force.')
 REPLICA_DROPPED = Event(802, 'info', 'replica dropped', 'A removal that was doubted is taken in.')
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -122,6 +122,8 @@
             on_disrupted=self.replicas.on_disrupted,
             on_bad=observer.on_bad_message,
             on_source=observer.on_source,
+            store=store,
+            on_unread=observer.on_relays_unread,
         )
         self.link.scheduler, self.link.client = self.scheduler, self.client
         self.link.subscription = self.subscription
@@ -200,6 +202,10 @@
         """Tell whether callers should be sent here."""
         return self.synced() and bool(self.replicas.replicas) and not self.leaving
 
+    def on_registered(self) -> None:
+        """Note that this box's own record is in the store."""
+        self.subscription.start.registered = True
+
     def on_disrupted(self) -> None:
         """Note that the store does not tell everything."""
         self.replicas.on_disrupted(self.clock.monotonic())
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -161,6 +161,14 @@
         """Note that this box hears the store through another relay, or by itself."""
         events.emit(log, events.SOURCE_CHANGED, relay=relay)
 
+    def on_relays_unread(self, error: Exception) -> None:
+        """Note that it could not be read or written which boxes are relays."""
+        events.emit(log, events.RELAYS_UNREAD, error=str(error))
+
+    def on_store_call(self, cause: str) -> None:
+        """Count a call to the store."""
+        self.metrics.store_calls.inc({'cause': cause})
+
     def on_lost(self, kind: RecordKind, error: Exception) -> None:
         """Note that the store stopped answering."""
         events.emit(log, events.FEED_LOST, kind=kind.value, error=str(error))
--- a/packages/daemon/calicopathd/gateway/run.py
+++ b/packages/daemon/calicopathd/gateway/run.py
@@ -201,6 +201,7 @@
                 events.emit(log, events.REGISTER_FAILED, error=str(error))
                 await asyncio.sleep(REGISTER_PAUSE_S)
                 continue
+            self.box.on_registered()
             # Once is enough: the record stays until the box withdraws it.
             await asyncio.Event().wait()
 
--- a/testkit/gateway.py
+++ b/testkit/gateway.py
@@ -39,6 +39,7 @@
         box = self.box
         if register:
             await box.store.register(box.own)
+            box.on_registered()
         work: list[Callable[[], Any]] = [
             box.link.run,
             box.scheduler.run,
--- a/testkit/gateway_store.py
+++ b/testkit/gateway_store.py
@@ -28,6 +28,7 @@
         self.records: dict[RecordKind, dict[str, Record]] = {kind: {} for kind in RecordKind}
         self.log: list[tuple[int, RecordKind, Change]] = []
         self.forgotten = 0
+        self.relays: tuple[BoxAddress, ...] | None = None
         self.changed = asyncio.Event()
 
     def write(self, kind: RecordKind, name: str, record: Record | None) -> None:
@@ -100,6 +101,21 @@
             except TimeoutError:
                 continue
 
+    async def read_relays(self) -> tuple[BoxAddress, ...] | None:
+        """Return the relays that are written down."""
+        await asyncio.sleep(0.004)
+        if self.silent:
+            await self.hang(0.0)
+        self.check()
+        return self.store.relays
+
+    async def write_relays(self, relays: tuple[BoxAddress, ...]) -> None:
+        """Write down which boxes are relays."""
+        if self.silent:
+            await self.hang(0.0)
+        self.check()
+        self.store.relays = relays
+
     async def register(self, box: BoxAddress) -> None:
         """Write the box's record."""
         self.check()
