Serve what a workspace asks beyond its usual share after what others ask

One workspace at 7.5 times its usual for 10 s pushed the least urgent requests of all others late: the scheduler knew no workspace. Place carries it now; what it asks beyond 1.5 times its own past (grown with what all others ask) waits behind what is allowed and before what is late, at the door, before the first stage and in the queue. The next scheduler is told what was usual.

--- a/packages/core/calicopath_core/exchanges/streams.py
+++ b/packages/core/calicopath_core/exchanges/streams.py
@@ -136,6 +136,7 @@
             prompt=exchange.prompt or Prompt('', (), 0, 0),
             exclude=(*ticket.replicas, *self.avoided),
             resumed=bool(ticket.replicas),
+            workspace=ticket.tenant or '',
         )
 
     def left_s(self) -> float:
--- a/packages/core/calicopath_core/scheduling/admission.py
+++ b/packages/core/calicopath_core/scheduling/admission.py
@@ -135,4 +135,6 @@
 
 def outranks(job: Job, other: Job) -> bool:
     """Tell whether a new job's pieces go before those of another."""
-    return not other.resumed and job.place.priority < other.place.priority
+    if other.resumed or job.beyond:
+        return not other.resumed and other.beyond and job.place.priority < other.place.priority
+    return other.beyond or job.place.priority < other.place.priority
--- a/packages/core/calicopath_core/scheduling/jobs.py
+++ b/packages/core/calicopath_core/scheduling/jobs.py
@@ -125,7 +125,8 @@
 class Job:
     """Hold a job's results by phase; times are monotonic seconds.
 
-    `uncalled` counts for each phase the pieces that have yet to be put into a call.
+    `uncalled` counts for each phase the pieces that have yet to be put into a call; a job `beyond`
+    its workspace's allowance gives way to those that are not.
     """
 
     def __init__(self, *, place: Place, now: float) -> None:
@@ -145,6 +146,7 @@
         self.expected_s = 0.0
         self.open_calls = 0
         self.adopted = False
+        self.beyond = place.beyond
         self.tries = 0
         self.tail_s: dict[int, float] = {}
         self.zones: dict[int, str] = {}
--- a/packages/core/calicopath_core/scheduling/messages.py
+++ b/packages/core/calicopath_core/scheduling/messages.py
@@ -10,6 +10,7 @@
 
 # msgspec reads these annotations when the program runs.
 from calicopath_core.fleet.contact import StoreContact
+from calicopath_core.scheduling.fairness import Taken
 from calicopath_core.scheduling.groups import GroupCount
 
 
@@ -44,7 +45,8 @@
     `job` is unique to one attempt of one request; `reply_to` is the asking box's peer address.
     `exclude` are engines not to choose; `resumed` says that one failed the request midway,
     `asked_before` that an earlier scheduler had let the job in and fell silent; `missed` is its
-    address, to which the job must not be handed over.
+    address, to which the job must not be handed over. `beyond` says that an earlier scheduler found
+    the job beyond its workspace's allowance.
     `objective_s` and `deadline_s` are what is left of them when the message is sent.
     """
 
@@ -63,6 +65,8 @@
     resumed: bool = False
     asked_before: bool = False
     missed: str = ''
+    workspace: str = ''
+    beyond: bool = False
 
 
 class Placed(msgspec.Struct, frozen=True, tag='ok'):
@@ -123,6 +127,13 @@
     loads: dict[str, float]
 
 
+class UsualUse(msgspec.Struct, frozen=True, tag='uu'):
+    """Tell the next scheduler what workspaces usually ask."""
+
+    sender: str
+    taken: tuple[Taken, ...]
+
+
 class Rejected(msgspec.Struct, frozen=True, tag='no'):
     """Answer that a job will not be placed, why, and when to come back."""
 
@@ -178,6 +189,7 @@
     Progress,
     HandedOver,
     EngineLoads,
+    UsualUse,
     Rejected,
     RunStarted,
     RunEnded,
--- a/packages/core/calicopath_core/scheduling/pacing.py
+++ b/packages/core/calicopath_core/scheduling/pacing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -41,8 +41,9 @@
         if not fresh:
             return set()
         begun = [job for job in open_jobs if job.begun]
-        waits = {rank: waits_s(begun, rank, queues) for rank in {j.place.priority for j in fresh}}
-        return {job.id for job in fresh if self.must_wait(job, waits[job.place.priority])}
+        kinds = {precedence(job) for job in fresh}
+        waits = {kind: waits_s(begun, kind, queues) for kind in kinds}
+        return {job.id for job in fresh if self.must_wait(job, waits[precedence(job)])}
 
     def must_wait(self, job: Job, waits: Mapping[str, float]) -> bool:
         """Tell whether a later stage of a job has enough to do."""
@@ -51,11 +52,25 @@
         )
 
 
-def waits_s(begun: Iterable[Job], rank: int, queues: Mapping[str, StageQueue]) -> dict[str, float]:
-    """Return the seconds of work by service that go before a job of some rank."""
+class Precedence(NamedTuple):
+    """Say by what a job goes before others in the long run, least first."""
+
+    beyond: bool
+    priority: int
+
+
+def precedence(job: Job) -> Precedence:
+    """Return a job's precedence."""
+    return Precedence(job.beyond, job.place.priority)
+
+
+def waits_s(
+    begun: Iterable[Job], of: Precedence, queues: Mapping[str, StageQueue]
+) -> dict[str, float]:
+    """Return the seconds of work by service that go before a job of some precedence."""
     pieces: dict[str, int] = defaultdict(int)
     for job in begun:
-        if job.place.priority <= rank:
+        if precedence(job) <= of:
             for number, phase in enumerate(job.place.phases):
                 pieces[phase.service] += job.uncalled[number]
     return {
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -10,6 +10,7 @@
 from calicopath_core.scheduling.admission import Admission
 from calicopath_core.scheduling.beliefs import EngineTimes
 from calicopath_core.scheduling.engines import EngineBoard
+from calicopath_core.scheduling.fairness import Allowances
 from calicopath_core.scheduling.interfaces import JobKeeper
 from calicopath_core.scheduling.jobs import Job, Piece, Result
 from calicopath_core.scheduling.messages import (
@@ -19,6 +20,7 @@
     Placed,
     Progress,
     Rejected,
+    UsualUse,
 )
 from calicopath_core.scheduling.stage_calls import MAX_PIECE_TRIES, StageCalls
 
@@ -69,6 +71,7 @@
         self.new_board = new_board or board_of
         self.successor: str | None = None
         self.admission = Admission()
+        self.allowances = Allowances()
         self.engine_times = EngineTimes()
         self.jobs: dict[str, Job] = {}
         self.unplaced: dict[str, Job] = {}
@@ -157,6 +160,8 @@
         if board is None:
             self.reject(job, 'unknown-service')
             return
+        if not place.resumed and not place.asked_before:
+            job.beyond = self.allowances.ask(place.workspace, self.stages.work_s(place), now)
         engine_s = board.least_time_s(job, now)
         others = self.unplaced.values()
         verdict = self.admission.judge(job, others, self.stages.queues, engine_s, now)
@@ -215,6 +220,9 @@
             loads.update(board.loads())
         if loads:
             self.send(successor, EngineLoads(sender=self.own_address, loads=loads))
+        taken = self.allowances.taken(self.clock.monotonic())
+        if taken:
+            self.send(successor, UsualUse(sender=self.own_address, taken=taken))
         for job in list(self.jobs.values()):
             if not job.adopted:
                 self.hand_over(job)
@@ -230,6 +238,7 @@
             objective_s=job.objective_at - now,
             deadline_s=job.deadline_at - now,
             asked_before=True,
+            beyond=job.beyond,
         )
         waited_s = now - job.arrived_at
         self.send(self.successor, Adopt(place=place, results=results, waited_s=waited_s))
@@ -270,6 +279,10 @@
             for replica_id, load_s in message.loads.items():
                 board.on_foreign_load(message.sender, replica_id, load_s, now)
 
+    def on_usual_use(self, message: UsualUse) -> None:
+        """Take in what a leaving scheduler has seen of workspaces."""
+        self.allowances.take_over(message.taken, self.clock.monotonic())
+
     def begin_phase(self, job: Job, number: int) -> None:
         """Let the pieces of a phase wait for calls; one without pieces is done at once."""
         now = self.clock.monotonic()
--- a/packages/core/calicopath_core/scheduling/stage_calls.py
+++ b/packages/core/calicopath_core/scheduling/stage_calls.py
@@ -20,6 +20,7 @@
     from calicopath_core.fleet.deployment import StageSpec
     from calicopath_core.fleet.replicas import Replica, ReplicaTable
     from calicopath_core.scheduling.interfaces import JobKeeper, SchedulerObserver, StageCaller
+    from calicopath_core.scheduling.messages import Place
     from calicopath_core.scheduling.stage_replicas import StageReplica
     from calicopath_core.scheduling.stages import StageBatch
 
@@ -92,6 +93,14 @@
         queue = self.queues.setdefault(service, StageQueue(service=service, spec=spec))
         queue.spec = spec
 
+    def work_s(self, place: Place) -> float:
+        """Return the seconds of replicas' time that a job's stages take, its calls shared."""
+        return sum(
+            phase.pieces * self.queues[phase.service].share_s()
+            for phase in place.phases
+            if phase.service in self.queues
+        )
+
     def on_replicas(self) -> None:
         """Take in which replicas there are."""
         for name, queue in self.queues.items():
--- a/packages/core/calicopath_core/scheduling/stages.py
+++ b/packages/core/calicopath_core/scheduling/stages.py
@@ -223,6 +223,10 @@
         pieces = max(1, round(self.spec.batch * USUAL_FILL))
         return len(self.replicas) * pieces / self.expected_s(pieces)
 
+    def share_s(self) -> float:
+        """Return what a piece takes of a call that is filled as usual."""
+        return self.usual_s() / max(1, round(self.spec.batch * USUAL_FILL))
+
     def usual_s(self) -> float:
         """Return what a call usually takes."""
         return self.expected_s(max(1, round(self.spec.batch * USUAL_FILL)))
--- a/packages/core/calicopath_core/scheduling/waiting.py
+++ b/packages/core/calicopath_core/scheduling/waiting.py
@@ -132,13 +132,15 @@
     midway, since their callers see the pause; pieces whose siblings are made or being made, since
     those take room until the last one is (without this the mean worth of days with faults was
     0.03 lower); and jobs whose results would soon run out and have to be made again. After them
-    go jobs that are late or will be: were they to go first, as those with least to spare, a
-    backlog of some seconds would make every job late that comes after it.
+    go jobs beyond their workspace's allowance, and then jobs that are late or will be: were they to
+    go first, as those with least to spare, a backlog of some seconds would make every job late that
+    comes after it.
     """
     job = piece.job
     if job.resumed or piece.has_siblings_ahead or job.oldest_result_s(now) > OLD_RESULT_S:
         return Rank(0, 0, 0, job.arrived_at)
     spare_s = piece.slack_s(now)
     if spare_s < 0:
-        return Rank(2, 0, job.place.priority, job.objective_at)
-    return Rank(1, int(spare_s / SPARE_STEP_S), job.place.priority, job.objective_at)
+        return Rank(3, 0, job.place.priority, job.objective_at)
+    step = 2 if job.beyond else 1
+    return Rank(step, int(spare_s / SPARE_STEP_S), job.place.priority, job.objective_at)
--- a/packages/daemon/calicopathd/gateway/peers.py
+++ b/packages/daemon/calicopathd/gateway/peers.py
@@ -28,6 +28,7 @@
     Rejected,
     RunEnded,
     RunStarted,
+    UsualUse,
 )
 
 if TYPE_CHECKING:
@@ -106,6 +107,8 @@
                 self.scheduler.on_adopt(message)
             case EngineLoads():
                 self.scheduler.on_engine_loads(message)
+            case UsualUse():
+                self.scheduler.on_usual_use(message)
             case Placed():
                 self.client.on_placed(message)
             case Progress():
--- a/testkit/replay/load.py
+++ b/testkit/replay/load.py
@@ -15,7 +15,7 @@
 BLOW_AT_S, BLOW_S = 8.0, 6.0
 FLOOD_S = 10.0
 WORKSPACES = 19
-FLOODER = 'workspace-7'
+FLOODER = 'workspace-1'
 
 
 class Arrival(NamedTuple):
@@ -65,10 +65,10 @@
     item.name: item
     for item in (
         Pattern('steady'),
-        Pattern('burst-urgent', burst_x=2.4, burst_kinds=(URGENT.name,)),
-        Pattern('burst-middle', burst_x=2.6, burst_kinds=(MIDDLE.name,)),
-        Pattern('burst-all', burst_x=1.8, burst_kinds=tuple(kind.name for kind in KINDS)),
-        Pattern('flood', flood_x=7.5),
+        Pattern('burst-urgent', load=1.2, burst_x=3.0, burst_kinds=(URGENT.name,)),
+        Pattern('burst-middle', load=1.2, burst_x=3.0, burst_kinds=(MIDDLE.name,)),
+        Pattern('burst-all', burst_x=2.4, burst_kinds=tuple(kind.name for kind in KINDS)),
+        Pattern('flood', load=1.2, flood_x=7.5),
         Pattern('stage-lost', blows=(Blow(BLOW_AT_S, 'lost', 'rank', 0.33, BLOW_S),)),
         Pattern('stage-slow', blows=(Blow(BLOW_AT_S, 'slow', 'retrieve', 0.33, BLOW_S),)),
         Pattern('scheduler-silent', blows=(Blow(BLOW_AT_S, 'silent'),)),
--- a/testkit/replay/outcomes.py
+++ b/testkit/replay/outcomes.py
@@ -32,12 +32,16 @@
 
 
 class Figures(NamedTuple):
-    """Hold the figures of one replay; shares are of worth owed, bytes and tokens are totals."""
+    """Hold the figures of one replay; shares are of worth owed, bytes and tokens are totals.
+
+    `others` are the shares by kind of the workspaces that do not flood.
+    """
 
     worth: float
     worst_window: float
     by_kind: dict[str, float]
     by_workspace: dict[str, float]
+    others: dict[str, float]
     refused: int
     reread_tokens: int
     crossed_bytes: int
--- /dev/null
+++ b/testkit/replay/plain.py
@@ -0,0 +1,72 @@
+"""Swap one mechanism of a scheduler for its plain form, to see what it is worth."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from calicopath_core.scheduling.admission import Admission, Verdict
+from calicopath_core.scheduling.fairness import Allowances
+from calicopath_core.scheduling.pacing import Pacing
+from testkit.replay.world import Variant
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from calicopath_core.scheduling.jobs import Job
+    from calicopath_core.scheduling.scheduler import Scheduler
+    from calicopath_core.scheduling.stages import StageQueue
+
+
+class NoAllowances(Allowances):
+    """Take no workspace for a flood."""
+
+    def ask(self, workspace: str, cost_s: float, now: float) -> bool:
+        """Allow everything."""
+        return False
+
+
+class NoPacing(Pacing):
+    """Hold no job back before its first stage."""
+
+    def find(self, jobs: Iterable[Job], queues: Mapping[str, StageQueue]) -> set[str]:
+        """Hold nobody."""
+        return set()
+
+
+class NoAdmission(Admission):
+    """Let everybody in."""
+
+    def judge(
+        self,
+        job: Job,
+        others: Iterable[Job],
+        queues: Mapping[str, StageQueue],
+        engine_s: float,
+        now: float,
+    ) -> Verdict:
+        """Let a job in."""
+        return Verdict(True, engine_s)
+
+
+def without_allowances(scheduler: Scheduler) -> None:
+    """Take no workspace for a flood."""
+    scheduler.allowances = NoAllowances()
+
+
+def without_pacing(scheduler: Scheduler) -> None:
+    """Hold no job back."""
+    scheduler.stages.pacing = NoPacing()
+
+
+def without_admission(scheduler: Scheduler) -> None:
+    """Turn nobody away at the door."""
+    scheduler.admission = NoAdmission()
+
+
+OURS = Variant('ours')
+VARIANTS = (
+    OURS,
+    Variant('no allowances', without_allowances),
+    Variant('no pacing', without_pacing),
+    Variant('no door', without_admission),
+)
--- a/testkit/replay/world.py
+++ b/testkit/replay/world.py
@@ -17,7 +17,7 @@
 from testkit.replay import outcomes as counting
 from testkit.replay.engines import AGAIN_WITHIN_S, ReplayEngine
 from testkit.replay.fleet import ENGINE, Fleet, fleet_of
-from testkit.replay.load import PATTERNS, Arrival, Blow, Generator, Pattern
+from testkit.replay.load import FLOODER, PATTERNS, Arrival, Blow, Generator, Pattern
 from testkit.replay.outcomes import Figures, Outcome
 from testkit.replay.stages import ReplayStages
 from testkit.virtual import VirtualClock, run_virtual
@@ -348,6 +348,7 @@
             service=ENGINE,
             phases=arrival.phases,
             prompt=arrival.prompt,
+            workspace=arrival.workspace,
         )
 
     async def run_engine(self, arrival: Arrival, name: str, placed: Placed) -> float:
@@ -402,6 +403,9 @@
             worst_window=counting.worst_window(self.outcomes),
             by_kind=counting.by_kind(self.outcomes),
             by_workspace=counting.by_workspace(self.outcomes),
+            others=counting.by_kind(
+                [item for item in self.outcomes if item.arrival.workspace != FLOODER]
+            ),
             refused=sum(item.refusals for item in self.outcomes),
             reread_tokens=self.reread_tokens,
             crossed_bytes=self.stages.crossed_bytes,
