Tell on each box which settings and configuration are in force, and show all boxes in one table

After settings files changed nobody could tell which boxes held the new ones. Each box answers on its address for figures (/state, /boxes) with a digest of the settings that boxes share, since when, and why the file as it stands is not in force; 'calicopath gateways IP:PORT' prints all boxes, those behind first.

--- a/packages/cli/calicopath_cli/__main__.py
+++ b/packages/cli/calicopath_cli/__main__.py
@@ -13,7 +13,7 @@
 from calicopath_cli.commands import apply as apply_command
 from calicopath_cli.commands import audit as audit_command
 from calicopath_cli.commands import check as check_command
-from calicopath_cli.commands import endpoints, objects
+from calicopath_cli.commands import endpoints, gateways, objects
 from calicopath_cli.commands import status as status_command
 from calicopath_cli.exceptions import (
     EXIT_FAILED,
@@ -48,6 +48,11 @@
 CHECK_HELP = 'Check files or folders without a platform; report every problem at once.'
 APPLY_HELP = 'Check files or folders and write what differs from what is in force.'
 STATUS_HELP = 'Show the boxes, and on how many of them each of the last changes is in force.'
+GATEWAYS_HELP = (
+    'Show which settings and configuration are in force on every box of the second front door, '
+    'those behind first.'
+)
+GATEWAY_ADDRESS_HELP = 'IP:PORT at which any of those boxes tells its figures.'
 AUDIT_HELP = 'Show who changed what and when.'
 TEMPLATE_HELP = 'List, show and delete templates.'
 PIPELINE_HELP = "List, show and delete workspaces' pipelines."
@@ -122,6 +127,15 @@
     run(status_command.status(options_of(context), last))
 
 
+@app.command('gateways', help=GATEWAYS_HELP)
+def show_gateways(
+    context: typer.Context,
+    address: Annotated[str, typer.Argument(help=GATEWAY_ADDRESS_HELP)],
+) -> None:
+    """Show what is in force on boxes before callers."""
+    run(gateways.gateways(address, context.obj.output))
+
+
 @app.command(help=AUDIT_HELP)
 def audit(
     context: typer.Context,
--- /dev/null
+++ b/packages/cli/calicopath_cli/commands/gateways.py
@@ -0,0 +1,100 @@
+"""Show which settings and which configuration are in force on the boxes before callers."""
+
+from __future__ import annotations
+
+import asyncio
+from datetime import UTC, datetime
+from typing import Any, NamedTuple
+
+import aiohttp
+
+from calicopath_cli.exceptions import CommandError
+from calicopath_cli.utils.inforce import MAX_PARALLEL, ask_box
+from calicopath_cli.utils.output import OutputFormat, print_json, print_table
+
+HEADERS = (
+    'box',
+    'failure domain',
+    'behind',
+    'settings',
+    'since',
+    'configuration',
+    'since',
+    'problem',
+)
+NO_ANSWER = 'no answer'
+
+
+class GatewayRow(NamedTuple):
+    """Hold what one box tells; nothing but its name if it is silent."""
+
+    box: str
+    answer: dict[str, Any] | None
+    behind: str
+
+
+async def gateways(address: str, output: OutputFormat) -> None:
+    """Ask one box for all, each for its state, and show those that are behind first."""
+    async with aiohttp.ClientSession() as session:
+        listed = await ask_box(session, address, '/boxes')
+        if listed is None:
+            raise CommandError(f'{address}: no box of calicopath answers there')
+        slots = asyncio.Semaphore(MAX_PARALLEL)
+
+        async def ask(item: dict[str, str]) -> Any:
+            async with slots:
+                return await ask_box(session, item['address'], '/state')
+
+        answers = await asyncio.gather(*(ask(item) for item in listed))
+    rows = judged({item['box']: answer for item, answer in zip(listed, answers, strict=True)})
+    if output is OutputFormat.JSON:
+        print_json([row._asdict() for row in rows])
+        return
+    print_table(HEADERS, [cells(row) for row in rows])
+
+
+def judged(answers: dict[str, dict[str, Any] | None]) -> list[GatewayRow]:
+    """Return a row a box, those behind the newest settings or configuration first."""
+    heard = [answer for answer in answers.values() if answer is not None]
+    version = max((answer['configuration'] for answer in heard), default=0)
+    newest = max(heard, key=lambda answer: float(answer['settings_since']), default=None)
+    settings = newest['settings'] if newest is not None else ''
+    rows = [
+        GatewayRow(box, answer, behind_of(answer, version, settings))
+        for box, answer in answers.items()
+    ]
+    return sorted(rows, key=lambda row: (not row.behind, row.box))
+
+
+def behind_of(answer: dict[str, Any] | None, version: int, settings: str) -> str:
+    """Return in what a box is behind, nothing if it is not."""
+    if answer is None:
+        return NO_ANSWER
+    found = []
+    if answer['problem'] or answer['settings'] != settings:
+        found.append('settings')
+    if answer['configuration'] < version:
+        found.append('configuration')
+    return ', '.join(found)
+
+
+def cells(row: GatewayRow) -> tuple[Any, ...]:
+    """Return a row as it is shown."""
+    if row.answer is None:
+        return (row.box, '', row.behind, '', '', '', '', '')
+    answer = row.answer
+    return (
+        row.box,
+        answer['failure_domain'],
+        row.behind or 'no',
+        answer['settings'],
+        moment(answer['settings_since']),
+        answer['configuration'],
+        moment(answer['configuration_since']),
+        answer['problem'].splitlines()[0] if answer['problem'] else '',
+    )
+
+
+def moment(since: float) -> str:
+    """Return a point in time as people read it, in UTC."""
+    return datetime.fromtimestamp(since, UTC).strftime('%Y-%m-%d %H:%M:%S') if since else ''
--- /dev/null
+++ b/packages/cli/calicopath_cli/tests/gateways_tests.py
@@ -0,0 +1,93 @@
+"""Test the table of boxes before callers, against boxes that tell what is in force there."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import io
+import json
+from typing import Any
+
+import testtools
+from aiohttp import web
+
+from calicopath_cli.commands.gateways import gateways
+from calicopath_cli.exceptions import CommandError
+from calicopath_cli.utils.output import OutputFormat
+from testkit.servers import served
+
+STATE = {
+    'failure_domain': 'a',
+    'ready': True,
+    'settings': 'new',
+    'settings_since': 200.0,
+    'problem': '',
+    'configuration': 7,
+    'configuration_since': 100.0,
+}
+CHANGES: dict[str, dict[str, Any] | None] = {
+    'fresh': {},
+    'old-settings': {'settings': 'old', 'settings_since': 50.0},
+    'unsound': {'problem': 'graceS: missing'},
+    'old-config': {'configuration': 5},
+    'silent': None,
+}
+
+
+class Gateways(testtools.TestCase):
+    def table(self, output: OutputFormat) -> str:
+        """Return what the command prints for boxes that differ."""
+
+        async def scenario() -> str:
+            printed = io.StringIO()
+            listed: list[dict[str, str]] = []
+            async with contextlib.AsyncExitStack() as stack:
+                for name, changes in CHANGES.items():
+                    url = await stack.enter_async_context(served(box(name, changes, listed)))
+                    listed.append({'box': name, 'address': url.removeprefix('http://')})
+                with contextlib.redirect_stdout(printed):
+                    await gateways(listed[0]['address'], output)
+            return printed.getvalue()
+
+        return asyncio.run(scenario())
+
+    def test_boxes_that_are_behind_come_first_and_say_in_what(self) -> None:
+        rows = json.loads(self.table(OutputFormat.JSON))
+        found = {row['box']: row['behind'] for row in rows}
+        self.assertEqual('', found.pop('fresh'))
+        self.assertEqual('fresh', rows[-1]['box'])
+        self.assertEqual(
+            {
+                'old-settings': 'settings',
+                'unsound': 'settings',
+                'old-config': 'configuration',
+                'silent': 'no answer',
+            },
+            found,
+        )
+
+    def test_people_read_since_when_and_why(self) -> None:
+        table = self.table(OutputFormat.TEXT)
+        self.assertIn('1970-01-01 00:03:20', table)
+        self.assertIn('graceS: missing', table)
+
+    def test_an_address_where_no_box_answers_is_an_error(self) -> None:
+        work = gateways('127.0.0.1:9', OutputFormat.TEXT)
+        self.assertRaises(CommandError, asyncio.run, work)
+
+
+def box(name: str, changes: dict[str, Any] | None, listed: list[dict[str, str]]) -> web.Application:
+    """Return a box that tells its state, or fails if it has none to tell."""
+
+    async def state(request: web.Request) -> web.Response:
+        if changes is None:
+            raise web.HTTPServiceUnavailable
+        return web.json_response({'box': name, **STATE, **changes})
+
+    async def boxes(request: web.Request) -> web.Response:
+        return web.json_response(listed)
+
+    app = web.Application()
+    app.router.add_get('/state', state)
+    app.router.add_get('/boxes', boxes)
+    return app
--- a/packages/cli/calicopath_cli/utils/inforce.py
+++ b/packages/cli/calicopath_cli/utils/inforce.py
@@ -30,11 +30,11 @@
     silent: tuple[str, ...]
 
 
-async def ask_box(session: aiohttp.ClientSession, box: BoxRecord, path: str) -> Any:
+async def ask_box(session: aiohttp.ClientSession, address: str, path: str) -> Any:
     """Return a box's JSON answer, or nothing if it gives none."""
     timeout = aiohttp.ClientTimeout(total=BOX_TIMEOUT_S)
     try:
-        async with session.get(f'http://{box.address}{path}', timeout=timeout) as answer:
+        async with session.get(f'http://{address}{path}', timeout=timeout) as answer:
             return msgspec.json.decode(await answer.read())
     except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
         return None
@@ -47,7 +47,7 @@
 
     async def ask(box: BoxRecord) -> Any:
         async with slots:
-            return await ask_box(operator.session, box, path)
+            return await ask_box(operator.session, box.address, path)
 
     answers = await asyncio.gather(*(ask(box) for box in boxes))
     return {box.name: answer for box, answer in zip(boxes, answers, strict=True)}
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -84,6 +84,7 @@
         )
         self.boxes: dict[str, BoxAddress] = {}
         self.election = AloneElection(own=self.own) if alone else Election(own=self.own)
+        self.config_since = 0.0
         self.group = (0, 1)
         self.group_rule = GroupRule(clock=self.clock)
         self.link = PeerLink(
@@ -281,6 +282,7 @@
         """Apply a configuration if it is newer."""
         if not self.view.offer(deployment, self.clock.monotonic()):
             return
+        self.config_since = self.clock.wall()
         self.scheduler.on_deployment(deployment)
         events.emit(
             log,
--- a/packages/daemon/calicopathd/gateway/run.py
+++ b/packages/daemon/calicopathd/gateway/run.py
@@ -9,21 +9,16 @@
 
 import structlog
 
-from calicopath_core.exceptions import CalicopathError
 from calicopath_core.fleet.store import FleetStoreError
 from calicopathd import events
 from calicopathd.box.tasks import keep_running
-from calicopathd.gateway.requests import RawRequest, RequestHandler
+from calicopathd.gateway.reloading import LOOK_S
 from calicopathd.gateway.server import HttpServer
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from calicopath_core.fleet.deployment import ClientLimits
     from calicopathd.gateway.box import GatewayBox
-    from calicopathd.gateway.metrics import GatewayMetrics
-    from calicopathd.gateway.responder import Responder
-    from calicopathd.gateway.settings import GatewaySettings
+    from calicopathd.gateway.requests import RequestHandler
+    from calicopathd.gateway.state import StateHandler
     from calicopathd.logs import BoundedWriter
     from calicopathd.peers.zmq_transport import ZmqTransport
 
@@ -46,28 +41,6 @@
 gone before the kill. What is left over is overwritten when a box of that name starts."""
 
 REGISTER_PAUSE_S = 0.5
-STATUS_OK = 200
-STATUS_NOT_FOUND = 404
-
-
-class MetricsHandler(RequestHandler):
-    """Answer with the box's figures."""
-
-    def __init__(self, *, metrics: GatewayMetrics, limits: Callable[[], ClientLimits]) -> None:
-        self.metrics = metrics
-        self.current_limits = limits
-
-    async def handle(self, request: RawRequest, responder: Responder) -> None:
-        """Answer with every figure as text."""
-        body, headers = self.metrics.render()
-        responder.respond(STATUS_OK, tuple(headers.items()), body)
-
-    def limits(self) -> ClientLimits:
-        """Return the limits in force."""
-        return self.current_limits()
-
-    def on_bad_request(self, status: int, reason: str) -> None:
-        """Leave requests that can't be read uncounted: they are not callers'."""
 
 
 class GatewayRunner:
@@ -80,8 +53,7 @@
         transport: ZmqTransport,
         exchange_handler: RequestHandler,
         ready_handler: RequestHandler,
-        metrics_handler: MetricsHandler,
-        reload: Callable[[], GatewaySettings],
+        state_handler: StateHandler,
         log_writer: BoundedWriter,
     ) -> None:
         self.box = box
@@ -90,9 +62,9 @@
             handler=exchange_handler, max_connections=box.settings.max_callers
         )
         self.ready = HttpServer(handler=ready_handler)
-        self.metrics = HttpServer(handler=metrics_handler)
-        self.figures = metrics_handler.metrics
-        self.reload = reload
+        self.metrics = HttpServer(handler=state_handler)
+        self.figures = state_handler.metrics
+        self.settings_file = state_handler.settings_file
         self.log_writer = log_writer
         self.stop = asyncio.Event()
         self.tasks: list[asyncio.Task[None]] = []
@@ -128,6 +100,7 @@
             'client': self.box.client.run,
             'subscription': self.box.subscription.run,
             'ticks': self.tick_often,
+            'settings': self.follow_settings,
             'lag': self.box.group_rule.lag.run,
             'register': self.register,
         }
@@ -144,14 +117,20 @@
 
     def on_reload(self) -> None:
         """Take the settings in that may change without a restart; keep the old ones if unsound."""
-        try:
-            settings = self.reload()
-        except CalicopathError as error:
-            events.emit(log, events.RELOAD_FAILED, error=str(error))
+        settings = self.settings_file.take()
+        if settings is None:
             return
         self.box.settings = settings
         self.box.executor.context.budgets.set_terms(settings.retry_budget)
-        events.emit(log, events.GATEWAY_RELOADED, box=settings.box)
+        state = self.settings_file.state
+        events.emit(log, events.GATEWAY_RELOADED, box=settings.box, digest=state.digest)
+
+    async def follow_settings(self) -> None:
+        """Take the settings file in whenever it changes, signalled or not, until cancelled."""
+        while True:
+            await asyncio.sleep(LOOK_S)
+            if self.settings_file.changed():
+                self.on_reload()
 
     async def tick_often(self) -> None:
         """Do what is due by time, until cancelled."""
--- /dev/null
+++ b/packages/daemon/calicopathd/gateway/state.py
@@ -0,0 +1,96 @@
+"""Answer with the box's figures, with what is in force there, and with the other boxes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from calicopathd.gateway.requests import RawRequest, RequestHandler
+
+if TYPE_CHECKING:
+    from calicopath_core.fleet.deployment import ClientLimits
+    from calicopathd.gateway.box import GatewayBox
+    from calicopathd.gateway.metrics import GatewayMetrics
+    from calicopathd.gateway.reloading import SettingsFile
+    from calicopathd.gateway.responder import Responder
+
+STATE_PATH = '/state'
+BOXES_PATH = '/boxes'
+STATUS_OK = 200
+JSON_HEADERS = (('Content-Type', 'application/json'),)
+
+
+class InForce(msgspec.Struct, frozen=True):
+    """Say what is in force at a box and since when, in seconds since 1970.
+
+    `problem` says why the settings file as it stands is not in force there, if it is not.
+    """
+
+    box: str
+    failure_domain: str
+    ready: bool
+    settings: str
+    settings_since: float
+    problem: str
+    configuration: int
+    configuration_since: float
+
+
+class ListedBox(msgspec.Struct, frozen=True):
+    """Name a box and the address at which it tells its state."""
+
+    box: str
+    address: str
+
+
+class StateHandler(RequestHandler):
+    """Answer operators' questions on the box's own address for figures."""
+
+    def __init__(
+        self, *, box: GatewayBox, metrics: GatewayMetrics, settings_file: SettingsFile
+    ) -> None:
+        self.box = box
+        self.metrics = metrics
+        self.settings_file = settings_file
+
+    async def handle(self, request: RawRequest, responder: Responder) -> None:
+        """Answer with JSON on the two paths for it, with every figure as text on all others."""
+        path = request.target.partition('?')[0]
+        if path == STATE_PATH:
+            responder.respond(STATUS_OK, JSON_HEADERS, msgspec.json.encode(self.in_force()))
+        elif path == BOXES_PATH:
+            responder.respond(STATUS_OK, JSON_HEADERS, msgspec.json.encode(self.boxes()))
+        else:
+            body, headers = self.metrics.render()
+            responder.respond(STATUS_OK, tuple(headers.items()), body)
+
+    def in_force(self) -> InForce:
+        """Return what is in force here."""
+        state = self.settings_file.state
+        return InForce(
+            box=self.box.own.name,
+            failure_domain=self.box.own.zone,
+            ready=self.box.ready(),
+            settings=state.digest,
+            settings_since=state.since,
+            problem=state.problem,
+            configuration=self.box.config_version(),
+            configuration_since=self.box.config_since,
+        )
+
+    def boxes(self) -> list[ListedBox]:
+        """Return every box, this one included; boxes have their ports alike."""
+        port = self.box.settings.metrics_listen.port
+        listed = {self.box.own.name: self.box.own, **self.box.boxes}
+        return [
+            ListedBox(name, f'{box.address.rpartition(":")[0]}:{port}')
+            for name, box in sorted(listed.items())
+        ]
+
+    def limits(self) -> ClientLimits:
+        """Return the limits in force."""
+        return self.box.limits()
+
+    def on_bad_request(self, status: int, reason: str) -> None:
+        """Leave requests that can't be read uncounted: they are not callers'."""
