--- a/packages/core/calicopath_core/execution/attempts.py
+++ b/packages/core/calicopath_core/execution/attempts.py
@@ -111,6 +111,19 @@
         raise StageFailed(FailureReason.DEADLINE_PASSED, detail)
 
 
+def endpoint_failed(
+    budget: StageBudget,
+    last: Exception | None,
+    reason: FailureReason = FailureReason.ENDPOINT_FAILED,
+) -> StageFailed:
+    """Return the end of a stage whose last call failed, with one sentence for the caller."""
+    if isinstance(last, NotStarted):
+        detail = f'no endpoint of stage {budget.stage.name!r} could be reached'
+    else:
+        detail = f'an endpoint of stage {budget.stage.name!r} gave no whole answer'
+    return StageFailed(reason, detail, retry_after_s=NO_ENDPOINT_RETRY_S, cause=str(last))
+
+
 class CallAttempt:
     """Follow one call from when it leaves; tell run, pool and observer how it ended.
 
--- a/packages/core/calicopath_core/execution/executor.py
+++ b/packages/core/calicopath_core/execution/executor.py
@@ -181,8 +181,9 @@
     def failure(self, run: Run, error: StageFailed) -> Outcome:
         """Refuse as not run only if every call that left is proved unstarted."""
         if run.unproved_calls == 0 and error.reason in REASONS:
-            return Refused(REASONS[error.reason], error.detail, error.retry_after_s)
-        return Failed(error.reason, error.detail, error.retry_after_s, tuple(run.timings))
+            return Refused(REASONS[error.reason], error.detail, error.retry_after_s, error.cause)
+        timings = tuple(run.timings)
+        return Failed(error.reason, error.detail, error.retry_after_s, timings, error.cause)
 
 
 def taken_outcome(claim: StoredClaim | None, run: Run) -> Outcome:
--- a/packages/core/calicopath_core/execution/generation.py
+++ b/packages/core/calicopath_core/execution/generation.py
@@ -15,14 +15,15 @@
     TimedOut,
     acquire_slot,
     check_time_left,
+    endpoint_failed,
 )
-from calicopath_core.execution.run import Run, StageFailed
 from calicopath_core.structure.calls import GenerationCall, GenerationEnd, StageOutput, Token
 from calicopath_core.structure.outcomes import FailureReason, StageTiming
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from calicopath_core.execution.run import Run
     from calicopath_core.routing.pools import Slot
 
 
@@ -109,7 +110,7 @@
                 return output
             tried.add(slot.endpoint.name)
         reason = FailureReason.STREAM_BROKEN if progress.offset else FailureReason.ENDPOINT_FAILED
-        raise StageFailed(reason, f'stage {budget.stage.name!r}: {last}')
+        raise endpoint_failed(budget, last, reason)
 
     def may_continue(self, run: Run, budget: StageBudget, progress: Progress) -> bool:
         """Tell whether a broken generation may go on elsewhere.
--- a/packages/core/calicopath_core/execution/run.py
+++ b/packages/core/calicopath_core/execution/run.py
@@ -19,12 +19,21 @@
 
 
 class StageFailed(CalicopathError):
-    """Report that a stage gave no answer and will not be tried again."""
+    """Report that a stage gave no answer and will not be tried again.
+
+    `detail` is for callers, `cause` for the log.
+    """
 
     def __init__(
-        self, reason: FailureReason, detail: str, *, retry_after_s: float | None = None
+        self,
+        reason: FailureReason,
+        detail: str,
+        *,
+        retry_after_s: float | None = None,
+        cause: str = '',
     ) -> None:
         super().__init__(detail)
+        self.cause = cause
         self.reason = reason
         self.detail = detail
         self.retry_after_s = retry_after_s
--- a/packages/core/calicopath_core/execution/stages.py
+++ b/packages/core/calicopath_core/execution/stages.py
@@ -13,14 +13,15 @@
     TimedOut,
     acquire_slot,
     check_time_left,
+    endpoint_failed,
 )
-from calicopath_core.execution.run import Run, StageFailed
 from calicopath_core.structure.calls import StageCall, StageOutput
-from calicopath_core.structure.outcomes import FailureReason, StageTiming
+from calicopath_core.structure.outcomes import StageTiming
 from calicopath_core.structure.stages import StageKind
 
 if TYPE_CHECKING:
     from calicopath_core.backends.base import PlainService, StagePool
+    from calicopath_core.execution.run import Run
     from calicopath_core.routing.pools import Slot
     from calicopath_core.structure.stages import StagePlan
 
@@ -57,7 +58,7 @@
                 run.finish_stage(budget.stage, output, timing)
                 return output
             tried.add(slot.endpoint.name)
-        raise StageFailed(FailureReason.ENDPOINT_FAILED, f'stage {budget.stage.name!r}: {last}')
+        raise endpoint_failed(budget, last)
 
     async def attempt(self, run: Run, budget: StageBudget, slot: Slot) -> StageOutput:
         """Make one call."""
--- a/packages/core/calicopath_core/store/feed.py
+++ b/packages/core/calicopath_core/store/feed.py
@@ -56,6 +56,7 @@
         self.relist_s = relist_s
         self.retry_s = retry_s
         self.last_contact: float | None = None
+        self.last_error = ''
         self.healed = 0
         self.on_contact: Callable[[float], None] = lambda at: None
 
@@ -84,7 +85,8 @@
         while True:
             try:
                 await self.relist()
-            except StoreError:
+            except StoreError as error:
+                self.last_error = str(error)
                 await asyncio.sleep(self.retry_s)
                 continue
             await asyncio.sleep(self.relist_interval())
--- a/packages/core/calicopath_core/structure/outcomes.py
+++ b/packages/core/calicopath_core/structure/outcomes.py
@@ -55,20 +55,28 @@
 
 
 class Refused(NamedTuple):
-    """Say that the request did not run, and when to come back."""
+    """Say that the request did not run, and when to come back.
+
+    `cause` is for the log only: it may name inner addresses.
+    """
 
     reason: RefusalReason
     detail: str
     retry_after_s: float | None
+    cause: str = ''
 
 
 class Failed(NamedTuple):
-    """Say that the request may have run, in whole or in part, without a whole answer."""
+    """Say that the request may have run, in whole or in part, without a whole answer.
+
+    `cause` is for the log only: it may name inner addresses.
+    """
 
     reason: FailureReason
     detail: str
     retry_after_s: float | None
     timings: tuple[StageTiming, ...] = ()
+    cause: str = ''
 
 
 Outcome = Answered | Refused | Failed
--- a/packages/daemon/calicopathd/box/monitor.py
+++ b/packages/daemon/calicopathd/box/monitor.py
@@ -25,6 +25,7 @@
     def __init__(self, *, box: Box) -> None:
         self.box = box
         self.synced = False
+        self.unreached = False
         self.ready = False
         self.platform_lost = False
         self.ejections = 0
@@ -40,10 +41,15 @@
             await asyncio.sleep(INTERVAL_S)
 
     def check_sync(self) -> None:
-        """Report the first whole view."""
+        """Report the first whole view, and once that the platform can't be reached for it."""
         if self.box.synced() and not self.synced:
             self.synced = True
             events.emit(log, events.VIEW_SYNCED, objects=len(self.box.view.entries))
+        elif not self.synced and self.box.feed.last_error and not self.unreached:
+            self.unreached = True
+            platform = self.box.settings.platform
+            error = self.box.feed.last_error
+            events.emit(log, events.PLATFORM_UNREACHED, platform=platform, error=error)
 
     def check_platform(self) -> None:
         """Report when the platform was lost or is back."""
--- a/packages/daemon/calicopathd/box/runner.py
+++ b/packages/daemon/calicopathd/box/runner.py
@@ -12,7 +12,7 @@
 from calicopathd.box.box import Box
 from calicopathd.box.monitor import Monitor
 from calicopathd.box.tasks import keep_running
-from calicopathd.http.app import bind, new_app
+from calicopathd.http.app import CallerProtocol, bind, new_app
 
 if TYPE_CHECKING:
     import aiohttp
@@ -49,7 +49,10 @@
         name = f'calicopathd-{uuid.uuid4().hex}'
         app = new_app(self.box, name, optimise=self.optimise)
         server = await app.create_server(
-            sock=self.listener, return_asyncio_server=True, access_log=False
+            sock=self.listener,
+            return_asyncio_server=True,
+            access_log=False,
+            protocol=CallerProtocol,
         )
         assert server is not None
         await server.startup()
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -36,6 +36,9 @@
 VIEW_CHANGED = Event(302, 'info', 'view changed', 'A newer object is in force on this box.')
 VIEW_PROBLEM = Event(303, 'warning', 'view problem', 'An object in force cannot be used.')
 PLATFORM_LOST = Event(304, 'warning', 'platform lost', 'The platform has not answered of late.')
+PLATFORM_UNREACHED = Event(
+    306, 'warning', 'platform unreached', 'The configuration could not be read at the start yet.'
+)
 PLATFORM_BACK = Event(305, 'info', 'platform back', 'The platform answers again.')
 
 ENDPOINT_EJECTED = Event(401, 'warning', 'endpoint ejected', 'Calls stay away for a while.')
--- a/packages/daemon/calicopathd/http/app.py
+++ b/packages/daemon/calicopathd/http/app.py
@@ -8,6 +8,7 @@
 import structlog
 from sanic import Request, Sanic
 from sanic.exceptions import SanicException
+from sanic.server.protocols.http_protocol import HttpProtocol
 
 from calicopathd import events
 from calicopathd.exceptions import BadRequest, StartError
@@ -24,11 +25,43 @@
 log = structlog.get_logger(__name__)
 
 STATUS_FAULT = 500
+STATUS_TOO_LARGE = 413
+STATUS_HEAD_TOO_LARGE = 431
+
+LIBRARY_PROBLEMS = {
+    400: ('malformed request', 'the request is not sound HTTP'),
+    404: ('unknown path', 'nothing is served at this path'),
+    405: ('method not allowed', 'this path is not served by this method'),
+    408: ('request timeout', 'the request did not come whole in time'),
+    STATUS_TOO_LARGE: ('body too large', 'the body is larger than this box takes'),
+    417: ('expectation failed', 'the Expect header asks for what is not offered'),
+    STATUS_HEAD_TOO_LARGE: ('head too large', 'the headers are larger than this box takes'),
+    503: ('overloaded', 'the box could not answer in time'),
+}
+"""What the library finds wrong, by status: a title, which names the type, and a sentence."""
+
+OTHER_PROBLEM = ('request not served', 'the request could not be served')
+
+STATUS_LINE = b'HTTP/1.1 '
+END_OF_HEAD = b'\r\n\r\n'
+END_OF_LINE = b'\r\n'
+EMPTY_HEADER = b'\r\nalt-svc: \r\n'
 LONGEST_REQUEST_S = 900
 KEEP_ALIVE_S = 30
 BACKLOG = 1024
 
 
+class CallerProtocol(HttpProtocol):
+    """Send answers as the library forms them, without a header that it leaves empty."""
+
+    async def send(self, data: bytes) -> None:
+        """Send bytes; the first of an answer hold its head."""
+        if data.startswith(STATUS_LINE):
+            head, end, body = data.partition(END_OF_HEAD)
+            data = (head + END_OF_LINE).replace(EMPTY_HEADER, END_OF_LINE)[:-2] + end + body
+        await super().send(data)
+
+
 def new_app(box: Box, name: str, *, optimise: bool) -> Sanic:
     """Return the web application of a box.
 
@@ -58,9 +91,20 @@
 
 def answer_library_error(request: Request, error: SanicException) -> HTTPResponse:
     """Answer what the library found wrong: unknown routes, oversized or broken requests."""
-    title = type(error).__name__
+    status = library_status(request, error)
+    title, detail = LIBRARY_PROBLEMS.get(status, OTHER_PROBLEM)
     events.emit(log, events.REQUEST_BAD, title=title, detail=str(error))
-    return plain_problem(error.status_code, title, str(error))
+    return plain_problem(status, title, detail)
+
+
+def library_status(request: Request, error: SanicException) -> int:
+    """Return the status for what the library found wrong.
+
+    It reports a head that is too large like a body that is, before there is a request.
+    """
+    if error.status_code == STATUS_TOO_LARGE and not request.headers:
+        return STATUS_HEAD_TOO_LARGE
+    return int(error.status_code)
 
 
 def answer_fault(request: Request, error: Exception) -> HTTPResponse:
--- a/packages/daemon/calicopathd/http/callers.py
+++ b/packages/daemon/calicopathd/http/callers.py
@@ -12,7 +12,13 @@
 from sanic.response import HTTPResponse
 
 from calicopath_core.execution.requests import DiscardSink, TokenSink
-from calicopath_core.structure.outcomes import Answered, Outcome, RefusalReason, Refused
+from calicopath_core.structure.outcomes import (
+    Answered,
+    Failed,
+    Outcome,
+    RefusalReason,
+    Refused,
+)
 from calicopathd import events
 from calicopathd.exceptions import BadRequest
 from calicopathd.http.parsing import (
@@ -110,9 +116,9 @@
     try:
         outcome = await box.executor.run(pipeline_request(body, plan, arrival), plan, sink)
     except asyncio.CancelledError:
-        log_outcome(plan, arrival, 'caller-gone', '')
+        log_outcome(plan, arrival, 'caller-gone', None)
         raise
-    log_outcome(plan, arrival, type(outcome).__name__.lower(), reason_of(outcome))
+    log_outcome(plan, arrival, type(outcome).__name__.lower(), outcome)
     if body.stream and (stream.started or isinstance(outcome, Answered)):
         await finish_stream(stream, outcome, arrival.request_id)
         return None
@@ -139,20 +145,17 @@
     await stream.finish(BROKEN_EVENT, problem_body(outcome, request_id))
 
 
-def reason_of(outcome: Outcome) -> str:
-    """Return why a request was not answered, if so."""
-    return '' if isinstance(outcome, Answered) else outcome.reason.value
-
-
-def log_outcome(plan: Plan, arrival: Arrival, outcome: str, reason: str) -> None:
-    """Log how a request ended."""
+def log_outcome(plan: Plan, arrival: Arrival, name: str, outcome: Outcome | None) -> None:
+    """Log how a request ended, and why if it was not answered."""
+    ended = outcome if isinstance(outcome, Refused | Failed) else None
     events.emit(
         log,
         events.REQUEST_ENDED,
         request=arrival.request_id,
         workspace=plan.workspace,
         pipeline=plan.pipeline,
-        outcome=outcome,
-        reason=reason,
+        outcome=name,
+        reason=ended.reason.value if ended is not None else '',
+        cause=ended.cause if ended is not None else '',
         config=plan.digest,
     )
--- a/packages/daemon/calicopathd/http/parsing.py
+++ b/packages/daemon/calicopathd/http/parsing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+from collections import Counter
 from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
@@ -47,12 +49,28 @@
         body = msgspec.json.decode(data, type=RequestBody)
     except msgspec.MsgspecError as error:
         raise BadRequest(STATUS_BAD_REQUEST, 'malformed body', str(error)) from error
+    repeated = repeated_names(data)
+    if repeated:
+        detail = f'given more than once: {", ".join(repeated)}'
+        raise BadRequest(STATUS_BAD_REQUEST, 'repeated field', detail)
     problems = body_problems(body)
     if problems:
         raise BadRequest(STATUS_BAD_REQUEST, 'malformed body', '; '.join(problems))
     return body
 
 
+def repeated_names(data: bytes) -> list[str]:
+    """Return the names that a body, which is sound JSON, gives more than once."""
+    names: list[str] = []
+
+    def note(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+        names.extend(name for name, _ in pairs)
+        return dict(pairs)
+
+    json.loads(data, object_pairs_hook=note)
+    return sorted(name for name, count in Counter(names).items() if count > 1)
+
+
 def body_problems(body: RequestBody) -> list[str]:
     """Return everything that is wrong with the values of a body."""
     problems = []
--- a/packages/daemon/calicopathd/http/tests/callers_tests.py
+++ b/packages/daemon/calicopathd/http/tests/callers_tests.py
@@ -140,6 +140,54 @@
 
         self.with_box(work, max_body_bytes='4096')
 
+    def test_a_field_given_twice_is_refused_and_named(self) -> None:
+        async def work(runner: BoxRunner, around: Surroundings) -> None:
+            body = b'{"input": "moor here?", "input": "or there?"}'
+            answer = await ask(around, PATH + 'answer/requests', body)
+            self.assertEqual(400, answer.status)
+            self.assertEqual('urn:calicopath:problem:repeated-field', answer.json['type'])
+            self.assertIn('input', answer.json['detail'])
+
+        self.with_box(work)
+
+    def test_headers_that_are_too_large_are_told_from_a_body_that_is(self) -> None:
+        async def work(runner: BoxRunner, around: Surroundings) -> None:
+            path = f'{around.url}{PATH}answer/requests'
+            large = {'X-Large': 'x' * 30_000}
+            async with around.session.post(path, json={'input': 'x'}, headers=large) as answer:
+                found = await answer.json(content_type=None)
+            self.assertEqual(431, answer.status)
+            self.assertEqual('urn:calicopath:problem:head-too-large', found['type'])
+            body = await ask(around, PATH + 'answer/requests', b'x' * 5000)
+            self.assertEqual('urn:calicopath:problem:body-too-large', body.json['type'])
+
+        self.with_box(work, max_body_bytes='4096')
+
+    def test_problems_are_named_in_plain_words_and_no_header_is_empty(self) -> None:
+        async def work(runner: BoxRunner, around: Surroundings) -> None:
+            unknown = await ask(around, '/v1/else', {'input': 'x'})
+            self.assertEqual('urn:calicopath:problem:unknown-path', unknown.json['type'])
+            answer = await ask(around, PATH + 'answer/requests', {'input': 'x'})
+            for found in (unknown, answer):
+                self.assertNotIn('', found.headers.values())
+
+        self.with_box(work)
+
+    def test_a_refusal_names_no_inner_address_and_says_when_to_come_back(self) -> None:
+        async def work(runner: BoxRunner, around: Surroundings) -> None:
+            for name, entry in list(runner.box.view.entries.items()):
+                if name.startswith('config/endpoints/') and entry.spec is not None:
+                    spec = entry.spec | {'address': 'http://127.0.0.1:9'}
+                    runner.box.view.apply(ViewUpdate(name, entry.version + 1, spec))
+            answer = await ask(around, PATH + 'answer/requests', {'input': 'x'})
+            self.assertEqual(503, answer.status)
+            self.assertEqual('refused-not-run', answer.json['outcome'])
+            for inner in ('127.0.0.1', 'Error', '('):
+                self.assertNotIn(inner, answer.json['detail'])
+            self.assertIn('Retry-After', answer.headers)
+
+        self.with_box(work)
+
     def test_a_refusal_says_when_to_come_back(self) -> None:
         async def work(runner: BoxRunner, around: Surroundings) -> None:
             around.platform.faults.down = True
--- /dev/null
+++ b/packages/daemon/calicopathd/tests/monitor_tests.py
@@ -0,0 +1,50 @@
+"""Test what a daemon tells of a platform that it can't reach as it starts."""
+
+from __future__ import annotations
+
+from typing import Any
+from unittest import mock
+
+import testtools
+
+from calicopathd import events
+from calicopathd.box.monitor import Monitor
+
+
+class Start(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.box: Any = mock.Mock()
+        self.box.settings.platform = 'http://127.0.0.1:9'
+        self.box.view.entries = {}
+        self.box.synced.return_value = False
+        self.box.feed.last_error = ''
+        self.emitted = mock.Mock()
+        patcher = mock.patch('calicopathd.events.emit', self.emitted)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+
+    def told(self) -> list[events.Event]:
+        """Return the events so far."""
+        return [call.args[1] for call in self.emitted.call_args_list]
+
+    def test_a_platform_that_is_not_reached_is_told_of_at_once_and_once(self) -> None:
+        monitor = Monitor(box=self.box)
+        monitor.check_sync()
+        self.assertEqual([], self.told())
+        self.box.feed.last_error = 'connection refused'
+        for _ in range(3):
+            monitor.check_sync()
+        self.assertEqual([events.PLATFORM_UNREACHED], self.told())
+        fields = self.emitted.call_args.kwargs
+        self.assertEqual('http://127.0.0.1:9', fields['platform'])
+        self.assertEqual('connection refused', fields['error'])
+
+    def test_one_line_says_that_the_configuration_was_read(self) -> None:
+        monitor = Monitor(box=self.box)
+        self.box.feed.last_error = 'connection refused'
+        monitor.check_sync()
+        self.box.synced.return_value = True
+        for _ in range(3):
+            monitor.check_sync()
+        self.assertEqual([events.PLATFORM_UNREACHED, events.VIEW_SYNCED], self.told())
