Start on relays' word as soon as the store answers, and schedule only with a configuration

The relays' note is read first and again until the store answers; the wait for the box's own record comes only before the list of boxes; signs of life tell whether a box has a configuration.

--- a/packages/core/calicopath_core/fleet/starting.py
+++ b/packages/core/calicopath_core/fleet/starting.py
@@ -26,15 +26,18 @@
 """When a small box looks again for relays that nobody has written down yet: as a fleet starts, the
 boxes that will be relays have read the list and written themselves down by then."""
 
-RELAYS_S = 1.2
-"""How long relays may take to tell everything: they answer in some ms, and in under a second while
-they read it themselves as a fleet starts."""
+UNREAD_PAUSE_S = 0.1
+"""How long a failed call for that is waited out: callers are refused until it works."""
+
+RELAYS_S = 0.8
+"""How long relays may take to tell everything: they answer in some ms, and in about half a second
+while they read it themselves as a fleet starts."""
 
 LISTED_S = 1.0
 """How long the list of boxes may take before the box reads everything by itself."""
 
-START_S = 4.0
-"""How long all of this may take, with a store that answers slowly."""
+START_S = 6.0
+"""How long all of this may take, with a store that answers slowly or not at all."""
 
 CHECK_S = 0.02
 
@@ -78,13 +81,13 @@
 
     async def ask_relays(self) -> None:
         """Return once everything is known, or once the box should read it by itself."""
-        await self.until(lambda: self.registered, REGISTERED_S)
         noted = await self.noted_relays()
         if any(box.name == self.own.name for box in noted):
             # This box was a relay before it restarted; if all were killed, others wait for it.
             return
         if noted and await self.hear(noted):
             return
+        await self.until(lambda: self.registered, REGISTERED_S)
         self.open_kinds = frozenset({RecordKind.BOX})
         await self.until(lambda: self.synced(RecordKind.BOX), LISTED_S)
         self.open_kinds = frozenset()
@@ -92,7 +95,7 @@
             await self.hear(self.choice.relays)
 
     async def noted_relays(self) -> tuple[BoxAddress, ...]:
-        """Return the relays that are written down in the store, as far as it answers."""
+        """Return the relays that are written down, as soon as the store answers."""
         found = await self.read_relays()
         if found is None and self.own.small:
             await asyncio.sleep(SECOND_LOOK_S)
@@ -100,12 +103,17 @@
         return found or ()
 
     async def read_relays(self) -> tuple[BoxAddress, ...] | None:
-        """Return what the store holds, or nothing if nobody wrote it or the store fails."""
-        try:
-            return await self.store.read_relays()
-        except FleetStoreError as error:
-            self.on_unread(error)
-            return None
+        """Return what the store holds, or nothing if nobody wrote it.
+
+        A store that fails is asked again: boxes that read everything by themselves as it returns
+        would ask ten times as much of it.
+        """
+        while True:
+            try:
+                return await self.store.read_relays()
+            except FleetStoreError as error:
+                self.on_unread(error)
+                await asyncio.sleep(UNREAD_PAUSE_S)
 
     async def hear(self, relays: Iterable[BoxAddress]) -> bool:
         """Subscribe to relays; tell whether they have told everything in time."""
--- a/packages/core/calicopath_core/scheduling/baseline.py
+++ b/packages/core/calicopath_core/scheduling/baseline.py
@@ -23,7 +23,9 @@
         """Return nobody."""
         return []
 
-    def scheduler(self, now: float, own: StoreContact = STEADY) -> BoxAddress:
+    def scheduler(
+        self, now: float, own: StoreContact = STEADY, *, knows: bool = True
+    ) -> BoxAddress:
         """Return this box."""
         return self.own
 
--- a/packages/core/calicopath_core/scheduling/client.py
+++ b/packages/core/calicopath_core/scheduling/client.py
@@ -102,12 +102,14 @@
         send: Callable[[str, msgspec.Struct], None],
         on_scheduler: Callable[[str, int], None],
         contact: Callable[[], StoreContact] = lambda: STEADY,
+        knows: Callable[[], bool] = lambda: True,
     ) -> None:
         self.clock = clock
         self.election = election
         self.send = send
         self.on_scheduler = on_scheduler
         self.contact = contact
+        self.knows = knows
         self.asked: dict[str, Asked] = {}
         self.target = election.own.address
 
@@ -132,7 +134,8 @@
     def check(self) -> None:
         """See who schedules now."""
         now = self.clock.monotonic()
-        target = self.election.scheduler(now, self.contact()).address
+        knows = self.knows()
+        target = self.election.scheduler(now, self.contact(), knows=knows).address
         if target == self.target:
             return
         self.target = target
--- a/packages/core/calicopath_core/scheduling/election.py
+++ b/packages/core/calicopath_core/scheduling/election.py
@@ -85,6 +85,7 @@
         self.standby = False
         self.fast_since = -math.inf
         self.leaving = False
+        self.knows = True
         self.trusted_at = 0.0
         self.contact = UNKNOWN
 
@@ -118,6 +119,7 @@
         self.heard_at = now
         self.pinged_at = None
         self.leaving = message.leaving
+        self.knows = message.config_version > 0
         self.contact = message.contact
 
     def has_time(self, now: float) -> bool:
@@ -259,17 +261,27 @@
                 break
         return found
 
-    def scheduler(self, now: float, own: StoreContact = STEADY) -> BoxAddress:
+    def scheduler(
+        self, now: float, own: StoreContact = STEADY, *, knows: bool = True
+    ) -> BoxAddress:
         """Return the box that schedules, as far as this box can tell; itself if it hears nobody.
 
-        `own` is this box's contact with the store. Boxes that are behind another go last.
+        `own` is this box's contact with the store, `knows` tells whether it has a configuration:
+        one that has none yet would refuse what others could serve. Boxes that are behind another
+        go last.
         """
-        able = list(itertools.islice(self.able(now), COMPARED))
+        knowing = (name for name in self.able(now) if self.knows(name, own=knows))
+        able = list(itertools.islice(knowing, COMPARED))
+        able = able or list(itertools.islice(self.able(now), COMPARED))
         contacts = {name: self.contact_of(name, own, now) for name in able}
         current = [name for name in able if not contacts[name].is_behind_any(contacts.values())]
         chosen = (current or able or [self.own.name])[0]
         return self.own if chosen == self.own.name else self.candidates[chosen].box
 
+    def knows(self, name: str, *, own: bool) -> bool:
+        """Tell whether a box has a configuration, as far as it has told."""
+        return own if name == self.own.name else self.candidates[name].knows
+
     def able(self, now: float) -> Iterator[str]:
         """Yield the boxes that are there to schedule, in rank order."""
         return (name for name in self.ranked if self.is_able(name, now))
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -116,6 +116,7 @@
             send=self.link.send,
             on_scheduler=self.on_scheduler,
             contact=self.contact,
+            knows=lambda: self.view.current is not None,
         )
         self.publisher = Publisher(
             own_address=self.own.address, clock=self.clock, send=self.link.send
