--- a/packages/core/calicopath_core/fleet/starting.py
+++ b/packages/core/calicopath_core/fleet/starting.py
@@ -19,6 +19,10 @@
     from calicopath_core.fleet.store import FleetStore
     from calicopath_core.scheduling.election import BoxAddress
 
+FIRST_CALL_S = 0.1
+"""How long the box's own record is waited for before anything is read: both calls then use one
+connection, of which the store gets hundreds as a fleet starts."""
+
 REGISTERED_S = 0.5
 """How long the box's own record is waited for: a list read after it holds every older box."""
 
@@ -81,6 +85,7 @@
 
     async def ask_relays(self) -> None:
         """Return once everything is known, or once the box should read it by itself."""
+        await self.until(lambda: self.registered, FIRST_CALL_S)
         noted = await self.noted_relays()
         if any(box.name == self.own.name for box in noted):
             # This box was a relay before it restarted; if all were killed, others wait for it.
--- a/packages/core/calicopath_core/scheduling/tests/election_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/election_tests.py
@@ -111,8 +111,8 @@
         self.assertEqual('b2', self.election.scheduler(1.3, STEADY).name)
 
     def test_one_without_a_configuration_schedules_only_if_nobody_has_one(self) -> None:
-        self.election.on_pong(pong(1, version=0), 1.0)
-        self.election.on_pong(pong(2, version=0), 1.0)
+        for number in (1, 2, 4, 5):
+            self.election.on_pong(pong(number, version=0), 1.0)
         self.assertEqual('b3', self.chosen(1.0))
         self.assertEqual('b1', self.election.scheduler(1.0, knows=False).name)
         self.hear(1.1, 2)
