--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -5,28 +5,25 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from calicopath_core.scheduling.admission import Admission
 from calicopath_core.scheduling.beliefs import EngineTimes
 from calicopath_core.scheduling.engines import EngineBoard
 from calicopath_core.scheduling.fairness import Allowances
 from calicopath_core.scheduling.interfaces import JobKeeper
-from calicopath_core.scheduling.jobs import Job, Piece, Result
+from calicopath_core.scheduling.jobs import Job, Piece
 from calicopath_core.scheduling.messages import (
-    Adopt,
-    EngineLoads,
-    HandedOver,
     Placed,
     Progress,
     Rejected,
-    UsualUse,
 )
 from calicopath_core.scheduling.stage_calls import MAX_PIECE_TRIES, StageCalls
+from calicopath_core.scheduling.succession import Succession
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    import msgspec
+
     from calicopath_core.clock import Clock
     from calicopath_core.fleet.deployment import Deployment, EngineSpec
     from calicopath_core.fleet.replicas import Replica, ReplicaTable
@@ -69,7 +66,6 @@
         self.own_address = own_address
         self.share_of = share_of
         self.new_board = new_board or board_of
-        self.successor: str | None = None
         self.admission = Admission()
         self.allowances = Allowances()
         self.engine_times = EngineTimes()
@@ -85,6 +81,7 @@
             keeper=self,
             share_of=share_of,
         )
+        self.succession = Succession(scheduler=self)
         replicas.listeners.append(self.on_replicas)
 
     def on_deployment(self, deployment: Deployment) -> None:
@@ -147,7 +144,7 @@
         for job in self.jobs.values():
             if job.placed_at is not None and now >= job.placed_at + ENGINE_FETCH_S:
                 job.placed_at = None
-                self.stages.give_up(job.all_results())
+                self.stages.release.give_up(job.all_results())
 
     def reject_hopeless(self, now: float) -> None:
         """Tell callers at once whose jobs can't be made before their deadline any more."""
@@ -163,12 +160,12 @@
             return
         now = self.clock.monotonic()
         job = Job(place=place, now=now)
-        self.jobs[place.job] = self.unplaced[place.job] = job
-        self.wanted.set()
-        if self.successor is not None and place.missed != self.successor:
-            self.hand_over(job)
+        self.remember(job)
+        successor = self.succession.successor
+        if successor is not None and place.missed != successor:
+            self.succession.hand_over(job)
             return
-        job.adopted = self.successor is not None
+        job.adopted = successor is not None
         board = self.boards.get(place.service)
         if board is None:
             self.reject(job, 'unknown-service')
@@ -204,8 +201,8 @@
         """Begin the phases that can be begun; place the job when its stages are done."""
         if job.ended or job.placed_on is not None:
             return
-        if self.successor is not None and not job.adopted:
-            self.hand_over(job)
+        if self.succession.successor is not None and not job.adopted:
+            self.succession.hand_over(job)
             return
         while ready := job.ready_phases():
             for number in ready:
@@ -217,86 +214,6 @@
             return
         self.stages.dispatch_soon()
 
-    def take_up(self) -> None:
-        """Schedule what comes."""
-        self.successor = None
-
-    def give_way(self, successor: str) -> None:
-        """Hand every job to another scheduler as soon as no call for it is under way.
-
-        A job that was handed to this one stays: two boxes that each take the other for the
-        scheduler would send it to and fro.
-        """
-        self.successor = successor
-        loads: dict[str, float] = {}
-        for board in self.boards.values():
-            loads.update(board.loads())
-        if loads:
-            self.send(successor, EngineLoads(sender=self.own_address, loads=loads))
-        taken = self.allowances.taken(self.clock.monotonic())
-        if taken:
-            self.send(successor, UsualUse(sender=self.own_address, taken=taken))
-        for job in list(self.jobs.values()):
-            if not job.adopted:
-                self.hand_over(job)
-
-    def hand_over(self, job: Job) -> None:
-        """Give a job with what is made of it to the next scheduler."""
-        if job.open_calls or job.placed_on is not None or self.successor is None:
-            return
-        now = self.clock.monotonic()
-        results = job.all_made()
-        place = msgspec.structs.replace(
-            job.place,
-            objective_s=job.objective_at - now,
-            deadline_s=job.deadline_at - now,
-            asked_before=True,
-            beyond=job.beyond,
-        )
-        waited_s = now - job.arrived_at
-        self.send(self.successor, Adopt(place=place, results=results, waited_s=waited_s))
-        self.send(job.place.reply_to, HandedOver(job=job.id, scheduler=self.successor))
-        self.observer.on_handed_over(job, self.successor, len(results))
-        job.ended = True
-        del self.jobs[job.id], self.unplaced[job.id]
-        self.stages.drop_stale(job)
-
-    def on_adopt(self, message: Adopt) -> None:
-        """Go on with a job that another scheduler has begun."""
-        if message.place.job in self.jobs:
-            return
-        now = self.clock.monotonic()
-        job = Job(place=message.place, now=now)
-        job.adopted = True
-        job.arrived_at = now - message.waited_s
-        self.jobs[job.id] = self.unplaced[job.id] = job
-        self.wanted.set()
-        if message.place.service not in self.boards:
-            self.reject(job, 'unknown-service')
-            return
-        for item in message.results:
-            made = Result(
-                handle=item.handle, maker=item.maker, zone=item.zone, size=item.size, made_at=now
-            )
-            made.freed = item.freed
-            job.results[item.phase][item.index] = made
-            queue = self.stages.queues.get(message.place.phases[item.phase].service)
-            if queue is not None and not item.freed:
-                queue.book(item.maker, item.handle, item.size, now)
-        job.tail_s = self.tails(job)
-        self.advance(job)
-
-    def on_engine_loads(self, message: EngineLoads) -> None:
-        """Take in what a leaving scheduler has placed."""
-        now = self.clock.monotonic()
-        for board in self.boards.values():
-            for replica_id, load_s in message.loads.items():
-                board.on_foreign_load(message.sender, replica_id, load_s, now)
-
-    def on_usual_use(self, message: UsualUse) -> None:
-        """Take in what a leaving scheduler has seen of workspaces."""
-        self.allowances.take_over(message.taken, self.clock.monotonic())
-
     def begin_phase(self, job: Job, number: int) -> None:
         """Let the pieces of a phase wait for calls; one without pieces is done at once."""
         now = self.clock.monotonic()
@@ -355,7 +272,7 @@
             took_s = self.clock.monotonic() - job.engine_at
             self.engine_times.learn(job.place.prompt.tokens_in, took_s)
         self.boards[job.place.service].started(job.placed_on, job.id)
-        self.stages.give_up(job.all_results())
+        self.stages.release.give_up(job.all_results())
 
     def on_ended(self, message: RunEnded) -> None:
         """Note that a job is over."""
@@ -371,9 +288,18 @@
     def end(self, job: Job) -> None:
         """Forget a job and give its results up."""
         job.ended = True
+        self.forget(job)
+        self.stages.release.give_up(job.all_results())
+
+    def remember(self, job: Job) -> None:
+        """Keep a job from now on."""
+        self.jobs[job.id] = self.unplaced[job.id] = job
+        self.wanted.set()
+
+    def forget(self, job: Job) -> None:
+        """Keep a job that is over no more, nor its pieces."""
         self.jobs.pop(job.id, None)
         self.unplaced.pop(job.id, None)
-        self.stages.give_up(job.all_results())
         self.stages.drop_stale(job)
 
     def tell_progress(
@@ -396,7 +322,7 @@
         """Forget phases' results and go on from what is left."""
         tries = max((item.tries for made in job.pieces.values() for item in made), default=0)
         for phase in phases:
-            self.stages.give_up([item for item in job.results[phase] if item is not None])
+            self.stages.release.give_up([item for item in job.results[phase] if item is not None])
             job.invalidate(phase)
         self.stages.drop_stale(job)
         if tries >= MAX_PIECE_TRIES:
--- a/packages/core/calicopath_core/scheduling/stage_calls.py
+++ b/packages/core/calicopath_core/scheduling/stage_calls.py
@@ -11,7 +11,8 @@
 from calicopath_core.scheduling.jobs import Job, Piece, Result
 from calicopath_core.scheduling.overdue import REPORT_TIMEOUT_S, AnswerLost, CallWatch
 from calicopath_core.scheduling.pacing import Pacing
-from calicopath_core.scheduling.stages import StageQueue
+from calicopath_core.scheduling.release import ResultRelease
+from calicopath_core.scheduling.stages import StageQueue, jobs_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -31,18 +32,6 @@
 """How long after a call began its replica has fetched the inputs: it does so at its turn, which is
 at once as calls go to idle replicas, over links of 10 Gbit/s."""
 
-ROOMY_CALLS = 2
-"""A maker with room for so many full calls is not short of it, and inputs that were fetched there
-stay until their readers are done. Given up always, a reader that failed had all its inputs made
-again: 434 results on one day with faults, 0.02 of worth."""
-
-OVERLAP_S = 1.5
-"""How long after a hand-over another scheduler's calls may be before ours at a replica, whose turn
-then comes later: the one that leaves finishes what it has begun."""
-
-DOUBT_S = 5.0
-"""How long inputs are kept until the end of calls after a replica found one gone."""
-
 CALL_GRACE_S = 1.0
 """How much longer than expected a stage's call may take before it is given up. A slow replica
 works four times as long: a call of 0.37 s then ends before 1.5 s."""
@@ -51,11 +40,7 @@
 
 
 class StageCalls:
-    """Hold the queues of stages and the calls under way.
-
-    Until `alone_from`, in monotonic seconds, another scheduler's calls may be at the replicas too,
-    and inputs are kept until a call has ended.
-    """
+    """Hold the queues of stages and the calls under way."""
 
     def __init__(
         self,
@@ -83,8 +68,14 @@
             spawn=self.spawn,
             on_freed=self.on_freed,
         )
+        self.release = ResultRelease(
+            clock=clock,
+            replicas=replicas,
+            keeper=keeper,
+            queues=self.queues,
+            freeing=self.freeing,
+        )
         self.tasks: set[asyncio.Task[None]] = set()
-        self.alone_from = 0.0
         self.room_unknown = False
         self.is_dispatch_due = False
 
@@ -127,17 +118,13 @@
         for queue in self.queues.values():
             queue.drop_stale(job)
 
-    def on_hand_over(self) -> None:
-        """Note that another box schedules or has scheduled beside this one until now."""
-        self.alone_from = max(self.alone_from, self.clock.monotonic() + OVERLAP_S)
-
     def on_take_over(self, *, has_work: bool) -> None:
         """Learn what room another scheduler's results take, if there is work or when there is.
 
         A box that starts takes itself for the scheduler until it hears others: it must not connect
         to every replica for that.
         """
-        self.on_hand_over()
+        self.release.on_hand_over()
         self.room_unknown = True
         if has_work:
             self.learn_all_room()
@@ -194,7 +181,7 @@
         """Make one call and take its results in."""
         begun = self.clock.monotonic()
         replica = batch.target.replica
-        fetched = asyncio.get_running_loop().call_later(FETCHED_S, self.on_fetched, batch)
+        fetched = asyncio.get_running_loop().call_later(FETCHED_S, self.release.on_fetched, batch)
         expected_s = queue.expected_s(len(calls))
         limit_s = expected_s * SLOW_FACTOR + CALL_GRACE_S
         try:
@@ -217,7 +204,7 @@
         )
         for piece, result in zip(batch.pieces, results, strict=True):
             self.take_result(queue, batch, piece, result)
-        self.tell_made(batch)
+        self.release.tell_made(batch)
         for job in jobs_of(batch):
             self.after_call(job)
         self.dispatch_soon()
@@ -241,56 +228,6 @@
         for job in jobs_of(batch):
             job.open_calls -= 1
 
-    def on_fetched(self, batch: StageBatch) -> None:
-        """Give the inputs up that every piece reading them has fetched, where room is short."""
-        if self.clock.monotonic() < self.alone_from:
-            return
-        for piece in batch.pieces:
-            piece.fetched = True
-        for job in jobs_of(batch):
-            self.give_up_read(job, fetched=True)
-
-    def give_up_read(self, job: Job, *, fetched: bool) -> None:
-        """Give the results up that all pieces reading them have made use of.
-
-        With `fetched` those are given up too that were only fetched, if their makers are short of
-        room: a reader that fails has to have them made again.
-        """
-        freed = []
-        for number, results in job.results.items():
-            kept = [item for item in results if item is not None and not item.freed]
-            if not kept:
-                continue
-            if job.readers_done(number) or (
-                fetched and job.readers_fetched(number) and self.room_is_short(job, number, kept)
-            ):
-                self.give_up(kept)
-                freed.append(number)
-        if freed:
-            self.keeper.tell_progress(job, (), tuple(freed))
-
-    def room_is_short(self, job: Job, phase: int, results: list[Result]) -> bool:
-        """Tell whether a maker of a phase's results has no room for its next calls."""
-        queue = self.queues.get(job.place.phases[phase].service)
-        if queue is None:
-            return False
-        needed = ROOMY_CALLS * queue.spec.batch * job.place.phases[phase].result_bytes
-        makers = [queue.replicas.get(item.maker) for item in results]
-        now = self.clock.monotonic()
-        return any(m is not None and m.room_left(queue.spec, now) < needed for m in makers)
-
-    def tell_made(self, batch: StageBatch) -> None:
-        """Tell the boxes of a call's jobs which results it brought."""
-        for job in jobs_of(batch):
-            made = [
-                job.made(piece.phase, piece.index)
-                for piece in batch.pieces
-                if piece.job is job and not piece.stale
-            ]
-            results = tuple(item for item in made if item is not None)
-            if results:
-                self.keeper.tell_progress(job, results, ())
-
     def on_call_failed(
         self, queue: StageQueue, batch: StageBatch, error: Exception, begun: float
     ) -> None:
@@ -341,12 +278,12 @@
                 made_at=self.clock.monotonic(),
             )
             if piece.stale:
-                self.give_up([made])
+                self.release.give_up([made])
                 return
             job.results[piece.phase][piece.index] = made
             return
-        if result.reason == 'gone' and self.freed_early(piece):
-            self.alone_from = max(self.alone_from, self.clock.monotonic() + DOUBT_S)
+        if result.reason == 'gone':
+            self.release.on_gone(piece)
         if piece.stale:
             return
         if result.reason == 'gone':
@@ -360,18 +297,6 @@
             queue.no_room(batch, self.clock.monotonic())
         self.try_again(queue, piece, full=full)
 
-    def freed_early(self, piece: Piece) -> bool:
-        """Tell whether an input was given up before the piece had it, not lost with its maker."""
-        return any(
-            item is not None and item.freed and item.maker in self.replicas.replicas
-            for need in piece.work.needs
-            for item in piece.job.results[need]
-        )
-
-    def give_up(self, results: list[Result]) -> None:
-        """Have results freed at their makers soon."""
-        self.freeing.add(results)
-
     def on_freed(self, maker: str, handles: list[str]) -> None:
         """Count the room of results as free that their maker has given up."""
         for queue in self.queues.values():
@@ -385,15 +310,10 @@
         """Go on with a job after a call: free what was read, begin what can be begun."""
         if job.ended:
             return
-        self.give_up_read(job, fetched=False)
+        self.release.give_up_read(job, fetched=False)
         self.keeper.advance(job)
 
 
-def jobs_of(batch: StageBatch) -> list[Job]:
-    """Return the jobs whose pieces a call holds, each once."""
-    return list({piece.job.id: piece.job for piece in batch.pieces}.values())
-
-
 def outcome_of(results: list[PieceResult]) -> str:
     """Return the reasons of a call's pieces in one word."""
     reasons = sorted({result.reason for result in results if result.reason})
--- a/packages/core/calicopath_core/scheduling/stages.py
+++ b/packages/core/calicopath_core/scheduling/stages.py
@@ -239,3 +239,8 @@
 def waited_s(groups: list[PieceGroup], now: float) -> float:
     """Return how long the group that waits longest has waited."""
     return now - min(group.since for group in groups)
+
+
+def jobs_of(batch: StageBatch) -> list[Job]:
+    """Return the jobs whose pieces a call holds, each once."""
+    return list({piece.job.id: piece.job for piece in batch.pieces}.values())
--- /dev/null
+++ b/packages/core/calicopath_core/scheduling/succession.py
@@ -0,0 +1,113 @@
+"""Hand jobs over between schedulers, with what is made of them and what was learned."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from calicopath_core.scheduling.jobs import Job, Result
+from calicopath_core.scheduling.messages import Adopt, EngineLoads, HandedOver, UsualUse
+
+if TYPE_CHECKING:
+    from calicopath_core.scheduling.scheduler import Scheduler
+
+
+class Succession:
+    """Hold which scheduler comes after this one, if it gives way."""
+
+    def __init__(self, *, scheduler: Scheduler) -> None:
+        self.scheduler = scheduler
+        self.successor: str | None = None
+
+    def take_up(self) -> None:
+        """Schedule what comes."""
+        self.successor = None
+
+    def give_way(self, successor: str) -> None:
+        """Hand every job to another scheduler as soon as no call for it is under way.
+
+        A job that was handed to this one stays: two boxes that each take the other for the
+        scheduler would send it to and fro.
+        """
+        self.successor = successor
+        self.tell_learned(successor)
+        for job in list(self.scheduler.jobs.values()):
+            if not job.adopted:
+                self.hand_over(job)
+
+    def tell_learned(self, successor: str) -> None:
+        """Tell the next scheduler what waits at engines and what workspaces usually ask."""
+        scheduler = self.scheduler
+        loads: dict[str, float] = {}
+        for board in scheduler.boards.values():
+            loads.update(board.loads())
+        if loads:
+            message = EngineLoads(sender=scheduler.own_address, loads=loads)
+            scheduler.send(successor, message)
+        taken = scheduler.allowances.taken(scheduler.clock.monotonic())
+        if taken:
+            scheduler.send(successor, UsualUse(sender=scheduler.own_address, taken=taken))
+
+    def hand_over(self, job: Job) -> None:
+        """Give a job with what is made of it to the next scheduler."""
+        scheduler, successor = self.scheduler, self.successor
+        if job.open_calls or job.placed_on is not None or successor is None:
+            return
+        now = scheduler.clock.monotonic()
+        results = job.all_made()
+        place = msgspec.structs.replace(
+            job.place,
+            objective_s=job.objective_at - now,
+            deadline_s=job.deadline_at - now,
+            asked_before=True,
+            beyond=job.beyond,
+        )
+        waited_s = now - job.arrived_at
+        scheduler.send(successor, Adopt(place=place, results=results, waited_s=waited_s))
+        scheduler.send(job.place.reply_to, HandedOver(job=job.id, scheduler=successor))
+        scheduler.observer.on_handed_over(job, successor, len(results))
+        job.ended = True
+        scheduler.forget(job)
+
+    def on_adopt(self, message: Adopt) -> None:
+        """Go on with a job that another scheduler has begun."""
+        scheduler = self.scheduler
+        if message.place.job in scheduler.jobs:
+            return
+        now = scheduler.clock.monotonic()
+        job = Job(place=message.place, now=now)
+        job.adopted = True
+        job.arrived_at = now - message.waited_s
+        scheduler.remember(job)
+        if message.place.service not in scheduler.boards:
+            scheduler.reject(job, 'unknown-service')
+            return
+        self.take_results(job, message, now)
+        job.tail_s = scheduler.tails(job)
+        scheduler.advance(job)
+
+    def take_results(self, job: Job, message: Adopt, now: float) -> None:
+        """Take in what is made of a job, and count the room that it takes."""
+        for item in message.results:
+            made = Result(
+                handle=item.handle, maker=item.maker, zone=item.zone, size=item.size, made_at=now
+            )
+            made.freed = item.freed
+            job.results[item.phase][item.index] = made
+            service = message.place.phases[item.phase].service
+            queue = self.scheduler.stages.queues.get(service)
+            if queue is not None and not item.freed:
+                queue.book(item.maker, item.handle, item.size, now)
+
+    def on_engine_loads(self, message: EngineLoads) -> None:
+        """Take in what a leaving scheduler has placed."""
+        now = self.scheduler.clock.monotonic()
+        for board in self.scheduler.boards.values():
+            for replica_id, load_s in message.loads.items():
+                board.on_foreign_load(message.sender, replica_id, load_s, now)
+
+    def on_usual_use(self, message: UsualUse) -> None:
+        """Take in what a leaving scheduler has seen of workspaces."""
+        now = self.scheduler.clock.monotonic()
+        self.scheduler.allowances.take_over(message.taken, now)
--- a/packages/core/calicopath_core/scheduling/tests/freeing_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/freeing_tests.py
@@ -51,7 +51,7 @@
 
         async def scenario() -> list[int]:
             calls = calls_to(caller)
-            calls.give_up([result('h', size=SIZE)])
+            calls.release.give_up([result('h', size=SIZE)])
             found = []
             begun = asyncio.get_running_loop().time()
             for moment in seconds:
@@ -81,7 +81,7 @@
         made = reader.results[0][0] = result('input')
 
         async def scenario() -> bool:
-            calls.on_fetched(StageBatch(maker, reader.pieces[1]))
+            calls.release.on_fetched(StageBatch(maker, reader.pieces[1]))
             return made.freed
 
         return self.run_virtual(scenario())
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -312,11 +312,11 @@
     def on_scheduler(self, address: str, asked_again: int) -> None:
         """Note that another box schedules now."""
         if address == self.own.address:
-            self.scheduler.take_up()
+            self.scheduler.succession.take_up()
             self.scheduler.stages.on_take_over(has_work=asked_again > 0)
         else:
-            self.scheduler.stages.on_hand_over()
-            self.scheduler.give_way(address)
+            self.scheduler.stages.release.on_hand_over()
+            self.scheduler.succession.give_way(address)
         self.observer.on_scheduler(address, asked_again)
 
     def tick(self) -> None:
@@ -339,4 +339,4 @@
                 self.link.send(candidate.box.address, self.link.presence(Pong, 0))
         successor = self.election.scheduler(self.clock.monotonic(), self.contact()).address
         if successor != self.own.address:
-            self.scheduler.give_way(successor)
+            self.scheduler.succession.give_way(successor)
--- a/packages/daemon/calicopathd/gateway/peers.py
+++ b/packages/daemon/calicopathd/gateway/peers.py
@@ -104,11 +104,11 @@
                 self.client.check()
                 self.scheduler.on_place(message)
             case Adopt():
-                self.scheduler.on_adopt(message)
+                self.scheduler.succession.on_adopt(message)
             case EngineLoads():
-                self.scheduler.on_engine_loads(message)
+                self.scheduler.succession.on_engine_loads(message)
             case UsualUse():
-                self.scheduler.on_usual_use(message)
+                self.scheduler.succession.on_usual_use(message)
             case Placed():
                 self.client.on_placed(message)
             case Progress():
--- a/testkit/replay/world.py
+++ b/testkit/replay/world.py
@@ -11,7 +11,7 @@
 from calicopath_core.fleet.replicas import Replica, ReplicaTable
 from calicopath_core.scheduling.client import Asked
 from calicopath_core.scheduling.interfaces import PieceCall, SchedulerObserver
-from calicopath_core.scheduling.messages import Place, Placed, Progress, Rejected, RunEnded
+from calicopath_core.scheduling.messages import Adopt, Place, Placed, Progress, Rejected, RunEnded
 from calicopath_core.scheduling.messages import RunStarted as Started
 from calicopath_core.scheduling.scheduler import Scheduler
 from testkit.replay import outcomes as counting
@@ -45,8 +45,9 @@
 RETRY_SHARE = 1 / 3
 """Callers wait as long as they are told, but at most this share of the time they have left."""
 
-TIMED = ('on_place', 'on_adopt', 'on_started', 'on_ended', 'tick', 'advance')
-TIMED_STAGES = ('dispatch', 'on_freed', 'tell_made', 'take_result', 'give_up_read', 'on_fetched')
+TIMED = ('on_place', 'on_started', 'on_ended', 'tick', 'advance')
+TIMED_STAGES = ('dispatch', 'on_freed', 'take_result')
+TIMED_RELEASE = ('tell_made', 'give_up_read', 'on_fetched')
 
 
 class CountingObserver(SchedulerObserver):
@@ -166,6 +167,7 @@
         found.on_deployment(self.deployment())
         self.stopwatch.wrap(found, TIMED)
         self.stopwatch.wrap(found.stages, TIMED_STAGES)
+        self.stopwatch.wrap(found.stages.release, TIMED_RELEASE)
         self.running = asyncio.create_task(found.run())
         return found
 
@@ -208,8 +210,8 @@
                 scheduler.on_started(message)
             elif isinstance(message, RunEnded):
                 scheduler.on_ended(message)
-            else:
-                scheduler.on_adopt(message)  # type: ignore[arg-type]
+            elif isinstance(message, Adopt):
+                scheduler.succession.on_adopt(message)
 
         asyncio.get_running_loop().call_later(NETWORK_S, arrive)
 
