Take the circle out of the gateway's modules, and callers out of the demo

connection, responder and server imported each other: an answer's channel is an interface beside the responder, what connections share is beside the connection. testkit imported tools.demo for sending requests; that is testkit/callers.py now.

--- a/packages/daemon/calicopathd/gateway/connection.py
+++ b/packages/daemon/calicopathd/gateway/connection.py
@@ -8,10 +8,10 @@
 import httptools
 
 from calicopathd.gateway.requests import RawRequest
-from calicopathd.gateway.responder import Responder
+from calicopathd.gateway.responder import AnswerChannel, Responder
 
 if TYPE_CHECKING:
-    from calicopathd.gateway.server import HttpServer
+    from calicopathd.gateway.requests import RequestHandler
 
 STATUS_BAD_REQUEST = 400
 STATUS_TIMEOUT = 408
@@ -37,10 +37,26 @@
         self.head_done = False
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerState:
+    """Hold what the connections of one server share.
+
+    `closing` asks callers to close after their answer, `closing_idle` closes what rests.
+    """
+
+    def __init__(self, *, handler: RequestHandler, max_connections: int) -> None:
+        self.handler = handler
+        self.max_connections = max_connections
+        self.turned_away = 0
+        self.connections: set[ServerConnection] = set()
+        self.in_progress = 0
+        self.closing = False
+        self.closing_idle = False
+
+
+class ServerConnection(asyncio.Protocol, AnswerChannel):
     """Hold one caller's connection: one request in progress, a few waiting."""
 
-    def __init__(self, *, server: HttpServer) -> None:
+    def __init__(self, *, server: ServerState) -> None:
         self.server = server
         self.loop = asyncio.get_running_loop()
         self.parser = httptools.HttpRequestParser(self)
@@ -54,6 +70,11 @@
         self.writable.set()
         self.refused = False
 
+    @property
+    def closing(self) -> bool:
+        """Tell whether the connection is to end after the answer."""
+        return self.server.closing
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to wait for the first request."""
         # uvloop's transports are no subclasses of asyncio's.
--- a/packages/daemon/calicopathd/gateway/responder.py
+++ b/packages/daemon/calicopathd/gateway/responder.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
 from http.client import responses
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from calicopathd.gateway.connection import ServerConnection
+    import asyncio
 
 HOP_HEADERS = frozenset(
     (
@@ -23,10 +24,33 @@
 """Headers that concern one connection only, or that are set anew here."""
 
 
+class AnswerChannel(ABC):
+    """Carry an answer's bytes to a caller; `writable` is set while the caller reads them."""
+
+    writable: asyncio.Event
+
+    @property
+    @abstractmethod
+    def closing(self) -> bool:
+        """Tell whether the connection is to end after the answer."""
+
+    @abstractmethod
+    def write(self, data: bytes) -> None:
+        """Send bytes."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close once everything is sent."""
+
+    @abstractmethod
+    def abort(self) -> None:
+        """Close at once."""
+
+
 class Responder:
     """Write one answer to a connection."""
 
-    def __init__(self, *, connection: ServerConnection, keep_alive: bool) -> None:
+    def __init__(self, *, connection: AnswerChannel, keep_alive: bool) -> None:
         self.connection = connection
         self.keep_alive = keep_alive
         self.begun = False
@@ -65,7 +89,7 @@
         self, status: int, headers: tuple[tuple[str, str], ...], framing: tuple[str, str]
     ) -> None:
         """Send status line and headers."""
-        if self.connection.server.closing:
+        if self.connection.closing:
             self.keep_alive = False
         phrase = responses.get(status, 'Unknown')
         lines = [f'HTTP/1.1 {status} {phrase}']
--- a/packages/daemon/calicopathd/gateway/server.py
+++ b/packages/daemon/calicopathd/gateway/server.py
@@ -11,7 +11,7 @@
 import contextlib
 from typing import TYPE_CHECKING
 
-from calicopathd.gateway.connection import ServerConnection
+from calicopathd.gateway.connection import ServerConnection, ServerState
 
 if TYPE_CHECKING:
     from calicopathd.gateway.requests import RequestHandler
@@ -21,20 +21,14 @@
 """Connections of callers where the settings name no other number."""
 
 
-class HttpServer:
+class HttpServer(ServerState):
     """Listen on one address; a stop closes connections as they fall idle.
 
     Beyond `max_connections` new ones are closed unread, so that descriptors are left for the rest.
     """
 
     def __init__(self, *, handler: RequestHandler, max_connections: int = MAX_CONNECTIONS) -> None:
-        self.handler = handler
-        self.max_connections = max_connections
-        self.turned_away = 0
-        self.connections: set[ServerConnection] = set()
-        self.in_progress = 0
-        self.closing = False
-        self.closing_idle = False
+        super().__init__(handler=handler, max_connections=max_connections)
         self.listener: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> int:
--- a/packages/daemon/calicopathd/http/tests/callers_tests.py
+++ b/packages/daemon/calicopathd/http/tests/callers_tests.py
@@ -9,9 +9,9 @@
 import testtools
 
 from calicopath_core.store.view import ViewUpdate
+from testkit.callers import new_key, read_events
 from testkit.daemon import Surroundings, running_box
 from testkit.world import uuid7
-from tools.demo import new_key, read_events
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/testkit/load.py
+++ b/testkit/load.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from tools.demo import Reply, SampleRequest, new_key, send
+from testkit.callers import Reply, SampleRequest, new_key, send
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -15,10 +15,10 @@
 
 import aiohttp
 
+from testkit.callers import Reply, SampleRequest, new_key, send
 from testkit.load import Load
 from testkit.processes import EndpointProcess, Process, ProcessGroup, operate, wait_ready
 from testkit.world import SERVICES, TEMPLATES, pipeline_spec
-from tools.demo import Reply, SampleRequest, new_key, send
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
