--- a/packages/core/calicopath_core/scheduling/admission.py
+++ b/packages/core/calicopath_core/scheduling/admission.py
@@ -111,7 +111,11 @@
         """Correct the estimate by what a job's stages have taken."""
         if job.expected_s > 0:
             self.bias += BIAS_SMOOTHING * (took_s / job.expected_s - self.bias)
-            self.bias = min(MOST_BIAS, max(LEAST_BIAS, self.bias))
+            self.take_over(self.bias)
+
+    def take_over(self, bias: float) -> None:
+        """Go by a correction within its bounds."""
+        self.bias = min(MOST_BIAS, max(LEAST_BIAS, bias))
 
 
 def backlog(job: Job, others: Iterable[Job], now: float) -> dict[str, int]:
--- a/packages/core/calicopath_core/scheduling/beliefs.py
+++ b/packages/core/calicopath_core/scheduling/beliefs.py
@@ -42,3 +42,12 @@
         """Return what a prompt of some length is believed to take."""
         span = self.spans.get(prompt_tokens.bit_length())
         return FIRST_EVENT_S if span is None else span.mean_s
+
+    def known(self) -> dict[int, float]:
+        """Return what was learned, for the next scheduler."""
+        return {size: span.mean_s for size, span in self.spans.items()}
+
+    def take_over(self, known: dict[int, float]) -> None:
+        """Go by what another scheduler has learned of sizes that this one has not seen."""
+        for size, mean_s in known.items():
+            self.spans.setdefault(size, Span(prior_s=min(MOST_S, max(0.0, mean_s))))
--- a/packages/core/calicopath_core/scheduling/fairness.py
+++ b/packages/core/calicopath_core/scheduling/fairness.py
@@ -120,10 +120,10 @@
             Taken(name, usage.usual.read(now) / known) for name, usage in self.workspaces.items()
         )
 
-    def take_over(self, taken: tuple[Taken, ...], now: float) -> None:
-        """Go by what another scheduler has seen, unless this one has seen enough itself."""
+    def take_over(self, taken: tuple[Taken, ...], now: float) -> bool:
+        """Go by what another scheduler has seen, unless this one has seen enough; tell which."""
         if self.began_at is not None and now - self.began_at >= LEARNING_S:
-            return
+            return False
         self.began_at = now - USUAL_S
         known = self.known(now)
         for item in taken:
@@ -134,3 +134,4 @@
         self.usual.add(total * known * USUAL_S, now)
         self.recent = Rate(over_s=RECENT_S)
         self.recent.add(total * RECENT_S, now)
+        return True
--- a/packages/core/calicopath_core/scheduling/messages.py
+++ b/packages/core/calicopath_core/scheduling/messages.py
@@ -127,11 +127,17 @@
     loads: dict[str, float]
 
 
-class UsualUse(msgspec.Struct, frozen=True, tag='uu'):
-    """Tell the next scheduler what workspaces usually ask."""
+class Learned(msgspec.Struct, frozen=True, tag='ln'):
+    """Tell the next scheduler what this one has learned.
+
+    `taken` is what workspaces usually ask, `bias` corrects the estimate of stages, and
+    `first_events_s` is what engines take to a first event by the size of the prompt.
+    """
 
     sender: str
     taken: tuple[Taken, ...]
+    bias: float
+    first_events_s: dict[int, float]
 
 
 class Rejected(msgspec.Struct, frozen=True, tag='no'):
@@ -189,7 +195,7 @@
     Progress,
     HandedOver,
     EngineLoads,
-    UsualUse,
+    Learned,
     Rejected,
     RunStarted,
     RunEnded,
--- a/packages/core/calicopath_core/scheduling/succession.py
+++ b/packages/core/calicopath_core/scheduling/succession.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from calicopath_core.scheduling.jobs import Job, Result
-from calicopath_core.scheduling.messages import Adopt, EngineLoads, HandedOver, UsualUse
+from calicopath_core.scheduling.messages import Adopt, EngineLoads, HandedOver, Learned
 
 if TYPE_CHECKING:
     from calicopath_core.scheduling.scheduler import Scheduler
@@ -37,7 +37,7 @@
                 self.hand_over(job)
 
     def tell_learned(self, successor: str) -> None:
-        """Tell the next scheduler what waits at engines and what workspaces usually ask."""
+        """Tell the next scheduler what waits at engines, and what this one has learned."""
         scheduler = self.scheduler
         loads: dict[str, float] = {}
         for board in scheduler.boards.values():
@@ -47,7 +47,13 @@
             scheduler.send(successor, message)
         taken = scheduler.allowances.taken(scheduler.clock.monotonic())
         if taken:
-            scheduler.send(successor, UsualUse(sender=scheduler.own_address, taken=taken))
+            learned = Learned(
+                sender=scheduler.own_address,
+                taken=taken,
+                bias=scheduler.admission.bias,
+                first_events_s=scheduler.engine_times.known(),
+            )
+            scheduler.send(successor, learned)
 
     def hand_over(self, job: Job) -> None:
         """Give a job with what is made of it to the next scheduler."""
@@ -107,7 +113,11 @@
             for replica_id, load_s in message.loads.items():
                 board.on_foreign_load(message.sender, replica_id, load_s, now)
 
-    def on_usual_use(self, message: UsualUse) -> None:
-        """Take in what a leaving scheduler has seen of workspaces."""
-        now = self.scheduler.clock.monotonic()
-        self.scheduler.allowances.take_over(message.taken, now)
+    def on_learned(self, message: Learned) -> None:
+        """Take in what a leaving scheduler has learned, unless this one has seen enough itself."""
+        scheduler = self.scheduler
+        now = scheduler.clock.monotonic()
+        if not scheduler.allowances.take_over(message.taken, now):
+            return
+        scheduler.admission.take_over(message.bias)
+        scheduler.engine_times.take_over(message.first_events_s)
--- /dev/null
+++ b/packages/core/calicopath_core/scheduling/tests/succession_tests.py
@@ -0,0 +1,84 @@
+"""Test what the next scheduler is told by one that gives way."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from unittest import mock
+
+from calicopath_core.fleet.replicas import ReplicaTable
+from calicopath_core.scheduling.admission import MOST_BIAS
+from calicopath_core.scheduling.beliefs import FIRST_EVENT_S
+from calicopath_core.scheduling.interfaces import StageCaller
+from calicopath_core.scheduling.messages import Learned
+from calicopath_core.scheduling.scheduler import Scheduler
+from testkit.cases import VirtualCase
+from testkit.virtual import VirtualClock
+
+if TYPE_CHECKING:
+    import msgspec
+
+SIZE = 9000
+SEEN_S = 0.1
+
+
+class Succession(VirtualCase):
+    def scheduler(self, sent: list[msgspec.Struct]) -> Scheduler:
+        """Return a scheduler before nothing."""
+        return Scheduler(
+            clock=VirtualClock(),
+            replicas=ReplicaTable(),
+            caller=mock.Mock(spec=StageCaller),
+            send=lambda address, message: sent.append(message),
+            observer=mock.Mock(),
+            own_address='own:7',
+            share_of=lambda replicas: replicas,
+        )
+
+    def learned(self, scheduler: Scheduler) -> None:
+        """Let a scheduler learn something of everything."""
+        for _ in range(200):
+            scheduler.engine_times.learn(SIZE, SEEN_S)
+        scheduler.admission.take_over(1.4)
+        scheduler.allowances.ask('w', 1.0, scheduler.clock.monotonic())
+
+    def test_the_next_goes_by_what_was_learned(self) -> None:
+        async def scenario() -> None:
+            sent: list[msgspec.Struct] = []
+            before, after = self.scheduler(sent), self.scheduler([])
+            self.learned(before)
+            await asyncio.sleep(20.0)
+            before.succession.give_way('next:7')
+            (told,) = [message for message in sent if isinstance(message, Learned)]
+            after.succession.on_learned(told)
+            self.assertAlmostEqual(SEEN_S, after.engine_times.expected_s(SIZE), delta=0.01)
+            self.assertEqual(1.4, after.admission.bias)
+            self.assertIn('w', after.allowances.workspaces)
+
+        self.run_virtual(scenario())
+
+    def test_one_that_has_seen_enough_goes_by_that(self) -> None:
+        async def scenario() -> None:
+            sent: list[msgspec.Struct] = []
+            before, after = self.scheduler(sent), self.scheduler([])
+            self.learned(before)
+            after.allowances.ask('w', 1.0, 0.0)
+            await asyncio.sleep(20.0)
+            before.succession.give_way('next:7')
+            for message in sent:
+                if isinstance(message, Learned):
+                    after.succession.on_learned(message)
+            self.assertEqual(1.0, after.admission.bias)
+            self.assertEqual(FIRST_EVENT_S, after.engine_times.expected_s(SIZE))
+
+        self.run_virtual(scenario())
+
+    def test_what_can_not_be_is_not_believed(self) -> None:
+        async def scenario() -> None:
+            after = self.scheduler([])
+            wild = Learned(sender='x', taken=(), bias=99.0, first_events_s={14: -5.0})
+            after.succession.on_learned(wild)
+            self.assertEqual(MOST_BIAS, after.admission.bias)
+            self.assertGreaterEqual(after.engine_times.expected_s(SIZE), 0.0)
+
+        self.run_virtual(scenario())
--- a/packages/daemon/calicopathd/gateway/peers.py
+++ b/packages/daemon/calicopathd/gateway/peers.py
@@ -20,6 +20,7 @@
     Adopt,
     EngineLoads,
     HandedOver,
+    Learned,
     Ping,
     Place,
     Placed,
@@ -28,7 +29,6 @@
     Rejected,
     RunEnded,
     RunStarted,
-    UsualUse,
 )
 
 if TYPE_CHECKING:
@@ -107,8 +107,8 @@
                 self.scheduler.succession.on_adopt(message)
             case EngineLoads():
                 self.scheduler.succession.on_engine_loads(message)
-            case UsualUse():
-                self.scheduler.succession.on_usual_use(message)
+            case Learned():
+                self.scheduler.succession.on_learned(message)
             case Placed():
                 self.client.on_placed(message)
             case Progress():
