--- a/packages/core/calicopath_core/scheduling/tests/stages_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/stages_tests.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Any
+from unittest import mock
 
 import testtools
 
+from calicopath_core.scheduling import waiting
+from calicopath_core.scheduling.stage_calls import StageCalls
 from calicopath_core.scheduling.stage_replicas import SLOW_MEMORY_S
 from calicopath_core.scheduling.stages import (
     FULL_S,
@@ -14,6 +18,7 @@
 )
 from calicopath_core.scheduling.tests.work import SPEC, job, phase, queue, replica, result, wait
 from calicopath_core.scheduling.waiting import OLD_RESULT_S
+from testkit.virtual import VirtualClock, run_virtual
 
 if TYPE_CHECKING:
     from calicopath_core.scheduling.jobs import Job
@@ -116,6 +121,38 @@
         self.assertIsNone(target.next_batch(LATER, {'held'}))
 
 
+class Cost(testtools.TestCase):
+    def test_a_burst_is_looked_at_once_for_all_calls_of_a_moment(self) -> None:
+        jobs, replicas = 200, 20
+        target = queue(*(replica(f'r{number}') for number in range(replicas)))
+        for number in range(jobs):
+            wait(target, job(f'j{number}', phase(count=3)))
+        looks = mock.Mock(side_effect=waiting.rank)
+        with mock.patch.object(waiting, 'rank', looks):
+            calls = list(target.batches(LATER))
+        self.assertEqual(replicas, len(calls))
+        self.assertLessEqual(looks.call_count, jobs + 2 * replicas)
+
+    def test_what_frees_many_things_at_a_moment_is_decided_on_once(self) -> None:
+        async def scenario() -> int:
+            calls = StageCalls(
+                clock=VirtualClock(),
+                replicas=mock.Mock(),
+                caller=mock.Mock(),
+                observer=mock.Mock(),
+                keeper=mock.Mock(unplaced={}),
+                share_of=lambda replicas: replicas,
+            )
+            found = mock.Mock(return_value=set())
+            with mock.patch.object(calls.pacing, 'held', found):
+                for _ in range(50):
+                    calls.dispatch_soon()
+                await asyncio.sleep(0.01)
+            return found.call_count
+
+        self.assertEqual(1, run_virtual(scenario()))
+
+
 class Room(testtools.TestCase):
     def test_no_more_results_are_made_than_there_is_room_for(self) -> None:
         target = queue(replica('r'))
