--- a/testkit/replay/load.py
+++ b/testkit/replay/load.py
@@ -70,6 +70,7 @@
         Pattern('burst-all', burst_x=2.4, burst_kinds=tuple(kind.name for kind in KINDS)),
         Pattern('flood', load=1.2, flood_x=7.5),
         Pattern('stage-lost', blows=(Blow(BLOW_AT_S, 'lost', 'rank', 0.33, BLOW_S),)),
+        Pattern('short-of-stages', load=1.3, blows=(Blow(4.0, 'lost', 'rank', 0.5, 14.0),)),
         Pattern('stage-slow', blows=(Blow(BLOW_AT_S, 'slow', 'retrieve', 0.33, BLOW_S),)),
         Pattern('scheduler-silent', blows=(Blow(BLOW_AT_S, 'silent'),)),
         Pattern('all-killed', blows=(Blow(BLOW_AT_S, 'killed'),)),
