--- a/packages/core/calicopath_core/limits/lag.py
+++ b/packages/core/calicopath_core/limits/lag.py
@@ -34,9 +34,13 @@
     async def run(self) -> None:
         """Measure until cancelled."""
         while True:
-            due = self.clock.monotonic() + INTERVAL_S
-            await asyncio.sleep(INTERVAL_S)
-            self.note(max(0.0, self.clock.monotonic() - due))
+            await self.measure()
+
+    async def measure(self) -> None:
+        """Measure once."""
+        due = self.clock.monotonic() + INTERVAL_S
+        await asyncio.sleep(INTERVAL_S)
+        self.note(max(0.0, self.clock.monotonic() - due))
 
     def note(self, lag_s: float) -> None:
         """Take one measurement in."""
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -21,7 +21,6 @@
 from calicopath_core.fleet.replicas import Replica, ReplicaTable
 from calicopath_core.fleet.store import RecordKind
 from calicopath_core.fleet.subscription import Subscription
-from calicopath_core.limits.lag import INTERVAL_S
 from calicopath_core.scheduling.baseline import AloneElection, RandomEngineBoard
 from calicopath_core.scheduling.client import SchedulerClient
 from calicopath_core.scheduling.election import BoxAddress, Election
@@ -262,12 +261,10 @@
     async def measure_lag(self) -> None:
         """Measure how late this box's event loop is while it schedules, until cancelled."""
         while True:
-            if self.client.target != self.own.address:
+            if self.client.target == self.own.address:
+                await self.group_rule.lag.measure()
+            else:
                 await asyncio.sleep(UNMEASURED_S)
-                continue
-            due = self.clock.monotonic() + INTERVAL_S
-            await asyncio.sleep(INTERVAL_S)
-            self.group_rule.lag.note(max(0.0, self.clock.monotonic() - due))
 
     def judge_groups(self, now: float) -> None:
         """Have the fleet split, or joined, if this box schedules and finds that it should be."""
