--- a/packages/core/calicopath_core/fleet/starting.py
+++ b/packages/core/calicopath_core/fleet/starting.py
@@ -31,7 +31,10 @@
 boxes that will be relays have read the list and written themselves down by then."""
 
 UNREAD_PAUSE_S = 0.1
-"""How long a failed call for that is waited out: callers are refused until it works."""
+LONGEST_PAUSE_S = 0.8
+"""How long a failed call for that is waited out: callers are refused until it works, so shortly at
+first; doubled each time, since a store that resets connections at once would be asked 60 times by
+each box that starts."""
 
 RELAYS_S = 0.8
 """How long relays may take to tell everything: they answer in some ms, and in about half a second
@@ -113,12 +116,14 @@
         A store that fails is asked again: boxes that read everything by themselves as it returns
         would ask ten times as much of it.
         """
+        pause_s = UNREAD_PAUSE_S
         while True:
             try:
                 return await self.store.read_relays()
             except FleetStoreError as error:
                 self.on_unread(error)
-                await asyncio.sleep(UNREAD_PAUSE_S)
+                await asyncio.sleep(pause_s)
+                pause_s = min(LONGEST_PAUSE_S, 2 * pause_s)
 
     async def hear(self, relays: Iterable[BoxAddress]) -> bool:
         """Subscribe to relays; tell whether they have told everything in time."""
--- a/packages/daemon/calicopathd/gateway/tests/starting_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/starting_tests.py
@@ -98,6 +98,7 @@
             with mock.patch.object(again.store, 'read_relays', unread):
                 await again.start()
                 await asyncio.sleep(START_S + 0.5)
+            self.assertLessEqual(unread.await_count, 12)
             self.assertTrue(again.box.ready())
             await fleet.stop()
 
