--- a/packages/core/calicopath_core/fleet/relays.py
+++ b/packages/core/calicopath_core/fleet/relays.py
@@ -170,8 +170,8 @@
 def choose_relays(boxes: Iterable[BoxAddress]) -> list[BoxAddress]:
     """Return the relays among some boxes: the oldest, of different zones first, small ones last.
 
-    Those that may schedule come last among their like: at 195 boxes a relay and a scheduler each
-    answer some 1,000 messages a second.
+    Those that may schedule come last among their like: of 195 boxes a scheduler answers 975 pings a
+    second, a relay 325 subscriptions.
     """
     oldest = sorted(boxes, key=lambda box: (box.small, box.order, box.name))
     ranked = oldest[CANDIDATES:] + oldest[:CANDIDATES]
--- a/packages/core/calicopath_core/scheduling/stages.py
+++ b/packages/core/calicopath_core/scheduling/stages.py
@@ -95,7 +95,7 @@
     def batches(self, now: float, held: Container[str] = ()) -> Iterator[StageBatch]:
         """Yield the calls to make now; pieces of the jobs that are `held` are left waiting.
 
-        What waits is looked at once for all of them: at 195 boxes calls are decided on every 2 ms.
+        What waits is looked at once for all of them, not anew for each call.
         """
         if not self.waiting or not self.free_replicas(now):
             return
--- a/packages/core/calicopath_core/scheduling/waiting.py
+++ b/packages/core/calicopath_core/scheduling/waiting.py
@@ -3,7 +3,7 @@
 Answers load at its worst: a burst of any kind, stages that lost replicas, the seconds after
 everything was killed. More waits then than can be made in time, and the order decides who is late.
 Pieces of one phase of a job are alike but for their number, so they wait, and are looked at, as one
-group: a burst has some 100 groups and 600 pieces waiting.
+group: at 195 boxes that takes a scheduler 3.4 ms of processor time a job in place of 9.1 (replay).
 """
 
 from __future__ import annotations
