--- a/packages/core/calicopath_core/fleet/starting.py
+++ b/packages/core/calicopath_core/fleet/starting.py
@@ -1,9 +1,9 @@
 """Let a box that starts ask the store next to nothing: relays tell it what the store holds.
 
 Answers many starts at once: a start of 195 boxes, a rolling restart of all, everything killed. A
-box writes its record, reads which boxes are relays, and hears the rest from them; it reads by itself
-only where none answers. That saves some eleven calls a start: 3,444 on a quiet day of 195 boxes where
-each reads everything, 1,191 so.
+box writes its record, reads which boxes are relays, and hears the rest from them; it reads by
+itself only where none answers. That saves some eleven calls a start: 3,444 on a quiet day of 195
+boxes where each reads everything, 1,191 so.
 """
 
 from __future__ import annotations
--- a/packages/core/calicopath_core/scheduling/election.py
+++ b/packages/core/calicopath_core/scheduling/election.py
@@ -35,8 +35,8 @@
 
 STANDBY_PING_S = 0.6
 """How often candidates are pinged that come after the one that schedules: three pings each 0.2 s
-from 195 boxes would be 5,850 messages a second with their answers, two thirds of them with boxes that
-do nothing for others."""
+from 195 boxes would be 5,850 messages a second with their answers, two thirds of them with boxes
+that do nothing for others."""
 
 PING_SLACK_S = 0.05
 """How much earlier than due a ping goes out, so that it does not wait for the round after."""
