Split what watches a replay off its world, and name a figure for what it holds

Cause: testkit/replay/world.py had grown to 431 lines with two jobs, and its figure thrown_away held all seconds of stage work, used or not. Change: the counting observer and the stopwatch are in watching.py; the figure is stage_work_s; a field that nothing read is gone. Ruled out: computing what was really thrown away here; no page or test uses such a figure.

--- a/testkit/replay/outcomes.py
+++ b/testkit/replay/outcomes.py
@@ -45,7 +45,7 @@
     refused: int
     reread_tokens: int
     crossed_bytes: int
-    thrown_away: float
+    stage_work_s: float
     calls: int
     without_room: int
     cost_ms: float
--- /dev/null
+++ b/testkit/replay/watching.py
@@ -0,0 +1,70 @@
+"""Watch a scheduler in a replay: what it decides, and what its work costs."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any
+
+from calicopath_core.scheduling.interfaces import SchedulerObserver
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from calicopath_core.fleet.replicas import Replica
+    from calicopath_core.scheduling.jobs import Job, Piece
+
+
+class CountingObserver(SchedulerObserver):
+    """Count decisions."""
+
+    def __init__(self) -> None:
+        self.rejected: dict[str, int] = {}
+
+    def on_stage_call(
+        self, service: str, replica: str, pieces: list[Piece], took_s: float, outcome: str
+    ) -> None:
+        """Do nothing."""
+
+    def on_placed(self, job: Job, replica: Replica, cost_s: float, waited_s: float) -> None:
+        """Do nothing."""
+
+    def on_rejected(self, job: Job, reason: str, retry_after_s: float) -> None:
+        """Count a refusal by its reason."""
+        self.rejected[reason] = self.rejected.get(reason, 0) + 1
+
+    def on_handed_over(self, job: Job, successor: str, results: int) -> None:
+        """Do nothing."""
+
+    def on_report_failed(self, replica: Replica, error: Exception) -> None:
+        """Do nothing."""
+
+    def on_free_failed(self, address: str, count: int, error: Exception) -> None:
+        """Do nothing."""
+
+
+class Stopwatch:
+    """Add up the processor time that a scheduler's own work takes, calls within calls once."""
+
+    def __init__(self) -> None:
+        self.depth = 0
+        self.spent_s = 0.0
+
+    def wrap(self, target: Any, names: tuple[str, ...]) -> None:
+        """Time some methods of an object."""
+        for name in names:
+            setattr(target, name, self.timed(getattr(target, name)))
+
+    def timed(self, work: Callable[..., Any]) -> Callable[..., Any]:
+        """Return a function that times another."""
+
+        def run(*args: Any, **named: Any) -> Any:
+            self.depth += 1
+            begun = time.process_time()
+            try:
+                return work(*args, **named)
+            finally:
+                self.depth -= 1
+                if self.depth == 0:
+                    self.spent_s += time.process_time() - begun
+
+        return run
--- a/testkit/replay/world.py
+++ b/testkit/replay/world.py
@@ -4,13 +4,11 @@
 
 import asyncio
 import random
-import time
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from calicopath_core.fleet.deployment import Deployment, ServiceSpec
-from calicopath_core.fleet.replicas import Replica, ReplicaTable
+from calicopath_core.fleet.replicas import ReplicaTable
 from calicopath_core.scheduling.client import Asked
-from calicopath_core.scheduling.interfaces import PieceCall, SchedulerObserver
 from calicopath_core.scheduling.messages import Adopt, Place, Placed, Progress, Rejected, RunEnded
 from calicopath_core.scheduling.messages import RunStarted as Started
 from calicopath_core.scheduling.scheduler import Scheduler
@@ -20,6 +18,7 @@
 from testkit.replay.load import FLOODER, PATTERNS, Arrival, Blow, Generator, Pattern
 from testkit.replay.outcomes import Figures, Outcome
 from testkit.replay.stages import ReplayStages
+from testkit.replay.watching import CountingObserver, Stopwatch
 from testkit.virtual import VirtualClock, run_virtual
 
 if TYPE_CHECKING:
@@ -27,7 +26,8 @@
 
     import msgspec
 
-    from calicopath_core.scheduling.jobs import Job, Piece
+    from calicopath_core.scheduling.interfaces import PieceCall
+
 
 NETWORK_S = 0.002
 """What a message between boxes takes."""
@@ -50,63 +50,6 @@
 TIMED_RELEASE = ('tell_made', 'give_up_read', 'on_fetched')
 
 
-class CountingObserver(SchedulerObserver):
-    """Count decisions."""
-
-    def __init__(self) -> None:
-        self.rejected: dict[str, int] = {}
-        self.used_s = 0.0
-
-    def on_stage_call(
-        self, service: str, replica: str, pieces: list[Piece], took_s: float, outcome: str
-    ) -> None:
-        """Do nothing."""
-
-    def on_placed(self, job: Job, replica: Replica, cost_s: float, waited_s: float) -> None:
-        """Do nothing."""
-
-    def on_rejected(self, job: Job, reason: str, retry_after_s: float) -> None:
-        """Count a refusal by its reason."""
-        self.rejected[reason] = self.rejected.get(reason, 0) + 1
-
-    def on_handed_over(self, job: Job, successor: str, results: int) -> None:
-        """Do nothing."""
-
-    def on_report_failed(self, replica: Replica, error: Exception) -> None:
-        """Do nothing."""
-
-    def on_free_failed(self, address: str, count: int, error: Exception) -> None:
-        """Do nothing."""
-
-
-class Stopwatch:
-    """Add up the processor time that a scheduler's own work takes, calls within calls once."""
-
-    def __init__(self) -> None:
-        self.depth = 0
-        self.spent_s = 0.0
-
-    def wrap(self, target: Any, names: tuple[str, ...]) -> None:
-        """Time some methods of an object."""
-        for name in names:
-            setattr(target, name, self.timed(getattr(target, name)))
-
-    def timed(self, work: Callable[..., Any]) -> Callable[..., Any]:
-        """Return a function that times another."""
-
-        def run(*args: Any, **named: Any) -> Any:
-            self.depth += 1
-            begun = time.process_time()
-            try:
-                return work(*args, **named)
-            finally:
-                self.depth -= 1
-                if self.depth == 0:
-                    self.spent_s += time.process_time() - begun
-
-        return run
-
-
 class Variant(NamedTuple):
     """Name a scheduler to replay against; `change` swaps mechanisms of a new one."""
 
@@ -399,7 +342,6 @@
     def figures(self) -> Figures:
         """Return what was measured."""
         jobs = max(1, len(self.asked) + len(self.outcomes))
-        made_s = max(1e-9, self.stages.work_s)
         return Figures(
             worth=counting.share(self.outcomes),
             worst_window=counting.worst_window(self.outcomes),
@@ -411,7 +353,7 @@
             refused=sum(item.refusals for item in self.outcomes),
             reread_tokens=self.reread_tokens,
             crossed_bytes=self.stages.crossed_bytes,
-            thrown_away=made_s,
+            stage_work_s=self.stages.work_s,
             calls=self.stages.calls,
             without_room=self.stages.without_room,
             cost_ms=1000 * self.stopwatch.spent_s / jobs,
