Bound what begins at replicas that may be cold, and let jobs wait for a place at an engine

Cause: a replica says how long it is cold (warmupLeftMs) and a service what a cold one bears a second (warmupPerS); both were ignored. A zone of engines that returns is idle, so new work is drawn to it: in a replay of 480 short runs a second on 70 engines, 18 of them back, one began 16 and more within a second, where 15 may. And a job whose stages were made was refused if every engine was at its bound at that moment.

Change: at most as many runs begin at any engine within 1.25 s as a cold one bears with the allowance of the settings, at one that says it is cold as many as it bears; half of that for 1.25 s after another scheduler gave way or fell silent. Jobs wait for the first place in the order of pieces, are refused once no engine can begin in time, and at once where there is none. Engines that cost the same are ordered differently by each box, so that boxes that schedule for themselves do not all choose the first one listed. For plain services each box takes its share of what a cold replica bears. A beat that changes nothing that boxes know of a replica is not told on.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, NamedTuple
 
-from testkit.replay.fleet import USUAL_BOXES, fleet_of
+from testkit.replay.fleet import USUAL_BOXES, fleet_of, shifted_fleet
 from testkit.replay.load import PATTERNS
 from testkit.replay.plain import VARIANTS
 from testkit.replay.world import replay
@@ -35,6 +35,7 @@
     variant: str
     seed: int
     boxes: int
+    shifted: bool = False
 
 
 class Column(NamedTuple):
@@ -59,7 +60,8 @@
 def run_job(job: Job) -> Figures:
     """Run one replay."""
     variant = next(item for item in VARIANTS if item.name == job.variant)
-    return replay(job.pattern, job.seed, variant, fleet_of(job.boxes))
+    fleet = shifted_fleet() if job.shifted else fleet_of(job.boxes)
+    return replay(job.pattern, job.seed, variant, fleet)
 
 
 def run_all(jobs: list[Job], workers: int) -> dict[Job, Figures]:
@@ -135,6 +137,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--patterns', default=','.join(PATTERNS), help='names, by commas')
     parser.add_argument('--variants', default='ours', help='names, by commas, or all')
+    parser.add_argument('--shifted', action='store_true', help='on the fleet of the shifted work')
     parser.add_argument('--boxes', type=int, default=USUAL_BOXES)
     parser.add_argument('--workers', type=int, default=2)
     parser.add_argument('--cost', action='store_true', help='only what a decision costs')
@@ -153,7 +156,7 @@
     names = [item.name for item in VARIANTS]
     variants = names if options.variants == 'all' else options.variants.split(',')
     jobs = [
-        Job(pattern, variant, seed, options.boxes)
+        Job(pattern, variant, seed, options.boxes, options.shifted)
         for pattern in patterns
         for variant in variants
         for seed in SEEDS
--- a/packages/core/calicopath_core/exchanges/balancer.py
+++ b/packages/core/calicopath_core/exchanges/balancer.py
@@ -4,8 +4,11 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from calicopath_core.exchanges.cold import ColdShares
+
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from calicopath_core.fleet.replicas import Replica, ReplicaTable
 
@@ -76,11 +79,19 @@
 class Balancer:
     """Hold what is known of the replicas of plain services."""
 
-    def __init__(self, *, replicas: ReplicaTable, zone: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        replicas: ReplicaTable,
+        zone: str,
+        rng: random.Random,
+        cold_rate_of: Callable[[str], float | None] = lambda service: None,
+    ) -> None:
         self.replicas = replicas
         self.zone = zone
         self.rng = rng
         self.stats: dict[str, ReplicaStats] = {}
+        self.cold = ColdShares(rng=rng, rate_of=cold_rate_of)
         replicas.listeners.append(self.forget_gone)
 
     def forget_gone(self) -> None:
@@ -88,6 +99,7 @@
         for name in list(self.stats):
             if name not in self.replicas.replicas:
                 del self.stats[name]
+        self.cold.forget_gone(self.replicas.replicas)
 
     def of(self, replica: Replica) -> ReplicaStats:
         """Return what is known of a replica."""
@@ -99,12 +111,15 @@
     def choose(self, service: str, tried: set[str], now: float) -> Replica | None:
         """Return the better of two replicas drawn, or of all if there are few."""
         usable = [item for item in self.replicas.usable(service) if item.id not in tried]
+        usable = self.cold.allowed(usable, now)
         if not usable:
             return None
         healthy = [item for item in usable if self.of(item).ejected_until <= now]
         pool = healthy or usable
         self.rng.shuffle(pool)
-        return min(pool, key=lambda item: self.cost_s(item, now))
+        found = min(pool, key=lambda item: self.cost_s(item, now))
+        self.cold.on_sent(found, now)
+        return found
 
     def cost_s(self, replica: Replica, now: float) -> float:
         """Return what a call is expected to take, failures and distance counted."""
--- /dev/null
+++ b/packages/core/calicopath_core/exchanges/tests/cold_tests.py
@@ -0,0 +1,67 @@
+"""Test what boxes together send to a cold replica of a plain service."""
+
+from __future__ import annotations
+
+import random
+
+import testtools
+
+from calicopath_core.exchanges.balancer import Balancer
+from calicopath_core.fleet.replicas import Replica, ReplicaTable
+
+PER_S = 6.7
+MOST_A_SECOND = 15
+BOXES = 86
+ASKED_S = 6.0
+
+
+def table(*cold: bool) -> ReplicaTable:
+    """Return a service's replicas, some of them cold."""
+    found = ReplicaTable()
+    for number, is_cold in enumerate(cold):
+        found.put(Replica(f'r{number}', 'desk', f'r{number}:1', 'a', 6, False, is_cold))
+    return found
+
+
+def balancer(replicas: ReplicaTable, seed: int, rate: float | None) -> Balancer:
+    """Return a box's balancer."""
+    return Balancer(
+        replicas=replicas,
+        zone='a',
+        rng=random.Random(seed),
+        cold_rate_of=lambda service: rate,
+    )
+
+
+class Cold(testtools.TestCase):
+    def test_boxes_that_do_not_know_of_each_other_keep_together_to_what_it_bears(self) -> None:
+        replicas = table(True)
+        boxes = [balancer(replicas, seed, PER_S / BOXES) for seed in range(BOXES)]
+        sent: list[float] = []
+        rng = random.Random(1)
+        now = 0.0
+        while now < ASKED_S:
+            now += rng.expovariate(60.0)
+            if rng.choice(boxes).choose('desk', set(), now) is not None:
+                sent.append(now)
+        most = max(sum(at <= other < at + 1.0 for other in sent) for at in sent)
+        self.assertLessEqual(most, MOST_A_SECOND)
+        self.assertGreater(len(sent), PER_S * ASKED_S * 0.5)
+
+    def test_what_is_cold_is_left_to_others_and_refused_where_there_are_none(self) -> None:
+        for cold, wanted in (((True, False), {'r1'}), ((True, True), set())):
+            box = balancer(table(*cold), 1, 0.001)
+            chosen = {box.choose('desk', set(), 0.1 * number) for number in range(8)} - {None}
+            self.assertEqual(wanted, {item.id for item in chosen if item is not None})
+
+    def test_a_replica_that_is_warm_again_gets_its_part_at_once(self) -> None:
+        replicas = table(True)
+        box = balancer(replicas, 1, 0.001)
+        self.assertIsNone(box.choose('desk', set(), 0.0))
+        replicas.put(replicas.replicas['r0']._replace(cold=False))
+        self.assertIsNotNone(box.choose('desk', set(), 0.1))
+        self.assertEqual({}, box.cold.next_at)
+
+    def test_where_nothing_is_bounded_a_cold_replica_is_as_good_as_any(self) -> None:
+        box = balancer(table(True), 1, None)
+        self.assertIsNotNone(box.choose('desk', set(), 0.0))
--- a/packages/core/calicopath_core/fleet/deployment.py
+++ b/packages/core/calicopath_core/fleet/deployment.py
@@ -79,14 +79,24 @@
     kv_tokens: int
 
 
+class WarmupSpec(NamedTuple):
+    """Say how many requests a second a replica bears while it is cold."""
+
+    per_s: float
+
+
 class ServiceSpec(NamedTuple):
-    """Describe a service; `stage` or `engine` is set if it is one."""
+    """Describe a service; `stage` or `engine` is set if it is one.
+
+    `warmup` is set if its replicas may be cold.
+    """
 
     name: str
     health_path: str
     max_connections: int
     stage: StageSpec | None
     engine: EngineSpec | None
+    warmup: WarmupSpec | None = None
 
 
 class ClientLimits(NamedTuple):
--- a/packages/core/calicopath_core/fleet/feed.py
+++ b/packages/core/calicopath_core/fleet/feed.py
@@ -183,6 +183,7 @@
             return
         self.revision = revision
         newest = {change.name: change for change in changes}
+        newest = {name: item for name, item in newest.items() if self.is_news(item)}
         for change in newest.values():
             if change.record is None:
                 self.records.pop(change.name, None)
@@ -191,6 +192,13 @@
         if newest:
             self.handler.on_changes(self.kind, revision, list(newest.values()))
 
+    def is_news(self, change: Change) -> bool:
+        """Tell whether a change is one in what boxes know of the record.
+
+        The beats of 200 cold replicas would else be 200 changes a second to each box.
+        """
+        return change.record is None or change.record != self.records.get(change.name)
+
     def take_update(self, since: int | None, revision: int, changes: list[Change]) -> None:
         """Take in what a relay has sent: changes after `since`, or every record if that is none."""
         if since is None:
--- a/packages/core/calicopath_core/fleet/replicas.py
+++ b/packages/core/calicopath_core/fleet/replicas.py
@@ -15,7 +15,10 @@
 
 
 class Replica(NamedTuple):
-    """Describe a replica: `id` is one incarnation, `address` is `host:port`."""
+    """Describe a replica: `id` is one incarnation, `address` is `host:port`.
+
+    `cold` says that it bears less than usual for some seconds, as it has last told.
+    """
 
     id: str
     service: str
@@ -23,6 +26,7 @@
     zone: str
     slots: int
     draining: bool
+    cold: bool = False
 
 
 class ReplicaTable:
--- a/packages/core/calicopath_core/scheduling/engines.py
+++ b/packages/core/calicopath_core/scheduling/engines.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import zlib
 from collections import OrderedDict
 from typing import TYPE_CHECKING, NamedTuple
 
+from calicopath_core.scheduling.starts import WINDOW_S, Starts
+
 if TYPE_CHECKING:
     from collections.abc import Container, Iterable
 
     from calicopath_core.fleet.replicas import Replica
     from calicopath_core.scheduling.jobs import Job, Result
     from calicopath_core.scheduling.messages import Prompt
+    from calicopath_core.scheduling.starts import StartBound
 
 PREFILL_S_A_TOKEN = 1 / 32_400
 """What reading a prompt token takes: engines that read 32 to 38 tokens a ms are known."""
@@ -101,6 +105,7 @@
         self.cached_tokens = 0
         self.failures = 0
         self.ejected_until = 0.0
+        self.starts = Starts()
 
     def put_run(self, job_id: str, run: Run) -> None:
         """Count a run in place of one of that name; `load_s` is the work that waits here."""
@@ -117,6 +122,12 @@
             # What sums of fractions leave over must not add up over days.
             self.load_s = 0.0
 
+    def may_begin(self, bound: StartBound | None, now: float) -> bool:
+        """Tell whether one more run may begin here now."""
+        if bound is None:
+            return True
+        return self.starts.count(now) < (bound.cold if self.replica.cold else bound.warm)
+
     def uncached(self, parts: PartKeys) -> int:
         """Return the prompt tokens that would have to be read."""
         kept = 0
@@ -150,10 +161,17 @@
 
 
 class EngineBoard:
-    """Hold the engines of one service."""
+    """Hold the engines of one service.
+
+    `salt` orders engines that cost the same: boxes that schedule without knowing of each other
+    would all choose the first one listed.
+    """
 
-    def __init__(self, *, slots: int, kv_tokens: int) -> None:
+    def __init__(self, *, slots: int, kv_tokens: int, salt: str = '') -> None:
         self.slots = slots
+        self.salt = salt
+        self.bound: StartBound | None = None
+        self.alone_from = 0.0
         self.kv_tokens = kv_tokens
         self.engines: dict[str, Engine] = {}
         self.known: dict[str, Engine] = {}
@@ -170,15 +188,33 @@
             engine = self.known.get(name) or self.engines.get(name) or Engine(replica=replica)
             engine.replica = replica
             self.known[name] = engine
-        self.engines = {name: self.known[name] for name in listed}
+        order = sorted(listed, key=lambda name: zlib.crc32(f'{self.salt}/{name}'.encode()))
+        self.engines = {name: self.known[name] for name in order}
+
+    def on_take_up(self, now: float) -> None:
+        """Note that another box may have placed runs until now, and may do so a moment longer."""
+        self.alone_from = now + WINDOW_S
+
+    def bound_now(self, now: float) -> StartBound | None:
+        """Return how many runs this scheduler may let begin at an engine."""
+        if self.bound is None or now >= self.alone_from:
+            return self.bound
+        return self.bound.shared()
+
+    def serves(self, job: Job) -> bool:
+        """Tell whether there is an engine at all that a job may run on."""
+        return any(name not in job.place.exclude for name in self.engines)
 
     def choose(self, job: Job, now: float) -> EngineChoice | None:
         """Return the engine that costs least, all its work and all transfers counted."""
         inputs = job.final_results()
+        bound = self.bound_now(now)
         usable = [
             engine
             for engine in self.engines.values()
-            if len(engine.runs) < self.slots and engine.replica.id not in job.place.exclude
+            if len(engine.runs) < self.slots
+            and engine.replica.id not in job.place.exclude
+            and engine.may_begin(bound, now)
         ]
         healthy = [engine for engine in usable if engine.ejected_until <= now]
         candidates = healthy or usable
@@ -229,6 +265,7 @@
         prefill_s = engine.uncached(parts) * PREFILL_S_A_TOKEN
         decode_s = job.place.prompt.tokens_out * DECODE_S_A_TOKEN
         engine.put_run(job.id, Run(prefill_s, decode_s, now + LOST_RUN_S))
+        engine.starts.note(now)
         engine.remember(parts, self.kv_tokens, now)
 
     def started(self, replica_id: str, job_id: str) -> None:
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -7,6 +7,7 @@
 
 from calicopath_core.scheduling.admission import Admission
 from calicopath_core.scheduling.beliefs import EngineTimes
+from calicopath_core.scheduling.engine_queue import EngineQueue
 from calicopath_core.scheduling.engines import EngineBoard
 from calicopath_core.scheduling.fairness import Allowances
 from calicopath_core.scheduling.interfaces import JobKeeper
@@ -17,6 +18,7 @@
     Rejected,
 )
 from calicopath_core.scheduling.stage_calls import MAX_PIECE_TRIES, StageCalls
+from calicopath_core.scheduling.starts import NO_ALLOWANCE, WarmupTerms, bound_of
 from calicopath_core.scheduling.succession import Succession
 
 if TYPE_CHECKING:
@@ -40,6 +42,9 @@
 under 10 ms. Results that lie longer take room from what their makers could make: with 0.15 s the
 mean worth of days with faults was 0.015 less."""
 
+NO_ENGINE_S = 1.2
+"""When a job may come back that no engine can take: replicas tell of themselves that often."""
+
 RETRY_AFTER_S = 0.5
 """When a rejected job may come back, if nothing better is known."""
 
@@ -57,6 +62,7 @@
         observer: SchedulerObserver,
         own_address: str,
         share_of: Callable[[list[Replica]], list[Replica]],
+        warmup: WarmupTerms = NO_ALLOWANCE,
         new_board: Callable[[EngineSpec], EngineBoard] | None = None,
     ) -> None:
         self.clock = clock
@@ -65,12 +71,14 @@
         self.observer = observer
         self.own_address = own_address
         self.share_of = share_of
-        self.new_board = new_board or board_of
+        self.warmup = warmup
+        self.new_board = new_board or self.board_of
         self.admission = Admission()
         self.allowances = Allowances()
         self.engine_times = EngineTimes()
         self.jobs: dict[str, Job] = {}
         self.unplaced: dict[str, Job] = {}
+        self.engine_queue = EngineQueue(engine_s=self.engine_s)
         self.wanted = asyncio.Event()
         self.boards: dict[str, EngineBoard] = {}
         self.stages = StageCalls(
@@ -90,9 +98,14 @@
             if service.stage is not None:
                 self.stages.set_spec(name, service.stage)
             if service.engine is not None:
-                self.boards.setdefault(name, self.new_board(service.engine))
+                board = self.boards.setdefault(name, self.new_board(service.engine))
+                board.bound = bound_of(service.warmup, self.warmup) if service.warmup else None
         self.on_replicas()
 
+    def board_of(self, spec: EngineSpec) -> EngineBoard:
+        """Return the board of a service's engines."""
+        return EngineBoard(slots=spec.slots, kv_tokens=spec.kv_tokens, salt=self.own_address)
+
     def on_replicas(self) -> None:
         """Take in which replicas there are."""
         self.stages.on_replicas()
@@ -100,6 +113,7 @@
             usable = self.share_of(self.replicas.usable(name))
             board.set_replicas(usable, self.replicas.replicas)
         self.remake_lost()
+        self.place_waiting()
 
     def remake_lost(self) -> None:
         """Make the results anew that lay at replicas that are gone and are still needed."""
@@ -133,6 +147,7 @@
         now = self.clock.monotonic()
         for board in self.boards.values():
             board.forget_lost(now)
+        self.place_waiting()
         self.reject_hopeless(now)
         self.give_up_fetched(now)
         for job in list(self.jobs.values()):
@@ -154,6 +169,8 @@
                 others, queues = self.unplaced.values(), self.stages.queues
                 room_in_s = self.admission.room_in_s(job, others, queues, now)
                 self.reject(job, 'hopeless', self.admission.return_s(job, room_in_s, now))
+        for job in self.engine_queue.hopeless(now):
+            self.reject(job, 'no-engine', self.admission.return_s(job, NO_ENGINE_S, now))
 
     def on_place(self, place: Place) -> None:
         """Begin a job; a repeated message begins nothing twice."""
@@ -171,6 +188,9 @@
         if board is None:
             self.reject(job, 'unknown-service')
             return
+        if not board.serves(job):
+            self.reject_unserved(job)
+            return
         if not place.resumed and not place.asked_before:
             job.beyond = self.allowances.ask(place.workspace, self.stages.work_s(place), now)
         engine_s = board.least_time_s(job, now)
@@ -232,14 +252,34 @@
             else:
                 piece.note_called(True)
 
+    def engine_s(self, job: Job) -> float:
+        """Return what an engine is believed to take to a job's first event."""
+        return self.engine_times.expected_s(job.place.prompt.tokens_in)
+
+    def place_waiting(self) -> None:
+        """Give the places that have come to the jobs that wait for one, until none is left."""
+        for job in self.engine_queue.ordered(self.clock.monotonic()):
+            self.place_engine(job)
+            if job.id in self.engine_queue.jobs and not job.place.exclude:
+                return
+
+    def reject_unserved(self, job: Job) -> None:
+        """Tell the box at once that there is no engine for a job."""
+        now = self.clock.monotonic()
+        self.reject(job, 'no-engine', self.admission.return_s(job, NO_ENGINE_S, now))
+
     def place_engine(self, job: Job) -> None:
-        """Choose the engine and tell the box."""
+        """Choose the engine and tell the box, or let the job wait for the first place."""
         now = self.clock.monotonic()
         board = self.boards[job.place.service]
+        if not board.serves(job):
+            self.reject_unserved(job)
+            return
         choice = board.choose(job, now)
         if choice is None:
-            self.reject(job, 'no-engine')
+            self.engine_queue.add(job)
             return
+        self.engine_queue.drop(job)
         board.begin(choice, job, now)
         replica = choice.engine.replica.id
         job.placed_on = replica
@@ -285,6 +325,7 @@
             board = self.boards[job.place.service]
             board.ended(job.placed_on, job.id, failed=message.failed, now=now)
         self.end(job)
+        self.place_waiting()
 
     def end(self, job: Job) -> None:
         """Forget a job and give its results up."""
@@ -301,6 +342,7 @@
         """Keep a job that is over no more, nor its pieces."""
         self.jobs.pop(job.id, None)
         self.unplaced.pop(job.id, None)
+        self.engine_queue.drop(job)
         self.stages.drop_stale(job)
 
     def tell_progress(
@@ -325,14 +367,10 @@
         for phase in phases:
             self.stages.release.give_up([item for item in job.results[phase] if item is not None])
             job.invalidate(phase)
+        self.engine_queue.drop(job)
         self.stages.drop_stale(job)
         if tries >= MAX_PIECE_TRIES:
             self.reject(job, 'result-gone')
             return
         job.tries = tries
         self.advance(job)
-
-
-def board_of(spec: EngineSpec) -> EngineBoard:
-    """Return the board of a service's engines."""
-    return EngineBoard(slots=spec.slots, kv_tokens=spec.kv_tokens)
--- a/packages/core/calicopath_core/scheduling/starts.py
+++ b/packages/core/calicopath_core/scheduling/starts.py
@@ -20,8 +20,10 @@
 for what the way of one run to its engine may take longer than that of another."""
 
 SCHEDULERS = 2
-"""Boxes that may schedule within one second, each without the other's knowledge: the one that falls
-silent or gives way, and the next. Each takes this part of what an engine bears."""
+"""Boxes that may schedule within one second of a change, each without the other's knowledge: the
+one that falls silent or gives way, and the next. For so long each takes this part of the bound. To
+halve it at all times would have a fourth more of shared prompt parts read again (893,000 tokens in
+place of 718,000, a replay of a burst on 70 engines)."""
 
 
 class WarmupTerms(NamedTuple):
@@ -31,17 +33,25 @@
     slack: float = 0.0
 
 
+NO_ALLOWANCE = WarmupTerms()
+"""Holds where operators name no other: a cold replica's rate may not be passed."""
+
+
 class StartBound(NamedTuple):
     """Hold the most runs that may begin at an engine within `WINDOW_S`, cold or not."""
 
     cold: int
     warm: int
 
+    def shared(self) -> StartBound:
+        """Return the bound while another scheduler may place runs too."""
+        return StartBound(max(1, self.cold // SCHEDULERS), max(1, self.warm // SCHEDULERS))
+
 
 def bound_of(warmup: WarmupSpec, terms: WarmupTerms) -> StartBound:
     """Return the bound for a service's engines: one run at least, or nothing would be served."""
     borne = warmup.per_s * terms.overage + terms.slack
-    warm = max(1, math.floor(borne / SCHEDULERS))
+    warm = max(1, math.floor(borne))
     cold = max(1, math.floor(warmup.per_s))
     return StartBound(cold=min(cold, warm), warm=warm)
 
--- a/packages/core/calicopath_core/scheduling/succession.py
+++ b/packages/core/calicopath_core/scheduling/succession.py
@@ -23,6 +23,9 @@
     def take_up(self) -> None:
         """Schedule what comes."""
         self.successor = None
+        now = self.scheduler.clock.monotonic()
+        for board in self.scheduler.boards.values():
+            board.on_take_up(now)
 
     def give_way(self, successor: str) -> None:
         """Hand every job to another scheduler as soon as no call for it is under way.
--- /dev/null
+++ b/packages/core/calicopath_core/scheduling/tests/starts_tests.py
@@ -0,0 +1,227 @@
+"""Test how many runs begin at engines that may be cold, and what waits for a place."""
+
+from __future__ import annotations
+
+import asyncio
+import bisect
+from typing import TYPE_CHECKING
+from unittest import mock
+
+import testtools
+
+from calicopath_core.fleet.deployment import WarmupSpec
+from calicopath_core.fleet.replicas import ReplicaTable
+from calicopath_core.scheduling.engines import EngineBoard
+from calicopath_core.scheduling.interfaces import StageCaller
+from calicopath_core.scheduling.messages import Placed, Rejected, RunEnded
+from calicopath_core.scheduling.scheduler import Scheduler
+from calicopath_core.scheduling.starts import NO_ALLOWANCE, WINDOW_S, WarmupTerms, bound_of
+from calicopath_core.scheduling.tests.work import job, prompt, replica
+from testkit.cases import VirtualCase
+from testkit.virtual import VirtualClock
+
+if TYPE_CHECKING:
+    import msgspec
+
+    from calicopath_core.scheduling.starts import StartBound
+
+WARMUP = WarmupSpec(per_s=6.7)
+TERMS = WarmupTerms(overage=1.5, slack=5.0)
+MOST_A_SECOND = 15
+BOUND = bound_of(WARMUP, TERMS)
+
+ZONE_ENGINES, OTHER_ENGINES = 18, 52
+RATE = 480.0
+LOAD_S = 2.0
+RUN_S = 0.3
+"""A burst on engines of which one zone is back: 27 runs a second for each engine of that."""
+
+
+class Bound(testtools.TestCase):
+    def test_it_is_what_a_cold_engine_bears(self) -> None:
+        self.assertEqual((6, MOST_A_SECOND), BOUND)
+        self.assertEqual((3, 7), BOUND.shared())
+
+    def test_one_run_may_begin_in_any_case(self) -> None:
+        self.assertEqual((1, 1), bound_of(WarmupSpec(per_s=0.2), NO_ALLOWANCE).shared())
+
+    def test_an_engine_that_says_it_is_cold_gets_what_it_bears(self) -> None:
+        board = EngineBoard(slots=100, kv_tokens=1000)
+        board.bound = BOUND
+        board.set_replicas([replica('e', service='engine')._replace(cold=True)])
+        self.assertEqual(BOUND.cold, placed_at_once(board, 40))
+
+    def test_while_another_may_schedule_each_keeps_to_its_part(self) -> None:
+        boards = [EngineBoard(slots=100, kv_tokens=1000) for _ in range(2)]
+        total = 0
+        for board in boards:
+            board.bound = BOUND
+            board.set_replicas([replica('e', service='engine')])
+            board.on_take_up(0.0)
+            total += placed_at_once(board, 40, now=0.1)
+        self.assertLessEqual(total, MOST_A_SECOND)
+        self.assertGreater(placed_at_once(boards[0], 40, now=0.1 + WINDOW_S), total // 2)
+
+    def test_boxes_that_schedule_for_themselves_do_not_all_choose_the_same_engine(self) -> None:
+        chosen = set()
+        for number in range(30):
+            board = EngineBoard(slots=4, kv_tokens=1000, salt=f'box-{number}:7')
+            board.set_replicas([replica(f'e{n}', service='engine') for n in range(70)])
+            choice = board.choose(job('one'), 0.0)
+            assert choice is not None
+            chosen.add(choice.engine.replica.id)
+        self.assertGreater(len(chosen), 15)
+
+
+class ZoneBackCold(testtools.TestCase):
+    def most_a_second(self, bound: StartBound | None) -> int:
+        """Return the most runs that began within a second at an engine of the zone."""
+        board = EngineBoard(slots=24, kv_tokens=100_000)
+        board.bound = bound
+        others = [replica(f'o{n}', 'b', 'engine') for n in range(OTHER_ENGINES)]
+        board.set_replicas(others)
+        for number in range(OTHER_ENGINES * 8):
+            work = job(f'old-{number}', prompt=prompt((f'x{number}', 3000), out=300))
+            choice = board.choose(work, 0.0)
+            if choice is not None:
+                board.begin(choice, work, 0.0)
+        back = [replica(f'z{n}', 'a', 'engine') for n in range(ZONE_ENGINES)]
+        board.set_replicas([*others, *back], {item.id for item in others})
+        times: dict[str, list[float]] = {}
+        ends: list[tuple[float, str, str]] = []
+        for number in range(int(RATE * LOAD_S)):
+            now = 2.0 + number / RATE
+            while ends and ends[0][0] <= now:
+                _, engine, name = ends.pop(0)
+                board.ended(engine, name, failed=False, now=now)
+            work = job(f'new-{number}', prompt=prompt((f'y{number}', 300)))
+            choice = board.choose(work, now)
+            if choice is None:
+                continue
+            board.begin(choice, work, now)
+            name = choice.engine.replica.id
+            ends.append((now + RUN_S, name, work.id))
+            times.setdefault(name, []).append(now)
+        zone = [found for name, found in times.items() if name.startswith('z')]
+        self.assertEqual(ZONE_ENGINES, len(zone))
+        return max(most_in_a_second(found) for found in zone)
+
+    def test_no_engine_gets_more_than_it_bears_though_none_is_known_to_be_cold(self) -> None:
+        self.assertLessEqual(self.most_a_second(BOUND), MOST_A_SECOND)
+
+    def test_without_the_bound_they_would(self) -> None:
+        self.assertGreater(self.most_a_second(None), MOST_A_SECOND)
+
+
+class Waiting(VirtualCase):
+    def scheduler(
+        self, sent: list[msgspec.Struct], *, engines: int = 1, slots: int = 2
+    ) -> Scheduler:
+        """Return a scheduler before some engines."""
+        table = ReplicaTable()
+        for number in range(engines):
+            table.put(replica(f'e{number}', service='engine'))
+        found = Scheduler(
+            clock=VirtualClock(),
+            replicas=table,
+            caller=mock.Mock(spec=StageCaller),
+            send=lambda address, message: sent.append(message),
+            observer=mock.Mock(),
+            own_address='own:7',
+            share_of=lambda replicas: replicas,
+        )
+        found.boards['engine'] = EngineBoard(slots=slots, kv_tokens=1000)
+        found.on_replicas()
+        return found
+
+    def test_a_job_waits_for_the_first_place_and_the_most_urgent_gets_it(self) -> None:
+        async def scenario() -> None:
+            sent: list[msgspec.Struct] = []
+            scheduler = self.scheduler(sent)
+            for number in range(2):
+                scheduler.on_place(job(f'at-work-{number}').place)
+            scheduler.on_place(job('patient', priority=2).place)
+            scheduler.on_place(job('urgent', priority=0).place)
+            self.assertEqual(['at-work-0', 'at-work-1'], names(sent, Placed))
+            scheduler.on_ended(RunEnded(job='at-work-0', sender='b1', failed=False))
+            self.assertEqual('urgent', names(sent, Placed)[-1])
+            scheduler.on_ended(RunEnded(job='at-work-1', sender='b1', failed=False))
+            self.assertEqual('patient', names(sent, Placed)[-1])
+            self.assertEqual([], names(sent, Rejected))
+
+        self.run_virtual(scenario())
+
+    def test_places_that_come_with_time_are_given_away(self) -> None:
+        async def scenario() -> None:
+            sent: list[msgspec.Struct] = []
+            scheduler = self.scheduler(sent, slots=100)
+            scheduler.boards['engine'].bound = BOUND
+            running = asyncio.create_task(scheduler.run())
+            for number in range(20):
+                scheduler.on_place(job(f'j{number}').place)
+            self.assertEqual(MOST_A_SECOND, len(names(sent, Placed)))
+            await asyncio.sleep(WINDOW_S + 0.1)
+            self.assertEqual(20, len(names(sent, Placed)))
+            running.cancel()
+
+        self.run_virtual(scenario())
+
+    def test_what_no_engine_can_begin_in_time_is_told_so_before_its_deadline(self) -> None:
+        async def scenario() -> None:
+            sent: list[msgspec.Struct] = []
+            scheduler = self.scheduler(sent, slots=1)
+            running = asyncio.create_task(scheduler.run())
+            scheduler.on_place(job('at-work').place)
+            scheduler.on_place(job('late', deadline_s=1.0).place)
+            await asyncio.sleep(0.9)
+            (rejected,) = [message for message in sent if isinstance(message, Rejected)]
+            self.assertEqual(('late', 'no-engine'), (rejected.job, rejected.reason))
+            self.assertEqual(0, len(scheduler.engine_queue))
+            running.cancel()
+
+        self.run_virtual(scenario())
+
+    def test_where_there_is_no_engine_a_job_is_rejected_at_once(self) -> None:
+        async def scenario() -> None:
+            sent: list[msgspec.Struct] = []
+            scheduler = self.scheduler(sent, engines=0)
+            scheduler.on_place(job('one').place)
+            excluded = self.scheduler(sent)
+            excluded.on_place(job('two', exclude=('e0',)).place)
+            self.assertEqual(['one', 'two'], names(sent, Rejected))
+            self.assertEqual(0, len(excluded.engine_queue))
+
+        self.run_virtual(scenario())
+
+    def test_engines_that_go_while_jobs_wait_end_the_wait(self) -> None:
+        async def scenario() -> None:
+            sent: list[msgspec.Struct] = []
+            scheduler = self.scheduler(sent, slots=1)
+            scheduler.on_place(job('at-work').place)
+            scheduler.on_place(job('waits').place)
+            scheduler.replicas.set_evacuated(frozenset({'a'}))
+            self.assertEqual(['waits'], names(sent, Rejected))
+
+        self.run_virtual(scenario())
+
+
+def placed_at_once(board: EngineBoard, count: int, now: float = 0.0) -> int:
+    """Return how many of some jobs get an engine at one moment."""
+    placed = 0
+    for number in range(count):
+        work = job(f'{now}-{number}', prompt=prompt((f'p{number}', 1)))
+        choice = board.choose(work, now)
+        if choice is not None:
+            board.begin(choice, work, now)
+            placed += 1
+    return placed
+
+
+def most_in_a_second(times: list[float]) -> int:
+    """Return the most of some moments, in order, that lie within one second."""
+    return max(bisect.bisect_left(times, at + 1.0) - n for n, at in enumerate(times))
+
+
+def names(sent: list[msgspec.Struct], kind: type[Placed] | type[Rejected]) -> list[str]:
+    """Return the jobs of the messages of a kind, in order."""
+    return [message.job for message in sent if isinstance(message, kind)]
--- a/packages/core/calicopath_core/scheduling/waiting.py
+++ b/packages/core/calicopath_core/scheduling/waiting.py
@@ -137,9 +137,15 @@
     comes after it.
     """
     job = piece.job
-    if job.resumed or piece.has_siblings_ahead or job.oldest_result_s(now) > OLD_RESULT_S:
+    if piece.has_siblings_ahead or job.oldest_result_s(now) > OLD_RESULT_S:
+        return Rank(0, 0, 0, job.arrived_at)
+    return rank_job(job, piece.slack_s(now))
+
+
+def rank_job(job: Job, spare_s: float) -> Rank:
+    """Return by what a job is served that has some time to spare."""
+    if job.resumed:
         return Rank(0, 0, 0, job.arrived_at)
-    spare_s = piece.slack_s(now)
     if spare_s < 0:
         return Rank(3, 0, job.place.priority, job.objective_at)
     step = 2 if job.beyond else 1
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -115,6 +115,7 @@
             observer=observer,
             own_address=self.own.address,
             share_of=self.election.share_of,
+            warmup=settings.warmup,
             new_board=self.random_board if alone else None,
         )
         self.client = SchedulerClient(
@@ -154,7 +155,10 @@
             view=self.view,
             replicas=self.replicas,
             balancer=Balancer(
-                replicas=self.replicas, zone=self.settings.failure_domain, rng=self.rng
+                replicas=self.replicas,
+                zone=self.settings.failure_domain,
+                rng=self.rng,
+                cold_rate_of=self.cold_rate_of,
             ),
             budgets=Budgets(terms=self.settings.retry_budget),
             election=self.election,
@@ -207,6 +211,14 @@
         share = service.max_connections * CONNECTIONS_USED / self.election.boxes_sharing()
         return max(LEAST_CONNECTIONS, int(share))
 
+    def cold_rate_of(self, service: str) -> float | None:
+        """Return how many requests a second this box may send to a service's cold replica."""
+        deployment = self.view.current
+        spec = deployment.services.get(service) if deployment is not None else None
+        if spec is None or spec.warmup is None:
+            return None
+        return spec.warmup.per_s / max(1, self.election.boxes_sharing())
+
     def limits(self) -> ClientLimits:
         """Return what callers may send at the moment."""
         return self.view.current.limits if self.view.current is not None else DEFAULT_LIMITS
--- a/packages/daemon/calicopathd/gateway/settings.py
+++ b/packages/daemon/calicopathd/gateway/settings.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from calicopath_core.fleet.store import RecordKind
+from calicopath_core.scheduling.starts import NO_ALLOWANCE, WarmupTerms
 
 if TYPE_CHECKING:
     from calicopath_core.exchanges.budget import BudgetTerms
@@ -36,7 +37,8 @@
 
     `drain_s` is how long a replica that leaves goes on serving, `stop_grace_s` how long a box may
     take to stop before it is killed, `evacuate_s` how soon nothing more may reach a zone that is
-    taken out; there is none where operators do not take zones out.
+    taken out; there is none where operators do not take zones out. `warmup` says how far the rate
+    may be passed that a cold replica bears.
     """
 
     box: str
@@ -54,6 +56,7 @@
     link_mbps: float
     max_descriptors: int
     evacuate_s: float | None = None
+    warmup: WarmupTerms = NO_ALLOWANCE
 
     @property
     def followed(self) -> tuple[RecordKind, ...]:
--- a/testkit/replay/fleet.py
+++ b/testkit/replay/fleet.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from calicopath_core.fleet.deployment import EngineSpec, StageSpec
+from calicopath_core.fleet.deployment import EngineSpec, StageSpec, WarmupSpec
 from calicopath_core.fleet.replicas import Replica
 from calicopath_core.scheduling.messages import PhaseWork
 
@@ -48,6 +48,12 @@
     'patient', 2, 27.0, 3.6, 20.0, 0.48, 0.07, 0.4, 6, True, 103, 39, 69, 652, 543, 250
 )
 KINDS = (URGENT, MIDDLE, PATIENT)
+SHIFTED_KINDS = (
+    JobKind('urgent', 0, 31.7, 1.635, 6.1, 4.5, 0.67, 0.7, 10, False, 2520, 4, 3780, 686, 2890, 52),
+    JobKind('middle', 1, 71.3, 3.619, 6.0, 1.0, 0.15, 0.0, 0, True, 341, 39, 227, 888, 1800, 24),
+    JobKind('patient', 2, 20.8, 3.615, 20.0, 0.64, 0.096, 0.4, 6, True, 103, 39, 69, 673, 543, 280),
+)
+"""The same kinds as one deployment had them some months on: other rates, times and worth."""
 
 
 class Fleet(NamedTuple):
@@ -60,6 +66,8 @@
     specs: dict[str, StageSpec]
     engine: EngineSpec
     scale: float
+    kinds: tuple[JobKind, ...] = KINDS
+    warmup: WarmupSpec | None = None
 
     @property
     def zone_names(self) -> list[str]:
@@ -98,6 +106,29 @@
     return Fleet(boxes, zones, share(39), stages, SPECS, EngineSpec(48, 266_342), scale)
 
 
+SHIFTED_SPECS = {
+    FIRST: StageSpec(1, 11, 0.2, 0.01527, 24_750_000, 4.0),
+    SECOND: StageSpec(1, 47, 0.2, 0.00362, 6_110_000, 4.0),
+    THIRD: StageSpec(1, 68, 0.2, 0.0025, 910_000, 4.0),
+}
+
+
+def shifted_fleet() -> Fleet:
+    """Return a fleet of 86 boxes and many small engines that may turn cold."""
+    stages = {FIRST: 10, SECOND: 8, THIRD: 9}
+    return Fleet(
+        boxes=86,
+        zones=4,
+        engines=70,
+        stages=stages,
+        specs=SHIFTED_SPECS,
+        engine=EngineSpec(24, 207_683),
+        scale=1.0,
+        kinds=SHIFTED_KINDS,
+        warmup=WarmupSpec(6.7),
+    )
+
+
 def phases_of(kind: JobKind, large: int, checks: int) -> tuple[PhaseWork, ...]:
     """Return the phases of one request with so many large results and last pieces."""
     found = []
--- a/testkit/replay/load.py
+++ b/testkit/replay/load.py
@@ -33,7 +33,8 @@
 class Blow(NamedTuple):
     """Say what happens to replicas or schedulers at some time.
 
-    `what` is `slow`, `lost`, `killed` (everything) or `silent` (the scheduler alone).
+    `what` is `slow`, `lost`, `killed` (everything), `silent` (the scheduler alone) or `out`: the
+    first zone is taken out, and its engines are cold when it is given back.
     """
 
     at: float
@@ -72,6 +73,14 @@
         Pattern('stage-lost', blows=(Blow(BLOW_AT_S, 'lost', 'rank', 0.33, BLOW_S),)),
         Pattern('short-of-stages', load=1.3, blows=(Blow(4.0, 'lost', 'rank', 0.5, 14.0),)),
         Pattern('stage-slow', blows=(Blow(BLOW_AT_S, 'slow', 'retrieve', 0.33, BLOW_S),)),
+        Pattern('zone-out', blows=(Blow(BLOW_AT_S, 'out', for_s=BLOW_S),)),
+        Pattern(
+            'zone-back-cold',
+            load=1.3,
+            burst_x=2.4,
+            burst_kinds=tuple(kind.name for kind in KINDS),
+            blows=(Blow(4.0, 'out', for_s=5.0),),
+        ),
         Pattern('scheduler-silent', blows=(Blow(BLOW_AT_S, 'silent'),)),
         Pattern('all-killed', blows=(Blow(BLOW_AT_S, 'killed'),)),
         Pattern('hot-key', hot_share=0.4),
@@ -98,7 +107,7 @@
 
     def arrivals(self) -> list[Arrival]:
         """Return every first try in order of time."""
-        found = [item for kind in KINDS for item in self.of_kind(kind)]
+        found = [item for kind in self.fleet.kinds for item in self.of_kind(kind)]
         if self.pattern.flood_x > 1:
             found.extend(self.flood())
         return sorted(found, key=lambda item: item.at)
@@ -128,7 +137,7 @@
         """Return what the flooding workspace sends beyond its usual."""
         share = self.weights[self.names.index(FLOODER)] / sum(self.weights)
         found = []
-        for kind in KINDS:
+        for kind in self.fleet.kinds:
             rate = kind.rate * self.fleet.scale * self.pattern.load * share
             extra = rate * (self.pattern.flood_x - 1)
             at = BLOW_AT_S
--- a/testkit/replay/outcomes.py
+++ b/testkit/replay/outcomes.py
@@ -34,7 +34,8 @@
 class Figures(NamedTuple):
     """Hold the figures of one replay; shares are of worth owed, bytes and tokens are totals.
 
-    `others` are the shares by kind of the workspaces that do not flood.
+    `others` are the shares by kind of the workspaces that do not flood, `most_cold_starts` the most
+    runs that reached one cold engine within a second.
     """
 
     worth: float
@@ -48,6 +49,7 @@
     stage_work_s: float
     calls: int
     without_room: int
+    most_cold_starts: int
     cost_ms: float
 
 
--- a/testkit/replay/plain.py
+++ b/testkit/replay/plain.py
@@ -63,10 +63,17 @@
     scheduler.admission = NoAdmission()
 
 
+def without_start_bound(scheduler: Scheduler) -> None:
+    """Let any number of runs begin at an engine within a second."""
+    for board in scheduler.boards.values():
+        board.bound = None
+
+
 OURS = Variant('ours')
 VARIANTS = (
     OURS,
     Variant('no allowances', without_allowances),
     Variant('no pacing', without_pacing),
     Variant('no door', without_admission),
+    Variant('no start bound', without_start_bound),
 )
--- a/testkit/replay/world.py
+++ b/testkit/replay/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import bisect
 import random
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -12,6 +13,7 @@
 from calicopath_core.scheduling.messages import Adopt, Place, Placed, Progress, Rejected, RunEnded
 from calicopath_core.scheduling.messages import RunStarted as Started
 from calicopath_core.scheduling.scheduler import Scheduler
+from calicopath_core.scheduling.starts import WarmupTerms
 from testkit.replay import outcomes as counting
 from testkit.replay.engines import AGAIN_WITHIN_S, ReplayEngine
 from testkit.replay.fleet import ENGINE, Fleet, fleet_of
@@ -32,6 +34,12 @@
 NETWORK_S = 0.002
 """What a message between boxes takes."""
 
+WARMUP_TERMS = WarmupTerms(overage=1.5, slack=5.0)
+COLD_S = 3.0
+COLD_TOLD_S = 1.8
+"""How far a cold engine's rate may be passed, how long one is cold, and how late that is heard: by
+the next beat, 1.2 s apart, and what the store and the relays take."""
+
 NOTICED_S = 0.75
 """After what time boxes give a silent scheduler up."""
 
@@ -83,6 +91,8 @@
         self.running: asyncio.Task[None] | None = None
         self.down_until = 0.0
         self.deaths = 0
+        self.cold: set[str] = set()
+        self.cold_starts: dict[str, list[float]] = {}
         self.read_at: dict[str, float] = {}
         self.reread_tokens = 0
         self.used_s = 0.0
@@ -105,9 +115,10 @@
             observer=self.observer,
             own_address=f'scheduler-{self.deaths}',
             share_of=lambda replicas: replicas,
+            warmup=WARMUP_TERMS,
         )
-        self.variant.change(found)
         found.on_deployment(self.deployment())
+        self.variant.change(found)
         self.stopwatch.wrap(found, TIMED)
         self.stopwatch.wrap(found.stages, TIMED_STAGES)
         self.stopwatch.wrap(found.stages.release, TIMED_RELEASE)
@@ -117,7 +128,7 @@
     def deployment(self) -> Deployment:
         """Return the services that there are."""
         stages = [ServiceSpec(name, '', 100, spec, None) for name, spec in self.fleet.specs.items()]
-        engine = ServiceSpec(ENGINE, '', 100, None, self.fleet.engine)
+        engine = ServiceSpec(ENGINE, '', 100, None, self.fleet.engine, self.fleet.warmup)
         return Deployment(
             version=1,
             routes=(),
@@ -182,9 +193,30 @@
             await self.stop_scheduler()
             await asyncio.sleep(NOTICED_S)
             await self.start_next(with_jobs=True)
+        elif blow.what == 'out':
+            await self.take_zone_out(blow)
         else:
             await self.strike_replicas(blow)
 
+    async def take_zone_out(self, blow: Blow) -> None:
+        """Take the first zone out for a while; that its engines are cold then is told late."""
+        zone = self.fleet.zone_names[0]
+        self.table.set_evacuated(frozenset({zone}))
+        await asyncio.sleep(blow.for_s)
+        self.cold = {name for name in self.engines if self.zones[name] == zone}
+        self.table.set_evacuated(frozenset())
+        await asyncio.sleep(COLD_TOLD_S)
+        self.tell_cold(True)
+        await asyncio.sleep(COLD_S - COLD_TOLD_S)
+        self.tell_cold(False)
+        self.cold = set()
+
+    def tell_cold(self, cold: bool) -> None:
+        """Have the engines that are cold say so, or that they are no more."""
+        with self.table.batch():
+            for name in self.cold:
+                self.table.put(self.table.replicas[name]._replace(cold=cold))
+
     async def strike_replicas(self, blow: Blow) -> None:
         """Slow or lose a share of a service's replicas for a while."""
         listed = [item for item in self.fleet.replicas() if item.service == blow.service]
@@ -310,6 +342,8 @@
             if item.zone != zone:
                 self.stages.crossed_bytes += item.size
         now = self.clock.monotonic()
+        if placed.replica in self.cold:
+            self.cold_starts.setdefault(placed.replica, []).append(now)
         self.count_reread(arrival, engine, now)
         first_at, _ = engine.read(arrival.prompt, now)
         engine.running += 1
@@ -356,10 +390,16 @@
             stage_work_s=self.stages.work_s,
             calls=self.stages.calls,
             without_room=self.stages.without_room,
+            most_cold_starts=max(map(most_in_a_second, self.cold_starts.values()), default=0),
             cost_ms=1000 * self.stopwatch.spent_s / jobs,
         )
 
 
+def most_in_a_second(times: list[float]) -> int:
+    """Return the most of some moments, in order, that lie within one second."""
+    return max(bisect.bisect_left(times, at + 1.0) - n for n, at in enumerate(times))
+
+
 def replay(
     pattern: str, seed: int, variant: Variant | None = None, fleet: Fleet | None = None
 ) -> Figures:
