--- a/packages/daemon/calicopathd/gateway/tests/relaying_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/relaying_tests.py
@@ -177,6 +177,12 @@
             spent = [calls(fleet)[name] - before[name] for name in others]
             self.assertLess(max(spent), 8)
             self.assertLess(sum(spent) / len(spent), 6.0)
+            for box in fleet.boxes.values():
+                box.store.cut = False
+            await asyncio.sleep(3.0)
+            returned = [calls(fleet)[name] - before[name] for name in others]
+            self.assertLess(max(returned), 10)
+            self.assertLess(sum(returned) / len(returned), 6.0)
             await fleet.stop()
 
         self.run_virtual(scenario())
