--- a/packages/core/calicopath_core/scheduling/jobs.py
+++ b/packages/core/calicopath_core/scheduling/jobs.py
@@ -125,6 +125,8 @@
 class Job:
     """Hold a job's results by phase; times are monotonic seconds.
 
+    `tail_s` holds for each phase what is expected from its call to the engine's first event,
+    `ahead_s` how much work may be begun ahead of it before the job is.
     `uncalled` counts for each phase the pieces that have yet to be put into a call; a job `beyond`
     its workspace's allowance gives way to those that are not.
     """
@@ -149,6 +151,7 @@
         self.beyond = place.beyond
         self.tries = 0
         self.tail_s: dict[int, float] = {}
+        self.ahead_s: dict[int, float] = {}
         self.zones: dict[int, str] = {}
         self.uncalled = [phase.pieces for phase in place.phases]
 
--- a/packages/core/calicopath_core/scheduling/pacing.py
+++ b/packages/core/calicopath_core/scheduling/pacing.py
@@ -3,7 +3,7 @@
 Answers more load than the stages can bear: half-done work would take the room of makers and the
 calls of others. But what is held back too much leaves calls half empty: a stage's pieces are on
 their way for as long as the phases before it take, so that much has to be begun ahead of it, and
-one call more for each replica.
+a little more to fill its calls, as far as the jobs have time to wait there.
 """
 
 from __future__ import annotations
@@ -17,11 +17,12 @@
     from calicopath_core.scheduling.jobs import Job
     from calicopath_core.scheduling.stages import StageQueue
 
-CALLS_AHEAD = 1.0
-"""How many full calls for each replica may be begun ahead of a stage, beyond what is on its way
-there. With 0.8 s of work for every stage, whatever comes before it, calls of a third stage were
-filled to 0.8 while jobs waited before the first one: in a burst of everybody (70 engines, replay)
-the least urgent kind earned 0.75 of its worth in place of 0.85, and all 0.971 in place of 0.987."""
+SPARE_SHARE = 0.15
+"""The part of a job's time to spare for which more work may be begun ahead of a stage than is on
+its way there, up to one call. With 0.8 s of work for every stage, whatever comes before it, calls
+of a third stage were filled to 0.8 while jobs waited before the first one: in a burst of everybody
+(70 engines, replay) the least urgent kind earned 0.75 of its worth in place of 0.85. With a whole
+call for all, kinds that have 1 s to spare lost 0.03 of theirs where half of a stage was gone."""
 
 HOLDS_S = 0.02
 """How long a look at all jobs holds. At 74 boxes calls are decided on every 3 ms, and looking each
@@ -51,18 +52,24 @@
         begun = [job for job in open_jobs if job.begun]
         kinds = {precedence(job) for job in fresh}
         waits = {kind: waiting_pieces(begun, kind) for kind in kinds}
-        return {job.id for job in fresh if self.must_wait(job, waits[precedence(job)], queues)}
-
-    def must_wait(
-        self, job: Job, waits: Mapping[str, int], queues: Mapping[str, StageQueue]
-    ) -> bool:
-        """Tell whether a later stage of a job has enough to do."""
-        reached_s = reach_s(job, queues)
-        return any(
-            waits.get(phase.service, 0) > enough(queues[phase.service], reached_s[number])
-            for number, phase in enumerate(job.place.phases)
-            if phase.needs and phase.service in queues
-        )
+        rates = {name: full_rate(queue) for name, queue in queues.items()}
+        return {job.id for job in fresh if must_wait(job, waits[precedence(job)], rates, queues)}
+
+
+def must_wait(
+    job: Job,
+    waits: Mapping[str, int],
+    rates: Mapping[str, float],
+    queues: Mapping[str, StageQueue],
+) -> bool:
+    """Tell whether a later stage of a job has enough to do, by pieces begun ahead of it."""
+    if not job.ahead_s:
+        job.ahead_s = ahead_s(job, queues)
+    return any(
+        waits.get(phase.service, 0) > job.ahead_s[number] * rates.get(phase.service, 0.0)
+        for number, phase in enumerate(job.place.phases)
+        if phase.needs
+    )
 
 
 class Precedence(NamedTuple):
@@ -77,13 +84,25 @@
     return Precedence(job.beyond, job.place.priority)
 
 
+def ahead_s(job: Job, queues: Mapping[str, StageQueue]) -> dict[int, float]:
+    """Return for each phase how many seconds of full calls may be begun ahead of its stage."""
+    reached_s = reach_s(job, queues)
+    total_s = max(job.tail_s.values(), default=0.0)
+    spare_s = max(0.0, job.place.objective_s - total_s)
+    found = {}
+    for number, phase in enumerate(job.place.phases):
+        queue = queues.get(phase.service)
+        call_s = queue.expected_s(queue.spec.batch) if queue is not None else 0.0
+        found[number] = reached_s[number] + min(call_s, SPARE_SHARE * spare_s)
+    return found
+
+
 def reach_s(job: Job, queues: Mapping[str, StageQueue]) -> dict[int, float]:
     """Return for each phase how long the phases before it usually take."""
     found: dict[int, float] = {}
     for number, phase in enumerate(job.place.phases):
-        found[number] = max(
-            (found[need] + usual_s(job, need, queues) for need in phase.needs), default=0.0
-        )
+        ends = (found[need] + usual_s(job, need, queues) for need in phase.needs)
+        found[number] = max(ends, default=0.0)
     return found
 
 
@@ -94,10 +113,9 @@
     return queue.usual_s() if queue is not None and phase.pieces else 0.0
 
 
-def enough(queue: StageQueue, reached_s: float) -> float:
-    """Return how many pieces may be begun ahead of a stage that is reached after some time."""
-    call_s = queue.expected_s(queue.spec.batch)
-    return (reached_s / call_s + CALLS_AHEAD) * queue.spec.batch * len(queue.replicas)
+def full_rate(queue: StageQueue) -> float:
+    """Return the pieces a second that a stage's replicas make with full calls."""
+    return len(queue.replicas) * queue.spec.batch / queue.expected_s(queue.spec.batch)
 
 
 def waiting_pieces(begun: Iterable[Job], of: Precedence) -> dict[str, int]:
--- a/testkit/replay/fleet.py
+++ b/testkit/replay/fleet.py
@@ -129,6 +129,32 @@
     )
 
 
+HURRIED_KINDS = (
+    JobKind('urgent', 0, 5.78, 1.1, 4.4, 4.7, 0.7, 0.7, 10, False, 2520, 4, 3780, 240, 2890, 51),
+    JobKind('middle', 1, 7.05, 2.3, 6.0, 1.1, 0.17, 0.0, 0, True, 341, 39, 227, 300, 1800, 24),
+    JobKind('patient', 2, 6.53, 2.5, 10.0, 0.42, 0.063, 0.4, 6, True, 103, 39, 69, 160, 543, 280),
+)
+HURRIED_SPECS = {
+    FIRST: StageSpec(1, 5, 0.2, 0.0336, 11_250_000, 4.0),
+    SECOND: StageSpec(1, 20, 0.2, 0.00852, 2_583_000, 4.0),
+    THIRD: StageSpec(1, 33, 0.2, 0.00521, 429_000, 4.0),
+}
+
+
+def hurried_fleet() -> Fleet:
+    """Return a fleet of six boxes with three replicas a stage and little time for each request."""
+    return Fleet(
+        boxes=6,
+        zones=3,
+        engines=6,
+        stages={FIRST: 3, SECOND: 3, THIRD: 3},
+        specs=HURRIED_SPECS,
+        engine=EngineSpec(64, 343_821),
+        scale=1.0,
+        kinds=HURRIED_KINDS,
+    )
+
+
 def phases_of(kind: JobKind, large: int, checks: int) -> tuple[PhaseWork, ...]:
     """Return the phases of one request with so many large results and last pieces."""
     found = []
