--- a/packages/clients/calicopath_clients/http1/pool.py
+++ b/packages/clients/calicopath_clients/http1/pool.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from calicopath_clients.http1.connections import Connection
-from calicopath_core.backends.base import MayHaveRun, NotStarted, Unreached
+from calicopath_core.backends.base import MayHaveRun, NotStarted
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -145,7 +145,7 @@
         except BaseException as error:
             self.on_closed(address)
             if isinstance(error, OSError | TimeoutError):
-                raise Unreached(f'{address} cannot be reached: {error!r}') from error
+                raise NotStarted(f'{address} cannot be reached: {error!r}') from error
             raise
         connection.on_closed = partial(self.on_closed, address)
         return connection
--- a/packages/core/calicopath_core/backends/base.py
+++ b/packages/core/calicopath_core/backends/base.py
@@ -35,10 +35,6 @@
         self.retry_after_s = retry_after_s
 
 
-class Unreached(NotStarted):
-    """Report that no connection to the endpoint came up: it may be gone, or cut off."""
-
-
 class MayHaveRun(BackendError):
     """Report that a call may have run, in whole or in part."""
 
--- a/packages/core/calicopath_core/scheduling/stage_calls.py
+++ b/packages/core/calicopath_core/scheduling/stage_calls.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
-from calicopath_core.backends.base import BackendError, NotStarted, Unreached
+from calicopath_core.backends.base import BackendError, NotStarted
 from calicopath_core.scheduling.freeing import ResultFreeing
 from calicopath_core.scheduling.interfaces import PieceCall, PieceResult
 from calicopath_core.scheduling.jobs import Job, Piece, Result
@@ -235,28 +235,24 @@
         """Let the pieces of a failed call wait again."""
         self.close_call(batch)
         now = self.clock.monotonic()
-        not_started = isinstance(error, NotStarted)
+        full = isinstance(error, NotStarted)
         if isinstance(error, AnswerLost):
             queue.answer_lost(batch, now)
-        elif isinstance(error, Unreached):
-            queue.unreached(batch, now)
-        elif not_started:
-            queue.declined(batch, now)
         else:
-            queue.failed(batch, now)
+            queue.failed(batch, now, full=full)
         self.observer.on_stage_call(
             queue.service, batch.target.replica.id, batch.pieces, now - begun, repr(error)
         )
         for piece in batch.pieces:
-            self.try_again(queue, piece, not_started=not_started)
+            self.try_again(queue, piece, full=full)
         for job in jobs_of(batch):
             self.keeper.advance(job)
         self.dispatch_soon()
 
-    def try_again(self, queue: StageQueue, piece: Piece, *, not_started: bool) -> None:
+    def try_again(self, queue: StageQueue, piece: Piece, *, full: bool) -> None:
         """Let a piece wait again, or end its job when it failed too often or its time is over."""
         now = self.clock.monotonic()
-        if not_started:
+        if full:
             piece.tries -= 1
         if piece.stale:
             return
@@ -300,7 +296,7 @@
         full = result.reason == 'room'
         if full and batch.target.no_room_until <= self.clock.monotonic():
             queue.no_room(batch, self.clock.monotonic())
-        self.try_again(queue, piece, not_started=full)
+        self.try_again(queue, piece, full=full)
 
     def on_freed(self, maker: str, handles: list[str]) -> None:
         """Count the room of results as free that their maker has given up."""
--- a/packages/core/calicopath_core/scheduling/stages.py
+++ b/packages/core/calicopath_core/scheduling/stages.py
@@ -25,13 +25,6 @@
 MAX_EJECT_S = 8.0
 """How long a replica that failed a call is left alone; doubled with each failure in a row."""
 
-UNREACHED_S = 0.5
-MAX_UNREACHED_S = 2.0
-"""The same for one to which no connection came up: one that refuses connections was else called
-again every 50 ms, each time with the pieces that come first (92 calls in 4 s to three replicas that
-had crashed), and one that is silent kept them for 1.2 s each time. Where this box was cut off
-itself, all replicas are back within that time."""
-
 FULL_S = 0.05
 """How long a replica that declined a call as full is left alone."""
 
@@ -220,28 +213,16 @@
         sizes = {f'lost {piece.name}': piece.result_bytes for piece in batch.pieces}
         self.finished(batch, sizes, now)
 
-    def failed(self, batch: StageBatch, now: float) -> None:
-        """Leave a replica alone for a while that failed a call."""
-        target = self.not_made(batch)
-        target.failures += 1
-        target.idle_until = now + doubled(EJECT_S, target.failures, MAX_EJECT_S)
-
-    def unreached(self, batch: StageBatch, now: float) -> None:
-        """Leave a replica alone for a while to which no connection came up."""
-        target = self.not_made(batch)
-        target.failures += 1
-        target.idle_until = now + doubled(UNREACHED_S, target.failures, MAX_UNREACHED_S)
-
-    def declined(self, batch: StageBatch, now: float) -> None:
-        """Leave a replica alone for a moment that was full."""
-        self.not_made(batch).idle_until = now + FULL_S
-
-    def not_made(self, batch: StageBatch) -> StageReplica:
-        """Take a call off its replica that has made nothing."""
+    def failed(self, batch: StageBatch, now: float, *, full: bool) -> None:
+        """Leave a replica alone for a while that failed a call or was full."""
         target = batch.target
         target.calls -= 1
         target.reserved_bytes -= sum(piece.result_bytes for piece in batch.pieces)
-        return target
+        if full:
+            target.idle_until = now + FULL_S
+            return
+        target.failures += 1
+        target.idle_until = now + min(MAX_EJECT_S, EJECT_S * 2 ** (target.failures - 1))
 
     def rate(self) -> float:
         """Return the pieces a second that the replicas can make with calls nearly full."""
@@ -261,11 +242,6 @@
         return self.spec.call_s + self.spec.piece_s * pieces
 
 
-def doubled(first_s: float, failures: int, most_s: float) -> float:
-    """Return how long a replica is left alone after so many failures in a row."""
-    return min(most_s, first_s * 2.0 ** (failures - 1))
-
-
 def waited_s(groups: list[PieceGroup], now: float) -> float:
     """Return how long the group that waits longest has waited."""
     return now - min(group.since for group in groups)
