--- a/packages/core/calicopath_core/fleet/outages.py
+++ b/packages/core/calicopath_core/fleet/outages.py
@@ -37,8 +37,8 @@
 so, four cost 4."""
 
 ALONE_S = 12.0
-"""How long the others wait for the probe: its own answers, the largest, may be all that fails. Longer
-than the outages seen (3 to 9 s), at whose end all boxes would else ask for each kind."""
+"""How long the others wait for the probe: its own answers, the largest, may be all that fails.
+Longer than the outages seen (3 to 9 s), at whose end all boxes would else ask for each kind."""
 
 LOOK_S = 0.05
 """How often it is looked whether the probe was answered."""
