Let a kind that fares much worse go with the one before it

Change: a new job whose rank has been in time by more than 0.1 less often than the next more urgent rank of the same tenants' priority goes with that one, until it fares about as well.

--- a/packages/core/calicopath_core/exchanges/executor.py
+++ b/packages/core/calicopath_core/exchanges/executor.py
@@ -15,6 +15,7 @@
 )
 from calicopath_core.exchanges.plain import serve_plain
 from calicopath_core.exchanges.streams import Stream
+from calicopath_core.scheduling.messages import ROUTE_PRIORITIES
 
 if TYPE_CHECKING:
     from calicopath_core.exchanges.context import ExchangeContext
@@ -22,10 +23,6 @@
     from calicopath_core.fleet.deployment import Deployment, Route, Tenant
 
 
-ROUTE_PRIORITIES = 10
-"""How many priorities routes may have, 0 to 9, as on the way to the engines."""
-
-
 class ExchangeExecutor:
     """Serve exchanges by the deployment in force when they arrive."""
 
--- a/packages/core/calicopath_core/scheduling/admission.py
+++ b/packages/core/calicopath_core/scheduling/admission.py
@@ -140,5 +140,5 @@
 def outranks(job: Job, other: Job) -> bool:
     """Tell whether a new job's pieces go before those of another."""
     if other.resumed or job.beyond:
-        return not other.resumed and other.beyond and job.place.priority < other.place.priority
-    return other.beyond or job.place.priority < other.place.priority
+        return not other.resumed and other.beyond and job.urgency < other.urgency
+    return other.beyond or job.urgency < other.urgency
--- a/packages/core/calicopath_core/scheduling/jobs.py
+++ b/packages/core/calicopath_core/scheduling/jobs.py
@@ -128,7 +128,8 @@
     `tail_s` holds for each phase what is expected from its call to the engine's first event,
     `ahead_s` how much work may be begun ahead of it before the job is.
     `uncalled` counts for each phase the pieces that have yet to be put into a call; a job `beyond`
-    its workspace's allowance gives way to those that are not.
+    its workspace's allowance gives way to those that are not; `urgency` is the rank with which it
+    goes, its own or that of more urgent jobs.
     """
 
     def __init__(self, *, place: Place, now: float) -> None:
@@ -149,6 +150,7 @@
         self.open_calls = 0
         self.adopted = False
         self.beyond = place.beyond
+        self.urgency = place.priority
         self.tries = 0
         self.tail_s: dict[int, float] = {}
         self.ahead_s: dict[int, float] = {}
--- a/packages/core/calicopath_core/scheduling/messages.py
+++ b/packages/core/calicopath_core/scheduling/messages.py
@@ -13,6 +13,9 @@
 from calicopath_core.scheduling.fairness import Taken
 from calicopath_core.scheduling.groups import GroupCount
 
+ROUTE_PRIORITIES = 10
+"""How jobs rank: so many priorities of routes within each priority of a tenant, 0 first."""
+
 
 class PhaseWork(msgspec.Struct, frozen=True, array_like=True):
     """Describe one phase of a job and how many pieces it has."""
--- a/packages/core/calicopath_core/scheduling/pacing.py
+++ b/packages/core/calicopath_core/scheduling/pacing.py
@@ -81,7 +81,7 @@
 
 def precedence(job: Job) -> Precedence:
     """Return a job's precedence."""
-    return Precedence(job.beyond, job.place.priority)
+    return Precedence(job.beyond, job.urgency)
 
 
 def ahead_s(job: Job, queues: Mapping[str, StageQueue]) -> dict[int, float]:
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -9,6 +9,7 @@
 from calicopath_core.scheduling.beliefs import EngineTimes
 from calicopath_core.scheduling.engine_queue import EngineQueue
 from calicopath_core.scheduling.engines import EngineBoard
+from calicopath_core.scheduling.evenness import Evenness
 from calicopath_core.scheduling.fairness import Allowances
 from calicopath_core.scheduling.interfaces import JobKeeper
 from calicopath_core.scheduling.jobs import Job, Piece
@@ -75,6 +76,7 @@
         self.new_board = new_board or self.board_of
         self.admission = Admission()
         self.allowances = Allowances()
+        self.evenness = Evenness()
         self.engine_times = EngineTimes()
         self.jobs: dict[str, Job] = {}
         self.unplaced: dict[str, Job] = {}
@@ -191,6 +193,7 @@
         if not board.serves(job):
             self.reject_unserved(job)
             return
+        job.urgency = self.evenness.urgency(place.priority)
         if not place.resumed and not place.asked_before:
             job.beyond = self.allowances.ask(place.workspace, self.stages.work_s(place), now)
         engine_s = board.least_time_s(job, now)
@@ -286,6 +289,8 @@
         del self.unplaced[job.id]
         job.placed_at = job.engine_at = now
         self.admission.learn(job, now - job.arrived_at)
+        in_time = now + self.engine_s(job) <= job.objective_at
+        self.evenness.learn(job.place.priority, in_time=in_time)
         inputs = tuple(result.handle for result in job.final_results())
         self.observer.on_placed(job, choice.engine.replica, choice.cost_s, now - job.arrived_at)
         placed = Placed(
@@ -300,6 +305,7 @@
     def reject(self, job: Job, reason: str, retry_after_s: float = RETRY_AFTER_S) -> None:
         """Tell the box that a job is not placed, and end it."""
         self.observer.on_rejected(job, reason, retry_after_s)
+        self.evenness.learn(job.place.priority, in_time=False)
         rejected = Rejected(job=job.id, reason=reason, retry_after_s=retry_after_s)
         self.send(job.place.reply_to, rejected)
         self.end(job)
--- a/packages/core/calicopath_core/scheduling/waiting.py
+++ b/packages/core/calicopath_core/scheduling/waiting.py
@@ -147,6 +147,6 @@
     if job.resumed:
         return Rank(0, 0, 0, job.arrived_at)
     if spare_s < 0:
-        return Rank(3, 0, job.place.priority, job.objective_at)
+        return Rank(3, 0, job.urgency, job.objective_at)
     step = 2 if job.beyond else 1
-    return Rank(step, int(spare_s / SPARE_STEP_S), job.place.priority, job.objective_at)
+    return Rank(step, int(spare_s / SPARE_STEP_S), job.urgency, job.objective_at)
--- a/testkit/replay/plain.py
+++ b/testkit/replay/plain.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from calicopath_core.scheduling.admission import Admission, Verdict
+from calicopath_core.scheduling.evenness import Evenness
 from calicopath_core.scheduling.fairness import Allowances
 from calicopath_core.scheduling.pacing import Pacing, full_rate
 from testkit.replay.world import Variant
@@ -84,6 +85,19 @@
     scheduler.admission = NoAdmission()
 
 
+class RanksAlone(Evenness):
+    """Let every rank give way to those before it, however it fares."""
+
+    def urgency(self, rank: int) -> int:
+        """Return the rank itself."""
+        return rank
+
+
+def with_ranks_alone(scheduler: Scheduler) -> None:
+    """Let ranks alone decide which kinds give way."""
+    scheduler.evenness = RanksAlone()
+
+
 def without_start_bound(scheduler: Scheduler) -> None:
     """Let any number of runs begin at an engine within a second."""
     for board in scheduler.boards.values():
@@ -97,5 +111,6 @@
     Variant('no pacing', without_pacing),
     Variant('same ahead', with_same_ahead),
     Variant('no door', without_admission),
+    Variant('ranks alone', with_ranks_alone),
     Variant('no start bound', without_start_bound),
 )
