--- a/packages/core/calicopath_core/scheduling/engines.py
+++ b/packages/core/calicopath_core/scheduling/engines.py
@@ -95,10 +95,14 @@
 
 
 class Engine:
-    """Hold one engine's runs and the prompt parts that were sent there."""
+    """Hold one engine's runs and the prompt parts that were sent there.
 
-    def __init__(self, *, replica: Replica) -> None:
+    `draw` orders engines that cost the same.
+    """
+
+    def __init__(self, *, replica: Replica, draw: int = 0) -> None:
         self.replica = replica
+        self.draw = draw
         self.runs: dict[str, Run] = {}
         self.load_s = 0.0
         self.cached: OrderedDict[str, Kept] = OrderedDict()
@@ -185,12 +189,16 @@
         listed = {replica.id: replica for replica in usable}
         self.known = {name: item for name, item in self.known.items() if name in alive}
         for name, replica in listed.items():
-            engine = self.known.get(name) or self.engines.get(name) or Engine(replica=replica)
+            engine = self.known.get(name) or self.engines.get(name) or self.new_engine(replica)
             engine.replica = replica
             self.known[name] = engine
-        order = sorted(listed, key=lambda name: zlib.crc32(f'{self.salt}/{name}'.encode()))
+        order = sorted(listed, key=lambda name: self.known[name].draw)
         self.engines = {name: self.known[name] for name in order}
 
+    def new_engine(self, replica: Replica) -> Engine:
+        """Return an engine of which nothing is known."""
+        return Engine(replica=replica, draw=zlib.crc32(f'{self.salt}/{replica.id}'.encode()))
+
     def on_take_up(self, now: float) -> None:
         """Note that another box may have placed runs until now, and may do so a moment longer."""
         self.alone_from = now + WINDOW_S
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -7,8 +7,8 @@
 
 from calicopath_core.scheduling.admission import Admission
 from calicopath_core.scheduling.beliefs import EngineTimes
+from calicopath_core.scheduling.boards import EngineBoards
 from calicopath_core.scheduling.engine_queue import EngineQueue
-from calicopath_core.scheduling.engines import EngineBoard
 from calicopath_core.scheduling.evenness import Evenness
 from calicopath_core.scheduling.fairness import Allowances
 from calicopath_core.scheduling.interfaces import JobKeeper
@@ -19,7 +19,7 @@
     Rejected,
 )
 from calicopath_core.scheduling.stage_calls import MAX_PIECE_TRIES, StageCalls
-from calicopath_core.scheduling.starts import NO_ALLOWANCE, WarmupTerms, bound_of
+from calicopath_core.scheduling.starts import NO_ALLOWANCE, WarmupTerms
 from calicopath_core.scheduling.succession import Succession
 
 if TYPE_CHECKING:
@@ -30,6 +30,7 @@
     from calicopath_core.clock import Clock
     from calicopath_core.fleet.deployment import Deployment, EngineSpec
     from calicopath_core.fleet.replicas import Replica, ReplicaTable
+    from calicopath_core.scheduling.engines import EngineBoard
     from calicopath_core.scheduling.interfaces import SchedulerObserver, StageCaller
     from calicopath_core.scheduling.messages import MadeResult, Place, RunEnded, RunStarted
 
@@ -72,8 +73,6 @@
         self.observer = observer
         self.own_address = own_address
         self.share_of = share_of
-        self.warmup = warmup
-        self.new_board = new_board or self.board_of
         self.admission = Admission()
         self.allowances = Allowances()
         self.evenness = Evenness()
@@ -82,7 +81,7 @@
         self.unplaced: dict[str, Job] = {}
         self.engine_queue = EngineQueue(engine_s=self.engine_s)
         self.wanted = asyncio.Event()
-        self.boards: dict[str, EngineBoard] = {}
+        self.boards = EngineBoards(salt=own_address, warmup=warmup, new_board=new_board)
         self.stages = StageCalls(
             clock=clock,
             replicas=replicas,
@@ -99,21 +98,13 @@
         for name, service in deployment.services.items():
             if service.stage is not None:
                 self.stages.set_spec(name, service.stage)
-            if service.engine is not None:
-                board = self.boards.setdefault(name, self.new_board(service.engine))
-                board.bound = bound_of(service.warmup, self.warmup) if service.warmup else None
+            self.boards.set_spec(service)
         self.on_replicas()
 
-    def board_of(self, spec: EngineSpec) -> EngineBoard:
-        """Return the board of a service's engines."""
-        return EngineBoard(slots=spec.slots, kv_tokens=spec.kv_tokens, salt=self.own_address)
-
     def on_replicas(self) -> None:
         """Take in which replicas there are."""
         self.stages.on_replicas()
-        for name, board in self.boards.items():
-            usable = self.share_of(self.replicas.usable(name))
-            board.set_replicas(usable, self.replicas.replicas)
+        self.boards.set_replicas(self.replicas, self.share_of)
         self.remake_lost()
         self.place_waiting()
 
@@ -147,8 +138,7 @@
         if self.is_idle:
             return
         now = self.clock.monotonic()
-        for board in self.boards.values():
-            board.forget_lost(now)
+        self.boards.forget_lost(now)
         self.place_waiting()
         self.reject_hopeless(now)
         self.give_up_fetched(now)
--- a/packages/core/calicopath_core/scheduling/succession.py
+++ b/packages/core/calicopath_core/scheduling/succession.py
@@ -23,9 +23,7 @@
     def take_up(self) -> None:
         """Schedule what comes."""
         self.successor = None
-        now = self.scheduler.clock.monotonic()
-        for board in self.scheduler.boards.values():
-            board.on_take_up(now)
+        self.scheduler.boards.on_take_up(self.scheduler.clock.monotonic())
 
     def give_way(self, successor: str) -> None:
         """Hand every job to another scheduler as soon as no call for it is under way.
@@ -42,9 +40,7 @@
     def tell_learned(self, successor: str) -> None:
         """Tell the next scheduler what waits at engines, and what this one has learned."""
         scheduler = self.scheduler
-        loads: dict[str, float] = {}
-        for board in scheduler.boards.values():
-            loads.update(board.loads())
+        loads = scheduler.boards.loads()
         if loads:
             message = EngineLoads(sender=scheduler.own_address, loads=loads)
             scheduler.send(successor, message)
@@ -112,9 +108,7 @@
     def on_engine_loads(self, message: EngineLoads) -> None:
         """Take in what a leaving scheduler has placed."""
         now = self.scheduler.clock.monotonic()
-        for board in self.scheduler.boards.values():
-            for replica_id, load_s in message.loads.items():
-                board.on_foreign_load(message.sender, replica_id, load_s, now)
+        self.scheduler.boards.on_foreign_loads(message.sender, message.loads, now)
 
     def on_learned(self, message: Learned) -> None:
         """Take in what a leaving scheduler has learned, unless this one has seen enough itself."""
