Let relays tell what the store has forgotten the history of

The store told watches nothing for a second and then forgot its history: at 2.0 s all 83 boxes that hear relays passed these over, since their word was older than 1.6 s though none had told of a failure yet, asked for four kinds themselves, and read all of them anew (321 losses of history, 14 calls a box).

Change: a relay with word that old counts as one that the store fails, so that one kind probes for all; once that is answered a configuration is asked for at once and the rest after 1 s; a box that hears relays waits that long before it reads what was forgotten anew.

Ruled out: to wait with the configuration too (it must be in force within 2 s where all relays are cut off unawares, a test); to believe relays for longer (the same).

--- a/packages/core/calicopath_core/fleet/feed.py
+++ b/packages/core/calicopath_core/fleet/feed.py
@@ -69,6 +69,10 @@
     def wait_s(self, kind: RecordKind) -> float:
         """Return how long a watch waits."""
 
+    @abstractmethod
+    async def wait_for_relays(self) -> None:
+        """Give relays the time to tell what the store has forgotten the history of."""
+
     @abstractmethod
     async def wait_out(self, kind: RecordKind, failures: int) -> None:
         """Wait before a kind is asked for again of which so many calls in a row have failed."""
@@ -145,6 +149,7 @@
                 # No entry lapses by that: what the list does not hold is gone.
                 self.observer.on_history_lost(self.kind, self.revision or 0)
                 self.must_list = True
+                await self.mode.wait_for_relays()
             except FleetStoreError as error:
                 self.on_failure(error)
                 failures += 1
@@ -156,7 +161,6 @@
         if self.revision is None or self.must_list:
             listing = await self.store.list(self.kind)
             self.on_contact()
-            self.must_list = False
             self.take_listing(listing)
             return False
         wait_s = PROBE_S if self.failing_since is not None else self.mode.wait_s(self.kind)
@@ -167,6 +171,7 @@
 
     def take_listing(self, listing: Listing) -> None:
         """Take every record in, unless newer ones are held."""
+        self.must_list = False
         if self.revision is not None and listing.revision < self.revision:
             return
         self.records = dict(listing.records)
--- a/packages/core/calicopath_core/fleet/outages.py
+++ b/packages/core/calicopath_core/fleet/outages.py
@@ -40,6 +40,15 @@
 """How long the others wait for the probe: its own answers, the largest, may be all that fails.
 Longer than the outages seen (3 to 9 s), at whose end all boxes would else ask for each kind."""
 
+RELAYS_FIRST_S = 1.0
+"""How long relays may take to tell what the store has told them, before a box that found it answered
+asks for what can wait, or reads what the store has forgotten anew: 14 calls a box for a store that
+tells watches nothing for a second and then forgets its history."""
+
+URGENT_KINDS = (PROBE, RecordKind.DEPLOYMENT)
+"""Kinds that a box asks for at once when it is answered and its relays are not: a configuration must
+be in force 2 s after it was acknowledged, also where all relays are cut off."""
+
 LOOK_S = 0.05
 """How often it is looked whether the probe was answered."""
 
@@ -60,16 +69,25 @@
         self.feeds = feeds
         self.fails_relays = fails_relays
         self.since: float | None = None
+        self.answered_at: float | None = None
 
     def holds(self, kind: RecordKind) -> bool:
         """Tell whether a kind waits for the probe to find out if the store fails this box too."""
         now = self.clock.monotonic()
         if not self.fails_relays(now):
-            self.since = None
+            self.since = self.answered_at = None
             return False
         if self.since is None:
             self.since = now
-        return kind is not PROBE and not self.answered(self.since) and now < self.since + ALONE_S
+        if self.answered_at is None and self.answered(self.since):
+            self.answered_at = now
+        return kind is not PROBE and now < self.held_until(kind, self.since)
+
+    def held_until(self, kind: RecordKind, since: float) -> float:
+        """Return until when a kind waits, in an outage that began at some time."""
+        if self.answered_at is None:
+            return since + ALONE_S
+        return self.answered_at + (0.0 if kind in URGENT_KINDS else RELAYS_FIRST_S)
 
     def asks(self, kind: RecordKind) -> bool:
         """Tell whether the next call of a kind should find out soon if the store fails this box."""
--- a/packages/core/calicopath_core/fleet/relays.py
+++ b/packages/core/calicopath_core/fleet/relays.py
@@ -74,6 +74,10 @@
         """Tell whether what the store changes comes through this relay at once."""
         if not self.alive(now) or not self.direct or self.leaving:
             return False
+        return self.is_answered(now)
+
+    def is_answered(self, now: float) -> bool:
+        """Tell whether the store answers the relay, by word that is not too old."""
         contact = self.contact_now(now)
         return contact.failing_s == 0.0 and contact.age_s < STALE_S
 
@@ -157,14 +161,14 @@
         return next(usable, None)
 
     def store_fails_relays(self, now: float) -> bool:
-        """Tell whether relays are heard and the store fails all of those.
+        """Tell whether relays are heard and the store fails all of those, or is silent to them.
 
         Never at a relay: others wait for its word that the store is back.
         """
         if self.is_relay:
             return False
         alive = [source for source in self.sources.values() if source.alive(now)]
-        return bool(alive) and all(source.contact.failing_s > 0 for source in alive)
+        return bool(alive) and not any(source.is_answered(now) for source in alive)
 
 
 def choose_relays(boxes: Iterable[BoxAddress]) -> list[BoxAddress]:
--- a/packages/core/calicopath_core/fleet/subscription.py
+++ b/packages/core/calicopath_core/fleet/subscription.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from calicopath_core.fleet.feed import PROBE_S, FollowMode
-from calicopath_core.fleet.outages import Outages
+from calicopath_core.fleet.outages import RELAYS_FIRST_S, Outages
 from calicopath_core.fleet.relay_messages import (
     NOTHING,
     RelayBeat,
@@ -117,6 +117,14 @@
         relayed = self.publisher.subscribers and kind is HURRIED_KIND
         return RELAY_WAIT_S if relayed else WAIT_S
 
+    async def wait_for_relays(self) -> None:
+        """Give relays the time to tell what the store has forgotten the history of.
+
+        Only a store that is disturbed forgets its history; relays read it anew at once.
+        """
+        if not self.choice.is_relay:
+            await asyncio.sleep(RELAYS_FIRST_S)
+
     async def wait_out(self, kind: RecordKind, failures: int) -> None:
         """Wait before a kind is asked for again of which so many calls in a row have failed."""
         await self.outages.wait_out(kind, failures)
--- a/packages/daemon/calicopathd/gateway/tests/relaying_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/relaying_tests.py
@@ -15,6 +15,10 @@
     from collections.abc import Iterable
 
 COUNT = 10
+MOST_CALLS_FORGOTTEN = 4
+"""Calls to the store that its lost history may cost a box that hears relays; 8 where each box reads
+four kinds anew."""
+
 IN_FORCE_S = 2.0
 """How soon a change must be in force on boxes that reach the store."""
 
@@ -202,6 +206,25 @@
 
         self.run_virtual(scenario())
 
+    def test_history_that_the_store_forgets_is_read_anew_by_relays_alone(self) -> None:
+        async def scenario(deaf_s: float) -> None:
+            fleet = await started()
+            before = calls(fleet)
+            forgetting = asyncio.create_task(fleet.store.compact(deaf_s))
+            await asyncio.sleep(0.3)
+            fleet.store.write(RecordKind.DEPLOYMENT, 'main', deployment(5))
+            await forgetting
+            await asyncio.sleep(IN_FORCE_S)
+            self.assertEqual({5}, versions(fleet))
+            await asyncio.sleep(3.0)
+            others = [name for name in fleet.boxes if name not in relays(fleet)]
+            spent = [calls(fleet)[name] - before[name] for name in others]
+            self.assertLessEqual(max(spent), MOST_CALLS_FORGOTTEN)
+            await fleet.stop()
+
+        for deaf_s in (1.0, 1.4, 1.8, 2.6):
+            self.run_virtual(scenario(deaf_s))
+
     async def changed_in_time(self, fleet: GatewayFleet, names: Iterable[str]) -> None:
         """Change the configuration and check that boxes have it in time."""
         fleet.store.write(RecordKind.DEPLOYMENT, 'main', deployment(5))
--- a/testkit/gateway_store.py
+++ b/testkit/gateway_store.py
@@ -28,6 +28,7 @@
         self.records: dict[RecordKind, dict[str, Record]] = {kind: {} for kind in RecordKind}
         self.log: list[tuple[int, RecordKind, Change]] = []
         self.forgotten = 0
+        self.deaf = False
         self.relays: tuple[BoxAddress, ...] | None = None
         self.changed = asyncio.Event()
 
@@ -42,6 +43,15 @@
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
 
+    async def compact(self, deaf_s: float) -> None:
+        """Tell watches nothing for a while, then cut them and lose what has changed so far."""
+        self.deaf = True
+        await asyncio.sleep(deaf_s)
+        self.deaf = False
+        self.forget_history()
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
+
     def forget_history(self) -> None:
         """Lose what has changed so far."""
         self.forgotten = self.revision
@@ -76,6 +86,16 @@
         await asyncio.sleep(wait_s + CALL_TIMEOUT_S)
         raise FleetStoreError('silent')
 
+    async def hear_nothing(self, wait_s: float) -> None:
+        """Wait as a watch does that is told nothing, until it is cut or overdue."""
+        try:
+            async with asyncio.timeout(wait_s + CALL_TIMEOUT_S):
+                while self.store.deaf:
+                    await asyncio.sleep(0.01)
+        except TimeoutError:
+            pass
+        raise FleetStoreError('cut')
+
     async def list(self, kind: RecordKind) -> Listing:
         """Return every record."""
         await asyncio.sleep(0.004)
@@ -90,6 +110,8 @@
         began = asyncio.get_running_loop().time()
         ends_at = asyncio.get_running_loop().time() + wait_s
         while True:
+            if self.store.deaf:
+                await self.hear_nothing(wait_s)
             if revision < self.store.forgotten:
                 raise HistoryLost(kind.value)
             found = [item for at, of, item in self.store.log if at > revision and of is kind]
