--- a/packages/core/calicopath_core/fleet/outages.py
+++ b/packages/core/calicopath_core/fleet/outages.py
@@ -41,9 +41,9 @@
 Longer than the outages seen (3 to 9 s), at whose end all boxes would else ask for each kind."""
 
 RELAYS_FIRST_S = 1.0
-"""How long relays may take to tell what the store has told them, before a box that found it answered
-asks for what can wait, or reads what the store has forgotten anew: 14 calls a box for a store that
-tells watches nothing for a second and then forgets its history."""
+"""How long relays may take to tell what the store has told them, before a box that found it
+answered asks for what can wait, or reads what the store has forgotten anew: 14 calls a box for a
+store that tells watches nothing for a second and then forgets its history."""
 
 URGENT_KINDS = (PROBE, RecordKind.DEPLOYMENT)
 """Kinds that a box asks for at once when it is answered and its relays are not: a configuration must
