--- a/packages/core/calicopath_core/fleet/outages.py
+++ b/packages/core/calicopath_core/fleet/outages.py
@@ -46,8 +46,8 @@
 store that tells watches nothing for a second and then forgets its history."""
 
 URGENT_KINDS = (PROBE, RecordKind.DEPLOYMENT)
-"""Kinds that a box asks for at once when it is answered and its relays are not: a configuration must
-be in force 2 s after it was acknowledged, also where all relays are cut off."""
+"""Kinds that a box asks for at once when it is answered and its relays are not: a configuration
+must be in force 2 s after it was acknowledged, also where all relays are cut off."""
 
 LOOK_S = 0.05
 """How often it is looked whether the probe was answered."""
