Take zones out in the soak

Zones are taken out and given back at moments of a stream of its own, so that what kept seeds mean stays as it was (a test holds the first steps of seed 57).

--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -10,9 +10,9 @@
 from tools.soak.schedule import Step, calm
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
-    from tools.soak.records import StopSeen
+    from tools.soak.records import StopSeen, ZoneOut
 
 CONTACT_S = 4.0
 """How long after a fault a box is not held to times; the users' pages say 3 to 4 s."""
@@ -20,6 +20,9 @@
 DRAIN_S = 3.0
 """How soon a replica that leaves gets nothing new: the users' 2 s, and one for a busy machine."""
 
+EVACUATE_S = 3.0
+"""How soon a zone that is taken out gets nothing new: well within the users' 5 s."""
+
 OVERLAP_S = 1.4
 """How long two runs of one stream may go on together: the users' 0.4 s, and 1 s for a busy machine.
 """
@@ -124,6 +127,26 @@
     return problems
 
 
+def zones_out_get_nothing(
+    runs: Iterable[Run],
+    zones_out: list[ZoneOut],
+    zone_of: Callable[[str], str],
+    steps: list[Step],
+) -> list[str]:
+    """Check that zones which are taken out got nothing new after a while of calm."""
+    problems = []
+    for run in runs:
+        zone = zone_of(run.replica)
+        for out in zones_out:
+            late_s = run.began - out.began
+            if out.zone != zone or late_s < EVACUATE_S or run.began > out.ended:
+                continue
+            if calm(steps, run.began - CONTACT_S - EVACUATE_S, run.began):
+                text = f'reached {run.replica} {late_s:.2f} s after {zone} was taken out'
+                problems.append(f'{run.call_id}: {text}')
+    return problems
+
+
 def stops_cut_nothing(
     stops: Iterable[StopSeen], seen: Iterable[Seen], steps: list[Step]
 ) -> list[str]:
--- a/tools/soak/records.py
+++ b/tools/soak/records.py
@@ -59,6 +59,14 @@
         self.ended: float | None = None
 
 
+class ZoneOut(NamedTuple):
+    """Hold when a zone was taken out and given back, in the world's seconds."""
+
+    zone: str
+    began: float
+    ended: float
+
+
 class StopSeen(NamedTuple):
     """Hold how a box stopped that was asked to."""
 
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -12,7 +12,7 @@
 from tools.soak.callers import CallerConnection, Question, ask
 from tools.soak.records import RequestKind, Seen
 from tools.soak.schedule import Step, draw
-from tools.soak.world import REPLICAS, World
+from tools.soak.world import REPLICAS, ZONES, World
 
 PATIENCE_S = 4.0
 GIVE_UP_S = 8.0
@@ -68,7 +68,9 @@
     async def run(self) -> Verdict:
         """Play it and judge."""
         plan = self.plan
-        steps = draw(plan.seed, seconds=plan.seconds, boxes=plan.boxes, replicas=REPLICAS)
+        steps = draw(
+            plan.seed, seconds=plan.seconds, boxes=plan.boxes, replicas=REPLICAS, zones=len(ZONES)
+        )
         try:
             await self.world.start()
             problems = await self.all_serve('before the faults')
@@ -156,5 +158,8 @@
         if self.plan.timed:
             problems += checks.runs_do_not_overlap(world.runs, steps, world.now())
             problems += checks.drained_replicas_get_nothing(world.runs, world.drained, steps)
+            problems += checks.zones_out_get_nothing(
+                world.runs, world.zones_out, world.zone_of, steps
+            )
             problems += checks.stops_cut_nothing(world.stops, self.seen, steps)
         return problems
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -23,6 +23,7 @@
     REPLICA_CRASH = 'replica-crash'
     REPLICA_DRAINS = 'replica-drains'
     CHANGE = 'change'
+    ZONE_OUT = 'zone-out'
 
 
 class LinkMode(enum.Enum):
@@ -37,7 +38,13 @@
 
 
 PLANNED = frozenset(
-    {FaultKind.STOP_BOX, FaultKind.RELOAD_BOX, FaultKind.CHANGE, FaultKind.REPLICA_DRAINS}
+    {
+        FaultKind.STOP_BOX,
+        FaultKind.RELOAD_BOX,
+        FaultKind.CHANGE,
+        FaultKind.REPLICA_DRAINS,
+        FaultKind.ZONE_OUT,
+    }
 )
 """What is no fault but an operator's work: nothing may be cut by it."""
 
@@ -52,6 +59,10 @@
 GAP_S = 0.7
 """The mean time between two steps; they last up to `LONGEST_S` and so overlap."""
 
+ZONE_GAP_S = 6.0
+LONGEST_OUT_S = 8.0
+"""The mean time between two zones taken out, and how long one is."""
+
 SERIES = 4
 """Changes of one kind that may come right after each other."""
 
@@ -71,10 +82,10 @@
         return self.at_s + self.for_s
 
 
-def draw(seed: int, *, seconds: float, boxes: int, replicas: int) -> list[Step]:
+def draw(seed: int, *, seconds: float, boxes: int, replicas: int, zones: int) -> list[Step]:
     """Return the steps of a seed, in order; the same for the same arguments."""
     rng = random.Random(seed)
-    kinds = list(FaultKind)
+    kinds = [kind for kind in FaultKind if kind is not FaultKind.ZONE_OUT]
     found: list[Step] = []
     at_s = 1.0
     while at_s < seconds:
@@ -92,9 +103,26 @@
             )
             found.append(step)
         at_s += rng.expovariate(1 / GAP_S)
+    found += draw_zones(seed, seconds=seconds, zones=zones)
     return sorted(found, key=lambda step: step.at_s)
 
 
+def draw_zones(seed: int, *, seconds: float, zones: int) -> list[Step]:
+    """Return which zones are taken out when, from a stream of its own.
+
+    What else a seed means stays as it was before zones were taken out at all.
+    """
+    rng = random.Random(f'zones of {seed}')
+    found: list[Step] = []
+    at_s = rng.expovariate(1 / ZONE_GAP_S)
+    while at_s < seconds:
+        for_s = rng.uniform(0.2, LONGEST_OUT_S)
+        zone = rng.randrange(zones)
+        found.append(Step(round(at_s, 3), FaultKind.ZONE_OUT, zone, for_s, LinkMode.PASS))
+        at_s += rng.expovariate(1 / ZONE_GAP_S)
+    return found
+
+
 def calm(steps: list[Step], begin_s: float, end_s: float, *, own: Step | None = None) -> bool:
     """Tell whether no fault but `own` touches a span."""
     return not any(
--- a/tools/soak/tests/checks_tests.py
+++ b/tools/soak/tests/checks_tests.py
@@ -8,10 +8,12 @@
 import testtools
 
 from tools.soak import checks
-from tools.soak.records import EVENTS, RequestKind, Run, Seen, StopSeen
+from tools.soak.records import EVENTS, RequestKind, Run, Seen, StopSeen, ZoneOut
 from tools.soak.schedule import FaultKind, LinkMode, Step, calm, draw
 
 WHOLE = tuple(range(1, EVENTS + 1))
+FIRST_OF_57 = [(1.0, 'kill-box', 2), (1.178, 'store-silent', 3), (1.886, 'store-loses-answers', 0)]
+"""What this seed meant when it once showed a fault."""
 
 
 def seen(kind: RequestKind, **changes: Any) -> Seen:
@@ -120,13 +122,17 @@
 class Schedule(testtools.TestCase):
     def test_a_seed_always_gives_the_same_steps_and_another_seed_others(self) -> None:
         def steps(seed: int) -> list[Step]:
-            return draw(seed, seconds=20.0, boxes=4, replicas=9)
+            return draw(seed, seconds=20.0, boxes=4, replicas=9, zones=2)
 
         self.assertEqual(steps(1), steps(1))
         self.assertNotEqual(steps(1), steps(2))
 
     def test_every_kind_is_drawn_and_steps_overlap(self) -> None:
-        steps = [item for seed in range(20) for item in draw(seed, seconds=20, boxes=4, replicas=9)]
+        steps = [
+            item
+            for seed in range(20)
+            for item in draw(seed, seconds=20, boxes=4, replicas=9, zones=2)
+        ]
         self.assertEqual(set(FaultKind), {item.kind for item in steps})
         pairs = itertools.pairwise(steps)
         self.assertTrue(any(later.at_s < earlier.ends_s for earlier, later in pairs))
@@ -136,3 +142,26 @@
         self.assertFalse(calm([step(FaultKind.KILL_BOX, 1.0)], 0.0, 5.0))
         self.assertFalse(calm([step(FaultKind.KILL_BOX, 1.0, 3.0)], 3.5, 5.0))
         self.assertTrue(calm([step(FaultKind.KILL_BOX, 1.0, 1.0)], 3.5, 5.0))
+
+
+class Zones(testtools.TestCase):
+    def problems(self, began: float, zone: str = 'north', steps: tuple[Step, ...] = ()) -> int:
+        """Return how many problems a run shows while a zone is taken out from 10 to 20 s."""
+        out = [ZoneOut('north', 10.0, 20.0)]
+        found = checks.zones_out_get_nothing([run(began)], out, lambda name: zone, list(steps))
+        return len(found)
+
+    def test_new_work_in_a_zone_that_is_out_is_seen_once_all_should_know(self) -> None:
+        self.assertEqual([0, 1, 1, 0], [self.problems(at) for at in (12.9, 13.1, 19.9, 20.1)])
+        self.assertEqual(0, self.problems(15.0, zone='south'))
+
+    def test_faults_excuse_it_for_a_while(self) -> None:
+        self.assertEqual(0, self.problems(15.0, steps=(step(FaultKind.STORE_DOWN, 9.0),)))
+        self.assertEqual(1, self.problems(19.5, steps=(step(FaultKind.STORE_DOWN, 9.0),)))
+
+    def test_taking_zones_out_leaves_what_a_seed_meant_as_it_was(self) -> None:
+        steps = draw(57, seconds=20.0, boxes=4, replicas=9, zones=2)
+        others = [item for item in steps if item.kind is not FaultKind.ZONE_OUT]
+        first = [(item.at_s, item.kind.value, item.target) for item in others[:3]]
+        self.assertEqual(FIRST_OF_57, first)
+        self.assertGreater(len(steps), len(others))
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -18,7 +18,7 @@
 from testkit.ports import free_ports
 from tools.soak.boxes import BoxProcess
 from tools.soak.links import Link
-from tools.soak.records import Run, StopSeen
+from tools.soak.records import Run, StopSeen, ZoneOut
 from tools.soak.schedule import FaultKind, LinkMode
 
 if TYPE_CHECKING:
@@ -64,6 +64,8 @@
         self.handles: dict[str, str] = {}
         self.drained: dict[str, float] = {}
         self.stops: list[StopSeen] = []
+        self.zones_out: list[ZoneOut] = []
+        self.zones_out_now: set[str] = set()
         self.version = 1
         self.stack = contextlib.AsyncExitStack()
 
@@ -182,10 +184,28 @@
                 self.store.history_from = self.store.revision
             case FaultKind.REPLICA_CRASH | FaultKind.REPLICA_DRAINS:
                 await self.to_replica(step, self.slots[step.target])
+            case FaultKind.ZONE_OUT:
+                await self.take_zone_out(ZONES[step.target], step.for_s)
             case FaultKind.CHANGE:
                 self.version += 1
                 self.store.put(names.CONFIG_KIND, names.CONFIG_NAME, soak_config(self.version))
 
+    async def take_zone_out(self, zone: str, for_s: float) -> None:
+        """Take a zone out for a while, unless it is out already."""
+        if zone in self.zones_out_now:
+            return
+        self.zones_out_now.add(zone)
+        began = self.now()
+        self.store.put(names.EVACUATION_KIND, zone, {})
+        await asyncio.sleep(for_s)
+        self.store.delete(names.EVACUATION_KIND, zone)
+        self.zones_out.append(ZoneOut(zone, began, self.now()))
+        self.zones_out_now.discard(zone)
+
+    def zone_of(self, replica: str) -> str:
+        """Return the zone of a replica, by the place in its name."""
+        return ZONES[int(replica.split('-')[1]) % len(ZONES)]
+
     async def to_link(self, step: Step, link: Link, mode: LinkMode) -> None:
         """Break one link for a while."""
         link.set_mode(mode)
