Give places at engines by service, and to whom they are due first

Cause, found by reading: the first job that found every engine of its service full ended the round, so that jobs of other services waited for the next tick; and a job whose stages were done just then took a place before more urgent ones that waited for it.

Change: a full service holds up only its own jobs; a job joins those that wait before places are given. Measured: a test with two services fails on the code before.

--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -224,7 +224,8 @@
                 if job.ended:
                     return
         if job.stages_done:
-            self.place_engine(job)
+            self.engine_queue.add(job)
+            self.place_waiting()
             return
         self.stages.dispatch_soon()
 
@@ -250,11 +251,14 @@
         return self.engine_times.expected_s(job.place.prompt.tokens_in)
 
     def place_waiting(self) -> None:
-        """Give the places that have come to the jobs that wait for one, until none is left."""
+        """Give the places at engines to the jobs that wait for one, until none is left."""
+        full: set[str] = set()
         for job in self.engine_queue.ordered(self.clock.monotonic()):
+            if job.place.service in full:
+                continue
             self.place_engine(job)
             if job.id in self.engine_queue.jobs and not job.place.exclude:
-                return
+                full.add(job.place.service)
 
     def reject_unserved(self, job: Job) -> None:
         """Tell the box at once that there is no engine for a job."""
@@ -262,7 +266,7 @@
         self.reject(job, 'no-engine', self.admission.return_s(job, NO_ENGINE_S, now))
 
     def place_engine(self, job: Job) -> None:
-        """Choose the engine and tell the box, or let the job wait for the first place."""
+        """Choose the engine and tell the box, or let the job wait on."""
         now = self.clock.monotonic()
         board = self.boards[job.place.service]
         if not board.serves(job):
@@ -270,7 +274,6 @@
             return
         choice = board.choose(job, now)
         if choice is None:
-            self.engine_queue.add(job)
             return
         self.engine_queue.drop(job)
         board.begin(choice, job, now)
--- a/packages/core/calicopath_core/scheduling/tests/starts_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/starts_tests.py
@@ -151,6 +151,22 @@
 
         self.run_virtual(scenario())
 
+    def test_a_full_service_holds_up_nobody_elses_jobs(self) -> None:
+        async def scenario() -> None:
+            sent: list[msgspec.Struct] = []
+            scheduler = self.scheduler(sent, slots=1)
+            scheduler.replicas.put(replica('other', service='other-engine'))
+            scheduler.boards['other-engine'] = EngineBoard(slots=1, kv_tokens=1000)
+            scheduler.on_replicas()
+            scheduler.on_place(job('at-work').place)
+            scheduler.on_place(job('waits', priority=0).place)
+            scheduler.on_place(job('other-at-work', service='other-engine').place)
+            scheduler.on_place(job('other-waits', priority=2, service='other-engine').place)
+            scheduler.on_ended(RunEnded(job='other-at-work', sender='b1', failed=False))
+            self.assertEqual(['at-work', 'other-at-work', 'other-waits'], names(sent, Placed))
+
+        self.run_virtual(scenario())
+
     def test_places_that_come_with_time_are_given_away(self) -> None:
         async def scenario() -> None:
             sent: list[msgspec.Struct] = []
