--- a/testkit/replay/world.py
+++ b/testkit/replay/world.py
@@ -15,6 +15,7 @@
 from calicopath_core.scheduling.scheduler import Scheduler
 from calicopath_core.scheduling.starts import WarmupTerms
 from testkit.replay import outcomes as counting
+from testkit.replay.blows import strike_replicas, take_zone_out
 from testkit.replay.engines import AGAIN_WITHIN_S, ReplayEngine
 from testkit.replay.fleet import ENGINE, Fleet, fleet_of
 from testkit.replay.load import FLOODER, PATTERNS, Arrival, Blow, Generator, Pattern
@@ -35,10 +36,8 @@
 """What a message between boxes takes."""
 
 WARMUP_TERMS = WarmupTerms(overage=1.5, slack=5.0)
-COLD_S = 3.0
-COLD_TOLD_S = 1.8
-"""How far a cold engine's rate may be passed, how long one is cold, and how late that is heard: by
-the next beat, 1.2 s apart, and what the store and the relays take."""
+"""How far a cold engine's rate may be passed."""
+
 
 NOTICED_S = 0.75
 """After what time boxes give a silent scheduler up."""
@@ -194,47 +193,9 @@
             await asyncio.sleep(NOTICED_S)
             await self.start_next(with_jobs=True)
         elif blow.what == 'out':
-            await self.take_zone_out(blow)
+            await take_zone_out(self, blow)
         else:
-            await self.strike_replicas(blow)
-
-    async def take_zone_out(self, blow: Blow) -> None:
-        """Take the first zone out for a while; that its engines are cold then is told late."""
-        zone = self.fleet.zone_names[0]
-        self.table.set_evacuated(frozenset({zone}))
-        await asyncio.sleep(blow.for_s)
-        self.cold = {name for name in self.engines if self.zones[name] == zone}
-        self.table.set_evacuated(frozenset())
-        await asyncio.sleep(COLD_TOLD_S)
-        self.tell_cold(True)
-        await asyncio.sleep(COLD_S - COLD_TOLD_S)
-        self.tell_cold(False)
-        self.cold = set()
-
-    def tell_cold(self, cold: bool) -> None:
-        """Have the engines that are cold say so, or that they are no more."""
-        with self.table.batch():
-            for name in self.cold:
-                self.table.put(self.table.replicas[name]._replace(cold=cold))
-
-    async def strike_replicas(self, blow: Blow) -> None:
-        """Slow or lose a share of a service's replicas for a while."""
-        listed = [item for item in self.fleet.replicas() if item.service == blow.service]
-        struck = self.rng.sample(listed, round(len(listed) * blow.share))
-        for replica in struck:
-            if blow.what == 'slow':
-                self.stages.maker(replica.id).slow = 4.0
-            else:
-                self.stages.kill(replica.id)
-        if blow.what == 'lost':
-            await asyncio.sleep(1.0)
-            for replica in struck:
-                self.table.remove(replica.id, self.clock.monotonic())
-        await asyncio.sleep(blow.for_s)
-        for replica in struck:
-            maker = self.stages.maker(replica.id)
-            maker.slow, maker.dead = 1.0, False
-            self.table.put(replica)
+            await strike_replicas(self, blow)
 
     async def stop_scheduler(self) -> None:
         """End the scheduler and its calls; what replicas have begun they finish."""
