Break the mechanisms for zones and cold replicas too, and test what is given up there

That results in a zone that is taken out are not given up by a call had no test: one is added, and fails without the check.

--- a/packages/daemon/calicopathd/gateway/tests/evacuating_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/evacuating_tests.py
@@ -108,6 +108,22 @@
 
         self.run_fleet(scenario)
 
+    def test_results_there_are_left_to_run_out_and_not_given_up_by_a_call(self) -> None:
+        async def scenario(fleet: GatewayFleet) -> None:
+            sinks = [fleet.serve('box-1', exchange(number, 'draft', now())) for number in range(4)]
+            while len(fleet.stages.live) < 2:
+                await asyncio.sleep(0.01)
+            fleet.take_out('south')
+            await asyncio.sleep(HEARD_S)
+            before = len(fleet.stages.freed_at)
+            await fleet.settle()
+            self.assertEqual([WHOLE] * 4, [sink.event_ids for sink in sinks])
+            freed = fleet.stages.freed_at[before:]
+            self.assertNotEqual([], freed)
+            self.assertEqual([], [address for address in freed if 'south' in address])
+
+        self.run_fleet(scenario)
+
     def test_an_engine_chosen_by_a_scheduler_that_has_not_heard_is_passed_over(self) -> None:
         async def scenario(fleet: GatewayFleet) -> None:
             fleet.boxes['box-0'].store.cut = True
--- a/testkit/gateway_replicas.py
+++ b/testkit/gateway_replicas.py
@@ -33,6 +33,7 @@
         self.most_at_work = 0
         self.wrong_inputs = 0
         self.reports = 0
+        self.freed_at: list[str] = []
 
     async def run(self, replica: Replica, calls: list[PieceCall]) -> list[PieceResult]:
         """Make one call."""
@@ -87,6 +88,7 @@
 
     async def free(self, address: str, handles: list[str]) -> None:
         """Give results up."""
+        self.freed_at.append(address)
         for handle in handles:
             self.live.pop(handle, None)
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -16,9 +16,14 @@
 from testkit.processes import ROOT
 
 CORE = 'packages/core/calicopath_core'
+EVACUATING = 'packages/daemon/calicopathd/gateway/tests/evacuating_tests.py'
 WORKERS = 4
 
 
+LEFT_OUT = ('.git', '.venv', '__pycache__', '.*_cache', '.hypothesis', 'journal', 'target')
+"""What no test reads is not copied."""
+
+
 class Mutant(NamedTuple):
     """Name a promise, a change that breaks its mechanism, and the test that must fail."""
 
@@ -156,6 +161,41 @@
         'pass',
         f'{CORE}/execution/tests/answers_tests.py::SlowReplicas',
     ),
+    Mutant(
+        'zones taken out',
+        f'{CORE}/fleet/replicas.py',
+        'return not replica.draining and replica.zone not in self.evacuated',
+        'return not replica.draining',
+        f'{EVACUATING}::Evacuating',
+    ),
+    Mutant(
+        'zones taken out',
+        f'{CORE}/exchanges/streams.py',
+        'not self.context.replicas.takes_work(replica)',
+        'replica.draining',
+        f'{EVACUATING}::Evacuating',
+    ),
+    Mutant(
+        'zones taken out',
+        f'{CORE}/scheduling/freeing.py',
+        'replica is not None and replica.zone not in self.replicas.evacuated',
+        'replica is not None',
+        f'{EVACUATING}::Evacuating',
+    ),
+    Mutant(
+        'cold replicas',
+        f'{CORE}/scheduling/engines.py',
+        'if self.bound is None or now >= self.alone_from:',
+        'if True:',
+        f'{CORE}/scheduling/tests/starts_tests.py::Bound',
+    ),
+    Mutant(
+        'cold replicas',
+        f'{CORE}/scheduling/engines.py',
+        'if bound is None:',
+        'if True:',
+        f'{CORE}/scheduling/tests/starts_tests.py::ZoneBackCold',
+    ),
 )
 
 
@@ -163,7 +203,7 @@
     """Break one mechanism in a copy and return whether its test passes all the same."""
     with tempfile.TemporaryDirectory(prefix='mutant-') as folder:
         copy = Path(folder) / 'tree'
-        ignore = shutil.ignore_patterns('.git', '.venv', '__pycache__', '.*_cache', '.hypothesis')
+        ignore = shutil.ignore_patterns(*LEFT_OUT)
         shutil.copytree(ROOT, copy, ignore=ignore)
         target = copy / mutant.file
         text = target.read_text()
