--- a/packages/core/calicopath_core/fleet/outages.py
+++ b/packages/core/calicopath_core/fleet/outages.py
@@ -42,8 +42,9 @@
 
 RELAYS_FIRST_S = 1.0
 """How long relays may take to tell what the store has told them, before a box that found it
-answered asks for what can wait, or reads what the store has forgotten anew: 14 calls a box for a
-store that tells watches nothing for a second and then forgets its history."""
+answered asks for what can wait, or reads what the store has forgotten anew. Each of 83 boxes made
+four calls in vain, lost four histories and read four lists when the store told watches nothing for
+a second and then forgot its history (log lines); with this it makes one to four calls in all."""
 
 URGENT_KINDS = (PROBE, RecordKind.DEPLOYMENT)
 """Kinds that a box asks for at once when it is answered and its relays are not: a configuration
--- a/packages/core/calicopath_core/scheduling/pacing.py
+++ b/packages/core/calicopath_core/scheduling/pacing.py
@@ -22,7 +22,8 @@
 its way there, up to one call. With 0.8 s of work for every stage, whatever comes before it, calls
 of a third stage were filled to 0.8 while jobs waited before the first one: in a burst of everybody
 (70 engines, replay) the least urgent kind earned 0.75 of its worth in place of 0.85. With a whole
-call for all, kinds that have 1 s to spare lost 0.03 of theirs where half of a stage was gone."""
+call for all, jobs that have 1 s to spare became late behind it: where half of a stage was gone all
+earned 0.825 in place of 0.841 (six boxes, replay)."""
 
 HOLDS_S = 0.02
 """How long a look at all jobs holds. At 74 boxes calls are decided on every 3 ms, and looking each
