Tell by its log what a request asked and how an attempt failed

Cause: lines named tries only, so that the same request coming again could not be seen, and a broken connection was told apart from a silent replica in English alone. Lines 601 and 604 now carry 'content', a digest of method, target, workspace and body, 604 also 'failure' and 'begun'; the counter of failed attempts has the failure as a label. Not said yet: whether a replica ended.

--- a/packages/clients/calicopath_clients/http1/connections.py
+++ b/packages/clients/calicopath_clients/http1/connections.py
@@ -9,7 +9,7 @@
 import httptools
 
 from calicopath_clients.http1.answers import PAUSE_BYTES, Inbound
-from calicopath_core.backends.base import MayHaveRun
+from calicopath_core.backends.base import ConnectionBroken, MayHaveRun
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -178,7 +178,7 @@
         """End the call that was waiting."""
         self.closed = True
         self.on_closed()
-        self.fail(MayHaveRun(f'the connection was lost: {error!r}'))
+        self.fail(ConnectionBroken(f'the connection was lost: {error!r}'))
 
     def abort(self) -> None:
         """Close at once; unsent bytes are dropped."""
--- a/packages/core/calicopath_core/backends/base.py
+++ b/packages/core/calicopath_core/backends/base.py
@@ -39,6 +39,10 @@
     """Report that a call may have run, in whole or in part."""
 
 
+class ConnectionBroken(MayHaveRun):
+    """Report that a call's connection broke while it was at work: the endpoint may have ended."""
+
+
 class WrongAnswer(MayHaveRun):
     """Report an answer that does not belong to the call, or is not a valid answer at all."""
 
--- a/packages/core/calicopath_core/exchanges/context.py
+++ b/packages/core/calicopath_core/exchanges/context.py
@@ -5,8 +5,9 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, NamedTuple
 
-from calicopath_core.backends.base import NotStarted
+from calicopath_core.backends.base import ConnectionBroken, NotStarted, WrongAnswer
 from calicopath_core.exceptions import CalicopathError
+from calicopath_core.exchanges.content import content_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -48,6 +49,19 @@
     """Report that a replica answered that it did not run the request: it works, and is reached."""
 
 
+def failure_of(error: Exception) -> str:
+    """Return in one word how an attempt failed, for logs and figures."""
+    if isinstance(error, ConnectionBroken):
+        return 'broken'
+    if isinstance(error, Declined):
+        return 'declined'
+    if isinstance(error, NotStarted):
+        return 'unreached'
+    if isinstance(error, WrongAnswer):
+        return 'wrong'
+    return 'silent'
+
+
 class Ticket:
     """Follow one exchange: its route and deadline, what was tried, how it ended."""
 
@@ -67,6 +81,7 @@
         self.route = route
         self.service = service
         self.tenant = tenant
+        self.content = content_of(exchange, tenant)
         self.priority = priority
         self.deadline_at = deadline_at
         self.replicas: list[str] = []
--- a/packages/core/calicopath_core/exchanges/plain.py
+++ b/packages/core/calicopath_core/exchanges/plain.py
@@ -11,6 +11,7 @@
     STATUS_BAD_GATEWAY,
     STATUS_GATEWAY_TIMEOUT,
     STATUS_UNAVAILABLE,
+    Declined,
     RefusedExchange,
 )
 from calicopath_core.exchanges.messages import Outbound
@@ -156,7 +157,7 @@
     finally:
         answer.close()
     if answer.head.declined:
-        raise NotStarted(f'{replica.id} declined with {answer.head.status}')
+        raise Declined(f'{replica.id} declined with {answer.head.status}')
     return WholeAnswer(head=answer.head, body=body)
 
 
--- a/packages/daemon/calicopathd/gateway/metrics.py
+++ b/packages/daemon/calicopathd/gateway/metrics.py
@@ -20,7 +20,9 @@
         self.exchanges = self.counter('exchanges_total', 'Exchanges by route kind and outcome.')
         self.exchange_seconds = self.histogram('exchange_seconds', 'Time to the whole answer.')
         self.first_byte_seconds = self.histogram('first_event_seconds', 'Time to the first event.')
-        self.attempts_failed = self.counter('attempts_failed_total', 'Failed attempts by service.')
+        self.attempts_failed = self.counter(
+            'attempts_failed_total', 'Failed attempts by service and failure.'
+        )
         self.stage_calls = self.counter('stage_calls_total', 'Stage calls by service and result.')
         self.stage_pieces = self.counter('stage_pieces_total', 'Pieces in stage calls by service.')
         self.stage_seconds = self.histogram('stage_call_seconds', 'Time of a stage call.')
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from calicopath_core.exchanges.context import ExchangeObserver
+from calicopath_core.exchanges.context import ExchangeObserver, failure_of
 from calicopath_core.fleet.feed import FeedObserver
 from calicopath_core.scheduling.interfaces import SchedulerObserver
 from calicopathd import events
@@ -39,6 +39,7 @@
             log,
             events.EXCHANGE_ENDED,
             request=ticket.exchange.call_id,
+            content=ticket.content,
             route=ticket.route.name,
             tenant=ticket.tenant,
             config=ticket.deployment.version,
@@ -67,12 +68,16 @@
         self, ticket: Ticket, replica: str, error: Exception, left_s: float
     ) -> None:
         """Note an attempt that gave no whole answer."""
-        self.metrics.attempts_failed.inc({'service': ticket.service})
+        failure = failure_of(error)
+        self.metrics.attempts_failed.inc({'service': ticket.service, 'failure': failure})
         events.emit(
             log,
             events.ATTEMPT_FAILED,
             request=ticket.exchange.call_id,
+            content=ticket.content,
             replica=replica,
+            failure=failure,
+            begun=ticket.first_byte_at is not None,
             may_have_run=ticket.may_have_run,
             sends=ticket.sends,
             left_ms=round(left_s * 1000),
