--- /dev/null
+++ b/testkit/crashing.py
@@ -0,0 +1,153 @@
+"""Stand for engines and plain services that a request ends as they begin to run it."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from typing import TYPE_CHECKING
+
+from calicopath_core.backends.base import ConnectionBroken, NotStarted
+from calicopath_core.fleet.store import RecordKind
+from testkit.gateway_replicas import FakeBody, FakeReplicas, FakeStream
+
+if TYPE_CHECKING:
+    from calicopath_core.exchanges.messages import AnswerHead, Outbound, ReplicaAnswer
+    from calicopath_core.fleet.replicas import Replica
+    from testkit.gateway_store import FakeStore
+
+CRASH_AFTER_S = 0.1
+"""How long a run lasts that ends its replica."""
+
+BACK_AFTER_S = 3.5
+"""When another replica stands at the address of one that has ended."""
+
+LAPSE_S = 3.6
+"""When the entry of a replica that has ended lapses in the store: three heartbeats of 1.2 s."""
+
+HEAD_S = 0.01
+
+
+class Arrival:
+    """Note a request that reached a replica; times are the loop's."""
+
+    def __init__(self, *, target: str, call_id: str, replica: str, at: float) -> None:
+        self.target = target
+        self.call_id = call_id
+        self.replica = replica
+        self.at = at
+
+
+class BreakingAnswer(FakeBody):
+    """Break as soon as its replica ends."""
+
+    def __init__(self, *, head: AnswerHead, body: bytes, ended: asyncio.Event) -> None:
+        super().__init__(head=head, body=body)
+        self.ended = ended
+
+    async def read(self) -> bytes | None:
+        """Return the body; raise `ConnectionBroken` if the replica has ended."""
+        if self.ended.is_set():
+            raise ConnectionBroken('the connection was lost: None')
+        return await super().read()
+
+
+class BreakingStream(FakeStream):
+    """Give events until the replica ends."""
+
+    def __init__(
+        self, *, engine: FakeReplicas, outbound: Outbound, ended: asyncio.Event, gap_s: float
+    ) -> None:
+        super().__init__(engine=engine, outbound=outbound, status=200, break_after=None)
+        self.ended = ended
+        self.gap_s = gap_s
+
+    async def read(self) -> bytes | None:
+        """Return the next event; raise `ConnectionBroken` as soon as the replica has ended."""
+        try:
+            async with asyncio.timeout(self.gap_s):
+                await self.ended.wait()
+        except TimeoutError:
+            return await super().read()
+        raise ConnectionBroken('the connection was lost: None')
+
+
+class CrashingReplicas(FakeReplicas):
+    """Stand for replicas that end under certain requests, and come back under new identifiers.
+
+    `crashing` holds the targets under which they end; `resetting` those whose connection is reset
+    while their replica lives on. Whatever else runs at a replica that ends breaks with it.
+    """
+
+    def __init__(self, *, store: FakeStore, gap_s: float = 0.1) -> None:
+        super().__init__()
+        self.store = store
+        self.gap_s = gap_s
+        self.crashing: set[str] = set()
+        self.resetting: set[str] = set()
+        self.arrivals: list[Arrival] = []
+        self.crashes: list[Arrival] = []
+        self.ended: dict[str, asyncio.Event] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.lives = itertools.count(1)
+
+    def ended_of(self, replica: Replica) -> asyncio.Event:
+        """Return what tells that a replica has ended."""
+        return self.ended.setdefault(replica.id, asyncio.Event())
+
+    async def send(self, outbound: Outbound) -> ReplicaAnswer:
+        """Run a request; it may end its replica a moment later."""
+        replica, exchange = outbound.replica, outbound.exchange
+        ended = self.ended_of(replica)
+        await asyncio.sleep(HEAD_S)
+        if ended.is_set():
+            raise NotStarted(f'{replica.address} cannot be reached: connection refused')
+        arrival = Arrival(
+            target=exchange.target,
+            call_id=exchange.call_id,
+            replica=replica.id,
+            at=asyncio.get_running_loop().time(),
+        )
+        self.arrivals.append(arrival)
+        if exchange.target in self.resetting:
+            raise ConnectionBroken("the connection was lost: ConnectionResetError(104, 'reset')")
+        if exchange.target in self.crashing:
+            self.spawn_end(replica, arrival)
+        if replica.service == 'engine':
+            self.running.add(exchange.call_id)
+            return BreakingStream(engine=self, outbound=outbound, ended=ended, gap_s=self.gap_s)
+        answer = await super().send(outbound)
+        await asyncio.sleep(2 * CRASH_AFTER_S if exchange.target in self.crashing else 0)
+        return BreakingAnswer(head=answer.head, body=exchange.call_id.encode(), ended=ended)
+
+    async def reaches(self, replica: Replica) -> bool:
+        """Tell whether a replica still takes connections."""
+        await asyncio.sleep(HEAD_S)
+        return not self.ended_of(replica).is_set()
+
+    def spawn_end(self, replica: Replica, arrival: Arrival) -> None:
+        """End a replica in a moment."""
+        task = asyncio.get_running_loop().create_task(self.end(replica, arrival))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def end(self, replica: Replica, arrival: Arrival) -> None:
+        """End a replica; another comes back at its address, and its entry lapses."""
+        await asyncio.sleep(CRASH_AFTER_S)
+        ended = self.ended_of(replica)
+        if ended.is_set():
+            return
+        ended.set()
+        self.crashes.append(arrival)
+        await asyncio.sleep(BACK_AFTER_S)
+        name = f'{replica.service}-life-{next(self.lives)}'
+        self.store.write(RecordKind.REPLICA, name, replica._replace(id=name))
+        await asyncio.sleep(LAPSE_S - BACK_AFTER_S)
+        self.store.write(RecordKind.REPLICA, replica.id, None)
+
+    def crashes_under(self, target: str) -> list[float]:
+        """Return when replicas have ended under a request, in order."""
+        return sorted(item.at + CRASH_AFTER_S for item in self.crashes if item.target == target)
+
+    def sent_after(self, target: str, at: float) -> int:
+        """Return how often a request has reached replicas later than some time."""
+        return sum(item.target == target and item.at > at for item in self.arrivals)
