Stop requests under which replicas end, at every box

Cause: what a request had done to replicas was known to the one try that saw it, at one box. A try kept within its attempts, and the next, with another identifier at any box, began at nothing; so the same method, target, workspace and body ended replica after replica for as long as callers sent it.

Change: one ledger a box counts the replicas that ended under a request's content, by service. A broken connection counts only if the replica then refuses a connection: lost answers and resets leave it alive. Ends within 0.1 s are one event, a run that survives clears all, three events block: the door, each send after it and the scheduler's waiting jobs ask. A box tells the boxes that everybody pings at once; a digest in each ping shows who lacks what, which heals lost messages, starts and cuts. Knowledge is joined by union and latest survival, so order and repeats do not matter.

Not yet: what lasts when every box is killed at once, stages' replicas, the callers' own interface, what operators see.

--- a/packages/clients/calicopath_clients/http1/pool.py
+++ b/packages/clients/calicopath_clients/http1/pool.py
@@ -27,6 +27,9 @@
 FRESH_IDLE_S = 1.0
 """How long a connection may have rested to be good for what can't be repeated."""
 
+REFUSED_S = 0.3
+"""How long a port may take to refuse a connection: some ms, unless the way there is cut."""
+
 MAX_OPEN = 256
 """Connections to one server where nothing tells this box's share; a bound on descriptors."""
 
@@ -150,6 +153,18 @@
         connection.on_closed = partial(self.on_closed, address)
         return connection
 
+    async def is_refused(self, address: str) -> bool:
+        """Tell whether nothing listens at an address; a connection that opens is kept for use."""
+        try:
+            async with asyncio.timeout(REFUSED_S):
+                connection = await self.connect(address)
+        except NotStarted as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        except TimeoutError:
+            return False
+        self.give_back(address, connection)
+        return False
+
     def on_closed(self, address: str) -> None:
         """Note that a connection is gone."""
         self.open[address] -= 1
--- /dev/null
+++ b/packages/core/calicopath_core/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Remember which requests replicas have ended under, at every box."""
--- /dev/null
+++ b/packages/core/calicopath_core/crashes/guard.py
@@ -0,0 +1,64 @@
+"""Find out whether a replica has ended under a request, and keep it from others if so."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from calicopath_core.backends.base import ConnectionBroken
+from calicopath_core.crashes.suspects import SuspectKey
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from calicopath_core.crashes.ledger import CrashLedger
+    from calicopath_core.crashes.sharing import CrashSharing
+    from calicopath_core.exchanges.messages import ReplicaCaller
+    from calicopath_core.fleet.replicas import Replica
+
+
+class CrashGuard:
+    """Judge failed attempts of one box and say which requests may be sent on."""
+
+    def __init__(
+        self,
+        *,
+        ledger: CrashLedger,
+        sharing: CrashSharing,
+        caller: ReplicaCaller,
+    ) -> None:
+        self.ledger = ledger
+        self.sharing = sharing
+        self.caller = caller
+
+    def blocked_s(self, content: str, services: Iterable[str]) -> float | None:
+        """Return how long a request is not sent on yet, nothing if it may be."""
+        return self.ledger.blocked_s(content, services)
+
+    async def on_failed(
+        self, contents: Iterable[str], service: str, replica: Replica, error: Exception
+    ) -> None:
+        """Note whether a replica has ended under requests that it ran.
+
+        A connection that broke is no proof: answers are lost and connections reset while their
+        replica lives. One that has ended takes no connection any more.
+        """
+        if not isinstance(error, ConnectionBroken) or not await self.caller.has_ended(replica):
+            return
+        keys = [SuspectKey(content, service) for content in dict.fromkeys(contents)]
+        news = [key for key in keys if self.ledger.on_ended(key, replica.id)]
+        if news:
+            self.sharing.report(news)
+
+    def on_survived(self, content: str, service: str) -> None:
+        """Note that a replica has run a request to its end."""
+        key = SuspectKey(content, service)
+        if self.ledger.on_survived(key):
+            self.sharing.report([key])
+
+    def release(self, content: str) -> list[SuspectKey]:
+        """Let a request go as an operator asks, at every service; return where it was blocked."""
+        keys = [key for key in self.ledger.blocked if key.content == content]
+        for key in keys:
+            self.ledger.on_survived(key, 'operator')
+        self.sharing.report(keys)
+        return keys
--- /dev/null
+++ b/packages/core/calicopath_core/crashes/messages.py
@@ -0,0 +1,34 @@
+"""Define what boxes tell each other of requests under which replicas have ended.
+
+Ages are spans in seconds, since boxes' clocks differ.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Evidence(msgspec.Struct, frozen=True, array_like=True):
+    """Tell how long ago which replicas ended under a request, and when it last survived.
+
+    `survived_s` is nothing for a request that never did.
+    """
+
+    content: str
+    service: str
+    ended_s: dict[str, float]
+    survived_s: float | None
+
+
+class CrashNews(msgspec.Struct, frozen=True, tag='cr'):
+    """Tell a box of requests under which replicas have ended.
+
+    `whole` says that this is all the sender shares: a box that knows more of it answers with that.
+    """
+
+    sender: str
+    evidence: tuple[Evidence, ...]
+    whole: bool
+
+
+CRASH_MESSAGES = (CrashNews,)
--- /dev/null
+++ b/packages/core/calicopath_core/crashes/suspects.py
@@ -0,0 +1,88 @@
+"""Count the replicas that have ended under one request, and judge by that whether it is sent on.
+
+A replica that ends takes all that it ran with it, so that most of what is counted is innocent. What
+sets the cause apart is that it is there each time and never survives a run: a request that is
+answered begins anew, and replicas that end at one moment (a zone without power, a fault of many)
+count as one.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import NamedTuple
+
+LIMIT = 3
+"""Moments at which replicas ended under a request before none is given it any more. The users allow
+three; with two, a request that is beside the cause twice in a row would be blocked."""
+
+MOMENT_S = 0.1
+"""Ends within this time are one event. Boxes hear of one end within 5 ms of each other."""
+
+BLOCK_S = 600.0
+"""How long a request is blocked for after the third end, doubled with each further one."""
+
+MAX_BLOCK_S = 3 * 3600.0
+KEEP_S = 6 * 3600.0
+"""How long an end is remembered."""
+
+SURVIVAL_KEEP_S = 60.0
+"""How long it is remembered that a request survived: longer than any box has older word of it."""
+
+MAX_ENDED = 16
+"""Replicas remembered for one request; the same ones at every box, those first by name."""
+
+
+class SuspectKey(NamedTuple):
+    """Name a request's content at one service: it may end an engine and spare a stage."""
+
+    content: str
+    service: str
+
+
+class Suspect:
+    """Hold the replicas that ended under one request, by when; times are monotonic seconds.
+
+    Two boxes' knowledge is joined by taking every end and the latest survival, so that order and
+    repeats of messages make no difference.
+    """
+
+    def __init__(self) -> None:
+        self.ended: dict[str, float] = {}
+        self.survived_at = -math.inf
+
+    def add(self, replica: str, at: float) -> bool:
+        """Note a replica's end; tell whether that is news."""
+        if replica in self.ended:
+            return False
+        self.ended[replica] = at
+        if len(self.ended) > MAX_ENDED:
+            del self.ended[max(self.ended)]
+        return replica in self.ended
+
+    def survive(self, at: float) -> bool:
+        """Note that the request was run to its end; tell whether that is news."""
+        news = at > self.survived_at and any(end > self.survived_at for end in self.ended.values())
+        self.survived_at = max(self.survived_at, at)
+        return news
+
+    def moments(self) -> list[float]:
+        """Return when replicas have ended under the request since it last survived, in order."""
+        found: list[float] = []
+        for at in sorted(self.ended.values()):
+            if at > self.survived_at and (not found or at - found[-1] > MOMENT_S):
+                found.append(at)
+        return found
+
+    def blocked_until(self) -> float | None:
+        """Return until when the request is not sent on, nothing if it is."""
+        moments = self.moments()
+        if len(moments) < LIMIT:
+            return None
+        return moments[-1] + min(MAX_BLOCK_S, BLOCK_S * 2.0 ** (len(moments) - LIMIT))
+
+    def forgotten_at(self) -> float:
+        """Return when nothing of this has to be remembered any more."""
+        newest = max(self.ended.values(), default=-math.inf)
+        if newest <= self.survived_at:
+            return self.survived_at + SURVIVAL_KEEP_S
+        return newest + KEEP_S
--- a/packages/core/calicopath_core/exchanges/context.py
+++ b/packages/core/calicopath_core/exchanges/context.py
@@ -13,6 +13,7 @@
     from collections.abc import Callable
 
     from calicopath_core.clock import Clock
+    from calicopath_core.crashes.guard import CrashGuard
     from calicopath_core.exchanges.balancer import Balancer
     from calicopath_core.exchanges.budget import Budgets
     from calicopath_core.exchanges.messages import Exchange, ReplicaCaller
@@ -102,6 +103,11 @@
         """Tell whether the time to answer is over."""
         return now >= self.deadline_at - TIMER_SLACK_S
 
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Return the services that the request needs: those of its stages, then its own."""
+        return (*(phase.service for phase in self.route.phases), self.service)
+
     def may_send_again(self) -> bool:
         """Tell whether the request may run on one more replica."""
         if self.may_have_run and not self.route.repeatable:
@@ -126,6 +132,28 @@
     ) -> None:
         """Note an attempt that gave no whole answer, and the time that was left."""
 
+    @abstractmethod
+    def on_blocked_refused(self, ticket: Ticket) -> None:
+        """Note a request that is not sent since replicas end under what it asks."""
+
+
+CRASHES_REPLICAS = 'crashes-replicas'
+"""The reason that is given for a request under which too many replicas have ended."""
+
+
+def check_sendable(context: ExchangeContext, ticket: Ticket) -> None:
+    """Raise `RefusedExchange` if too many replicas have ended under what the request asks.
+
+    Asked anew before each send: other boxes may have seen what this one has not.
+    """
+    wait_s = context.crashes.blocked_s(ticket.content, ticket.services)
+    if wait_s is None:
+        return
+    context.observer.on_blocked_refused(ticket)
+    if ticket.may_have_run:
+        raise RefusedExchange(STATUS_BAD_GATEWAY, CRASHES_REPLICAS)
+    raise RefusedExchange(STATUS_UNAVAILABLE, CRASHES_REPLICAS, retry_after_s=wait_s)
+
 
 class ExchangeContext(NamedTuple):
     """Hold what exchanges share on one box."""
@@ -139,6 +167,7 @@
     scheduler: SchedulerClient
     caller: ReplicaCaller
     observer: ExchangeObserver
+    crashes: CrashGuard
     new_job: Callable[[], str]
     may_serve: Callable[[], bool]
     zone: str
--- a/packages/core/calicopath_core/exchanges/executor.py
+++ b/packages/core/calicopath_core/exchanges/executor.py
@@ -12,6 +12,7 @@
     STATUS_UNAVAILABLE,
     RefusedExchange,
     Ticket,
+    check_sendable,
 )
 from calicopath_core.exchanges.plain import serve_plain
 from calicopath_core.exchanges.streams import Stream
@@ -34,6 +35,7 @@
         ticket: Ticket | None = None
         try:
             ticket = self.admit(exchange)
+            check_sendable(self.context, ticket)
             self.context.budgets.of(ticket.service).on_request(exchange.received_at)
             if ticket.route.streaming:
                 await Stream(context=self.context, ticket=ticket, sink=sink).serve()
--- a/packages/core/calicopath_core/exchanges/messages.py
+++ b/packages/core/calicopath_core/exchanges/messages.py
@@ -85,6 +85,10 @@
     async def send(self, outbound: Outbound) -> ReplicaAnswer:
         """Return the answer's head and body; raise `NotStarted`, `MayHaveRun`, `WrongAnswer`."""
 
+    @abstractmethod
+    async def has_ended(self, replica: Replica) -> bool:
+        """Tell whether a replica refuses connections; one that is silent may live."""
+
 
 class ReplySink(ABC):
     """Give a caller its answer."""
--- a/packages/core/calicopath_core/exchanges/plain.py
+++ b/packages/core/calicopath_core/exchanges/plain.py
@@ -13,6 +13,7 @@
     STATUS_UNAVAILABLE,
     Declined,
     RefusedExchange,
+    check_sendable,
 )
 from calicopath_core.exchanges.messages import Outbound
 
@@ -43,14 +44,17 @@
 async def serve_plain(context: ExchangeContext, ticket: Ticket, sink: ReplySink) -> None:
     """Send a request to one replica after the other until one answers whole."""
     while True:
+        check_sendable(context, ticket)
         replica = choose(context, ticket)
         try:
             answer = await attempt(context, ticket, replica)
         except BackendError as error:
             left_s = ticket.deadline_at - context.clock.monotonic()
             context.observer.on_attempt_failed(ticket, replica.id, error, left_s)
+            await context.crashes.on_failed([ticket.content], ticket.service, replica, error)
             check_again(context, ticket, error)
             continue
+        context.crashes.on_survived(ticket.content, ticket.service)
         again = answer.head.status >= STATUS_SERVER_ERROR and may_repeat(context, ticket)
         if again:
             continue
--- a/packages/core/calicopath_core/exchanges/streams.py
+++ b/packages/core/calicopath_core/exchanges/streams.py
@@ -13,6 +13,7 @@
     STATUS_UNAVAILABLE,
     Declined,
     RefusedExchange,
+    check_sendable,
 )
 from calicopath_core.exchanges.events import EventSplitter
 from calicopath_core.exchanges.messages import Outbound
@@ -71,10 +72,12 @@
             if replica is None or not self.context.replicas.takes_work(replica):
                 # The scheduler's list is older than ours; nothing was sent.
                 return self.pass_over(placed)
+            check_sendable(self.context, self.ticket)
             try:
                 return await self.run(job, placed, replica)
             except BackendError as error:
                 failed = not isinstance(error, Declined)
+                await self.note_crash(replica, error)
                 raise
         except BackendError as error:
             self.context.observer.on_attempt_failed(
@@ -85,6 +88,11 @@
         finally:
             self.context.scheduler.ended(job, failed=failed)
 
+    async def note_crash(self, replica: Replica, error: BackendError) -> None:
+        """Find out whether the engine has ended, before the request is placed once more."""
+        ticket = self.ticket
+        await self.context.crashes.on_failed([ticket.content], ticket.service, replica, error)
+
     def pass_over(self, placed: Placed) -> bool:
         """Have another engine chosen, unless that went wrong too often."""
         self.avoided.append(placed.replica)
@@ -137,6 +145,7 @@
             exclude=(*ticket.replicas, *self.avoided),
             resumed=bool(ticket.replicas),
             workspace=ticket.tenant or '',
+            content=ticket.content,
         )
 
     def left_s(self) -> float:
@@ -200,6 +209,7 @@
             raise MayHaveRun(f'the engine answered {answer.head.status} to a resumed stream')
         self.ticket.status = answer.head.status
         self.ticket.outcome = 'failed-by-replica'
+        self.context.crashes.on_survived(self.ticket.content, self.ticket.service)
         self.sink.respond(answer.head.status, answer.head.headers, body)
         return True
 
@@ -244,6 +254,7 @@
     def finish(self, answer: ReplicaAnswer) -> None:
         """End the answer as whole."""
         self.ticket.outcome = 'answered'
+        self.context.crashes.on_survived(self.ticket.content, self.ticket.service)
         if not self.begun:
             self.ticket.status = answer.head.status
             self.sink.respond(answer.head.status, answer.head.headers, b'')
@@ -253,6 +264,7 @@
     def check_again(self, error: BackendError) -> None:
         """Return if the request may be sent once more; else raise how it ends."""
         ticket = self.ticket
+        check_sendable(self.context, ticket)
         now = self.context.clock.monotonic()
         allowed = not ticket.expired(now) and ticket.sends < MAX_SENDS and ticket.may_send_again()
         budget = self.context.budgets.of(ticket.service)
--- a/packages/core/calicopath_core/scheduling/election.py
+++ b/packages/core/calicopath_core/scheduling/election.py
@@ -197,9 +197,7 @@
 
     def leads(self, now: float) -> bool:
         """Tell whether this box is the first of all that may schedule."""
-        return next((name for name in self.ranked_all if self.is_able(name, now)), None) == (
-            self.own.name
-        )
+        return next(self.able_of(self.ranked_all, now), None) == self.own.name
 
     def rank(self, name: str) -> tuple[bool, float, str]:
         """Return by what boxes are ordered; the least schedules, a box not listed yet last."""
@@ -285,7 +283,11 @@
 
     def able(self, now: float) -> Iterator[str]:
         """Yield the boxes that are there to schedule, in rank order."""
-        return (name for name in self.ranked if self.is_able(name, now))
+        return self.able_of(self.ranked, now)
+
+    def able_of(self, names: Iterable[str], now: float) -> Iterator[str]:
+        """Yield those of some boxes that are there to schedule."""
+        return (name for name in names if self.is_able(name, now))
 
     def is_able(self, name: str, now: float) -> bool:
         """Tell whether a box is there to schedule."""
@@ -293,6 +295,16 @@
             return not self.leaving
         return self.candidates[name].may_schedule(now)
 
+    def hubs(self, now: float) -> list[str]:
+        """Return the addresses of the boxes that others ping: they hear first of what is news."""
+        names = list(itertools.islice(self.able(now), CANDIDATES))
+        if self.groups > 1:
+            names.extend(itertools.islice(self.able_of(self.ranked_all, now), 1))
+        return [
+            self.own.address if name == self.own.name else self.candidates[name].box.address
+            for name in dict.fromkeys(names)
+        ]
+
     def contact_of(self, name: str, own: StoreContact, now: float) -> StoreContact:
         """Return how the store answers a box, as far as this box was told."""
         if name == self.own.name:
--- a/packages/core/calicopath_core/scheduling/messages.py
+++ b/packages/core/calicopath_core/scheduling/messages.py
@@ -49,7 +49,7 @@
     `exclude` are engines not to choose; `resumed` says that one failed the request midway,
     `asked_before` that an earlier scheduler had let the job in and fell silent; `missed` is its
     address, to which the job must not be handed over. `beyond` says that an earlier scheduler found
-    the job beyond its workspace's allowance.
+    the job beyond its workspace's allowance. `content` names what the request asks.
     `objective_s` and `deadline_s` are what is left of them when the message is sent.
     """
 
@@ -70,6 +70,12 @@
     missed: str = ''
     workspace: str = ''
     beyond: bool = False
+    content: str = ''
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Return the services that the job needs: those of its stages, then its engine's."""
+        return (*(phase.service for phase in self.phases), self.service)
 
 
 class Placed(msgspec.Struct, frozen=True, tag='ok'):
@@ -167,7 +173,10 @@
 
 
 class Presence(msgspec.Struct, frozen=True):
-    """Say that a box is alive, how the store answers it, whether it leaves, how many groups are."""
+    """Say that a box is alive, how the store answers it, whether it leaves, how many groups are.
+
+    `crashes` is a digest of what it knows of requests under which replicas have ended.
+    """
 
     box: str
     address: str
@@ -176,6 +185,7 @@
     leaving: bool
     sequence: int
     groups: GroupCount = GroupCount()
+    crashes: str = ''
 
 
 class Ping(Presence, frozen=True, tag='hi'):
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -28,6 +28,7 @@
     import msgspec
 
     from calicopath_core.clock import Clock
+    from calicopath_core.crashes.ledger import CrashLedger
     from calicopath_core.fleet.deployment import Deployment, EngineSpec
     from calicopath_core.fleet.replicas import Replica, ReplicaTable
     from calicopath_core.scheduling.engines import EngineBoard
@@ -64,6 +65,7 @@
         observer: SchedulerObserver,
         own_address: str,
         share_of: Callable[[list[Replica]], list[Replica]],
+        crashes: CrashLedger,
         warmup: WarmupTerms = NO_ALLOWANCE,
         new_board: Callable[[EngineSpec], EngineBoard] | None = None,
     ) -> None:
@@ -73,6 +75,7 @@
         self.observer = observer
         self.own_address = own_address
         self.share_of = share_of
+        self.crashes = crashes
         self.admission = Admission()
         self.allowances = Allowances()
         self.evenness = Evenness()
@@ -139,6 +142,7 @@
             return
         now = self.clock.monotonic()
         self.boards.forget_lost(now)
+        self.reject_blocked()
         self.place_waiting()
         self.reject_hopeless(now)
         self.give_up_fetched(now)
@@ -164,6 +168,20 @@
         for job in self.engine_queue.hopeless(now):
             self.reject(job, 'no-engine', self.admission.return_s(job, NO_ENGINE_S, now))
 
+    def reject_blocked(self) -> None:
+        """Reject the jobs at once that were let in before their request was blocked."""
+        if self.crashes.blocked:
+            for job in list(self.unplaced.values()):
+                self.check_sendable(job)
+
+    def check_sendable(self, job: Job) -> bool:
+        """Tell whether a job may go on; reject it if too many replicas ended under its request."""
+        wait_s = self.crashes.blocked_s(job.place.content, job.place.services)
+        if wait_s is None:
+            return True
+        self.reject(job, 'crashes-replicas', wait_s)
+        return False
+
     def on_place(self, place: Place) -> None:
         """Begin a job; a repeated message begins nothing twice."""
         if place.job in self.jobs:
@@ -183,6 +201,8 @@
         if not board.serves(job):
             self.reject_unserved(job)
             return
+        if not self.check_sendable(job):
+            return
         job.urgency = self.evenness.urgency(place.priority)
         if not place.resumed and not place.asked_before:
             job.beyond = self.allowances.ask(place.workspace, self.stages.work_s(place), now)
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -60,6 +60,14 @@
 EXCHANGE_BAD = Event(603, 'info', 'exchange bad', 'A request could not be read.')
 ATTEMPT_FAILED = Event(604, 'warning', 'attempt failed', 'A replica gave no whole answer.')
 
+REPLICA_ENDED_UNDER = Event(
+    605, 'warning', 'replica ended under request', 'A replica that ran the request has ended.'
+)
+REQUEST_BLOCKED = Event(
+    606, 'error', 'request blocked', 'Too many replicas ended under it; it is not sent on.'
+)
+REQUEST_LET_GO = Event(607, 'info', 'request let go', 'A blocked request is sent on again.')
+
 JOB_PLACED = Event(701, 'info', 'job placed', 'An engine was chosen for a request.')
 JOB_REJECTED = Event(702, 'warning', 'job rejected', 'A request will not be placed.')
 STAGE_CALLED = Event(703, 'info', 'stage called', "A call to a stage's replica is done.")
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -11,6 +11,9 @@
 import structlog
 
 from calicopath_core.clock import LoopClock
+from calicopath_core.crashes.guard import CrashGuard
+from calicopath_core.crashes.ledger import CrashLedger
+from calicopath_core.crashes.sharing import CrashSharing
 from calicopath_core.exchanges.balancer import Balancer
 from calicopath_core.exchanges.budget import Budgets
 from calicopath_core.exchanges.context import ExchangeContext
@@ -107,6 +110,15 @@
             contact=self.contact,
             on_bad=observer.on_bad_message,
         )
+        self.ledger = CrashLedger(clock=self.clock, observer=observer)
+        self.sharing = CrashSharing(
+            clock=self.clock,
+            ledger=self.ledger,
+            own_address=self.own.address,
+            hubs=lambda: self.election.hubs(self.clock.monotonic()),
+            send=self.link.send,
+        )
+        self.crashes = CrashGuard(ledger=self.ledger, sharing=self.sharing, caller=exchanges)
         self.scheduler = Scheduler(
             clock=self.clock,
             replicas=self.replicas,
@@ -115,6 +127,7 @@
             observer=observer,
             own_address=self.own.address,
             share_of=self.election.share_of,
+            crashes=self.ledger,
             warmup=settings.warmup,
             new_board=self.random_board if alone else None,
         )
@@ -142,7 +155,7 @@
             rng=self.rng,
         )
         self.link.scheduler, self.link.client = self.scheduler, self.client
-        self.link.subscription = self.subscription
+        self.link.subscription, self.link.crashes = self.subscription, self.sharing
         self.feeds = {kind: self.new_feed(kind) for kind in settings.followed}
         self.subscription.feeds.update(self.feeds)
         self.publisher.feeds.update(self.feeds)
@@ -165,6 +178,7 @@
             scheduler=self.client,
             caller=exchanges,
             observer=self.observer,
+            crashes=self.crashes,
             new_job=self.new_job,
             may_serve=self.synced,
             zone=self.settings.failure_domain,
@@ -355,6 +369,7 @@
             events.emit(log, events.REPLICA_DROPPED, replica=name, held_s=True)
         self.judge_groups(now)
         self.follow_group()
+        self.ledger.expire()
 
     def leave(self) -> None:
         """Ask for no more callers and hand scheduling over."""
--- a/packages/daemon/calicopathd/gateway/metrics.py
+++ b/packages/daemon/calicopathd/gateway/metrics.py
@@ -23,6 +23,15 @@
         self.attempts_failed = self.counter(
             'attempts_failed_total', 'Failed attempts by service and failure.'
         )
+        self.ends_noted = self.counter(
+            'replica_ends_noted_total', 'Ends of replicas, counted for each request that ran there.'
+        )
+        self.blocked = self.counter(
+            'requests_blocked_total', 'Requests that are not sent on since replicas end under them.'
+        )
+        self.blocked_refused = self.counter(
+            'blocked_refusals_total', 'Refusals of requests under which replicas end.'
+        )
         self.stage_calls = self.counter('stage_calls_total', 'Stage calls by service and result.')
         self.stage_pieces = self.counter('stage_pieces_total', 'Pieces in stage calls by service.')
         self.stage_seconds = self.histogram('stage_call_seconds', 'Time of a stage call.')
--- a/packages/daemon/calicopathd/gateway/peers.py
+++ b/packages/daemon/calicopathd/gateway/peers.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from calicopath_core.crashes.messages import CRASH_MESSAGES, CrashNews
 from calicopath_core.fleet.relay_messages import (
     RELAY_MESSAGES,
     RelayBeat,
@@ -35,6 +36,7 @@
     from collections.abc import Callable
 
     from calicopath_core.clock import Clock
+    from calicopath_core.crashes.sharing import CrashSharing
     from calicopath_core.fleet.contact import StoreContact
     from calicopath_core.fleet.subscription import Subscription
     from calicopath_core.membership.transport import PeerTransport
@@ -62,10 +64,11 @@
         self.config_version = config_version
         self.contact = contact
         self.on_bad = on_bad
-        self.decoder = MessageDecoder(types=(*MESSAGES, *RELAY_MESSAGES))
+        self.decoder = MessageDecoder(types=(*MESSAGES, *RELAY_MESSAGES, *CRASH_MESSAGES))
         self.scheduler: Scheduler | None = None
         self.client: SchedulerClient | None = None
         self.subscription: Subscription | None = None
+        self.crashes: CrashSharing | None = None
         self.sent = 0
         transport.listen(self.on_data)
 
@@ -91,12 +94,14 @@
         assert self.scheduler is not None
         assert self.client is not None
         assert self.subscription is not None
+        assert self.crashes is not None
         match message:
             case Ping():
                 self.election.on_ping(message, self.clock.monotonic())
                 if message.unanswered:
                     self.transport.renew(message.address)
                 self.send(message.address, self.presence(Pong, message.sequence))
+                self.crashes.on_digest(message.address, message.crashes)
             case Pong():
                 self.election.on_pong(message, self.clock.monotonic())
             case Place():
@@ -127,9 +132,12 @@
                 self.subscription.on_beat(message)
             case RelayUpdate():
                 self.subscription.on_update(message)
+            case CrashNews():
+                self.crashes.on_news(message)
 
     def presence(self, kind: type[Ping] | type[Pong], sequence: int) -> Ping | Pong:
         """Return what this box says of itself."""
+        assert self.crashes is not None
         own = self.election.own
         return kind(
             box=own.name,
@@ -139,6 +147,7 @@
             leaving=self.election.leaving,
             sequence=sequence,
             groups=self.election.count,
+            crashes=self.crashes.ledger.digest(),
         )
 
     def ping_all(self) -> None:
@@ -156,6 +165,8 @@
 
     async def run(self) -> None:
         """Ping until cancelled."""
+        assert self.crashes is not None
         while True:
             self.ping_all()
+            self.crashes.tell_hubs()
             await asyncio.sleep(PING_S)
--- a/packages/daemon/calicopathd/gateway/run.py
+++ b/packages/daemon/calicopathd/gateway/run.py
@@ -160,6 +160,8 @@
             store_age_seconds=-1.0 if math.isinf(age_s) else age_s,
             replicas=len(box.replicas.replicas),
             zones_taken_out=len(box.evacuations.held),
+            requests_blocked=len(box.ledger.blocked),
+            requests_suspected=len(box.ledger.suspects),
             boxes_listed=box.election.boxes_sharing(),
             jobs=len(box.scheduler.jobs),
             groups=box.election.groups,
--- a/packages/daemon/calicopathd/gateway/tests/crashing_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/crashing_tests.py
@@ -43,12 +43,11 @@
 class CrashingFleet(GatewayFleet):
     """Hold boxes before nine engines that a request can end, and four desks."""
 
+    replicas: CrashingReplicas
+
     def __init__(self, *, count: int = 4) -> None:
         super().__init__(count=count)
-        self.replicas: CrashingReplicas = CrashingReplicas(store=self.store)
         self.numbers = itertools.count(1)
-        for box in self.boxes.values():
-            self.set_caller(box.box)
         chat = route('chat', RouteKind.STREAMING, 'engine', timeout_s=15.0)
         self.store.write(
             RecordKind.DEPLOYMENT, 'main', deployment(2, routes=(*deployment().routes, chat))
@@ -58,10 +57,9 @@
         for number in range(2, 4):
             self.add_replica('desk', number)
 
-    def set_caller(self, box: object) -> None:
-        """Have a box call the replicas that can end."""
-        executor = box.executor  # type: ignore[attr-defined]
-        executor.context = executor.context._replace(caller=self.replicas)
+    def new_replicas(self) -> CrashingReplicas:
+        """Return replicas that can end."""
+        return CrashingReplicas(store=self.store)
 
     def add_replica(self, service: str, number: int) -> None:
         """Add a replica."""
--- a/testkit/crashing.py
+++ b/testkit/crashing.py
@@ -119,10 +119,10 @@
         await asyncio.sleep(2 * CRASH_AFTER_S if exchange.target in self.crashing else 0)
         return BreakingAnswer(head=answer.head, body=exchange.call_id.encode(), ended=ended)
 
-    async def reaches(self, replica: Replica) -> bool:
-        """Tell whether a replica still takes connections."""
+    async def has_ended(self, replica: Replica) -> bool:
+        """Tell whether a replica takes no connection any more."""
         await asyncio.sleep(HEAD_S)
-        return not self.ended_of(replica).is_set()
+        return self.ended_of(replica).is_set()
 
     def spawn_end(self, replica: Replica, arrival: Arrival) -> None:
         """End a replica in a moment."""
--- a/testkit/gateway.py
+++ b/testkit/gateway.py
@@ -66,7 +66,7 @@
         self.store = FakeStore()
         self.network = FakeNetwork(seed=seed)
         self.stages = FakeStages()
-        self.replicas = FakeReplicas()
+        self.replicas = self.new_replicas()
         self.boxes: dict[str, FleetBox] = {}
         self.served: list[asyncio.Task[None]] = []
         self.store.write(RecordKind.DEPLOYMENT, 'main', deployment())
@@ -75,6 +75,10 @@
         for number in range(count):
             self.add(f'box-{number}', ZONES[number % len(ZONES)])
 
+    def new_replicas(self) -> FakeReplicas:
+        """Return the engines and plain services."""
+        return FakeReplicas()
+
     def add(self, name: str, zone: str) -> FleetBox:
         """Return a new box, not started."""
         client = FakeStoreClient(store=self.store)
--- a/testkit/gateway_replicas.py
+++ b/testkit/gateway_replicas.py
@@ -189,6 +189,11 @@
             return FakeStream(engine=self, outbound=outbound, status=200, break_after=after)
         return FakeBody(head=AnswerHead(200, (), False, None), body=call_id.encode())
 
+    async def has_ended(self, replica: Replica) -> bool:
+        """Tell that replicas live: what breaks here is the connection."""
+        await asyncio.sleep(0.001)
+        return False
+
 
 class FakeSink(ReplySink):
     """Keep what a caller gets."""
