Keep blocked requests in the store, stop pieces that end stages, reject what waits

Cause: the same missing memory stood in two more places. A piece that ends its stage's replica was made again four times a job and the next job began at nothing; and with every box killed at once the ledgers were gone, so that three more replicas would end. Change: the scheduler counts broken calls of stages too, and a job under which replicas ended shares no call with others, since all of a call would be blocked with the cause; jobs that wait when the verdict falls are rejected. The first relay keeps what is blocked in one object of our own kind and reads it once. Ruled out: the scheduling box as the keeper, one call more at a start of 40 boxes than the test of starts allows.

--- a/packages/core/calicopath_core/crashes/guard.py
+++ b/packages/core/calicopath_core/crashes/guard.py
@@ -30,6 +30,15 @@
         self.sharing = sharing
         self.caller = caller
 
+    @property
+    def blocks_any(self) -> bool:
+        """Tell whether there is any request that is not sent on."""
+        return bool(self.ledger.blocked)
+
+    def is_suspect(self, content: str, service: str) -> bool:
+        """Tell whether replicas of a service have ended under a request since it last survived."""
+        return self.ledger.is_suspect(SuspectKey(content, service))
+
     def blocked_s(self, content: str, services: Iterable[str]) -> float | None:
         """Return how long a request is not sent on yet, nothing if it may be."""
         return self.ledger.blocked_s(content, services)
--- a/packages/core/calicopath_core/crashes/ledger.py
+++ b/packages/core/calicopath_core/crashes/ledger.py
@@ -74,6 +74,11 @@
         self.judge(key, why)
         return True
 
+    def is_suspect(self, key: SuspectKey) -> bool:
+        """Tell whether replicas have ended under a request since it last survived."""
+        suspect = self.suspects.get(key)
+        return suspect is not None and bool(suspect.moments())
+
     def blocked_s(self, content: str, services: Iterable[str]) -> float | None:
         """Return how long a request is not sent to some services yet, nothing if it may be."""
         if not self.blocked:
--- /dev/null
+++ b/packages/core/calicopath_core/crashes/tests/ledger_tests.py
@@ -0,0 +1,218 @@
+"""Test what is counted of replicas that end under a request, and how boxes' knowledge is joined."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from typing import cast
+from unittest import mock
+
+from calicopath_core.crashes.ledger import (
+    MAX_SUSPECTS,
+    CrashLedger,
+    CrashObserver,
+)
+from calicopath_core.crashes.messages import CrashNews, Evidence
+from calicopath_core.crashes.sharing import REPEAT_S, CrashSharing
+from calicopath_core.crashes.suspects import (
+    BLOCK_S,
+    KEEP_S,
+    MAX_ENDED,
+    MOMENT_S,
+    SURVIVAL_KEEP_S,
+    SuspectKey,
+)
+from testkit.cases import VirtualCase
+from testkit.ledgers import new_ledger
+
+KEY = SuspectKey('c', 'engine')
+APART_S = 2 * MOMENT_S
+
+
+async def ended(ledger: CrashLedger, *replicas: str, key: SuspectKey = KEY) -> None:
+    """Let replicas end under a request, one after the other."""
+    for replica in replicas:
+        ledger.on_ended(key, replica)
+        await asyncio.sleep(APART_S)
+
+
+class Counting(VirtualCase):
+    def test_three_ends_block_and_two_do_not(self) -> None:
+        async def scenario() -> None:
+            ledger = new_ledger()
+            await ended(ledger, 'r1', 'r2')
+            self.assertIsNone(ledger.blocked_s('c', ['engine']))
+            await ended(ledger, 'r3')
+            self.assertAlmostEqual(BLOCK_S, ledger.blocked_s('c', ['engine']) or 0, delta=1)
+
+        self.run_virtual(scenario())
+
+    def test_one_end_seen_by_several_boxes_counts_once(self) -> None:
+        async def scenario() -> None:
+            ledger = new_ledger()
+            await ended(ledger, 'r1', 'r1', 'r1')
+            for number in range(5):
+                ledger.merge([Evidence('c', 'engine', {'r1': number / 1000}, None)], f'b{number}')
+            self.assertIsNone(ledger.blocked_s('c', ['engine']))
+
+        self.run_virtual(scenario())
+
+    def test_ends_at_one_moment_count_once(self) -> None:
+        async def scenario() -> None:
+            ledger = new_ledger()
+            for number in range(6):
+                ledger.on_ended(KEY, f'r{number}')
+            self.assertIsNone(ledger.blocked_s('c', ['engine']))
+
+        self.run_virtual(scenario())
+
+    def test_a_run_that_survives_clears_what_came_before_it(self) -> None:
+        async def scenario() -> None:
+            ledger = new_ledger()
+            await ended(ledger, 'r1', 'r2')
+            self.assertTrue(ledger.on_survived(KEY))
+            await asyncio.sleep(APART_S)
+            await ended(ledger, 'r3', 'r4')
+            self.assertIsNone(ledger.blocked_s('c', ['engine']))
+            await ended(ledger, 'r5')
+            self.assertIsNotNone(ledger.blocked_s('c', ['engine']))
+
+        self.run_virtual(scenario())
+
+    def test_what_ends_one_service_blocks_requests_that_need_it(self) -> None:
+        async def scenario() -> None:
+            ledger = new_ledger()
+            await ended(ledger, 'r1', 'r2', 'r3')
+            self.assertIsNone(ledger.blocked_s('c', ['desk']))
+            self.assertIsNotNone(ledger.blocked_s('c', ['look', 'engine']))
+            self.assertIsNone(ledger.blocked_s('other', ['engine']))
+
+        self.run_virtual(scenario())
+
+    def test_it_is_let_go_after_a_while_and_blocked_for_longer_by_the_next_end(self) -> None:
+        async def scenario() -> None:
+            observer = mock.Mock(spec=CrashObserver)
+            ledger = new_ledger(observer)
+            await ended(ledger, 'r1', 'r2', 'r3')
+            await asyncio.sleep(BLOCK_S)
+            ledger.expire()
+            self.assertIsNone(ledger.blocked_s('c', ['engine']))
+            observer.on_let_go.assert_called_once_with(KEY, 'time')
+            await ended(ledger, 'r4')
+            self.assertAlmostEqual(2 * BLOCK_S, ledger.blocked_s('c', ['engine']) or 0, delta=1)
+
+        self.run_virtual(scenario())
+
+    def test_memory_is_bounded_and_what_is_blocked_goes_last(self) -> None:
+        async def scenario() -> None:
+            ledger = new_ledger()
+            await ended(ledger, 'r1', 'r2', 'r3')
+            for number in range(2 * MAX_SUSPECTS):
+                ledger.on_ended(SuspectKey(f'c{number}', 'engine'), 'r9')
+            self.assertEqual(MAX_SUSPECTS, len(ledger.suspects))
+            self.assertIsNotNone(ledger.blocked_s('c', ['engine']))
+            for number in range(3 * MAX_ENDED):
+                ledger.on_ended(KEY, f's{number}')
+            self.assertEqual(MAX_ENDED, len(ledger.suspects[KEY].ended))
+            await asyncio.sleep(KEEP_S + SURVIVAL_KEEP_S)
+            ledger.expire()
+            self.assertEqual({}, ledger.suspects)
+
+        self.run_virtual(scenario())
+
+
+class Joining(VirtualCase):
+    def test_any_order_and_any_repeats_lead_to_the_same(self) -> None:
+        async def scenario() -> None:
+            news = [
+                Evidence('c', 'engine', {'r1': 9.0}, None),
+                Evidence('c', 'engine', {'r2': 7.0}, 8.0),
+                Evidence('c', 'engine', {'r3': 5.0, 'r4': 3.0}, None),
+                Evidence('d', 'engine', {'r1': 9.0, 'r2': 7.0}, 6.0),
+            ]
+            rng = random.Random(1)
+            digests, verdicts = set(), set()
+            for order in itertools.permutations(news):
+                ledger = new_ledger()
+                ledger.merge([*order, *rng.choices(news, k=3)], 'b')
+                digests.add(ledger.digest())
+                verdicts.add(tuple(sorted(ledger.blocked)))
+            self.assertEqual(1, len(digests))
+            self.assertEqual({(KEY,)}, verdicts)
+
+        self.run_virtual(scenario())
+
+    def test_the_first_end_is_no_news_for_all_and_the_second_is(self) -> None:
+        async def scenario() -> None:
+            ledger = new_ledger()
+            await ended(ledger, 'r1')
+            self.assertEqual('', ledger.digest())
+            await ended(ledger, 'r2')
+            self.assertNotEqual('', ledger.digest())
+
+        self.run_virtual(scenario())
+
+
+class Sharing(VirtualCase):
+    def pair(self) -> tuple[CrashSharing, CrashSharing, list[tuple[str, CrashNews]]]:
+        """Return two boxes, the second of which is the first one's hub, and what is sent."""
+        sent: list[tuple[str, CrashNews]] = []
+        boxes = []
+        for name in ('a', 'b'):
+            ledger = new_ledger()
+            boxes.append(
+                CrashSharing(
+                    clock=ledger.clock,
+                    ledger=ledger,
+                    own_address=name,
+                    hubs=lambda: ['b'],
+                    send=lambda address, message: sent.append(
+                        (address, cast('CrashNews', message))
+                    ),
+                )
+            )
+        return boxes[0], boxes[1], sent
+
+    def test_own_news_are_repeated_for_a_while_in_case_they_were_lost(self) -> None:
+        async def scenario() -> None:
+            box, hub, sent = self.pair()
+            box.ledger.on_ended(KEY, 'r1')
+            box.report([KEY])
+            sent.clear()
+            await asyncio.sleep(REPEAT_S / 2)
+            box.tell_hubs()
+            hub.on_news(sent.pop()[1])
+            self.assertEqual({'r1'}, set(hub.ledger.suspects[KEY].ended))
+            await asyncio.sleep(REPEAT_S)
+            box.tell_hubs()
+            self.assertEqual([], sent)
+
+        self.run_virtual(scenario())
+
+    def test_two_that_know_different_things_know_both_after_one_ping(self) -> None:
+        async def scenario() -> None:
+            box, hub, sent = self.pair()
+            other = SuspectKey('d', 'engine')
+            await ended(box.ledger, 'r1', 'r2', 'r3')
+            await ended(hub.ledger, 'r4', 'r5', 'r6', key=other)
+            hub.on_digest('a', box.ledger.digest())
+            box.on_news(sent.pop()[1])
+            hub.on_news(sent.pop()[1])
+            self.assertEqual({KEY, other}, set(box.ledger.blocked))
+            self.assertEqual(box.ledger.digest(), hub.ledger.digest())
+            hub.on_digest('a', box.ledger.digest())
+            self.assertEqual([], sent)
+
+        self.run_virtual(scenario())
+
+    def test_one_box_is_told_everything_a_few_times_a_second_at_most(self) -> None:
+        async def scenario() -> None:
+            _, hub, sent = self.pair()
+            await ended(hub.ledger, 'r1', 'r2')
+            for _ in range(10):
+                hub.on_digest('a', '')
+                await asyncio.sleep(0.1)
+            self.assertLessEqual(len(sent), 3)
+
+        self.run_virtual(scenario())
--- a/packages/core/calicopath_core/fleet/store.py
+++ b/packages/core/calicopath_core/fleet/store.py
@@ -4,7 +4,7 @@
 
 import enum
 from abc import ABC, abstractmethod
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from calicopath_core.exceptions import CalicopathError
 from calicopath_core.fleet.deployment import Deployment
@@ -12,6 +12,9 @@
 from calicopath_core.fleet.replicas import Replica
 from calicopath_core.scheduling.election import BoxAddress
 
+if TYPE_CHECKING:
+    from calicopath_core.crashes.keeping import KeptRequest
+
 Record = Deployment | Replica | BoxAddress | Evacuation
 
 
@@ -81,6 +84,14 @@
         Boxes that start ask them first; nothing safe rests on it.
         """
 
+    @abstractmethod
+    async def read_blocked(self) -> tuple[KeptRequest, ...]:
+        """Return the requests that are kept as blocked; raise `FleetStoreError`."""
+
+    @abstractmethod
+    async def write_blocked(self, kept: tuple[KeptRequest, ...]) -> None:
+        """Keep these requests as blocked, whatever was there; raise `FleetStoreError`."""
+
     @abstractmethod
     async def register(self, box: BoxAddress) -> None:
         """Write this box's own record; raise `FleetStoreError`. Doing it twice is harmless."""
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -28,7 +28,7 @@
     import msgspec
 
     from calicopath_core.clock import Clock
-    from calicopath_core.crashes.ledger import CrashLedger
+    from calicopath_core.crashes.guard import CrashGuard
     from calicopath_core.fleet.deployment import Deployment, EngineSpec
     from calicopath_core.fleet.replicas import Replica, ReplicaTable
     from calicopath_core.scheduling.engines import EngineBoard
@@ -65,7 +65,7 @@
         observer: SchedulerObserver,
         own_address: str,
         share_of: Callable[[list[Replica]], list[Replica]],
-        crashes: CrashLedger,
+        crashes: CrashGuard,
         warmup: WarmupTerms = NO_ALLOWANCE,
         new_board: Callable[[EngineSpec], EngineBoard] | None = None,
     ) -> None:
@@ -92,6 +92,7 @@
             observer=observer,
             keeper=self,
             share_of=share_of,
+            crashes=crashes,
         )
         self.succession = Succession(scheduler=self)
         replicas.listeners.append(self.on_replicas)
@@ -170,7 +171,7 @@
 
     def reject_blocked(self) -> None:
         """Reject the jobs at once that were let in before their request was blocked."""
-        if self.crashes.blocked:
+        if self.crashes.blocks_any:
             for job in list(self.unplaced.values()):
                 self.check_sendable(job)
 
--- a/packages/core/calicopath_core/scheduling/stage_calls.py
+++ b/packages/core/calicopath_core/scheduling/stage_calls.py
@@ -18,6 +18,7 @@
     from collections.abc import Callable, Coroutine
 
     from calicopath_core.clock import Clock
+    from calicopath_core.crashes.guard import CrashGuard
     from calicopath_core.fleet.deployment import StageSpec
     from calicopath_core.fleet.replicas import Replica, ReplicaTable
     from calicopath_core.scheduling.interfaces import JobKeeper, SchedulerObserver, StageCaller
@@ -51,6 +52,7 @@
         observer: SchedulerObserver,
         keeper: JobKeeper,
         share_of: Callable[[list[Replica]], list[Replica]],
+        crashes: CrashGuard,
     ) -> None:
         self.clock = clock
         self.replicas = replicas
@@ -58,6 +60,7 @@
         self.observer = observer
         self.keeper = keeper
         self.share_of = share_of
+        self.crashes = crashes
         self.pacing = Pacing()
         self.watch = CallWatch(clock=clock, caller=caller, observer=observer)
         self.queues: dict[str, StageQueue] = {}
@@ -81,7 +84,13 @@
 
     def set_spec(self, service: str, spec: StageSpec) -> None:
         """Take in what a stage's replicas can do."""
-        queue = self.queues.setdefault(service, StageQueue(service=service, spec=spec))
+        queue = self.queues.get(service)
+        if queue is None:
+            queue = self.queues[service] = StageQueue(
+                service=service,
+                spec=spec,
+                goes_alone=lambda job: self.crashes.is_suspect(job.place.content, service),
+            )
         queue.spec = spec
 
     def work_s(self, place: Place) -> float:
@@ -188,6 +197,8 @@
         try:
             results = await self.watch.run(replica, calls, expected_s, limit_s)
         except (BackendError, TimeoutError) as error:
+            contents = [job.place.content for job in jobs_of(batch)]
+            await self.crashes.on_failed(contents, queue.service, replica, error)
             self.on_call_failed(queue, batch, error, begun)
             return
         finally:
@@ -207,6 +218,7 @@
             self.take_result(queue, batch, piece, result)
         self.release.tell_made(batch)
         for job in jobs_of(batch):
+            self.crashes.on_survived(job.place.content, queue.service)
             self.after_call(job)
         self.dispatch_soon()
 
--- a/packages/core/calicopath_core/scheduling/stages.py
+++ b/packages/core/calicopath_core/scheduling/stages.py
@@ -10,7 +10,7 @@
 from calicopath_core.scheduling.waiting import WaitingPieces, rank_again
 
 if TYPE_CHECKING:
-    from collections.abc import Container, Iterable, Iterator
+    from collections.abc import Callable, Container, Iterable, Iterator
 
     from calicopath_core.fleet.deployment import StageSpec
     from calicopath_core.fleet.replicas import Replica
@@ -48,11 +48,22 @@
 
 
 class StageQueue:
-    """Hold the pieces that wait for one service, and its replicas."""
+    """Hold the pieces that wait for one service, and its replicas.
 
-    def __init__(self, *, service: str, spec: StageSpec) -> None:
+    A job that `goes_alone` shares no call with others: replicas have ended under its request, and
+    those that are in the call with the cause would be blocked with it.
+    """
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        spec: StageSpec,
+        goes_alone: Callable[[Job], bool] = lambda job: False,
+    ) -> None:
         self.service = service
         self.spec = spec
+        self.goes_alone = goes_alone
         self.replicas: dict[str, StageReplica] = {}
         self.known: dict[str, StageReplica] = {}
         self.waiting = WaitingPieces()
@@ -159,6 +170,9 @@
         room = target.room_left(self.spec, now)
         found: list[Piece] = []
         for group in near:
+            alone = self.goes_alone(group.first.job)
+            if alone and found:
+                continue
             size = group.result_bytes
             pieces = group.pieces
             free = min(self.spec.batch - len(found), int(room // size) if size else len(pieces))
@@ -168,7 +182,7 @@
             taken = pieces[: max(0, free)]
             found.extend(taken)
             room -= size * len(taken)
-            if len(found) == self.spec.batch:
+            if len(found) == self.spec.batch or (alone and found):
                 break
         return found
 
--- a/packages/core/calicopath_core/scheduling/tests/freeing_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/freeing_tests.py
@@ -13,6 +13,7 @@
 from calicopath_core.scheduling.stages import StageBatch
 from calicopath_core.scheduling.tests.work import SPEC, job, phase, replica, result
 from testkit.cases import VirtualCase
+from testkit.ledgers import new_guard
 from testkit.virtual import VirtualClock
 
 ANSWER_S = 0.02
@@ -30,6 +31,7 @@
         observer=mock.Mock(),
         keeper=mock.Mock(jobs={}),
         share_of=lambda replicas: replicas,
+        crashes=new_guard(),
     )
     found.set_spec('look', SPEC)
     found.on_replicas()
--- a/packages/core/calicopath_core/scheduling/tests/hopeless_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/hopeless_tests.py
@@ -14,7 +14,7 @@
 from calicopath_core.scheduling.scheduler import TICK_S, Scheduler
 from calicopath_core.scheduling.tests.work import SPEC, job, phase, replica
 from testkit.cases import VirtualCase
-from testkit.ledgers import new_ledger
+from testkit.ledgers import new_guard
 from testkit.virtual import VirtualClock
 
 if TYPE_CHECKING:
@@ -43,7 +43,7 @@
             observer=mock.Mock(),
             own_address='own:7',
             share_of=lambda replicas: replicas,
-            crashes=new_ledger(),
+            crashes=new_guard(),
         )
         found.stages.set_spec('look', SPEC)
         found.boards['engine'] = EngineBoard(slots=4, kv_tokens=1000)
--- a/packages/core/calicopath_core/scheduling/tests/stages_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/stages_tests.py
@@ -18,6 +18,7 @@
 )
 from calicopath_core.scheduling.tests.work import SPEC, job, phase, queue, replica, result, wait
 from calicopath_core.scheduling.waiting import OLD_RESULT_S
+from testkit.ledgers import new_guard
 from testkit.virtual import VirtualClock, run_virtual
 
 if TYPE_CHECKING:
@@ -142,6 +143,7 @@
                 observer=mock.Mock(),
                 keeper=mock.Mock(unplaced={}),
                 share_of=lambda replicas: replicas,
+                crashes=new_guard(),
             )
             found = mock.Mock(return_value=set())
             with mock.patch.object(calls.pacing, 'held', found):
--- a/packages/core/calicopath_core/scheduling/tests/starts_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/starts_tests.py
@@ -18,7 +18,7 @@
 from calicopath_core.scheduling.starts import NO_ALLOWANCE, WINDOW_S, WarmupTerms, bound_of
 from calicopath_core.scheduling.tests.work import job, prompt, replica
 from testkit.cases import VirtualCase
-from testkit.ledgers import new_ledger
+from testkit.ledgers import new_guard
 from testkit.virtual import VirtualClock
 
 if TYPE_CHECKING:
@@ -130,7 +130,7 @@
             observer=mock.Mock(),
             own_address='own:7',
             share_of=lambda replicas: replicas,
-            crashes=new_ledger(),
+            crashes=new_guard(),
         )
         found.boards['engine'] = EngineBoard(slots=slots, kv_tokens=1000)
         found.on_replicas()
--- a/packages/core/calicopath_core/scheduling/tests/succession_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/succession_tests.py
@@ -13,7 +13,7 @@
 from calicopath_core.scheduling.messages import Learned
 from calicopath_core.scheduling.scheduler import Scheduler
 from testkit.cases import VirtualCase
-from testkit.ledgers import new_ledger
+from testkit.ledgers import new_guard
 from testkit.virtual import VirtualClock
 
 if TYPE_CHECKING:
@@ -34,7 +34,7 @@
             observer=mock.Mock(),
             own_address='own:7',
             share_of=lambda replicas: replicas,
-            crashes=new_ledger(),
+            crashes=new_guard(),
         )
 
     def learned(self, scheduler: Scheduler) -> None:
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -67,6 +67,9 @@
     606, 'error', 'request blocked', 'Too many replicas ended under it; it is not sent on.'
 )
 REQUEST_LET_GO = Event(607, 'info', 'request let go', 'A blocked request is sent on again.')
+BLOCKED_UNKEPT = Event(
+    608, 'warning', 'blocked unkept', 'Blocked requests were not read from or written to the store.'
+)
 
 JOB_PLACED = Event(701, 'info', 'job placed', 'An engine was chosen for a request.')
 JOB_REJECTED = Event(702, 'warning', 'job rejected', 'A request will not be placed.')
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -12,6 +12,7 @@
 
 from calicopath_core.clock import LoopClock
 from calicopath_core.crashes.guard import CrashGuard
+from calicopath_core.crashes.keeping import BlockedKeeper
 from calicopath_core.crashes.ledger import CrashLedger
 from calicopath_core.crashes.sharing import CrashSharing
 from calicopath_core.exchanges.balancer import Balancer
@@ -118,6 +119,15 @@
             hubs=lambda: self.election.hubs(self.clock.monotonic()),
             send=self.link.send,
         )
+        self.keeper = BlockedKeeper(
+            clock=self.clock,
+            ledger=self.ledger,
+            sharing=self.sharing,
+            is_due=self.keeps_blocked,
+            read=store.read_blocked,
+            write=store.write_blocked,
+            on_failed=observer.on_blocked_unkept,
+        )
         self.crashes = CrashGuard(ledger=self.ledger, sharing=self.sharing, caller=exchanges)
         self.scheduler = Scheduler(
             clock=self.clock,
@@ -127,7 +137,7 @@
             observer=observer,
             own_address=self.own.address,
             share_of=self.election.share_of,
-            crashes=self.ledger,
+            crashes=self.crashes,
             warmup=settings.warmup,
             new_board=self.random_board if alone else None,
         )
@@ -237,6 +247,10 @@
         """Return what callers may send at the moment."""
         return self.view.current.limits if self.view.current is not None else DEFAULT_LIMITS
 
+    def keeps_blocked(self) -> bool:
+        """Tell whether this box is the one that keeps blocked requests in the store."""
+        return self.subscription.choice.is_first and self.synced() and not self.leaving
+
     def synced(self) -> bool:
         """Tell whether all that says where requests may go was read once."""
         needed = (kind for kind in self.feeds if kind is not RecordKind.BOX)
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -227,6 +227,10 @@
         """Note that it could not be read or written which boxes are relays."""
         events.emit(log, events.RELAYS_UNREAD, error=str(error))
 
+    def on_blocked_unkept(self, error: Exception) -> None:
+        """Note that blocked requests were not read from the store or written there."""
+        events.emit(log, events.BLOCKED_UNKEPT, error=str(error))
+
     def on_store_call(self, cause: str) -> None:
         """Count a call to the store."""
         self.metrics.store_calls.inc({'cause': cause})
--- a/packages/daemon/calicopathd/gateway/run.py
+++ b/packages/daemon/calicopathd/gateway/run.py
@@ -105,6 +105,7 @@
             'ticks': self.tick_often,
             'settings': self.follow_settings,
             'lag': self.box.measure_lag,
+            'blocked requests': self.box.keeper.run,
             'register': self.register,
         }
         for feed in self.box.feeds.values():
--- a/testkit/crashing.py
+++ b/testkit/crashing.py
@@ -8,11 +8,12 @@
 
 from calicopath_core.backends.base import ConnectionBroken, NotStarted
 from calicopath_core.fleet.store import RecordKind
-from testkit.gateway_replicas import FakeBody, FakeReplicas, FakeStream
+from testkit.gateway_replicas import FakeBody, FakeReplicas, FakeStages, FakeStream
 
 if TYPE_CHECKING:
     from calicopath_core.exchanges.messages import AnswerHead, Outbound, ReplicaAnswer
     from calicopath_core.fleet.replicas import Replica
+    from calicopath_core.scheduling.interfaces import PieceCall, PieceResult
     from testkit.gateway_store import FakeStore
 
 CRASH_AFTER_S = 0.1
@@ -151,3 +152,35 @@
     def sent_after(self, target: str, at: float) -> int:
         """Return how often a request has reached replicas later than some time."""
         return sum(item.target == target and item.at > at for item in self.arrivals)
+
+
+class CrashingStages(FakeStages):
+    """Stand for stages' replicas that end under the pieces of certain requests."""
+
+    def __init__(self, *, replicas: CrashingReplicas) -> None:
+        super().__init__()
+        self.replicas = replicas
+        self.crashing: set[str] = set()
+
+    async def run(self, replica: Replica, calls: list[PieceCall]) -> list[PieceResult]:
+        """Make one call; break with the replica."""
+        ended = self.replicas.ended_of(replica)
+        if ended.is_set():
+            raise NotStarted(f'{replica.address} cannot be reached: connection refused')
+        for call in calls:
+            if call.piece_key in self.crashing:
+                now = asyncio.get_running_loop().time()
+                arrival = Arrival(
+                    target=call.piece_key, call_id=call.call_id, replica=replica.id, at=now
+                )
+                self.replicas.arrivals.append(arrival)
+                self.replicas.spawn_end(replica, arrival)
+        answer = asyncio.ensure_future(super().run(replica, calls))
+        broken = asyncio.ensure_future(ended.wait())
+        await asyncio.wait({answer, broken}, return_when=asyncio.FIRST_COMPLETED)
+        broken.cancel()
+        if ended.is_set():
+            answer.cancel()
+            self.lose(replica.id)
+            raise ConnectionBroken('the connection was lost: None')
+        return answer.result()
--- a/testkit/gateway.py
+++ b/testkit/gateway.py
@@ -49,6 +49,7 @@
             box.scheduler.run,
             box.client.run,
             box.subscription.run,
+            box.keeper.run,
         ]
         work.extend(feed.run for feed in box.feeds.values())
         self.tasks = [asyncio.create_task(item()) for item in work]
@@ -65,8 +66,8 @@
     def __init__(self, *, count: int = 4, seed: int = 1) -> None:
         self.store = FakeStore()
         self.network = FakeNetwork(seed=seed)
-        self.stages = FakeStages()
         self.replicas = self.new_replicas()
+        self.stages = self.new_stages()
         self.boxes: dict[str, FleetBox] = {}
         self.served: list[asyncio.Task[None]] = []
         self.store.write(RecordKind.DEPLOYMENT, 'main', deployment())
@@ -79,6 +80,10 @@
         """Return the engines and plain services."""
         return FakeReplicas()
 
+    def new_stages(self) -> FakeStages:
+        """Return the replicas of stages."""
+        return FakeStages()
+
     def add(self, name: str, zone: str) -> FleetBox:
         """Return a new box, not started."""
         client = FakeStoreClient(store=self.store)
--- a/testkit/gateway_store.py
+++ b/testkit/gateway_store.py
@@ -17,6 +17,7 @@
 )
 
 if TYPE_CHECKING:
+    from calicopath_core.crashes.keeping import KeptRequest
     from calicopath_core.scheduling.election import BoxAddress
 
 
@@ -30,6 +31,7 @@
         self.forgotten = 0
         self.deaf = False
         self.relays: tuple[BoxAddress, ...] | None = None
+        self.blocked: tuple[KeptRequest, ...] = ()
         self.changed = asyncio.Event()
 
     def write(self, kind: RecordKind, name: str, record: Record | None) -> None:
@@ -143,6 +145,20 @@
         self.check()
         self.store.relays = relays
 
+    async def read_blocked(self) -> tuple[KeptRequest, ...]:
+        """Return the requests that are kept as blocked."""
+        if self.silent:
+            await self.hang(0.0)
+        self.check()
+        return self.store.blocked
+
+    async def write_blocked(self, kept: tuple[KeptRequest, ...]) -> None:
+        """Keep requests as blocked."""
+        if self.silent:
+            await self.hang(0.0)
+        self.check()
+        self.store.blocked = kept
+
     async def register(self, box: BoxAddress) -> None:
         """Write the box's record."""
         self.check()
--- a/testkit/ledgers.py
+++ b/testkit/ledgers.py
@@ -1,13 +1,31 @@
-"""Make ledgers of requests under which replicas have ended."""
+"""Make what a box knows of requests under which replicas have ended."""
 
 from __future__ import annotations
 
 from unittest import mock
 
+from calicopath_core.crashes.guard import CrashGuard
 from calicopath_core.crashes.ledger import CrashLedger, CrashObserver
+from calicopath_core.crashes.sharing import CrashSharing
+from calicopath_core.exchanges.messages import ReplicaCaller
 from testkit.virtual import VirtualClock
 
 
 def new_ledger(observer: CrashObserver | None = None) -> CrashLedger:
     """Return a ledger that knows nothing, on virtual time."""
     return CrashLedger(clock=VirtualClock(), observer=observer or mock.Mock(spec=CrashObserver))
+
+
+def new_guard() -> CrashGuard:
+    """Return the guard of a box that knows no other, before replicas that never end."""
+    ledger = new_ledger()
+    caller = mock.Mock(spec=ReplicaCaller)
+    caller.has_ended = mock.AsyncMock(return_value=False)
+    sharing = CrashSharing(
+        clock=ledger.clock,
+        ledger=ledger,
+        own_address='own:7',
+        hubs=list,
+        send=mock.Mock(),
+    )
+    return CrashGuard(ledger=ledger, sharing=sharing, caller=caller)
--- a/testkit/replay/world.py
+++ b/testkit/replay/world.py
@@ -14,7 +14,7 @@
 from calicopath_core.scheduling.messages import RunStarted as Started
 from calicopath_core.scheduling.scheduler import Scheduler
 from calicopath_core.scheduling.starts import WarmupTerms
-from testkit.ledgers import new_ledger
+from testkit.ledgers import new_guard
 from testkit.replay import outcomes as counting
 from testkit.replay.blows import strike_replicas, take_zone_out
 from testkit.replay.engines import AGAIN_WITHIN_S, ReplayEngine
@@ -115,7 +115,7 @@
             observer=self.observer,
             own_address=f'scheduler-{self.deaths}',
             share_of=lambda replicas: replicas,
-            crashes=new_ledger(),
+            crashes=new_guard(),
             warmup=WARMUP_TERMS,
         )
         found.on_deployment(self.deployment())
