Count ends of replicas that come back under their name; let operators see and release what is blocked

Cause: an end was named by its replica alone, so one that starts again under its identifier and ends three times under a request counted once; and operators saw blocked requests in logs only. Change: an end is named by replica and second, ends of one replica within 1 s are one, and of several replicas within 0.1 s one event. GET /blocked and POST /blocked/release on each box; 'calicopath blocked ADDRESS [--release REQUEST]' shows them of all boxes and lets one go everywhere.

--- a/packages/cli/calicopath_cli/__main__.py
+++ b/packages/cli/calicopath_cli/__main__.py
@@ -12,8 +12,8 @@
 
 from calicopath_cli.commands import apply as apply_command
 from calicopath_cli.commands import audit as audit_command
+from calicopath_cli.commands import blocked, endpoints, gateways, objects
 from calicopath_cli.commands import check as check_command
-from calicopath_cli.commands import endpoints, gateways, objects
 from calicopath_cli.commands import status as status_command
 from calicopath_cli.exceptions import (
     EXIT_FAILED,
@@ -52,6 +52,11 @@
     'Show which settings and configuration are in force on every box of the second front door, '
     'those behind first.'
 )
+BLOCKED_HELP = (
+    'Show the requests that boxes of the second front door do not send on since replicas end under '
+    'them; with --release, let one go.'
+)
+RELEASE_HELP = 'Let this request go, as the list names it.'
 GATEWAY_ADDRESS_HELP = 'IP:PORT at which any of those boxes tells its figures.'
 AUDIT_HELP = 'Show who changed what and when.'
 TEMPLATE_HELP = 'List, show and delete templates.'
@@ -136,6 +141,19 @@
     run(gateways.gateways(address, context.obj.output))
 
 
+@app.command('blocked', help=BLOCKED_HELP)
+def show_blocked(
+    context: typer.Context,
+    address: Annotated[str, typer.Argument(help=GATEWAY_ADDRESS_HELP)],
+    release: Annotated[str, typer.Option(help=RELEASE_HELP)] = '',
+) -> None:
+    """Show the requests under which replicas end, or let one go."""
+    if release:
+        run(blocked.release(address, release, context.obj.who))
+        return
+    run(blocked.blocked(address, context.obj.output))
+
+
 @app.command(help=AUDIT_HELP)
 def audit(
     context: typer.Context,
--- /dev/null
+++ b/packages/cli/calicopath_cli/commands/blocked.py
@@ -0,0 +1,106 @@
+"""Show which requests are blocked since replicas end under them, and let one go."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, NamedTuple
+
+import aiohttp
+
+from calicopath_cli.commands.gateways import moment
+from calicopath_cli.exceptions import CommandError
+from calicopath_cli.utils.inforce import MAX_PARALLEL, ask_box
+from calicopath_cli.utils.output import OutputFormat, print_json, print_table
+
+HEADERS = ('request', 'service', 'since', 'until', 'replicas ended', 'boxes')
+RELEASE_TIMEOUT_S = 3.0
+
+
+class BlockedRow(NamedTuple):
+    """Hold a blocked request as the box tells that knows it longest, and how many boxes know it."""
+
+    content: str
+    service: str
+    since: float
+    until: float
+    replicas: list[str]
+    boxes: int
+    asked: int
+
+
+async def blocked(address: str, output: OutputFormat) -> None:
+    """Ask one box for all, each for what it blocks, and show that."""
+    async with aiohttp.ClientSession() as session:
+        answers = await ask_all(session, address)
+    rows = joined(answers)
+    if output is OutputFormat.JSON:
+        print_json([row._asdict() for row in rows])
+        return
+    print_table(HEADERS, [cells(row) for row in rows])
+
+
+async def ask_all(session: aiohttp.ClientSession, address: str) -> list[Any]:
+    """Return what each box blocks, nothing for one that is silent."""
+    listed = await ask_box(session, address, '/boxes')
+    if listed is None:
+        raise CommandError(f'{address}: no box of calicopath answers there')
+    slots = asyncio.Semaphore(MAX_PARALLEL)
+
+    async def ask(item: dict[str, str]) -> Any:
+        async with slots:
+            return await ask_box(session, item['address'], '/blocked')
+
+    return await asyncio.gather(*(ask(item) for item in listed))
+
+
+def joined(answers: list[Any]) -> list[BlockedRow]:
+    """Return a row a request, those blocked last first."""
+    found: dict[tuple[str, str], list[dict[str, Any]]] = {}
+    heard = [answer for answer in answers if answer is not None]
+    for answer in heard:
+        for item in answer:
+            found.setdefault((item['content'], item['service']), []).append(item)
+    rows = []
+    for (content, service), items in found.items():
+        first = min(items, key=lambda item: float(item['since']))
+        rows.append(
+            BlockedRow(
+                content=content,
+                service=service,
+                since=first['since'],
+                until=max(float(item['until']) for item in items),
+                replicas=first['replicas'],
+                boxes=len(items),
+                asked=len(heard),
+            )
+        )
+    return sorted(rows, key=lambda row: (-row.since, row.content, row.service))
+
+
+def cells(row: BlockedRow) -> tuple[Any, ...]:
+    """Return a row as it is shown."""
+    return (
+        row.content,
+        row.service,
+        moment(row.since),
+        moment(row.until),
+        ', '.join(row.replicas),
+        f'{row.boxes} of {row.asked}',
+    )
+
+
+async def release(address: str, content: str, who: str) -> None:
+    """Have one box let a request go; it tells the others."""
+    timeout = aiohttp.ClientTimeout(total=RELEASE_TIMEOUT_S)
+    url = f'http://{address}/blocked/release'
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.post(url, params={'content': content, 'who': who}) as response,
+        ):
+            released = await response.json()
+    except (aiohttp.ClientError, TimeoutError) as error:
+        raise CommandError(f'{address}: not known whether it was let go: {error!r}') from error
+    if not released:
+        raise CommandError(f'{address}: {content} is not blocked there')
+    print(f'{content} is let go: {", ".join(item["service"] for item in released)}')
--- a/packages/clients/calicopath_clients/tests/http1_tests.py
+++ b/packages/clients/calicopath_clients/tests/http1_tests.py
@@ -10,7 +10,7 @@
 import testtools
 
 from calicopath_clients.http1.pool import CallHead, HttpPool, keep_alive_s
-from calicopath_core.backends.base import MayHaveRun, NotStarted
+from calicopath_core.backends.base import ConnectionBroken, MayHaveRun, NotStarted
 from testkit.servers import read_request
 
 if TYPE_CHECKING:
@@ -243,6 +243,38 @@
 
         self.assertRaises(NotStarted, self.play, script, work)
 
+    def test_a_port_that_refuses_is_told_from_one_that_listens_and_its_connection_is_kept(
+        self,
+    ) -> None:
+        async def script(reader: Any, writer: Any) -> None:
+            await read_request(reader)
+            writer.write(answer(b'one'))
+
+        async def work(pool: HttpPool, address: str) -> list[Any]:
+            with socket.socket() as unused:
+                unused.bind(('127.0.0.1', 0))
+                port = unused.getsockname()[1]
+            refused = [await pool.is_refused(f'127.0.0.1:{port}'), await pool.is_refused(address)]
+            return [*refused, await get(pool, address)]
+
+        found, connections = self.play(script, work)
+        self.assertEqual([True, False, b'one'], found)
+        self.assertEqual(1, connections)
+
+    def test_a_broken_connection_is_told_from_an_answer_that_makes_no_sense(self) -> None:
+        async def lost(reader: Any, writer: Any) -> None:
+            await read_request(reader)
+            reset(writer)
+
+        async def senseless(reader: Any, writer: Any) -> None:
+            await read_request(reader)
+            writer.write(b'no answer at all\r\n\r\n')
+            await asyncio.sleep(0.05)
+
+        self.assertRaises(ConnectionBroken, self.play, lost, get)
+        error = self.assertRaises(MayHaveRun, self.play, senseless, get)
+        self.assertNotIsInstance(error, ConnectionBroken)
+
     def test_the_idle_limit_is_read_in_both_forms(self) -> None:
         self.assertEqual(5.0, keep_alive_s('timeout=5, max=100'))
         self.assertEqual(7.0, keep_alive_s('7'))
--- a/packages/core/calicopath_core/crashes/guard.py
+++ b/packages/core/calicopath_core/crashes/guard.py
@@ -5,30 +5,21 @@
 from typing import TYPE_CHECKING
 
 from calicopath_core.backends.base import ConnectionBroken
-from calicopath_core.crashes.suspects import SuspectKey
+from calicopath_core.crashes.suspects import SuspectKey, name_of_end
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Awaitable, Callable, Iterable
 
     from calicopath_core.crashes.ledger import CrashLedger
     from calicopath_core.crashes.sharing import CrashSharing
-    from calicopath_core.exchanges.messages import ReplicaCaller
-    from calicopath_core.fleet.replicas import Replica
 
 
 class CrashGuard:
     """Judge failed attempts of one box and say which requests may be sent on."""
 
-    def __init__(
-        self,
-        *,
-        ledger: CrashLedger,
-        sharing: CrashSharing,
-        caller: ReplicaCaller,
-    ) -> None:
+    def __init__(self, *, ledger: CrashLedger, sharing: CrashSharing) -> None:
         self.ledger = ledger
         self.sharing = sharing
-        self.caller = caller
 
     @property
     def blocks_any(self) -> bool:
@@ -44,17 +35,23 @@
         return self.ledger.blocked_s(content, services)
 
     async def on_failed(
-        self, contents: Iterable[str], service: str, replica: Replica, error: Exception
+        self,
+        contents: Iterable[str],
+        service: str,
+        replica: str,
+        error: Exception,
+        has_ended: Callable[[], Awaitable[bool]],
     ) -> None:
         """Note whether a replica has ended under requests that it ran.
 
         A connection that broke is no proof: answers are lost and connections reset while their
         replica lives. One that has ended takes no connection any more.
         """
-        if not isinstance(error, ConnectionBroken) or not await self.caller.has_ended(replica):
+        if not isinstance(error, ConnectionBroken) or not await has_ended():
             return
+        end = name_of_end(replica, self.ledger.clock.wall())
         keys = [SuspectKey(content, service) for content in dict.fromkeys(contents)]
-        news = [key for key in keys if self.ledger.on_ended(key, replica.id)]
+        news = [key for key in keys if self.ledger.on_ended(key, end)]
         if news:
             self.sharing.report(news)
 
@@ -64,10 +61,10 @@
         if self.ledger.on_survived(key):
             self.sharing.report([key])
 
-    def release(self, content: str) -> list[SuspectKey]:
+    def release(self, content: str, *, who: str) -> list[SuspectKey]:
         """Let a request go as an operator asks, at every service; return where it was blocked."""
         keys = [key for key in self.ledger.blocked if key.content == content]
         for key in keys:
-            self.ledger.on_survived(key, 'operator')
+            self.ledger.on_survived(key, f'operator {who}')
         self.sharing.report(keys)
         return keys
--- a/packages/core/calicopath_core/crashes/suspects.py
+++ b/packages/core/calicopath_core/crashes/suspects.py
@@ -18,6 +18,10 @@
 MOMENT_S = 0.1
 """Ends within this time are one event. Boxes hear of one end within 5 ms of each other."""
 
+SAME_END_S = 1.0
+"""Ends of one replica within this time are one: a box may notice it late. One that comes back under
+its name and ends again later has ended twice."""
+
 BLOCK_S = 600.0
 """How long a request is blocked for after the third end, doubled with each further one."""
 
@@ -40,8 +44,9 @@
 
 
 class Suspect:
-    """Hold the replicas that ended under one request, by when; times are monotonic seconds.
+    """Hold the ends of replicas under one request, by when; times are monotonic seconds.
 
+    An end is named by its replica and the second in which a box has seen it (`name_of_end`).
     Two boxes' knowledge is joined by taking every end and the latest survival, so that order and
     repeats of messages make no difference.
     """
@@ -50,14 +55,14 @@
         self.ended: dict[str, float] = {}
         self.survived_at = -math.inf
 
-    def add(self, replica: str, at: float) -> bool:
+    def add(self, end: str, at: float) -> bool:
         """Note a replica's end; tell whether that is news."""
-        if replica in self.ended:
+        if end in self.ended:
             return False
-        self.ended[replica] = at
+        self.ended[end] = at
         if len(self.ended) > MAX_ENDED:
             del self.ended[max(self.ended)]
-        return replica in self.ended
+        return end in self.ended
 
     def survive(self, at: float) -> bool:
         """Note that the request was run to its end; tell whether that is news."""
@@ -68,8 +73,14 @@
     def moments(self) -> list[float]:
         """Return when replicas have ended under the request since it last survived, in order."""
         found: list[float] = []
-        for at in sorted(self.ended.values()):
-            if at > self.survived_at and (not found or at - found[-1] > MOMENT_S):
+        last_of: dict[str, float] = {}
+        for at, end in sorted((at, end) for end, at in self.ended.items()):
+            replica = replica_of(end)
+            again = at - last_of.get(replica, -math.inf) <= SAME_END_S
+            if at <= self.survived_at or again:
+                continue
+            last_of[replica] = at
+            if not found or at - found[-1] > MOMENT_S:
                 found.append(at)
         return found
 
@@ -86,3 +97,13 @@
         if newest <= self.survived_at:
             return self.survived_at + SURVIVAL_KEEP_S
         return newest + KEEP_S
+
+
+def name_of_end(replica: str, wall: float) -> str:
+    """Return what names an end of a replica; `wall` is in seconds since 1970."""
+    return f'{replica}@{int(wall)}'
+
+
+def replica_of(end: str) -> str:
+    """Return the replica that an end is of."""
+    return end.rpartition('@')[0]
--- a/packages/core/calicopath_core/crashes/tests/ledger_tests.py
+++ b/packages/core/calicopath_core/crashes/tests/ledger_tests.py
@@ -20,8 +20,10 @@
     KEEP_S,
     MAX_ENDED,
     MOMENT_S,
+    SAME_END_S,
     SURVIVAL_KEEP_S,
     SuspectKey,
+    name_of_end,
 )
 from testkit.cases import VirtualCase
 from testkit.ledgers import new_ledger
@@ -33,7 +35,7 @@
 async def ended(ledger: CrashLedger, *replicas: str, key: SuspectKey = KEY) -> None:
     """Let replicas end under a request, one after the other."""
     for replica in replicas:
-        ledger.on_ended(key, replica)
+        ledger.on_ended(key, name_of_end(replica, ledger.clock.wall()))
         await asyncio.sleep(APART_S)
 
 
@@ -52,8 +54,30 @@
         async def scenario() -> None:
             ledger = new_ledger()
             await ended(ledger, 'r1', 'r1', 'r1')
+            end = next(iter(ledger.suspects[KEY].ended))
             for number in range(5):
-                ledger.merge([Evidence('c', 'engine', {'r1': number / 1000}, None)], f'b{number}')
+                ledger.merge([Evidence('c', 'engine', {end: number / 1000}, None)], f'b{number}')
+            self.assertIsNone(ledger.blocked_s('c', ['engine']))
+
+        self.run_virtual(scenario())
+
+    def test_a_replica_that_comes_back_under_its_name_and_ends_again_counts_again(self) -> None:
+        async def scenario() -> None:
+            ledger = new_ledger()
+            for _ in range(2):
+                await ended(ledger, 'r1')
+                await asyncio.sleep(SAME_END_S)
+            self.assertIsNone(ledger.blocked_s('c', ['engine']))
+            await ended(ledger, 'r1')
+            self.assertIsNotNone(ledger.blocked_s('c', ['engine']))
+
+        self.run_virtual(scenario())
+
+    def test_an_end_that_a_box_notices_late_counts_once(self) -> None:
+        async def scenario() -> None:
+            ledger = new_ledger()
+            ages = {'r1@100': 2.5, 'r1@101': 1.9, 'r2@101': 1.4, 'r2@102': 0.6}
+            ledger.merge([Evidence('c', 'engine', ages, None)], 'b')
             self.assertIsNone(ledger.blocked_s('c', ['engine']))
 
         self.run_virtual(scenario())
--- a/packages/core/calicopath_core/exchanges/plain.py
+++ b/packages/core/calicopath_core/exchanges/plain.py
@@ -51,7 +51,7 @@
         except BackendError as error:
             left_s = ticket.deadline_at - context.clock.monotonic()
             context.observer.on_attempt_failed(ticket, replica.id, error, left_s)
-            await context.crashes.on_failed([ticket.content], ticket.service, replica, error)
+            await note_crash(context, ticket, replica, error)
             check_again(context, ticket, error)
             continue
         context.crashes.on_survived(ticket.content, ticket.service)
@@ -64,6 +64,19 @@
         return
 
 
+async def note_crash(
+    context: ExchangeContext, ticket: Ticket, replica: Replica, error: BackendError
+) -> None:
+    """Find out whether a replica has ended, before the request is sent once more."""
+    await context.crashes.on_failed(
+        [ticket.content],
+        ticket.service,
+        replica.id,
+        error,
+        lambda: context.caller.has_ended(replica),
+    )
+
+
 def choose(context: ExchangeContext, ticket: Ticket) -> Replica:
     """Return the replica to try next; raise `RefusedExchange` if there is none."""
     now = context.clock.monotonic()
--- a/packages/core/calicopath_core/exchanges/streams.py
+++ b/packages/core/calicopath_core/exchanges/streams.py
@@ -17,7 +17,7 @@
 )
 from calicopath_core.exchanges.events import EventSplitter
 from calicopath_core.exchanges.messages import Outbound
-from calicopath_core.exchanges.plain import read_all
+from calicopath_core.exchanges.plain import note_crash, read_all
 from calicopath_core.scheduling.client import PlacementRejected
 from calicopath_core.scheduling.messages import PhaseWork, Place, Prompt
 
@@ -77,7 +77,7 @@
                 return await self.run(job, placed, replica)
             except BackendError as error:
                 failed = not isinstance(error, Declined)
-                await self.note_crash(replica, error)
+                await note_crash(self.context, self.ticket, replica, error)
                 raise
         except BackendError as error:
             self.context.observer.on_attempt_failed(
@@ -88,11 +88,6 @@
         finally:
             self.context.scheduler.ended(job, failed=failed)
 
-    async def note_crash(self, replica: Replica, error: BackendError) -> None:
-        """Find out whether the engine has ended, before the request is placed once more."""
-        ticket = self.ticket
-        await self.context.crashes.on_failed([ticket.content], ticket.service, replica, error)
-
     def pass_over(self, placed: Placed) -> bool:
         """Have another engine chosen, unless that went wrong too often."""
         self.avoided.append(placed.replica)
--- a/packages/core/calicopath_core/scheduling/interfaces.py
+++ b/packages/core/calicopath_core/scheduling/interfaces.py
@@ -48,6 +48,10 @@
     async def run(self, replica: Replica, calls: list[PieceCall]) -> list[PieceResult]:
         """Make one call; raise `NotStarted` if it was declined, else `MayHaveRun`."""
 
+    @abstractmethod
+    async def has_ended(self, replica: Replica) -> bool:
+        """Tell whether a replica refuses connections; one that is silent may live."""
+
     @abstractmethod
     async def free(self, address: str, handles: list[str]) -> None:
         """Give results up; raise `BackendError`."""
--- a/packages/core/calicopath_core/scheduling/stage_calls.py
+++ b/packages/core/calicopath_core/scheduling/stage_calls.py
@@ -198,7 +198,9 @@
             results = await self.watch.run(replica, calls, expected_s, limit_s)
         except (BackendError, TimeoutError) as error:
             contents = [job.place.content for job in jobs_of(batch)]
-            await self.crashes.on_failed(contents, queue.service, replica, error)
+            await self.crashes.on_failed(
+                contents, queue.service, replica.id, error, lambda: self.caller.has_ended(replica)
+            )
             self.on_call_failed(queue, batch, error, begun)
             return
         finally:
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -128,7 +128,7 @@
             write=store.write_blocked,
             on_failed=observer.on_blocked_unkept,
         )
-        self.crashes = CrashGuard(ledger=self.ledger, sharing=self.sharing, caller=exchanges)
+        self.crashes = CrashGuard(ledger=self.ledger, sharing=self.sharing)
         self.scheduler = Scheduler(
             clock=self.clock,
             replicas=self.replicas,
--- a/packages/daemon/calicopathd/gateway/state.py
+++ b/packages/daemon/calicopathd/gateway/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from urllib.parse import parse_qs
 
 import msgspec
 
@@ -18,7 +19,10 @@
 
 STATE_PATH = '/state'
 BOXES_PATH = '/boxes'
+BLOCKED_PATH = '/blocked'
+RELEASE_PATH = '/blocked/release'
 STATUS_OK = 200
+STATUS_WRONG_METHOD = 405
 JSON_HEADERS = (('Content-Type', 'application/json'),)
 
 
@@ -56,6 +60,23 @@
     address: str
 
 
+class BlockedRequest(msgspec.Struct, frozen=True):
+    """Describe a request that is not sent on: since when and until when, in seconds since 1970."""
+
+    content: str
+    service: str
+    since: float
+    until: float
+    replicas: tuple[str, ...]
+
+
+class Released(msgspec.Struct, frozen=True):
+    """Name a request that was let go."""
+
+    content: str
+    service: str
+
+
 class StateHandler(RequestHandler):
     """Answer operators' questions on the box's own address for figures."""
 
@@ -67,12 +88,19 @@
         self.settings_file = settings_file
 
     async def handle(self, request: RawRequest, responder: Responder) -> None:
-        """Answer with JSON on the two paths for it, with every figure as text on all others."""
-        path = request.target.partition('?')[0]
+        """Answer with JSON on the paths for it, with every figure as text on all others."""
+        path, _, query = request.target.partition('?')
         if path == STATE_PATH:
             responder.respond(STATUS_OK, JSON_HEADERS, msgspec.json.encode(self.in_force()))
         elif path == BOXES_PATH:
             responder.respond(STATUS_OK, JSON_HEADERS, msgspec.json.encode(self.boxes()))
+        elif path == BLOCKED_PATH:
+            responder.respond(STATUS_OK, JSON_HEADERS, msgspec.json.encode(self.blocked()))
+        elif path == RELEASE_PATH and request.method == 'POST':
+            released = self.release(query)
+            responder.respond(STATUS_OK, JSON_HEADERS, msgspec.json.encode(released))
+        elif path == RELEASE_PATH:
+            responder.respond(STATUS_WRONG_METHOD, (('Allow', 'POST'),), b'')
         else:
             body, headers = self.metrics.render()
             responder.respond(STATUS_OK, tuple(headers.items()), body)
@@ -101,6 +129,28 @@
             for zone, item in sorted(held.items())
         ]
 
+    def blocked(self) -> list[BlockedRequest]:
+        """Return the requests that this box does not send on."""
+        box = self.box
+        since_1970 = box.clock.wall() - box.clock.monotonic()
+        return [
+            BlockedRequest(
+                content=item.key.content,
+                service=item.key.service,
+                since=item.since + since_1970,
+                until=item.until + since_1970,
+                replicas=item.replicas,
+            )
+            for item in box.ledger.blocked.values()
+        ]
+
+    def release(self, query: str) -> list[Released]:
+        """Let the request go that a query names; return where it was blocked."""
+        fields = parse_qs(query)
+        content = fields.get('content', [''])[0]
+        keys = self.box.crashes.release(content, who=fields.get('who', ['?'])[0])
+        return [Released(*key) for key in keys]
+
     def boxes(self) -> list[ListedBox]:
         """Return every box, this one included; boxes have their ports alike."""
         port = self.box.settings.metrics_listen.port
--- a/packages/daemon/calicopathd/gateway/tests/crashing_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/crashing_tests.py
@@ -103,7 +103,7 @@
             box = fleet.boxes['box-2'].box
             content = next(iter(fleet.boxes['box-0'].box.scheduler.jobs.values())).place.content
             for number in range(3):
-                box.ledger.on_ended(SuspectKey(content, 'engine'), f'gone-{number}')
+                box.ledger.on_ended(SuspectKey(content, 'engine'), f'gone-{number}@1')
                 await asyncio.sleep(2 * MOMENT_S)
             box.sharing.report(list(box.ledger.suspects))
             await asyncio.sleep(0.15)
@@ -121,7 +121,7 @@
             sink = fleet.ask('box-2', POISON)
             await asyncio.sleep(0.0)
             content = next(iter(box.client.asked.values())).place.content
-            ages = {f'gone-{number}': 1.0 + number for number in range(3)}
+            ages = {f'gone-{number}@1': 1.0 + number for number in range(3)}
             box.ledger.merge([Evidence(content, 'engine', ages, None)], 'another')
             await fleet.settle()
             self.assertEqual((503, 'crashes-replicas'), (sink.status, sink.reason))
@@ -195,7 +195,7 @@
             fleet.replicas.crashing = set()
             await asyncio.sleep(4.0)
             blocked = next(iter(fleet.boxes['box-3'].box.ledger.blocked))
-            fleet.boxes['box-3'].box.crashes.release(blocked.content)
+            fleet.boxes['box-3'].box.crashes.release(blocked.content, who='me')
             await asyncio.sleep(2.0)
             sinks = [fleet.ask(box, POISON) for box in fleet.boxes]
             await fleet.settle()
--- a/testkit/crashing.py
+++ b/testkit/crashing.py
@@ -162,6 +162,10 @@
         self.replicas = replicas
         self.crashing: set[str] = set()
 
+    async def has_ended(self, replica: Replica) -> bool:
+        """Tell whether a replica takes no connection any more."""
+        return await self.replicas.has_ended(replica)
+
     async def run(self, replica: Replica, calls: list[PieceCall]) -> list[PieceResult]:
         """Make one call; break with the replica."""
         ended = self.replicas.ended_of(replica)
--- a/testkit/gateway_replicas.py
+++ b/testkit/gateway_replicas.py
@@ -63,6 +63,10 @@
             for lost in gone
         ]
 
+    async def has_ended(self, replica: Replica) -> bool:
+        """Tell that replicas live: what breaks here is the connection."""
+        return False
+
     def missing(self, call: PieceCall) -> bool:
         """Tell whether an input is gone; none at all where some are due is a fault."""
         if call.inputs is not None and not call.inputs:
--- a/testkit/ledgers.py
+++ b/testkit/ledgers.py
@@ -7,7 +7,6 @@
 from calicopath_core.crashes.guard import CrashGuard
 from calicopath_core.crashes.ledger import CrashLedger, CrashObserver
 from calicopath_core.crashes.sharing import CrashSharing
-from calicopath_core.exchanges.messages import ReplicaCaller
 from testkit.virtual import VirtualClock
 
 
@@ -17,10 +16,8 @@
 
 
 def new_guard() -> CrashGuard:
-    """Return the guard of a box that knows no other, before replicas that never end."""
+    """Return the guard of a box that knows no other."""
     ledger = new_ledger()
-    caller = mock.Mock(spec=ReplicaCaller)
-    caller.has_ended = mock.AsyncMock(return_value=False)
     sharing = CrashSharing(
         clock=ledger.clock,
         ledger=ledger,
@@ -28,4 +25,4 @@
         hubs=list,
         send=mock.Mock(),
     )
-    return CrashGuard(ledger=ledger, sharing=sharing, caller=caller)
+    return CrashGuard(ledger=ledger, sharing=sharing)
--- a/testkit/replay/stages.py
+++ b/testkit/replay/stages.py
@@ -143,6 +143,10 @@
             item.size for item in self.kept.values() if item.maker == replica.id
         )
 
+    async def has_ended(self, replica: Replica) -> bool:
+        """Tell whether a maker is dead."""
+        return self.maker(replica.id).dead
+
     async def free(self, address: str, handles: list[str]) -> None:
         """Give results up."""
         await asyncio.sleep(CALL_S)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -16,6 +16,8 @@
 from testkit.processes import ROOT
 
 CORE = 'packages/core/calicopath_core'
+CRASHES = f'{CORE}/crashes/tests/ledger_tests.py'
+CRASHING = 'packages/daemon/calicopathd/gateway/tests/crashing_tests.py'
 EVACUATING = 'packages/daemon/calicopathd/gateway/tests/evacuating_tests.py'
 WORKERS = 4
 
@@ -196,6 +198,83 @@
         'if True:',
         f'{CORE}/scheduling/tests/starts_tests.py::ZoneBackCold',
     ),
+    Mutant(
+        'replicas that end are told from resets',
+        f'{CORE}/crashes/guard.py',
+        'if not isinstance(error, ConnectionBroken) or not await has_ended():',
+        'if not isinstance(error, ConnectionBroken):',
+        f'{CRASHING}::Innocent',
+    ),
+    Mutant(
+        'one moment is one event',
+        f'{CORE}/crashes/suspects.py',
+        'at - found[-1] > MOMENT_S',
+        'at - found[-1] >= 0.0',
+        f'{CRASHES}::Counting',
+    ),
+    Mutant(
+        'what survives is cleared',
+        f'{CORE}/crashes/suspects.py',
+        'self.survived_at = max(self.survived_at, at)',
+        'self.survived_at = self.survived_at',
+        f'{CRASHES}::Counting',
+    ),
+    Mutant(
+        'every box knows',
+        f'{CORE}/crashes/sharing.py',
+        'if digest == self.ledger.digest():',
+        'if self.ledger:',
+        f'{CRASHING}::Answered',
+    ),
+    Mutant(
+        'every box knows',
+        f'{CORE}/crashes/sharing.py',
+        'if news.whole and self.lacks(news):',
+        'if False:',
+        f'{CRASHES}::Sharing',
+    ),
+    Mutant(
+        'every box knows',
+        f'{CORE}/crashes/sharing.py',
+        'REPEAT_S = 1.0',
+        'REPEAT_S = 1e-9',
+        f'{CRASHES}::Sharing',
+    ),
+    Mutant(
+        'blocked requests outlast every box',
+        f'{CORE}/crashes/keeping.py',
+        'self.sharing.report(news)',
+        'self.ledger.suspects.clear()',
+        f'{CRASHING}::Known',
+    ),
+    Mutant(
+        'those beside the cause are spared',
+        f'{CORE}/scheduling/stages.py',
+        'alone = self.goes_alone(group.first.job)',
+        'alone = False',
+        f'{CRASHING}::Crashing',
+    ),
+    Mutant(
+        'what waits is rejected',
+        f'{CORE}/scheduling/scheduler.py',
+        '        self.reject_blocked()',
+        '        pass',
+        f'{CRASHING}::Crashing',
+    ),
+    Mutant(
+        'the door asks',
+        f'{CORE}/exchanges/executor.py',
+        '            check_sendable(self.context, ticket)',
+        '            pass',
+        f'{CRASHING}::Answered',
+    ),
+    Mutant(
+        'each send asks',
+        f'{CORE}/exchanges/streams.py',
+        '            check_sendable(self.context, self.ticket)',
+        '            pass',
+        f'{CRASHING}::Crashing',
+    ),
 )
 
 
