See the end of a replica that shows late, and name a request by its path

Change: what can't be seen at once is watched for 1.5 s while the request goes on, and a silent replica until its entry lapses without its having said that it leaves. A request is named by its path without the query, as callers repeat it. Not shown: that this is what ended replicas in the incident.

--- a/packages/clients/calicopath_clients/http1/pool.py
+++ b/packages/clients/calicopath_clients/http1/pool.py
@@ -9,6 +9,7 @@
 
 from calicopath_clients.http1.connections import Connection
 from calicopath_core.backends.base import MayHaveRun, NotStarted
+from calicopath_core.crashes.fate import Reach
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,8 +28,11 @@
 FRESH_IDLE_S = 1.0
 """How long a connection may have rested to be good for what can't be repeated."""
 
-REFUSED_S = 0.3
-"""How long a port may take to refuse a connection: some ms, unless the way there is cut."""
+REACH_S = 0.3
+"""How long a port may take to open or refuse a connection: some ms, unless the way there is cut."""
+
+REACH_CHECK_S = 0.02
+"""How often it is looked whether a connection that opened is still there."""
 
 MAX_OPEN = 256
 """Connections to one server where nothing tells this box's share; a bound on descriptors."""
@@ -153,17 +157,27 @@
         connection.on_closed = partial(self.on_closed, address)
         return connection
 
-    async def is_refused(self, address: str) -> bool:
-        """Tell whether nothing listens at an address; a connection that opens is kept for use."""
-        try:
-            async with asyncio.timeout(REFUSED_S):
-                connection = await self.connect(address)
-        except NotStarted as error:
-            return isinstance(error.__cause__, ConnectionRefusedError)
-        except TimeoutError:
-            return False
-        self.give_back(address, connection)
-        return False
+    async def reach(self, address: str, watch_s: float) -> Reach:
+        """Return what an attempt to connect shows; a connection that opens is kept for use.
+
+        It is watched for a while, and another one is tried if it closes meanwhile.
+        """
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + watch_s
+        while True:
+            try:
+                async with asyncio.timeout(REACH_S):
+                    connection = await self.connect(address)
+            except NotStarted as error:
+                refused = isinstance(error.__cause__, ConnectionRefusedError)
+                return Reach.REFUSED if refused else Reach.SILENT
+            except TimeoutError:
+                return Reach.SILENT
+            self.give_back(address, connection)
+            while not connection.closed and loop.time() < ends_at:
+                await asyncio.sleep(REACH_CHECK_S)
+            if not connection.closed or loop.time() >= ends_at:
+                return Reach.OPEN
 
     def on_closed(self, address: str) -> None:
         """Note that a connection is gone."""
--- a/packages/clients/calicopath_clients/tests/http1_tests.py
+++ b/packages/clients/calicopath_clients/tests/http1_tests.py
@@ -11,6 +11,7 @@
 
 from calicopath_clients.http1.pool import CallHead, HttpPool, keep_alive_s
 from calicopath_core.backends.base import ConnectionBroken, MayHaveRun, NotStarted
+from calicopath_core.crashes.fate import Reach
 from testkit.servers import read_request
 
 if TYPE_CHECKING:
@@ -254,13 +255,31 @@
             with socket.socket() as unused:
                 unused.bind(('127.0.0.1', 0))
                 port = unused.getsockname()[1]
-            refused = [await pool.is_refused(f'127.0.0.1:{port}'), await pool.is_refused(address)]
-            return [*refused, await get(pool, address)]
+            found = [await pool.reach(f'127.0.0.1:{port}', 0.0), await pool.reach(address, 0.1)]
+            return [*found, await get(pool, address)]
 
         found, connections = self.play(script, work)
-        self.assertEqual([True, False, b'one'], found)
+        self.assertEqual([Reach.REFUSED, Reach.OPEN, b'one'], found)
         self.assertEqual(1, connections)
 
+    def test_a_port_that_closes_after_its_connections_is_seen_to_be_refused(self) -> None:
+        async def scenario() -> Reach:
+            accepted = asyncio.Event()
+
+            async def end(reader: Any, writer: Any) -> None:
+                accepted.set()
+                writer.close()
+
+            listener = await asyncio.start_server(end, '127.0.0.1', 0)
+            port = listener.sockets[0].getsockname()[1]
+            pool = HttpPool()
+            found = asyncio.create_task(pool.reach(f'127.0.0.1:{port}', 1.0))
+            await accepted.wait()
+            listener.close()
+            return await found
+
+        self.assertEqual(Reach.REFUSED, asyncio.run(scenario()))
+
     def test_a_broken_connection_is_told_from_an_answer_that_makes_no_sense(self) -> None:
         async def lost(reader: Any, writer: Any) -> None:
             await read_request(reader)
--- /dev/null
+++ b/packages/core/calicopath_core/crashes/fate.py
@@ -0,0 +1,78 @@
+"""Find out whether a replica has ended, whatever its connections say."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from calicopath_core.exchanges.messages import ReplicaReach
+    from calicopath_core.fleet.replicas import Replica, ReplicaTable
+
+DOUBT_S = 1.5
+"""How long a replica whose port is still open is watched: a process that ends closes its callers'
+connections and its port one after the other."""
+
+LAPSE_S = 8.0
+"""How long the entry of a replica that says nothing is watched: it goes after three heartbeats of
+1.2 s, which boxes hear some 100 ms later."""
+
+LAPSE_CHECK_S = 0.2
+
+
+class Reach(enum.Enum):
+    """Say what an attempt to connect has shown."""
+
+    REFUSED = 'refused'
+    OPEN = 'open'
+    SILENT = 'silent'
+
+
+class Fate(ABC):
+    """Tell what became of one replica; `name` is what it goes by."""
+
+    name: str
+
+    @abstractmethod
+    async def has_ended(self) -> bool:
+        """Tell at once whether it has ended, as far as that can be seen by now."""
+
+    @abstractmethod
+    async def ends_soon(self) -> bool:
+        """Tell, after some seconds if need be, whether it had ended after all."""
+
+
+class ReplicaFate(Fate):
+    """Tell what became of a replica that announces itself in the store."""
+
+    def __init__(self, *, reach: ReplicaReach, replicas: ReplicaTable, replica: Replica) -> None:
+        self.reach = reach
+        self.replicas = replicas
+        self.replica = replica
+        self.name = replica.id
+
+    async def has_ended(self) -> bool:
+        """Tell whether its port refuses connections."""
+        return await self.reach.reach(self.replica, 0.0) is Reach.REFUSED
+
+    async def ends_soon(self) -> bool:
+        """Tell whether its port refuses connections soon, or its entry goes while it is silent."""
+        found = await self.reach.reach(self.replica, DOUBT_S)
+        if found is not Reach.SILENT:
+            return found is Reach.REFUSED
+        return await self.lapses()
+
+    async def lapses(self) -> bool:
+        """Tell whether its entry goes without its having said that it leaves."""
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + LAPSE_S
+        while loop.time() < ends_at:
+            known = self.replicas.replicas.get(self.replica.id)
+            if known is None:
+                return True
+            if known.draining:
+                return False
+            await asyncio.sleep(LAPSE_CHECK_S)
+        return False
--- a/packages/core/calicopath_core/crashes/guard.py
+++ b/packages/core/calicopath_core/crashes/guard.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from calicopath_core.backends.base import ConnectionBroken
 from calicopath_core.crashes.suspects import SuspectKey, name_of_end
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Iterable
+    from collections.abc import Iterable
 
+    from calicopath_core.crashes.fate import Fate
     from calicopath_core.crashes.ledger import CrashLedger
     from calicopath_core.crashes.sharing import CrashSharing
 
@@ -20,6 +22,7 @@
     def __init__(self, *, ledger: CrashLedger, sharing: CrashSharing) -> None:
         self.ledger = ledger
         self.sharing = sharing
+        self.tasks: set[asyncio.Task[None]] = set()
 
     @property
     def blocks_any(self) -> bool:
@@ -38,20 +41,33 @@
         self,
         contents: Iterable[str],
         service: str,
-        replica: str,
+        fate: Fate,
         error: Exception,
-        has_ended: Callable[[], Awaitable[bool]],
     ) -> None:
         """Note whether a replica has ended under requests that it ran.
 
         A connection that broke is no proof: answers are lost and connections reset while their
-        replica lives. One that has ended takes no connection any more.
+        replica lives. What can't be seen at once is watched while the requests go on; a replica
+        that is silent may be without power.
         """
-        if not isinstance(error, ConnectionBroken) or not await has_ended():
-            return
-        end = name_of_end(replica, self.ledger.clock.wall())
+        at = self.ledger.clock.monotonic()
+        end = name_of_end(fate.name, self.ledger.clock.wall())
         keys = [SuspectKey(content, service) for content in dict.fromkeys(contents)]
-        news = [key for key in keys if self.ledger.on_ended(key, end)]
+        if isinstance(error, ConnectionBroken) and await fate.has_ended():
+            self.note(keys, end, at)
+            return
+        task = asyncio.get_running_loop().create_task(self.watch(keys, end, at, fate))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def watch(self, keys: list[SuspectKey], end: str, at: float, fate: Fate) -> None:
+        """Note the end of a replica that shows later."""
+        if await fate.ends_soon():
+            self.note(keys, end, at)
+
+    def note(self, keys: list[SuspectKey], end: str, at: float) -> None:
+        """Note the end of a replica that was at work on some requests, and tell of it."""
+        news = [key for key in keys if self.ledger.on_ended(key, end, at)]
         if news:
             self.sharing.report(news)
 
--- a/packages/core/calicopath_core/crashes/ledger.py
+++ b/packages/core/calicopath_core/crashes/ledger.py
@@ -58,11 +58,11 @@
         self.blocked: dict[SuspectKey, Blocked] = {}
         self.cached_digest: str | None = None
 
-    def on_ended(self, key: SuspectKey, replica: str) -> bool:
-        """Note that a replica has ended under a request; tell whether that is news."""
-        if not self.suspect(key).add(replica, self.clock.monotonic()):
+    def on_ended(self, key: SuspectKey, end: str, at: float | None = None) -> bool:
+        """Note that a replica has ended under a request, now or earlier; tell if that is news."""
+        if not self.suspect(key).add(end, self.clock.monotonic() if at is None else at):
             return False
-        self.observer.on_evidence(key, (replica,), 'own')
+        self.observer.on_evidence(key, (end,), 'own')
         self.judge(key)
         return True
 
--- a/packages/core/calicopath_core/exchanges/content.py
+++ b/packages/core/calicopath_core/exchanges/content.py
@@ -13,12 +13,12 @@
 
 
 def content_of(exchange: Exchange, workspace: str | None) -> str:
-    """Return what names a request's content: method, target, caller's workspace and body.
+    """Return what names a request's content: method, path, caller's workspace and body.
 
-    A repeat has another identifier, deadline and connection, and the same content.
+    A repeat has another identifier, deadline, headers and perhaps query, and the same content.
     """
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for text in (exchange.method, exchange.host, exchange.target, workspace or ''):
+    for text in (exchange.method, exchange.host, exchange.path, workspace or ''):
         data = text.encode()
         digest.update(len(data).to_bytes(4))
         digest.update(data)
--- a/packages/core/calicopath_core/exchanges/messages.py
+++ b/packages/core/calicopath_core/exchanges/messages.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
+    from calicopath_core.crashes.fate import Reach
     from calicopath_core.exchanges.balancer import LoadReport
     from calicopath_core.fleet.replicas import Replica
     from calicopath_core.scheduling.messages import Prompt
@@ -78,17 +79,21 @@
         """Be done with the answer; cuts the connection if the answer is not whole."""
 
 
-class ReplicaCaller(ABC):
+class ReplicaReach(ABC):
+    """Look whether replicas can be reached."""
+
+    @abstractmethod
+    async def reach(self, replica: Replica, watch_s: float) -> Reach:
+        """Return what an attempt to connect shows; one that opens is watched for a while."""
+
+
+class ReplicaCaller(ReplicaReach):
     """Send requests to replicas."""
 
     @abstractmethod
     async def send(self, outbound: Outbound) -> ReplicaAnswer:
         """Return the answer's head and body; raise `NotStarted`, `MayHaveRun`, `WrongAnswer`."""
 
-    @abstractmethod
-    async def has_ended(self, replica: Replica) -> bool:
-        """Tell whether a replica refuses connections; one that is silent may live."""
-
 
 class ReplySink(ABC):
     """Give a caller its answer."""
--- a/packages/core/calicopath_core/exchanges/plain.py
+++ b/packages/core/calicopath_core/exchanges/plain.py
@@ -5,7 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from calicopath_core.backends.base import BackendError, MayHaveRun, NotStarted
+from calicopath_core.backends.base import BackendError, MayHaveRun, NotStarted, WrongAnswer
+from calicopath_core.crashes.fate import ReplicaFate
 from calicopath_core.exchanges.context import (
     RETRY_SOON_S,
     STATUS_BAD_GATEWAY,
@@ -68,13 +69,10 @@
     context: ExchangeContext, ticket: Ticket, replica: Replica, error: BackendError
 ) -> None:
     """Find out whether a replica has ended, before the request is sent once more."""
-    await context.crashes.on_failed(
-        [ticket.content],
-        ticket.service,
-        replica.id,
-        error,
-        lambda: context.caller.has_ended(replica),
-    )
+    ran = not isinstance(error, NotStarted | WrongAnswer)
+    if ran and not ticket.expired(context.clock.monotonic()):
+        fate = ReplicaFate(reach=context.caller, replicas=context.replicas, replica=replica)
+        await context.crashes.on_failed([ticket.content], ticket.service, fate, error)
 
 
 def choose(context: ExchangeContext, ticket: Ticket) -> Replica:
--- a/packages/core/calicopath_core/scheduling/interfaces.py
+++ b/packages/core/calicopath_core/scheduling/interfaces.py
@@ -5,6 +5,8 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, NamedTuple
 
+from calicopath_core.exchanges.messages import ReplicaReach
+
 if TYPE_CHECKING:
     from calicopath_core.backends.base import BackendError
     from calicopath_core.fleet.replicas import Replica
@@ -41,17 +43,13 @@
     idle: bool
 
 
-class StageCaller(ABC):
+class StageCaller(ReplicaReach):
     """Call the replicas of stages."""
 
     @abstractmethod
     async def run(self, replica: Replica, calls: list[PieceCall]) -> list[PieceResult]:
         """Make one call; raise `NotStarted` if it was declined, else `MayHaveRun`."""
 
-    @abstractmethod
-    async def has_ended(self, replica: Replica) -> bool:
-        """Tell whether a replica refuses connections; one that is silent may live."""
-
     @abstractmethod
     async def free(self, address: str, handles: list[str]) -> None:
         """Give results up; raise `BackendError`."""
--- a/packages/core/calicopath_core/scheduling/stage_calls.py
+++ b/packages/core/calicopath_core/scheduling/stage_calls.py
@@ -5,7 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
-from calicopath_core.backends.base import BackendError, NotStarted
+from calicopath_core.backends.base import BackendError, ConnectionBroken, NotStarted
+from calicopath_core.crashes.fate import ReplicaFate
 from calicopath_core.scheduling.freeing import ResultFreeing
 from calicopath_core.scheduling.interfaces import PieceCall, PieceResult
 from calicopath_core.scheduling.jobs import Job, Piece, Result
@@ -197,10 +198,10 @@
         try:
             results = await self.watch.run(replica, calls, expected_s, limit_s)
         except (BackendError, TimeoutError) as error:
-            contents = [job.place.content for job in jobs_of(batch)]
-            await self.crashes.on_failed(
-                contents, queue.service, replica.id, error, lambda: self.caller.has_ended(replica)
-            )
+            if isinstance(error, ConnectionBroken):
+                fate = ReplicaFate(reach=self.caller, replicas=self.replicas, replica=replica)
+                contents = [job.place.content for job in jobs_of(batch)]
+                await self.crashes.on_failed(contents, queue.service, fate, error)
             self.on_call_failed(queue, batch, error, begun)
             return
         finally:
--- a/packages/daemon/calicopathd/gateway/tests/crashing_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/crashing_tests.py
@@ -51,6 +51,32 @@
 
         self.run_virtual(scenario())
 
+    def test_it_is_stopped_where_the_port_closes_after_the_connections(self) -> None:
+        async def scenario() -> None:
+            fleet = CrashingFleet()
+            await fleet.start()
+            fleet.replicas.crashing = {POISON}
+            fleet.replicas.port_closes_s = 0.2
+            await fleet.repeat(POISON, 0.5, 12.0)
+            await fleet.settle()
+            self.check_stopped(fleet)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
+    def test_it_is_stopped_where_replicas_fall_silent_once_their_entries_lapse(self) -> None:
+        async def scenario() -> None:
+            fleet = CrashingFleet()
+            await fleet.start()
+            fleet.replicas.crashing = {POISON}
+            fleet.replicas.ends_dark = True
+            await fleet.repeat(POISON, 3.0, 30.0)
+            await fleet.settle()
+            self.assertLessEqual(len(fleet.replicas.crashes_under(POISON)), 6)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
     def test_what_ends_plain_services_is_stopped_too(self) -> None:
         async def scenario() -> None:
             fleet = CrashingFleet()
--- a/testkit/crashing.py
+++ b/testkit/crashing.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from calicopath_core.backends.base import ConnectionBroken, NotStarted
+from calicopath_core.crashes.fate import Reach
 from calicopath_core.fleet.store import RecordKind
 from testkit.gateway_replicas import FakeBody, FakeReplicas, FakeStages, FakeStream
 
@@ -26,6 +27,7 @@
 """When the entry of a replica that has ended lapses in the store: three heartbeats of 1.2 s."""
 
 HEAD_S = 0.01
+REACH_S = 0.3
 
 
 class Arrival:
@@ -75,6 +77,9 @@
 class CrashingReplicas(FakeReplicas):
     """Stand for replicas that end under certain requests, and come back under new identifiers.
 
+    The port of one that ends closes `port_closes_s` after its connections; one that `ends_dark`
+    says nothing any more.
+
     `crashing` holds the targets under which they end; `resetting` those whose connection is reset
     while their replica lives on. Whatever else runs at a replica that ends breaks with it.
     """
@@ -88,6 +93,10 @@
         self.arrivals: list[Arrival] = []
         self.crashes: list[Arrival] = []
         self.ended: dict[str, asyncio.Event] = {}
+        self.ended_at: dict[str, float] = {}
+        self.port_closes_s = 0.0
+        self.dark: set[str] = set()
+        self.ends_dark = False
         self.tasks: set[asyncio.Task[None]] = set()
         self.lives = itertools.count(1)
 
@@ -120,10 +129,22 @@
         await asyncio.sleep(2 * CRASH_AFTER_S if exchange.target in self.crashing else 0)
         return BreakingAnswer(head=answer.head, body=exchange.call_id.encode(), ended=ended)
 
-    async def has_ended(self, replica: Replica) -> bool:
-        """Tell whether a replica takes no connection any more."""
+    async def reach(self, replica: Replica, watch_s: float) -> Reach:
+        """Return what an attempt to connect shows, at the end of the watch."""
         await asyncio.sleep(HEAD_S)
-        return self.ended_of(replica).is_set()
+        if replica.id in self.dark:
+            await asyncio.sleep(REACH_S)
+            return Reach.SILENT
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + watch_s
+        while not self.is_refused(replica) and loop.time() < ends_at:
+            await asyncio.sleep(HEAD_S)
+        return Reach.REFUSED if self.is_refused(replica) else Reach.OPEN
+
+    def is_refused(self, replica: Replica) -> bool:
+        """Tell whether a replica's port is closed: it closes after the connections have."""
+        at = self.ended_at.get(replica.id)
+        return at is not None and asyncio.get_running_loop().time() >= at + self.port_closes_s
 
     def spawn_end(self, replica: Replica, arrival: Arrival) -> None:
         """End a replica in a moment."""
@@ -137,6 +158,9 @@
         ended = self.ended_of(replica)
         if ended.is_set():
             return
+        self.ended_at[replica.id] = asyncio.get_running_loop().time()
+        if self.ends_dark:
+            self.dark.add(replica.id)
         ended.set()
         self.crashes.append(arrival)
         await asyncio.sleep(BACK_AFTER_S)
@@ -162,9 +186,9 @@
         self.replicas = replicas
         self.crashing: set[str] = set()
 
-    async def has_ended(self, replica: Replica) -> bool:
-        """Tell whether a replica takes no connection any more."""
-        return await self.replicas.has_ended(replica)
+    async def reach(self, replica: Replica, watch_s: float) -> Reach:
+        """Return what an attempt to connect shows."""
+        return await self.replicas.reach(replica, watch_s)
 
     async def run(self, replica: Replica, calls: list[PieceCall]) -> list[PieceResult]:
         """Make one call; break with the replica."""
--- a/testkit/gateway_replicas.py
+++ b/testkit/gateway_replicas.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from calicopath_core.backends.base import MayHaveRun, NotStarted
+from calicopath_core.crashes.fate import Reach
 from calicopath_core.exchanges.messages import (
     AnswerHead,
     ReplicaAnswer,
@@ -63,9 +64,9 @@
             for lost in gone
         ]
 
-    async def has_ended(self, replica: Replica) -> bool:
+    async def reach(self, replica: Replica, watch_s: float) -> Reach:
         """Tell that replicas live: what breaks here is the connection."""
-        return False
+        return Reach.OPEN
 
     def missing(self, call: PieceCall) -> bool:
         """Tell whether an input is gone; none at all where some are due is a fault."""
@@ -193,10 +194,10 @@
             return FakeStream(engine=self, outbound=outbound, status=200, break_after=after)
         return FakeBody(head=AnswerHead(200, (), False, None), body=call_id.encode())
 
-    async def has_ended(self, replica: Replica) -> bool:
+    async def reach(self, replica: Replica, watch_s: float) -> Reach:
         """Tell that replicas live: what breaks here is the connection."""
         await asyncio.sleep(0.001)
-        return False
+        return Reach.OPEN
 
 
 class FakeSink(ReplySink):
--- a/testkit/replay/stages.py
+++ b/testkit/replay/stages.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from calicopath_core.backends.base import MayHaveRun, NotStarted
+from calicopath_core.crashes.fate import Reach
 from calicopath_core.scheduling.interfaces import PieceCall, PieceResult, StageCaller, StageReport
 
 if TYPE_CHECKING:
@@ -143,9 +144,9 @@
             item.size for item in self.kept.values() if item.maker == replica.id
         )
 
-    async def has_ended(self, replica: Replica) -> bool:
+    async def reach(self, replica: Replica, watch_s: float) -> Reach:
         """Tell whether a maker is dead."""
-        return self.maker(replica.id).dead
+        return Reach.REFUSED if self.maker(replica.id).dead else Reach.OPEN
 
     async def free(self, address: str, handles: list[str]) -> None:
         """Give results up."""
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -201,8 +201,8 @@
     Mutant(
         'replicas that end are told from resets',
         f'{CORE}/crashes/guard.py',
-        'if not isinstance(error, ConnectionBroken) or not await has_ended():',
-        'if not isinstance(error, ConnectionBroken):',
+        'if isinstance(error, ConnectionBroken) and await fate.has_ended():',
+        'if isinstance(error, ConnectionBroken):',
         f'{CRASHING}::Innocent',
     ),
     Mutant(
