Know a repeat by path, caller and body alone, and a path by ends under several bodies

What the digest held beyond path, caller and body was method, host and query. Change: those are left out; and where callers write a time of their own into each body, their path is blocked by ends under two bodies, before the replica had answered anything, with no survival on that path meanwhile.

--- a/packages/core/calicopath_core/crashes/guard.py
+++ b/packages/core/calicopath_core/crashes/guard.py
@@ -6,7 +6,12 @@
 from typing import TYPE_CHECKING
 
 from calicopath_core.backends.base import ConnectionBroken
-from calicopath_core.crashes.suspects import SuspectKey, name_of_end
+from calicopath_core.crashes.suspects import (
+    SuspectKey,
+    end_with_body,
+    name_of_end,
+    path_of,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -43,43 +48,52 @@
         service: str,
         fate: Fate,
         error: Exception,
+        *,
+        begun: bool,
     ) -> None:
         """Note whether a replica has ended under requests that it ran.
 
+        `begun` says that it had answered some of them already, as what ends it hardly does.
+
         A connection that broke is no proof: answers are lost and connections reset while their
         replica lives. What can't be seen at once is watched while the requests go on; a replica
         that is silent may be without power.
         """
         at = self.ledger.clock.monotonic()
         end = name_of_end(fate.name, self.ledger.clock.wall())
-        keys = [SuspectKey(content, service) for content in dict.fromkeys(contents)]
+        ends = {SuspectKey(content, service): end for content in contents}
+        if not begun:
+            paths = {key.of_path: end_with_body(end, key.content) for key in ends}
+            ends = paths | ends
         if isinstance(error, ConnectionBroken) and await fate.has_ended():
-            self.note(keys, end, at)
+            self.note(ends, at)
             return
-        task = asyncio.get_running_loop().create_task(self.watch(keys, end, at, fate))
+        task = asyncio.get_running_loop().create_task(self.watch(ends, at, fate))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def watch(self, keys: list[SuspectKey], end: str, at: float, fate: Fate) -> None:
+    async def watch(self, ends: dict[SuspectKey, str], at: float, fate: Fate) -> None:
         """Note the end of a replica that shows later."""
         if await fate.ends_soon():
-            self.note(keys, end, at)
+            self.note(ends, at)
 
-    def note(self, keys: list[SuspectKey], end: str, at: float) -> None:
+    def note(self, ends: dict[SuspectKey, str], at: float) -> None:
         """Note the end of a replica that was at work on some requests, and tell of it."""
-        news = [key for key in keys if self.ledger.on_ended(key, end, at)]
+        news = [key for key, end in ends.items() if self.ledger.on_ended(key, end, at)]
         if news:
             self.sharing.report(news)
 
     def on_survived(self, content: str, service: str) -> None:
         """Note that a replica has run a request to its end."""
         key = SuspectKey(content, service)
-        if self.ledger.on_survived(key):
-            self.sharing.report([key])
+        cleared = [item for item in (key, key.of_path) if self.ledger.on_survived(item)]
+        if cleared:
+            self.sharing.report(cleared)
 
     def release(self, content: str, *, who: str) -> list[SuspectKey]:
         """Let a request go as an operator asks, at every service; return where it was blocked."""
-        keys = [key for key in self.ledger.blocked if key.content == content]
+        names = (content, path_of(content))
+        keys = [key for key in self.ledger.blocked if key.content in names]
         for key in keys:
             self.ledger.on_survived(key, f'operator {who}')
         self.sharing.report(keys)
--- a/packages/core/calicopath_core/crashes/suspects.py
+++ b/packages/core/calicopath_core/crashes/suspects.py
@@ -4,6 +4,10 @@
 sets the cause apart is that it is there each time and never survives a run: a request that is
 answered begins anew, and replicas that end at one moment (a zone without power, a fault of many)
 count as one.
+
+Some callers write a time or a number of their own into each repeat, so that no two bodies are
+alike. What a caller asks of one path is therefore counted too, by stricter terms: only ends before
+the replica had answered anything, of more than one body, with no survival on that path meanwhile.
 """
 
 from __future__ import annotations
@@ -32,16 +36,30 @@
 SURVIVAL_KEEP_S = 60.0
 """How long it is remembered that a request survived: longer than any box has older word of it."""
 
+CONTENT_MARK = '.'
+BODY_MARK = '/'
+
 MAX_ENDED = 16
-"""Replicas remembered for one request; the same ones at every box, those first by name."""
+"""Ends remembered for one request; the same ones at every box, those first by name."""
+
+LEAST_BODIES = 2
+"""Bodies under which replicas must have ended before a caller's whole path is blocked."""
 
 
 class SuspectKey(NamedTuple):
-    """Name a request's content at one service: it may end an engine and spare a stage."""
+    """Name a request's content at one service: it may end an engine and spare a stage.
+
+    `content` may be a path and caller alone, whatever the body.
+    """
 
     content: str
     service: str
 
+    @property
+    def of_path(self) -> SuspectKey:
+        """Return the key of the path and caller."""
+        return SuspectKey(path_of(self.content), self.service)
+
 
 class Suspect:
     """Hold the ends of replicas under one request, by when; times are monotonic seconds.
@@ -84,10 +102,14 @@
                 found.append(at)
         return found
 
-    def blocked_until(self) -> float | None:
+    def bodies(self) -> set[str]:
+        """Return under which bodies replicas have ended, where that is told of a path."""
+        return {body_of(end) for end, at in self.ended.items() if at > self.survived_at}
+
+    def blocked_until(self, least_bodies: int = 1) -> float | None:
         """Return until when the request is not sent on, nothing if it is."""
         moments = self.moments()
-        if len(moments) < LIMIT:
+        if len(moments) < LIMIT or len(self.bodies()) < least_bodies:
             return None
         return moments[-1] + min(MAX_BLOCK_S, BLOCK_S * 2.0 ** (len(moments) - LIMIT))
 
@@ -106,4 +128,29 @@
 
 def replica_of(end: str) -> str:
     """Return the replica that an end is of."""
-    return end.rpartition('@')[0]
+    return end.partition('@')[0]
+
+
+def end_with_body(end: str, content: str) -> str:
+    """Return what names an end where it is told of a path: with the body that was asked."""
+    return f'{end}{BODY_MARK}{content.partition(CONTENT_MARK)[2]}'
+
+
+def body_of(end: str) -> str:
+    """Return the body with which an end is told of a path; nothing where told of a request."""
+    return end.partition(BODY_MARK)[2]
+
+
+def content_name(path: str, body: str) -> str:
+    """Return what names a request, by the digests of path with caller and of body."""
+    return f'{path}{CONTENT_MARK}{body}'
+
+
+def path_of(content: str) -> str:
+    """Return what names a request's path and caller."""
+    return content.partition(CONTENT_MARK)[0]
+
+
+def is_path(content: str) -> bool:
+    """Tell whether this names a path and caller, whatever the body."""
+    return CONTENT_MARK not in content
--- a/packages/core/calicopath_core/crashes/tests/ledger_tests.py
+++ b/packages/core/calicopath_core/crashes/tests/ledger_tests.py
@@ -28,7 +28,7 @@
 from testkit.cases import VirtualCase
 from testkit.ledgers import new_ledger
 
-KEY = SuspectKey('c', 'engine')
+KEY = SuspectKey('c.b', 'engine')
 APART_S = 2 * MOMENT_S
 
 
@@ -44,9 +44,9 @@
         async def scenario() -> None:
             ledger = new_ledger()
             await ended(ledger, 'r1', 'r2')
-            self.assertIsNone(ledger.blocked_s('c', ['engine']))
+            self.assertIsNone(ledger.blocked_s('c.b', ['engine']))
             await ended(ledger, 'r3')
-            self.assertAlmostEqual(BLOCK_S, ledger.blocked_s('c', ['engine']) or 0, delta=1)
+            self.assertAlmostEqual(BLOCK_S, ledger.blocked_s('c.b', ['engine']) or 0, delta=1)
 
         self.run_virtual(scenario())
 
@@ -56,8 +56,8 @@
             await ended(ledger, 'r1', 'r1', 'r1')
             end = next(iter(ledger.suspects[KEY].ended))
             for number in range(5):
-                ledger.merge([Evidence('c', 'engine', {end: number / 1000}, None)], f'b{number}')
-            self.assertIsNone(ledger.blocked_s('c', ['engine']))
+                ledger.merge([Evidence('c.b', 'engine', {end: number / 1000}, None)], f'b{number}')
+            self.assertIsNone(ledger.blocked_s('c.b', ['engine']))
 
         self.run_virtual(scenario())
 
@@ -67,9 +67,9 @@
             for _ in range(2):
                 await ended(ledger, 'r1')
                 await asyncio.sleep(SAME_END_S)
-            self.assertIsNone(ledger.blocked_s('c', ['engine']))
+            self.assertIsNone(ledger.blocked_s('c.b', ['engine']))
             await ended(ledger, 'r1')
-            self.assertIsNotNone(ledger.blocked_s('c', ['engine']))
+            self.assertIsNotNone(ledger.blocked_s('c.b', ['engine']))
 
         self.run_virtual(scenario())
 
@@ -77,8 +77,8 @@
         async def scenario() -> None:
             ledger = new_ledger()
             ages = {'r1@100': 2.5, 'r1@101': 1.9, 'r2@101': 1.4, 'r2@102': 0.6}
-            ledger.merge([Evidence('c', 'engine', ages, None)], 'b')
-            self.assertIsNone(ledger.blocked_s('c', ['engine']))
+            ledger.merge([Evidence('c.b', 'engine', ages, None)], 'b')
+            self.assertIsNone(ledger.blocked_s('c.b', ['engine']))
 
         self.run_virtual(scenario())
 
@@ -87,7 +87,7 @@
             ledger = new_ledger()
             for number in range(6):
                 ledger.on_ended(KEY, f'r{number}')
-            self.assertIsNone(ledger.blocked_s('c', ['engine']))
+            self.assertIsNone(ledger.blocked_s('c.b', ['engine']))
 
         self.run_virtual(scenario())
 
@@ -98,9 +98,9 @@
             self.assertTrue(ledger.on_survived(KEY))
             await asyncio.sleep(APART_S)
             await ended(ledger, 'r3', 'r4')
-            self.assertIsNone(ledger.blocked_s('c', ['engine']))
+            self.assertIsNone(ledger.blocked_s('c.b', ['engine']))
             await ended(ledger, 'r5')
-            self.assertIsNotNone(ledger.blocked_s('c', ['engine']))
+            self.assertIsNotNone(ledger.blocked_s('c.b', ['engine']))
 
         self.run_virtual(scenario())
 
@@ -108,8 +108,8 @@
         async def scenario() -> None:
             ledger = new_ledger()
             await ended(ledger, 'r1', 'r2', 'r3')
-            self.assertIsNone(ledger.blocked_s('c', ['desk']))
-            self.assertIsNotNone(ledger.blocked_s('c', ['look', 'engine']))
+            self.assertIsNone(ledger.blocked_s('c.b', ['desk']))
+            self.assertIsNotNone(ledger.blocked_s('c.b', ['look', 'engine']))
             self.assertIsNone(ledger.blocked_s('other', ['engine']))
 
         self.run_virtual(scenario())
@@ -121,10 +121,10 @@
             await ended(ledger, 'r1', 'r2', 'r3')
             await asyncio.sleep(BLOCK_S)
             ledger.expire()
-            self.assertIsNone(ledger.blocked_s('c', ['engine']))
+            self.assertIsNone(ledger.blocked_s('c.b', ['engine']))
             observer.on_let_go.assert_called_once_with(KEY, 'time')
             await ended(ledger, 'r4')
-            self.assertAlmostEqual(2 * BLOCK_S, ledger.blocked_s('c', ['engine']) or 0, delta=1)
+            self.assertAlmostEqual(2 * BLOCK_S, ledger.blocked_s('c.b', ['engine']) or 0, delta=1)
 
         self.run_virtual(scenario())
 
@@ -133,9 +133,9 @@
             ledger = new_ledger()
             await ended(ledger, 'r1', 'r2', 'r3')
             for number in range(2 * MAX_SUSPECTS):
-                ledger.on_ended(SuspectKey(f'c{number}', 'engine'), 'r9')
+                ledger.on_ended(SuspectKey(f'c{number}.b', 'engine'), 'r9')
             self.assertEqual(MAX_SUSPECTS, len(ledger.suspects))
-            self.assertIsNotNone(ledger.blocked_s('c', ['engine']))
+            self.assertIsNotNone(ledger.blocked_s('c.b', ['engine']))
             for number in range(3 * MAX_ENDED):
                 ledger.on_ended(KEY, f's{number}')
             self.assertEqual(MAX_ENDED, len(ledger.suspects[KEY].ended))
@@ -150,10 +150,10 @@
     def test_any_order_and_any_repeats_lead_to_the_same(self) -> None:
         async def scenario() -> None:
             news = [
-                Evidence('c', 'engine', {'r1': 9.0}, None),
-                Evidence('c', 'engine', {'r2': 7.0}, 8.0),
-                Evidence('c', 'engine', {'r3': 5.0, 'r4': 3.0}, None),
-                Evidence('d', 'engine', {'r1': 9.0, 'r2': 7.0}, 6.0),
+                Evidence('c.b', 'engine', {'r1': 9.0}, None),
+                Evidence('c.b', 'engine', {'r2': 7.0}, 8.0),
+                Evidence('c.b', 'engine', {'r3': 5.0, 'r4': 3.0}, None),
+                Evidence('d.b', 'engine', {'r1': 9.0, 'r2': 7.0}, 6.0),
             ]
             rng = random.Random(1)
             digests, verdicts = set(), set()
@@ -204,9 +204,10 @@
             box.ledger.on_ended(KEY, 'r1')
             box.report([KEY])
             sent.clear()
-            await asyncio.sleep(REPEAT_S / 2)
+            await asyncio.sleep(0.4)
             box.tell_hubs()
-            hub.on_news(sent.pop()[1])
+            hub.on_news(sent[0][1])
+            sent.clear()
             self.assertEqual({'r1'}, set(hub.ledger.suspects[KEY].ended))
             await asyncio.sleep(REPEAT_S)
             box.tell_hubs()
@@ -217,7 +218,7 @@
     def test_two_that_know_different_things_know_both_after_one_ping(self) -> None:
         async def scenario() -> None:
             box, hub, sent = self.pair()
-            other = SuspectKey('d', 'engine')
+            other = SuspectKey('d.b', 'engine')
             await ended(box.ledger, 'r1', 'r2', 'r3')
             await ended(hub.ledger, 'r4', 'r5', 'r6', key=other)
             hub.on_digest('a', box.ledger.digest())
--- a/packages/core/calicopath_core/exchanges/content.py
+++ b/packages/core/calicopath_core/exchanges/content.py
@@ -5,7 +5,11 @@
 import hashlib
 from typing import TYPE_CHECKING
 
+from calicopath_core.crashes.suspects import content_name
+
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from calicopath_core.exchanges.messages import Exchange
 
 DIGEST_BYTES = 8
@@ -13,14 +17,18 @@
 
 
 def content_of(exchange: Exchange, workspace: str | None) -> str:
-    """Return what names a request's content: method, path, caller's workspace and body.
+    """Return what names a request's content: path and caller's workspace, then the body.
 
     A repeat has another identifier, deadline, headers and perhaps query, and the same content.
     """
+    address = (exchange.path, workspace or '')
+    return content_name(digest_of(text.encode() for text in address), digest_of([exchange.body]))
+
+
+def digest_of(parts: Iterable[bytes]) -> str:
+    """Return a digest of some bytes, by which nothing of them can be read."""
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for text in (exchange.method, exchange.host, exchange.path, workspace or ''):
-        data = text.encode()
-        digest.update(len(data).to_bytes(4))
-        digest.update(data)
-    digest.update(exchange.body)
+    for part in parts:
+        digest.update(len(part).to_bytes(4))
+        digest.update(part)
     return digest.hexdigest()
--- a/packages/core/calicopath_core/exchanges/plain.py
+++ b/packages/core/calicopath_core/exchanges/plain.py
@@ -66,13 +66,19 @@
 
 
 async def note_crash(
-    context: ExchangeContext, ticket: Ticket, replica: Replica, error: BackendError
+    context: ExchangeContext,
+    ticket: Ticket,
+    replica: Replica,
+    error: BackendError,
+    *,
+    begun: bool = False,
 ) -> None:
     """Find out whether a replica has ended, before the request is sent once more."""
     ran = not isinstance(error, NotStarted | WrongAnswer)
     if ran and not ticket.expired(context.clock.monotonic()):
         fate = ReplicaFate(reach=context.caller, replicas=context.replicas, replica=replica)
-        await context.crashes.on_failed([ticket.content], ticket.service, fate, error)
+        contents = [ticket.content]
+        await context.crashes.on_failed(contents, ticket.service, fate, error, begun=begun)
 
 
 def choose(context: ExchangeContext, ticket: Ticket) -> Replica:
--- a/packages/core/calicopath_core/exchanges/streams.py
+++ b/packages/core/calicopath_core/exchanges/streams.py
@@ -55,6 +55,7 @@
         self.splitter = EventSplitter()
         self.splitter.last_id = ticket.exchange.last_event_id
         self.begun = False
+        self.attempt_begun = False
         self.avoided: list[str] = []
 
     async def serve(self) -> None:
@@ -77,7 +78,9 @@
                 return await self.run(job, placed, replica)
             except BackendError as error:
                 failed = not isinstance(error, Declined)
-                await note_crash(self.context, self.ticket, replica, error)
+                await note_crash(
+                    self.context, self.ticket, replica, error, begun=self.attempt_begun
+                )
                 raise
         except BackendError as error:
             self.context.observer.on_attempt_failed(
@@ -152,6 +155,7 @@
         ticket = self.ticket
         ticket.replicas.append(replica.id)
         ticket.sends += 1
+        self.attempt_begun = False
         answer = await self.send(placed, replica)
         try:
             if answer.head.declined:
@@ -211,7 +215,6 @@
     async def pass_events(self, job: str, placed: Placed, answer: ReplicaAnswer) -> None:
         """Pass whole events on as they come."""
         limit_s = self.first_event_limit_s(placed)
-        started = False
         self.splitter.rest = b''
         while True:
             data = await self.read(answer, limit_s)
@@ -220,8 +223,8 @@
             whole = self.splitter.feed(data)
             if not whole:
                 continue
-            if not started:
-                started = True
+            if not self.attempt_begun:
+                self.attempt_begun = True
                 self.context.scheduler.started(job)
                 limit_s = EVENT_GAP_S if self.ticket.route.repeatable else self.left_s()
             await self.pass_on(answer, whole)
--- a/packages/daemon/calicopathd/gateway/tests/crashing_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/crashing_tests.py
@@ -16,12 +16,16 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 from calicopath_core.crashes.messages import Evidence
-from calicopath_core.crashes.suspects import BLOCK_S, MOMENT_S, SuspectKey
+from calicopath_core.crashes.suspects import BLOCK_S
 from testkit.cases import VirtualCase
 from testkit.crashing_fleet import CrashingFleet
 
+if TYPE_CHECKING:
+    from testkit.gateway_replicas import FakeSink
+
 CONTACT_S = 3.0
 """How long after the third end a request must not be sent on any more, but for what follows."""
 
@@ -77,6 +81,38 @@
 
         self.run_virtual(scenario())
 
+    def test_it_is_stopped_where_query_headers_and_identifier_differ_each_time(self) -> None:
+        async def scenario() -> None:
+            fleet = CrashingFleet()
+            await fleet.start()
+            targets = [f'{POISON}?page={number}' for number in range(20)]
+            fleet.replicas.crashing = set(targets)
+            for number, target in enumerate(targets):
+                headers = (('X-Trace', str(number)),)
+                fleet.ask(f'box-{number % 4}', target, path=POISON, headers=headers)
+                await asyncio.sleep(0.5)
+            await fleet.settle()
+            self.assertLessEqual(len(fleet.replicas.crashes), 4)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
+    def test_it_is_stopped_where_callers_write_the_time_into_each_body(self) -> None:
+        async def scenario() -> None:
+            fleet = CrashingFleet()
+            await fleet.start()
+            fleet.replicas.crashing = {POISON}
+            fleet.replicas.gap_s = 0.3
+            for number in range(20):
+                fleet.ask(f'box-{number % 4}', POISON, body=f'time {number // 2}'.encode())
+                await asyncio.sleep(0.5)
+            await fleet.settle()
+            self.check_stopped(fleet)
+            self.assertLessEqual(len(fleet.replicas.crashes), 5)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
     def test_what_ends_plain_services_is_stopped_too(self) -> None:
         async def scenario() -> None:
             fleet = CrashingFleet()
@@ -125,14 +161,12 @@
             fleet = CrashingFleet()
             await fleet.start()
             sinks = [fleet.ask(box, '/draft/poison', piece_key='k') for box in fleet.boxes]
-            await asyncio.sleep(0.15)
-            box = fleet.boxes['box-2'].box
-            content = next(iter(fleet.boxes['box-0'].box.scheduler.jobs.values())).place.content
-            for number in range(3):
-                box.ledger.on_ended(SuspectKey(content, 'engine'), f'gone-{number}@1')
-                await asyncio.sleep(2 * MOMENT_S)
-            box.sharing.report(list(box.ledger.suspects))
-            await asyncio.sleep(0.15)
+            await asyncio.sleep(0.1)
+            box = fleet.boxes['box-0'].box
+            content = next(iter(box.scheduler.jobs.values())).place.content
+            ages = {f'gone-{number}@1': 1.0 + number for number in range(3)}
+            box.ledger.merge([Evidence(content, 'engine', ages, None)], 'another')
+            await asyncio.sleep(0.06)
             self.assertEqual({'crashes-replicas'}, {sink.reason for sink in sinks})
             self.assertEqual(0, len(fleet.replicas.arrivals))
             await fleet.stop()
@@ -235,6 +269,33 @@
 class Innocent(VirtualCase):
     """Test what must not be blocked."""
 
+    def test_other_bodies_of_a_callers_path_are_served_while_one_of_them_ends_replicas(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            fleet = CrashingFleet()
+            await fleet.start()
+            fleet.replicas.crashing_bodies = {b'poison'}
+            sinks, _ = await asyncio.gather(
+                self.ask_bodies(fleet, '/chat/all'),
+                fleet.repeat('/chat/all', 0.5, 12.0, body=b'poison'),
+            )
+            await fleet.settle()
+            self.assertNotIn('crashes-replicas', {sink.reason for sink in sinks})
+            self.assertLessEqual(len(fleet.replicas.crashes), 4)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
+    async def ask_bodies(self, fleet: CrashingFleet, target: str) -> list[FakeSink]:
+        """Ask one path with many bodies."""
+        sinks = []
+        for number in range(60):
+            body = f'body {number}'.encode()
+            sinks.append(fleet.ask(f'box-{number % 4}', target, body=body))
+            await asyncio.sleep(0.2)
+        return sinks
+
     def test_connections_that_are_reset_while_replicas_live_block_nothing(self) -> None:
         async def scenario() -> None:
             fleet = CrashingFleet()
--- a/testkit/crashing.py
+++ b/testkit/crashing.py
@@ -12,7 +12,7 @@
 from testkit.gateway_replicas import FakeBody, FakeReplicas, FakeStages, FakeStream
 
 if TYPE_CHECKING:
-    from calicopath_core.exchanges.messages import AnswerHead, Outbound, ReplicaAnswer
+    from calicopath_core.exchanges.messages import AnswerHead, Exchange, Outbound, ReplicaAnswer
     from calicopath_core.fleet.replicas import Replica
     from calicopath_core.scheduling.interfaces import PieceCall, PieceResult
     from testkit.gateway_store import FakeStore
@@ -90,6 +90,7 @@
         self.gap_s = gap_s
         self.crashing: set[str] = set()
         self.resetting: set[str] = set()
+        self.crashing_bodies: set[bytes] = set()
         self.arrivals: list[Arrival] = []
         self.crashes: list[Arrival] = []
         self.ended: dict[str, asyncio.Event] = {}
@@ -120,7 +121,7 @@
         self.arrivals.append(arrival)
         if exchange.target in self.resetting:
             raise ConnectionBroken("the connection was lost: ConnectionResetError(104, 'reset')")
-        if exchange.target in self.crashing:
+        if self.crashes_under_it(exchange):
             self.spawn_end(replica, arrival)
         if replica.service == 'engine':
             self.running.add(exchange.call_id)
@@ -146,6 +147,10 @@
         at = self.ended_at.get(replica.id)
         return at is not None and asyncio.get_running_loop().time() >= at + self.port_closes_s
 
+    def crashes_under_it(self, exchange: Exchange) -> bool:
+        """Tell whether a request ends the replicas that run it."""
+        return exchange.target in self.crashing or exchange.body in self.crashing_bodies
+
     def spawn_end(self, replica: Replica, arrival: Arrival) -> None:
         """End a replica in a moment."""
         task = asyncio.get_running_loop().create_task(self.end(replica, arrival))
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -275,6 +275,27 @@
         '            pass',
         f'{CRASHING}::Crashing',
     ),
+    Mutant(
+        'what is asked is known by its path',
+        f'{CORE}/exchanges/content.py',
+        'exchange.path, workspace',
+        'exchange.target, workspace',
+        f'{CRASHING}::Crashing',
+    ),
+    Mutant(
+        'bodies that differ each time',
+        f'{CORE}/crashes/suspects.py',
+        'LEAST_BODIES = 2',
+        'LEAST_BODIES = 99',
+        f'{CRASHING}::Crashing',
+    ),
+    Mutant(
+        'ends that show late',
+        f'{CORE}/crashes/guard.py',
+        '        if await fate.ends_soon():',
+        '        if False:',
+        f'{CRASHING}::Crashing',
+    ),
 )
 
 
