--- a/testkit/fake_endpoints.py
+++ b/testkit/fake_endpoints.py
@@ -12,6 +12,7 @@
 
 from calicopath_core.backends.base import (
     Backends,
+    ConnectionBroken,
     Engine,
     MayHaveRun,
     NotStarted,
@@ -38,6 +39,10 @@
 
 HANG_S = 3600.0
 
+ENDS_AFTER_S = 0.03
+BACK_AFTER_S = 1.0
+"""How long a call runs that ends its endpoint, and when that is back."""
+
 
 class Fault(enum.Enum):
     """Name what may go wrong with one call."""
@@ -87,6 +92,9 @@
         self.numbers = itertools.count()
         self.fault: Callable[[str], Fault | None] = lambda call: None
         self.down = False
+        self.ending: set[str] = set()
+        self.ends: list[float] = []
+        self.ended = asyncio.Event()
         self.speed = 1.0
         self.started: list[str] = []
         self.offsets: list[int] = []
@@ -115,6 +123,36 @@
             self.running += 1
         self.started.append(call)
 
+    async def run(self, text: str, seconds: float) -> None:
+        """Spend a call's time; raise `ConnectionBroken` if the endpoint ends meanwhile.
+
+        It ends under the texts that are `ending`, and takes all calls with it.
+        """
+        loop = asyncio.get_running_loop()
+        if text in self.ending and not self.down:
+            loop.call_later(ENDS_AFTER_S, self.end)
+            seconds = max(seconds, 2 * ENDS_AFTER_S)
+        ended = asyncio.ensure_future(self.ended.wait())
+        done, _ = await asyncio.wait({ended}, timeout=seconds)
+        ended.cancel()
+        if done:
+            raise ConnectionBroken('connection lost')
+
+    def end(self) -> None:
+        """End the endpoint; it comes back."""
+        if self.down:
+            return
+        loop = asyncio.get_running_loop()
+        self.down = True
+        self.ends.append(loop.time())
+        self.ended.set()
+        loop.call_later(BACK_AFTER_S, self.come_back)
+
+    def come_back(self) -> None:
+        """Take calls again."""
+        self.down = False
+        self.ended = asyncio.Event()
+
     def leave(self) -> None:
         """Pass the place on."""
         while self.waiting:
@@ -211,7 +249,7 @@
         """Spend the service time and count the effect."""
         identity = str(call.id)
         async with target.place(identity, call.priority):
-            await asyncio.sleep(target.timing.service_s * target.slowdown())
+            await target.run(call.input['text'], target.timing.service_s * target.slowdown())
             target.ran[call.idempotency_key or identity] += 1
 
 
@@ -238,7 +276,7 @@
         async with target.place(identity, call.priority):
             target.ran[identity] += 1
             first_s = target.timing.first_token_s + target.prefill(call.params)
-            await asyncio.sleep(first_s * target.slowdown())
+            await target.run(call.input['text'], first_s * target.slowdown())
             for number in range(call.offset, len(tokens)):
                 if number == middle and fault is Fault.CUT:
                     raise MayHaveRun('connection lost')
