Stop requests under which endpoints end at the callers' own interface too

Cause: the same as before the users' platform; 12 repeats of one request ended 23 engines, or 22 rerankers. Change: the executor asks the same ledger at its door and before each call, and notes ends by the same rule: the connection broke and the port refuses. Boxes tell each other over their gossip: whoever hears news passes it on, heartbeats carry the digest. Two ends are one event only if both runs had begun before the first: a request that is sent on at once after an end would else count once for two. Ruled out: less time for one event alone, since busy boxes notice an end late.

Not kept in the store here: with every box gone at once the own interface learns anew.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -33,6 +33,7 @@
 from calicopath_core.store.view import ConfigView
 from calicopath_core.structure.outcomes import Answered, Outcome, RefusalReason, Refused
 from testkit.fake_store import FakeStore, StoreState
+from testkit.ledgers import new_guard
 from testkit.naive import NaiveExecutor
 from testkit.virtual import WALL_START_S, VirtualClock
 from testkit.world import uuid7
@@ -117,6 +118,7 @@
             budget=self.budget,
             observer=NullObserver(),
             lag=self.lag,
+            crashes=new_guard(),
         )
         local = LocalExecutor(store=self.store, clock=self.clock)
         executor = world.claim_executor(local)
--- a/packages/clients/calicopath_clients/calls.py
+++ b/packages/clients/calicopath_clients/calls.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 from typing import TYPE_CHECKING, Any
+from urllib.parse import urlsplit
 
 import aiohttp
 import msgspec
 
 from calicopath_core.backends.base import (
+    ConnectionBroken,
+    EndpointReach,
     MayHaveRun,
     NotStarted,
     PlainService,
+    Reach,
     StagePool,
     WrongAnswer,
 )
@@ -24,11 +29,20 @@
     from calicopath_core.structure.endpoints import Endpoint
 
 CONNECT_TIMEOUT_S = 0.25
+HTTP_PORT = 80
 STATUS_OK = 200
 STATUS_DECLINED = 429
 """An endpoint that answers so has not started the call."""
 
 CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+BROKEN_ERRORS = (
+    aiohttp.ServerDisconnectedError,
+    aiohttp.ClientOSError,
+    aiohttp.ClientPayloadError,
+)
+REACH_S = 0.3
+"""How long a port may take to open or refuse a connection."""
+
 NO_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
 """The executor bounds every call; here only connecting is bounded."""
 
@@ -55,6 +69,8 @@
                 raise
     except CONNECT_ERRORS as error:
         raise NotStarted(f'{url} cannot be reached: {error!r}') from error
+    except BROKEN_ERRORS as error:
+        raise ConnectionBroken(f'the connection to {url} broke: {error!r}') from error
     except (aiohttp.ClientError, TimeoutError) as error:
         raise MayHaveRun(f'the call to {url} broke: {error!r}') from error
 
@@ -94,6 +110,34 @@
     return output
 
 
+class HttpReach(EndpointReach):
+    """Look whether endpoints take connections."""
+
+    async def reach(self, endpoint: Endpoint, watch_s: float) -> Reach:
+        """Return what attempts to connect show, until one is refused or the watch is over."""
+        url = urlsplit(endpoint.address)
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + watch_s
+        while True:
+            found = await try_to_connect(url.hostname or '', url.port or HTTP_PORT)
+            if found is not Reach.OPEN or loop.time() >= ends_at:
+                return found
+            await asyncio.sleep(REACH_S)
+
+
+async def try_to_connect(host: str, port: int) -> Reach:
+    """Return what one attempt to connect shows."""
+    try:
+        async with asyncio.timeout(REACH_S):
+            _, writer = await asyncio.open_connection(host, port)
+    except ConnectionRefusedError:
+        return Reach.REFUSED
+    except (OSError, TimeoutError):
+        return Reach.SILENT
+    writer.close()
+    return Reach.OPEN
+
+
 class HttpStagePool(StagePool):
     """Reach encoders, retrievers and rerankers over HTTP."""
 
--- a/packages/clients/calicopath_clients/http1/pool.py
+++ b/packages/clients/calicopath_clients/http1/pool.py
@@ -8,8 +8,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from calicopath_clients.http1.connections import Connection
-from calicopath_core.backends.base import MayHaveRun, NotStarted
-from calicopath_core.crashes.fate import Reach
+from calicopath_core.backends.base import MayHaveRun, NotStarted, Reach
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/clients/calicopath_clients/tests/http1_tests.py
+++ b/packages/clients/calicopath_clients/tests/http1_tests.py
@@ -10,8 +10,7 @@
 import testtools
 
 from calicopath_clients.http1.pool import CallHead, HttpPool, keep_alive_s
-from calicopath_core.backends.base import ConnectionBroken, MayHaveRun, NotStarted
-from calicopath_core.crashes.fate import Reach
+from calicopath_core.backends.base import ConnectionBroken, MayHaveRun, NotStarted, Reach
 from testkit.servers import read_request
 
 if TYPE_CHECKING:
--- a/packages/core/calicopath_core/backends/base.py
+++ b/packages/core/calicopath_core/backends/base.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,14 @@
     from calicopath_core.structure.endpoints import Endpoint
 
 
+class Reach(enum.Enum):
+    """Say what an attempt to connect has shown."""
+
+    REFUSED = 'refused'
+    OPEN = 'open'
+    SILENT = 'silent'
+
+
 class BackendError(CalicopathError):
     """Report that a call gave no answer that may be used."""
 
@@ -77,10 +86,21 @@
         """Ask an engine to stop a generation; a failure to do so is not reported."""
 
 
+class EndpointReach(ABC):
+    """Look whether endpoints can be reached."""
+
+    @abstractmethod
+    async def reach(self, endpoint: Endpoint, watch_s: float) -> Reach:
+        """Return what an attempt to connect shows; one that opens is watched for a while."""
+
+
 class Backends:
-    """Hold one adapter for each kind of endpoint."""
+    """Hold one adapter for each kind of endpoint, and how to look whether any is there."""
 
-    def __init__(self, *, engine: Engine, pool: StagePool, service: PlainService) -> None:
+    def __init__(
+        self, *, engine: Engine, pool: StagePool, service: PlainService, reach: EndpointReach
+    ) -> None:
         self.engine = engine
         self.pool = pool
         self.service = service
+        self.reach = reach
--- a/packages/core/calicopath_core/crashes/fate.py
+++ b/packages/core/calicopath_core/crashes/fate.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import enum
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
+from calicopath_core.backends.base import Reach
+
 if TYPE_CHECKING:
+    from calicopath_core.backends.base import EndpointReach
     from calicopath_core.exchanges.messages import ReplicaReach
     from calicopath_core.fleet.replicas import Replica, ReplicaTable
+    from calicopath_core.structure.endpoints import Endpoint
 
 DOUBT_S = 1.5
 """How long a replica whose port is still open is watched: a process that ends closes its callers'
@@ -22,14 +25,6 @@
 LAPSE_CHECK_S = 0.2
 
 
-class Reach(enum.Enum):
-    """Say what an attempt to connect has shown."""
-
-    REFUSED = 'refused'
-    OPEN = 'open'
-    SILENT = 'silent'
-
-
 class Fate(ABC):
     """Tell what became of one replica; `name` is what it goes by."""
 
@@ -76,3 +71,20 @@
                 return False
             await asyncio.sleep(LAPSE_CHECK_S)
         return False
+
+
+class EndpointFate(Fate):
+    """Tell what became of an endpoint that operators have added; one that is silent may live."""
+
+    def __init__(self, *, reach: EndpointReach, endpoint: Endpoint) -> None:
+        self.reach = reach
+        self.endpoint = endpoint
+        self.name = endpoint.name
+
+    async def has_ended(self) -> bool:
+        """Tell whether its port refuses connections."""
+        return await self.reach.reach(self.endpoint, 0.0) is Reach.REFUSED
+
+    async def ends_soon(self) -> bool:
+        """Tell whether its port refuses connections soon."""
+        return await self.reach.reach(self.endpoint, DOUBT_S) is Reach.REFUSED
--- a/packages/core/calicopath_core/crashes/guard.py
+++ b/packages/core/calicopath_core/crashes/guard.py
@@ -7,6 +7,7 @@
 
 from calicopath_core.backends.base import ConnectionBroken
 from calicopath_core.crashes.suspects import (
+    End,
     SuspectKey,
     end_with_body,
     name_of_end,
@@ -49,37 +50,39 @@
         fate: Fate,
         error: Exception,
         *,
-        begun: bool,
+        began: float,
+        answered: bool,
     ) -> None:
         """Note whether a replica has ended under requests that it ran.
 
-        `begun` says that it had answered some of them already, as what ends it hardly does.
+        They had been sent to it at `began`, in monotonic seconds; `answered` says that something
+        of their answers had come, which is seldom so of what ends it.
 
         A connection that broke is no proof: answers are lost and connections reset while their
         replica lives. What can't be seen at once is watched while the requests go on; a replica
         that is silent may be without power.
         """
-        at = self.ledger.clock.monotonic()
-        end = name_of_end(fate.name, self.ledger.clock.wall())
-        ends = {SuspectKey(content, service): end for content in contents}
-        if not begun:
-            paths = {key.of_path: end_with_body(end, key.content) for key in ends}
+        end = End(self.ledger.clock.monotonic(), began)
+        name = name_of_end(fate.name, self.ledger.clock.wall())
+        ends = {SuspectKey(content, service): name for content in contents}
+        if not answered:
+            paths = {key.of_path: end_with_body(name, key.content) for key in ends}
             ends = paths | ends
         if isinstance(error, ConnectionBroken) and await fate.has_ended():
-            self.note(ends, at)
+            self.note(ends, end)
             return
-        task = asyncio.get_running_loop().create_task(self.watch(ends, at, fate))
+        task = asyncio.get_running_loop().create_task(self.watch(ends, end, fate))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def watch(self, ends: dict[SuspectKey, str], at: float, fate: Fate) -> None:
+    async def watch(self, ends: dict[SuspectKey, str], end: End, fate: Fate) -> None:
         """Note the end of a replica that shows later."""
         if await fate.ends_soon():
-            self.note(ends, at)
+            self.note(ends, end)
 
-    def note(self, ends: dict[SuspectKey, str], at: float) -> None:
+    def note(self, ends: dict[SuspectKey, str], end: End) -> None:
         """Note the end of a replica that was at work on some requests, and tell of it."""
-        news = [key for key, end in ends.items() if self.ledger.on_ended(key, end, at)]
+        news = [key for key, name in ends.items() if self.ledger.on_ended(key, name, end)]
         if news:
             self.sharing.report(news)
 
--- a/packages/core/calicopath_core/crashes/keeping.py
+++ b/packages/core/calicopath_core/crashes/keeping.py
@@ -97,8 +97,9 @@
     def evidence_of(self, kept: KeptRequest) -> Evidence:
         """Return what is kept with ages; the time of day may have jumped meanwhile."""
         now = self.clock.wall()
-        ages = {replica: max(0.0, now - at) for replica, at in kept.ended.items()}
-        return Evidence(kept.content, kept.service, ages, None)
+        ages = {name: max(0.0, now - at) for name, at in kept.ended.items()}
+        ended = {name: (age_s, age_s) for name, age_s in ages.items()}
+        return Evidence(kept.content, kept.service, ended, None)
 
     def kept(self) -> tuple[KeptRequest, ...]:
         """Return what is to be kept."""
@@ -107,6 +108,6 @@
         found = []
         for item in newest[:MAX_KEPT]:
             evidence = self.ledger.evidence_of(item.key)
-            ended = {replica: now - age_s for replica, age_s in evidence.ended_s.items()}
+            ended = {name: now - age_s for name, (age_s, _) in evidence.ended_s.items()}
             found.append(KeptRequest(evidence.content, evidence.service, ended))
         return tuple(found)
--- a/packages/core/calicopath_core/crashes/ledger.py
+++ b/packages/core/calicopath_core/crashes/ledger.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from calicopath_core.crashes.messages import Evidence
-from calicopath_core.crashes.suspects import LEAST_BODIES, Suspect, SuspectKey, is_path
+from calicopath_core.crashes.suspects import LEAST_BODIES, End, Suspect, SuspectKey, is_path
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -58,11 +58,11 @@
         self.blocked: dict[SuspectKey, Blocked] = {}
         self.cached_digest: str | None = None
 
-    def on_ended(self, key: SuspectKey, end: str, at: float | None = None) -> bool:
-        """Note that a replica has ended under a request, now or earlier; tell if that is news."""
-        if not self.suspect(key).add(end, self.clock.monotonic() if at is None else at):
+    def on_ended(self, key: SuspectKey, name: str, end: End) -> bool:
+        """Note that a replica has ended under a request; tell whether that is news."""
+        if not self.suspect(key).add(name, end):
             return False
-        self.observer.on_evidence(key, (end,), 'own')
+        self.observer.on_evidence(key, (name,), 'own')
         self.judge(key)
         return True
 
@@ -103,7 +103,9 @@
         """Join what another box knows of one request; tell whether that was news."""
         suspect = self.suspect(key)
         ended = [
-            replica for replica, age_s in item.ended_s.items() if suspect.add(replica, now - age_s)
+            name
+            for name, (age_s, run_s) in item.ended_s.items()
+            if suspect.add(name, End(now - age_s, now - run_s))
         ]
         survived = item.survived_s is not None and suspect.survive(now - item.survived_s)
         if ended:
@@ -164,7 +166,7 @@
         return Evidence(
             content=key.content,
             service=key.service,
-            ended_s={replica: now - at for replica, at in suspect.ended.items()},
+            ended_s={name: (now - end.at, now - end.began) for name, end in suspect.ended.items()},
             survived_s=now - suspect.survived_at if survived else None,
         )
 
--- a/packages/core/calicopath_core/crashes/messages.py
+++ b/packages/core/calicopath_core/crashes/messages.py
@@ -11,12 +11,13 @@
 class Evidence(msgspec.Struct, frozen=True, array_like=True):
     """Tell how long ago which replicas ended under a request, and when it last survived.
 
+    `ended_s` holds for each end how long ago it was, and how long ago the run had begun;
     `survived_s` is nothing for a request that never did.
     """
 
     content: str
     service: str
-    ended_s: dict[str, float]
+    ended_s: dict[str, tuple[float, float]]
     survived_s: float | None
 
 
--- a/packages/core/calicopath_core/crashes/sharing.py
+++ b/packages/core/calicopath_core/crashes/sharing.py
@@ -31,7 +31,10 @@
 
 
 class CrashSharing:
-    """Exchange what ledgers hold; `hubs` are the addresses of the boxes that hear of it first."""
+    """Exchange what ledgers hold; `hubs` are the addresses of the boxes that hear of it first.
+
+    Where there are no boxes that all others ping, each `forwards` what is news to it.
+    """
 
     def __init__(
         self,
@@ -41,12 +44,14 @@
         own_address: str,
         hubs: Callable[[], Iterable[str]],
         send: Callable[[str, msgspec.Struct], None],
+        forwards: bool = False,
     ) -> None:
         self.clock = clock
         self.ledger = ledger
         self.own_address = own_address
         self.hubs = hubs
         self.send = send
+        self.forwards = forwards
         self.fresh: dict[SuspectKey, float] = {}
         self.answered: dict[str, float] = {}
 
@@ -90,7 +95,9 @@
 
     def on_news(self, news: CrashNews) -> None:
         """Join what another box has told; answer one that told everything and lacks something."""
-        self.ledger.merge(news.evidence, news.sender)
+        keys = self.ledger.merge(news.evidence, news.sender)
+        if self.forwards and keys:
+            self.report(keys)
         if news.whole and self.lacks(news):
             self.send(
                 news.sender,
--- a/packages/core/calicopath_core/crashes/suspects.py
+++ b/packages/core/calicopath_core/crashes/suspects.py
@@ -20,7 +20,8 @@
 three; with two, a request that is beside the cause twice in a row would be blocked."""
 
 MOMENT_S = 0.1
-"""Ends within this time are one event. Boxes hear of one end within 5 ms of each other."""
+"""Ends within this time are one event, of runs that had begun before the first of them: boxes hear
+of one end within 5 ms of each other, a busy one some time later."""
 
 SAME_END_S = 1.0
 """Ends of one replica within this time are one: a box may notice it late. One that comes back under
@@ -61,6 +62,13 @@
         return SuspectKey(path_of(self.content), self.service)
 
 
+class End(NamedTuple):
+    """Say when a replica ended and when the run had begun that it took along."""
+
+    at: float
+    began: float
+
+
 class Suspect:
     """Hold the ends of replicas under one request, by when; times are monotonic seconds.
 
@@ -70,21 +78,22 @@
     """
 
     def __init__(self) -> None:
-        self.ended: dict[str, float] = {}
+        self.ended: dict[str, End] = {}
         self.survived_at = -math.inf
 
-    def add(self, end: str, at: float) -> bool:
+    def add(self, name: str, end: End) -> bool:
         """Note a replica's end; tell whether that is news."""
-        if end in self.ended:
+        if name in self.ended:
             return False
-        self.ended[end] = at
+        self.ended[name] = end
         if len(self.ended) > MAX_ENDED:
             del self.ended[max(self.ended)]
-        return end in self.ended
+        return name in self.ended
 
     def survive(self, at: float) -> bool:
         """Note that the request was run to its end; tell whether that is news."""
-        news = at > self.survived_at and any(end > self.survived_at for end in self.ended.values())
+        ends = self.ended.values()
+        news = at > self.survived_at and any(end.at > self.survived_at for end in ends)
         self.survived_at = max(self.survived_at, at)
         return news
 
@@ -92,19 +101,20 @@
         """Return when replicas have ended under the request since it last survived, in order."""
         found: list[float] = []
         last_of: dict[str, float] = {}
-        for at, end in sorted((at, end) for end, at in self.ended.items()):
-            replica = replica_of(end)
-            again = at - last_of.get(replica, -math.inf) <= SAME_END_S
-            if at <= self.survived_at or again:
+        for end, name in sorted((end, name) for name, end in self.ended.items()):
+            replica = replica_of(name)
+            again = end.at - last_of.get(replica, -math.inf) <= SAME_END_S
+            if end.at <= self.survived_at or again:
                 continue
-            last_of[replica] = at
-            if not found or at - found[-1] > MOMENT_S:
-                found.append(at)
+            last_of[replica] = end.at
+            if not found or end.at - found[-1] > MOMENT_S or end.began >= found[-1]:
+                found.append(end.at)
         return found
 
     def bodies(self) -> set[str]:
         """Return under which bodies replicas have ended, where that is told of a path."""
-        return {body_of(end) for end, at in self.ended.items() if at > self.survived_at}
+        ends = self.ended.items()
+        return {body_of(name) for name, end in ends if end.at > self.survived_at}
 
     def blocked_until(self, least_bodies: int = 1) -> float | None:
         """Return until when the request is not sent on, nothing if it is."""
@@ -115,7 +125,7 @@
 
     def forgotten_at(self) -> float:
         """Return when nothing of this has to be remembered any more."""
-        newest = max(self.ended.values(), default=-math.inf)
+        newest = max((end.at for end in self.ended.values()), default=-math.inf)
         if newest <= self.survived_at:
             return self.survived_at + SURVIVAL_KEEP_S
         return newest + KEEP_S
--- a/packages/core/calicopath_core/crashes/tests/ledger_tests.py
+++ b/packages/core/calicopath_core/crashes/tests/ledger_tests.py
@@ -22,6 +22,7 @@
     MOMENT_S,
     SAME_END_S,
     SURVIVAL_KEEP_S,
+    End,
     SuspectKey,
     name_of_end,
 )
@@ -30,15 +31,22 @@
 
 KEY = SuspectKey('c.b', 'engine')
 APART_S = 2 * MOMENT_S
+RUN_S = 5.0
 
 
 async def ended(ledger: CrashLedger, *replicas: str, key: SuspectKey = KEY) -> None:
     """Let replicas end under a request, one after the other."""
     for replica in replicas:
-        ledger.on_ended(key, name_of_end(replica, ledger.clock.wall()))
+        now = ledger.clock.monotonic()
+        ledger.on_ended(key, name_of_end(replica, ledger.clock.wall()), End(now, now - RUN_S))
         await asyncio.sleep(APART_S)
 
 
+def now_end(ledger: CrashLedger) -> End:
+    """Return an end of this moment."""
+    return End(ledger.clock.monotonic(), ledger.clock.monotonic() - RUN_S)
+
+
 class Counting(VirtualCase):
     def test_three_ends_block_and_two_do_not(self) -> None:
         async def scenario() -> None:
@@ -56,7 +64,9 @@
             await ended(ledger, 'r1', 'r1', 'r1')
             end = next(iter(ledger.suspects[KEY].ended))
             for number in range(5):
-                ledger.merge([Evidence('c.b', 'engine', {end: number / 1000}, None)], f'b{number}')
+                ledger.merge(
+                    [Evidence('c.b', 'engine', {end: (number / 1000, 1.0)}, None)], f'b{number}'
+                )
             self.assertIsNone(ledger.blocked_s('c.b', ['engine']))
 
         self.run_virtual(scenario())
@@ -76,7 +86,12 @@
     def test_an_end_that_a_box_notices_late_counts_once(self) -> None:
         async def scenario() -> None:
             ledger = new_ledger()
-            ages = {'r1@100': 2.5, 'r1@101': 1.9, 'r2@101': 1.4, 'r2@102': 0.6}
+            ages = {
+                'r1@100': (2.5, 9.0),
+                'r1@101': (1.9, 9.0),
+                'r2@101': (1.4, 9.0),
+                'r2@102': (0.6, 9.0),
+            }
             ledger.merge([Evidence('c.b', 'engine', ages, None)], 'b')
             self.assertIsNone(ledger.blocked_s('c.b', ['engine']))
 
@@ -86,11 +101,22 @@
         async def scenario() -> None:
             ledger = new_ledger()
             for number in range(6):
-                ledger.on_ended(KEY, f'r{number}')
+                ledger.on_ended(KEY, f'r{number}', now_end(ledger))
             self.assertIsNone(ledger.blocked_s('c.b', ['engine']))
 
         self.run_virtual(scenario())
 
+    def test_a_run_that_began_after_an_end_is_another_event_however_soon(self) -> None:
+        async def scenario() -> None:
+            ledger = new_ledger()
+            for number in range(3):
+                now = ledger.clock.monotonic()
+                await asyncio.sleep(MOMENT_S / 4)
+                ledger.on_ended(KEY, f'r{number}', End(ledger.clock.monotonic(), now + 1e-6))
+            self.assertIsNotNone(ledger.blocked_s('c.b', ['engine']))
+
+        self.run_virtual(scenario())
+
     def test_a_run_that_survives_clears_what_came_before_it(self) -> None:
         async def scenario() -> None:
             ledger = new_ledger()
@@ -133,11 +159,11 @@
             ledger = new_ledger()
             await ended(ledger, 'r1', 'r2', 'r3')
             for number in range(2 * MAX_SUSPECTS):
-                ledger.on_ended(SuspectKey(f'c{number}.b', 'engine'), 'r9')
+                ledger.on_ended(SuspectKey(f'c{number}.b', 'engine'), 'r9', now_end(ledger))
             self.assertEqual(MAX_SUSPECTS, len(ledger.suspects))
             self.assertIsNotNone(ledger.blocked_s('c.b', ['engine']))
             for number in range(3 * MAX_ENDED):
-                ledger.on_ended(KEY, f's{number}')
+                ledger.on_ended(KEY, f's{number}', now_end(ledger))
             self.assertEqual(MAX_ENDED, len(ledger.suspects[KEY].ended))
             await asyncio.sleep(KEEP_S + SURVIVAL_KEEP_S)
             ledger.expire()
@@ -150,10 +176,10 @@
     def test_any_order_and_any_repeats_lead_to_the_same(self) -> None:
         async def scenario() -> None:
             news = [
-                Evidence('c.b', 'engine', {'r1': 9.0}, None),
-                Evidence('c.b', 'engine', {'r2': 7.0}, 8.0),
-                Evidence('c.b', 'engine', {'r3': 5.0, 'r4': 3.0}, None),
-                Evidence('d.b', 'engine', {'r1': 9.0, 'r2': 7.0}, 6.0),
+                Evidence('c.b', 'engine', {'r1': (9.0, 9.5)}, None),
+                Evidence('c.b', 'engine', {'r2': (7.0, 9.5)}, 8.0),
+                Evidence('c.b', 'engine', {'r3': (5.0, 9.5), 'r4': (3.0, 9.5)}, None),
+                Evidence('d.b', 'engine', {'r1': (9.0, 9.5), 'r2': (7.0, 9.5)}, 6.0),
             ]
             rng = random.Random(1)
             digests, verdicts = set(), set()
@@ -201,7 +227,7 @@
     def test_own_news_are_repeated_for_a_while_in_case_they_were_lost(self) -> None:
         async def scenario() -> None:
             box, hub, sent = self.pair()
-            box.ledger.on_ended(KEY, 'r1')
+            box.ledger.on_ended(KEY, 'r1', now_end(box.ledger))
             box.report([KEY])
             sent.clear()
             await asyncio.sleep(0.4)
--- a/packages/core/calicopath_core/exchanges/context.py
+++ b/packages/core/calicopath_core/exchanges/context.py
@@ -88,6 +88,7 @@
         self.replicas: list[str] = []
         self.runs = 0
         self.sends = 0
+        self.sent_at = 0.0
         self.may_have_run = False
         self.first_byte_at: float | None = None
         self.status = 0
--- a/packages/core/calicopath_core/exchanges/messages.py
+++ b/packages/core/calicopath_core/exchanges/messages.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from calicopath_core.crashes.fate import Reach
+    from calicopath_core.backends.base import Reach
     from calicopath_core.exchanges.balancer import LoadReport
     from calicopath_core.fleet.replicas import Replica
     from calicopath_core.scheduling.messages import Prompt
--- a/packages/core/calicopath_core/exchanges/plain.py
+++ b/packages/core/calicopath_core/exchanges/plain.py
@@ -71,14 +71,16 @@
     replica: Replica,
     error: BackendError,
     *,
-    begun: bool = False,
+    answered: bool = False,
 ) -> None:
     """Find out whether a replica has ended, before the request is sent once more."""
     ran = not isinstance(error, NotStarted | WrongAnswer)
     if ran and not ticket.expired(context.clock.monotonic()):
         fate = ReplicaFate(reach=context.caller, replicas=context.replicas, replica=replica)
         contents = [ticket.content]
-        await context.crashes.on_failed(contents, ticket.service, fate, error, begun=begun)
+        await context.crashes.on_failed(
+            contents, ticket.service, fate, error, began=ticket.sent_at, answered=answered
+        )
 
 
 def choose(context: ExchangeContext, ticket: Ticket) -> Replica:
@@ -126,6 +128,7 @@
     stats.in_flight += 1
     ticket.replicas.append(replica.id)
     ticket.sends += 1
+    ticket.sent_at = begun
     limit_s = ticket.deadline_at - begun
     if ticket.route.repeatable and ticket.runs + 1 < ticket.route.max_attempts:
         limit_s = min(limit_s, max(LEAST_PATIENCE_S, PATIENCE * stats.latency_s))
--- a/packages/core/calicopath_core/exchanges/streams.py
+++ b/packages/core/calicopath_core/exchanges/streams.py
@@ -55,7 +55,7 @@
         self.splitter = EventSplitter()
         self.splitter.last_id = ticket.exchange.last_event_id
         self.begun = False
-        self.attempt_begun = False
+        self.answered = False
         self.avoided: list[str] = []
 
     async def serve(self) -> None:
@@ -78,9 +78,7 @@
                 return await self.run(job, placed, replica)
             except BackendError as error:
                 failed = not isinstance(error, Declined)
-                await note_crash(
-                    self.context, self.ticket, replica, error, begun=self.attempt_begun
-                )
+                await note_crash(self.context, self.ticket, replica, error, answered=self.answered)
                 raise
         except BackendError as error:
             self.context.observer.on_attempt_failed(
@@ -155,7 +153,8 @@
         ticket = self.ticket
         ticket.replicas.append(replica.id)
         ticket.sends += 1
-        self.attempt_begun = False
+        ticket.sent_at = self.context.clock.monotonic()
+        self.answered = False
         answer = await self.send(placed, replica)
         try:
             if answer.head.declined:
@@ -223,8 +222,8 @@
             whole = self.splitter.feed(data)
             if not whole:
                 continue
-            if not self.attempt_begun:
-                self.attempt_begun = True
+            if not self.answered:
+                self.answered = True
                 self.context.scheduler.started(job)
                 limit_s = EVENT_GAP_S if self.ticket.route.repeatable else self.left_s()
             await self.pass_on(answer, whole)
--- a/packages/core/calicopath_core/execution/attempts.py
+++ b/packages/core/calicopath_core/execution/attempts.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from calicopath_core.backends.base import MayHaveRun, NotStarted, WrongAnswer
+from calicopath_core.backends.base import ConnectionBroken, MayHaveRun, NotStarted, WrongAnswer
+from calicopath_core.crashes.fate import EndpointFate
 from calicopath_core.execution.requests import CallResult
 from calicopath_core.execution.run import Run, StageFailed
 from calicopath_core.routing.pools import NoEndpoint, NoRoom, Slot, Ticket
@@ -16,6 +17,7 @@
 
     from calicopath_core.backends.base import Backends
     from calicopath_core.clock import Clock
+    from calicopath_core.crashes.guard import CrashGuard
     from calicopath_core.execution.policy import ExecutionPolicy
     from calicopath_core.execution.requests import Observer
     from calicopath_core.limits.lag import LoopLag
@@ -43,6 +45,7 @@
     budget: RetryBudget
     observer: Observer
     lag: LoopLag
+    crashes: CrashGuard
 
 
 class StageBudget(NamedTuple):
@@ -73,6 +76,7 @@
     context: StageContext, run: Run, budget: StageBudget, tried: set[str]
 ) -> Slot:
     """Get a slot for a stage, turning a refusal into the stage's failure."""
+    check_sendable(context, run, budget)
     pool = context.pools.pool(budget.stage.service)
     ticket = Ticket(
         workspace=run.plan.workspace,
@@ -104,6 +108,31 @@
     return run.plan.digest
 
 
+def check_sendable(context: StageContext, run: Run, budget: StageBudget) -> None:
+    """Fail a stage whose endpoints have ended too often under what the request asks."""
+    wait_s = context.crashes.blocked_s(run.content, [budget.stage.service])
+    if wait_s is not None:
+        detail = f'endpoints of stage {budget.stage.name!r} end under this request'
+        raise StageFailed(FailureReason.CRASHES_ENDPOINTS, detail, retry_after_s=wait_s)
+
+
+async def note_crash(
+    context: StageContext,
+    run: Run,
+    slot: Slot,
+    service: str,
+    error: MayHaveRun,
+    *,
+    answered: bool,
+) -> None:
+    """Find out whether an endpoint has ended, before the request is sent once more."""
+    if isinstance(error, ConnectionBroken):
+        fate = EndpointFate(reach=context.backends.reach, endpoint=slot.endpoint)
+        await context.crashes.on_failed(
+            [run.content], service, fate, error, began=run.sent_at, answered=answered
+        )
+
+
 def check_time_left(context: StageContext, budget: StageBudget) -> None:
     """Fail a stage whose time is over."""
     if context.clock.monotonic() >= budget.stop_at:
@@ -139,7 +168,7 @@
         self.first_response_s: float | None = None
 
     def __enter__(self) -> CallAttempt:
-        self.run.on_sent(self.budget.stage)
+        self.run.on_sent(self.budget.stage, self.started)
         return self
 
     def __exit__(
--- a/packages/core/calicopath_core/execution/executor.py
+++ b/packages/core/calicopath_core/execution/executor.py
@@ -45,6 +45,7 @@
     FailureReason.OVERLOADED: RefusalReason.OVERLOADED,
     FailureReason.NO_ENDPOINT: RefusalReason.NO_ENDPOINT,
     FailureReason.ENDPOINT_FAILED: RefusalReason.NO_ENDPOINT,
+    FailureReason.CRASHES_ENDPOINTS: RefusalReason.CRASHES_ENDPOINTS,
     FailureReason.DEADLINE_PASSED: RefusalReason.DEADLINE_PASSED,
 }
 """How a stage's failure is called when nothing of the request ran."""
@@ -73,12 +74,22 @@
         """Refuse at the door, or run with or without a claim."""
         now = self.context.clock.monotonic()
         refused = self.door.check(run.plan, run.request.priority, now, run.request.deadline)
+        refused = refused or self.blocked(run)
         if refused is not None:
             return refused
         if run.repeatable:
             return await self.run_stages(run)
         return await self.run_claimed(run)
 
+    def blocked(self, run: Run) -> Refused | None:
+        """Return the refusal of a request under which endpoints end, or nothing."""
+        services = [stage.service for stage in run.plan.stages]
+        wait_s = self.context.crashes.blocked_s(run.content, services)
+        if wait_s is None:
+            return None
+        detail = 'endpoints end under this request; it is not sent on for now'
+        return Refused(RefusalReason.CRASHES_ENDPOINTS, detail, wait_s)
+
     async def run_claimed(self, run: Run) -> Outcome:
         """Claim the request's key, run it, and keep its answer or give the key back."""
         claimed = await self.claim(run)
--- a/packages/core/calicopath_core/execution/generation.py
+++ b/packages/core/calicopath_core/execution/generation.py
@@ -16,6 +16,7 @@
     acquire_slot,
     check_time_left,
     endpoint_failed,
+    note_crash,
 )
 from calicopath_core.structure.calls import GenerationCall, GenerationEnd, StageOutput, Token
 from calicopath_core.structure.outcomes import FailureReason, StageTiming
@@ -97,10 +98,13 @@
                 last = error
             except MayHaveRun as error:
                 last = error
+                service, answered = budget.stage.service, progress.offset > 0
+                await note_crash(self.context, run, slot, service, error, answered=answered)
                 check_time_left(self.context, budget)
                 if not self.may_continue(run, budget, progress):
                     break
             else:
+                self.context.crashes.on_survived(run.content, budget.stage.service)
                 served_s = self.context.clock.monotonic() - started - queued_s
                 timing = StageTiming(
                     budget.stage.name, slot.endpoint.name, number, queued_s, served_s
--- a/packages/core/calicopath_core/execution/run.py
+++ b/packages/core/calicopath_core/execution/run.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import hashlib
 from typing import TYPE_CHECKING
 
+from calicopath_core.crashes.suspects import content_name
 from calicopath_core.exceptions import CalicopathError
 from calicopath_core.structure.calls import CallId, StageInput
 from calicopath_core.structure.stages import StageKind
@@ -18,6 +20,9 @@
     from calicopath_core.structure.stages import Plan, StagePlan
 
 
+NAME_BYTES = 8
+
+
 class StageFailed(CalicopathError):
     """Report that a stage gave no answer and will not be tried again.
 
@@ -56,10 +61,18 @@
         self.unproved_calls = 0
         self.unproved_effects = 0
         self.attempts = 0
+        self.sent_at = 0.0
         self.first_token_at: float | None = None
         self.late_call: asyncio.Task[StageOutput] | None = None
         self.pending: dict[str, ServicePool] = {}
 
+    @property
+    def content(self) -> str:
+        """Return what names what is asked: pipeline and workspace, then the body."""
+        asked = f'{self.plan.workspace}/{self.plan.pipeline}'.encode()
+        pipeline = hashlib.blake2b(asked, digest_size=NAME_BYTES).hexdigest()
+        return content_name(pipeline, self.request.body)
+
     @property
     def repeatable(self) -> bool:
         """Tell whether the whole request may be run again."""
@@ -87,8 +100,9 @@
         self.attempts += 1
         return CallId(self.request.id, stage.name, self.attempts)
 
-    def on_sent(self, stage: StagePlan) -> None:
+    def on_sent(self, stage: StagePlan, now: float) -> None:
         """Note that a call is about to leave the box."""
+        self.sent_at = now
         self.unproved_calls += 1
         self.unproved_effects += self.single_shot(stage)
 
--- a/packages/core/calicopath_core/execution/stages.py
+++ b/packages/core/calicopath_core/execution/stages.py
@@ -14,6 +14,7 @@
     acquire_slot,
     check_time_left,
     endpoint_failed,
+    note_crash,
 )
 from calicopath_core.structure.calls import StageCall, StageOutput
 from calicopath_core.structure.outcomes import StageTiming
@@ -47,10 +48,13 @@
                 last = error
             except MayHaveRun as error:
                 last = error
+                service = budget.stage.service
+                await note_crash(self.context, run, slot, service, error, answered=False)
                 check_time_left(self.context, budget)
                 if run.single_shot(budget.stage) or not self.context.budget.take():
                     break
             else:
+                self.context.crashes.on_survived(run.content, budget.stage.service)
                 served_s = self.context.clock.monotonic() - started
                 timing = StageTiming(
                     budget.stage.name, slot.endpoint.name, number, queued_s, served_s
--- a/packages/core/calicopath_core/execution/tests/crashing_tests.py
+++ b/packages/core/calicopath_core/execution/tests/crashing_tests.py
@@ -1,8 +1,8 @@
 """Test requests that end the endpoints which run them, sent again and again at any box.
 
 The same missing memory stood here: a request was called at two endpoints at most, and the same body
-sent once more began at nothing. Without the memory twelve of twelve repeats reached endpoints: 23 ends
-of engines and 22 of rerankers, each with whatever else the endpoint was at work on.
+sent once more began at nothing. Without the memory twelve of twelve repeats reached endpoints: 23
+ends of engines and 22 of rerankers, each with whatever else the endpoint was at work on.
 """
 
 from __future__ import annotations
--- a/packages/core/calicopath_core/membership/gossip.py
+++ b/packages/core/calicopath_core/membership/gossip.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from calicopath_core.crashes.messages import CrashNews
 from calicopath_core.membership.buckets import BucketIndex
 from calicopath_core.membership.messages import (
     BadMessage,
@@ -32,6 +33,7 @@
     from collections.abc import Callable, Iterable
 
     from calicopath_core.clock import Clock
+    from calicopath_core.crashes.sharing import CrashSharing
     from calicopath_core.membership.members import MemberTable
     from calicopath_core.membership.messages import MemberInfo
     from calicopath_core.membership.transport import PeerTransport
@@ -108,6 +110,7 @@
             BucketVersions: self.on_versions,
             Want: self.on_want,
         }
+        self.crashes: CrashSharing | None = None
         self.decoder = MessageDecoder(types=self.handlers)
         view.listeners.append(self.on_updates)
         transport.listen(self.on_data)
@@ -117,6 +120,11 @@
         self.handlers[kind] = handler
         self.decoder = MessageDecoder(types=self.handlers)
 
+    def share_crashes(self, crashes: CrashSharing) -> None:
+        """Carry what boxes know of requests under which endpoints have ended."""
+        self.crashes = crashes
+        self.handle(CrashNews, crashes.on_news)
+
     def on_updates(self, updates: list[ViewUpdate]) -> None:
         """Remember what the view has newly taken in, to pass it on."""
         for update in updates:
@@ -151,6 +159,8 @@
             self.next_heartbeat = now + HEARTBEAT_S * self.rng.uniform(0.8, 1.2)
             self.members.forget_silent(now)
             self.send_heartbeats(now)
+            if self.crashes is not None:
+                self.crashes.tell_hubs()
 
     def push_fresh(self) -> None:
         """Send new objects to a few boxes."""
@@ -180,6 +190,7 @@
             ready=self.is_ready(),
             recent=dict(self.recent),
             members=self.members_told(now),
+            crashes=self.crashes.ledger.digest() if self.crashes is not None else '',
         )
         for member in chosen:
             self.send(member.info.address, heartbeat)
@@ -227,6 +238,8 @@
             self.members.on_heard(info, now, direct=False)
         if message.contact_age_s is not None:
             self.on_contact(now - message.contact_age_s)
+        if self.crashes is not None:
+            self.crashes.on_digest(message.sender.address, message.crashes)
         if message.digest == self.view.digest:
             self.agreed_with_ready_peer = self.agreed_with_ready_peer or message.ready
             return
--- a/packages/core/calicopath_core/membership/messages.py
+++ b/packages/core/calicopath_core/membership/messages.py
@@ -49,7 +49,8 @@
 
     `contact_age_s` is the time since the platform was last heard of, by the sender itself or
     through others. `recent` are the versions of objects that it took in lately, `members` a few
-    boxes that it has heard of lately.
+    boxes that it has heard of lately, `crashes` a digest of what it knows of requests under which
+    endpoints have ended.
     """
 
     sender: MemberInfo
@@ -58,6 +59,7 @@
     ready: bool
     recent: dict[str, int]
     members: list[MemberInfo]
+    crashes: str = ''
 
 
 class Push(msgspec.Struct, frozen=True, tag='p'):
--- a/packages/core/calicopath_core/scheduling/stage_calls.py
+++ b/packages/core/calicopath_core/scheduling/stage_calls.py
@@ -201,7 +201,9 @@
             if isinstance(error, ConnectionBroken):
                 fate = ReplicaFate(reach=self.caller, replicas=self.replicas, replica=replica)
                 contents = [job.place.content for job in jobs_of(batch)]
-                await self.crashes.on_failed(contents, queue.service, fate, error, begun=True)
+                await self.crashes.on_failed(
+                    contents, queue.service, fate, error, began=begun, answered=True
+                )
             self.on_call_failed(queue, batch, error, begun)
             return
         finally:
--- a/packages/daemon/calicopathd/box/box.py
+++ b/packages/daemon/calicopathd/box/box.py
@@ -8,7 +8,7 @@
 
 import structlog
 
-from calicopath_clients.calls import HttpPlainService, HttpStagePool
+from calicopath_clients.calls import HttpPlainService, HttpReach, HttpStagePool
 from calicopath_clients.engine import HttpEngine
 from calicopath_clients.platform import HttpBoxList, HttpObjectStore
 from calicopath_core.backends.base import Backends
@@ -16,6 +16,9 @@
 from calicopath_core.claims.forwarding import PeerClaims
 from calicopath_core.claims.registry import ClaimRegistry
 from calicopath_core.clock import LoopClock
+from calicopath_core.crashes.guard import CrashGuard
+from calicopath_core.crashes.ledger import CrashLedger
+from calicopath_core.crashes.sharing import CrashSharing
 from calicopath_core.execution.attempts import StageContext
 from calicopath_core.execution.door import Door
 from calicopath_core.execution.executor import PipelineExecutor
@@ -23,7 +26,7 @@
 from calicopath_core.limits.concurrency import GradientLimit
 from calicopath_core.limits.lag import LoopLag
 from calicopath_core.limits.retry import RetryBudget
-from calicopath_core.membership.gossip import Gossip
+from calicopath_core.membership.gossip import PUSH_FANOUT, Gossip
 from calicopath_core.membership.members import MemberTable
 from calicopath_core.membership.messages import MemberInfo
 from calicopath_core.membership.roles import RoleKeeper
@@ -35,6 +38,7 @@
 from calicopath_core.store.view import ConfigView, ViewUpdate
 from calicopathd import events
 from calicopathd.box.lifecycle import Lifecycle
+from calicopathd.crashlog import CrashLog
 from calicopathd.metrics import Metrics
 from calicopathd.peers.zmq_transport import ZmqTransport
 
@@ -77,10 +81,12 @@
         )
         subset = SubsetChooser(box=settings.box, failure_domain=settings.failure_domain)
         self.pools = PoolRegistry(view=self.view, subset=subset, new_pool=self.new_pool)
+        self.crashes = self.new_crashes()
         self.backends = Backends(
             engine=HttpEngine(session=session),
             pool=HttpStagePool(session=session),
             service=HttpPlainService(session=session),
+            reach=HttpReach(),
         )
         self.local_claims = self.new_local_claims()
         peers = PeerClaims(gossip=self.gossip, local=self.local_claims, clock=self.clock)
@@ -112,6 +118,26 @@
             is_ready=self.ready,
         )
 
+    def new_crashes(self) -> CrashGuard:
+        """Return what is known of requests under which endpoints end, shared with other boxes."""
+        ledger = CrashLedger(clock=self.clock, observer=CrashLog(counters=self.metrics))
+        sharing = CrashSharing(
+            clock=self.clock,
+            ledger=ledger,
+            own_address=self.gossip.members.own.address,
+            hubs=self.crash_hubs,
+            send=self.gossip.send,
+            forwards=True,
+        )
+        self.gossip.share_crashes(sharing)
+        return CrashGuard(ledger=ledger, sharing=sharing)
+
+    def crash_hubs(self) -> list[str]:
+        """Return a few boxes that are told at once, and pass it on."""
+        members = self.gossip.members
+        chosen = members.sample(PUSH_FANOUT, self.clock.monotonic(), self.rng)
+        return [member.info.address for member in chosen]
+
     def new_executor(self) -> PipelineExecutor:
         """Return the executor with the policy that the deployment chose."""
         policy = policy_for(
@@ -125,6 +151,7 @@
             budget=RetryBudget(),
             observer=self.metrics,
             lag=self.lag,
+            crashes=self.crashes,
         )
         door = Door(pools=self.pools, margin=policy.door_margin, lag=self.lag)
         claims = ClaimRegistry(
--- /dev/null
+++ b/packages/daemon/calicopathd/crashlog.py
@@ -0,0 +1,65 @@
+"""Log and count what is known of requests under which replicas have ended."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+import structlog
+
+from calicopath_core.crashes.ledger import CrashObserver
+from calicopathd import events
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from aioprometheus.collectors import Counter
+
+    from calicopath_core.crashes.ledger import Blocked
+    from calicopath_core.crashes.suspects import SuspectKey
+
+log = structlog.get_logger(__name__)
+
+
+class CrashCounters(Protocol):
+    """Count ends of replicas by request, and requests that are blocked for that."""
+
+    ends_noted: Counter
+    blocked: Counter
+
+
+class CrashLog(CrashObserver):
+    """Write one line a decision and keep the counters."""
+
+    def __init__(self, *, counters: CrashCounters) -> None:
+        self.counters = counters
+
+    def on_evidence(self, key: SuspectKey, replicas: Iterable[str], source: str) -> None:
+        """Note replicas that ended under a request."""
+        ended = sorted(replicas)
+        self.counters.ends_noted.add({'service': key.service}, len(ended))
+        events.emit(
+            log,
+            events.REPLICA_ENDED_UNDER,
+            content=key.content,
+            service=key.service,
+            replicas=ended,
+            source=source,
+        )
+
+    def on_blocked(self, blocked: Blocked, now: float) -> None:
+        """Note that a request is not sent on any more."""
+        self.counters.blocked.inc({'service': blocked.key.service})
+        events.emit(
+            log,
+            events.REQUEST_BLOCKED,
+            content=blocked.key.content,
+            service=blocked.key.service,
+            replicas=list(blocked.replicas),
+            for_s=round(blocked.until - now),
+        )
+
+    def on_let_go(self, key: SuspectKey, why: str) -> None:
+        """Note that a request is sent on again."""
+        events.emit(
+            log, events.REQUEST_LET_GO, content=key.content, service=key.service, reason=why
+        )
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -6,18 +6,14 @@
 
 import structlog
 
-from calicopath_core.crashes.ledger import CrashObserver
 from calicopath_core.exchanges.context import ExchangeObserver, failure_of
 from calicopath_core.fleet.feed import FeedObserver
 from calicopath_core.scheduling.interfaces import SchedulerObserver
 from calicopathd import events
+from calicopathd.crashlog import CrashLog
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from calicopath_core.backends.base import BackendError
-    from calicopath_core.crashes.ledger import Blocked
-    from calicopath_core.crashes.suspects import SuspectKey
     from calicopath_core.exchanges.context import RefusedExchange, Ticket
     from calicopath_core.exchanges.messages import Exchange
     from calicopath_core.fleet.evacuations import Evacuation, HeldEvacuation
@@ -29,10 +25,11 @@
 log = structlog.get_logger(__name__)
 
 
-class GatewayObserver(ExchangeObserver, FeedObserver, SchedulerObserver, CrashObserver):
+class GatewayObserver(ExchangeObserver, FeedObserver, SchedulerObserver, CrashLog):
     """Write one line a decision and keep the counters."""
 
     def __init__(self, *, metrics: GatewayMetrics) -> None:
+        super().__init__(counters=metrics)
         self.metrics = metrics
 
     def on_ended(self, ticket: Ticket, took_s: float) -> None:
@@ -93,37 +90,6 @@
         """Count a request that is not sent since replicas end under what it asks."""
         self.metrics.blocked_refused.inc({'service': ticket.service})
 
-    def on_evidence(self, key: SuspectKey, replicas: Iterable[str], source: str) -> None:
-        """Note replicas that ended under a request."""
-        ended = sorted(replicas)
-        self.metrics.ends_noted.add({'service': key.service}, len(ended))
-        events.emit(
-            log,
-            events.REPLICA_ENDED_UNDER,
-            content=key.content,
-            service=key.service,
-            replicas=ended,
-            source=source,
-        )
-
-    def on_blocked(self, blocked: Blocked, now: float) -> None:
-        """Note that a request is not sent on any more."""
-        self.metrics.blocked.inc({'service': blocked.key.service})
-        events.emit(
-            log,
-            events.REQUEST_BLOCKED,
-            content=blocked.key.content,
-            service=blocked.key.service,
-            replicas=list(blocked.replicas),
-            for_s=round(blocked.until - now),
-        )
-
-    def on_let_go(self, key: SuspectKey, why: str) -> None:
-        """Note that a request is sent on again."""
-        events.emit(
-            log, events.REQUEST_LET_GO, content=key.content, service=key.service, reason=why
-        )
-
     def on_stage_call(
         self, service: str, replica: str, pieces: list[Piece], took_s: float, outcome: str
     ) -> None:
--- a/packages/daemon/calicopathd/gateway/tests/crashing_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/crashing_tests.py
@@ -164,7 +164,7 @@
             await asyncio.sleep(0.1)
             box = fleet.boxes['box-0'].box
             content = next(iter(box.scheduler.jobs.values())).place.content
-            ages = {f'gone-{number}@1': 1.0 + number for number in range(3)}
+            ages = {f'gone-{number}@1': (1.0 + number, 9.0) for number in range(3)}
             box.ledger.merge([Evidence(content, 'engine', ages, None)], 'another')
             await asyncio.sleep(0.06)
             self.assertEqual({'crashes-replicas'}, {sink.reason for sink in sinks})
@@ -181,7 +181,7 @@
             sink = fleet.ask('box-2', POISON)
             await asyncio.sleep(0.0)
             content = next(iter(box.client.asked.values())).place.content
-            ages = {f'gone-{number}@1': 1.0 + number for number in range(3)}
+            ages = {f'gone-{number}@1': (1.0 + number, 9.0) for number in range(3)}
             box.ledger.merge([Evidence(content, 'engine', ages, None)], 'another')
             await fleet.settle()
             self.assertEqual((503, 'crashes-replicas'), (sink.status, sink.reason))
--- a/packages/daemon/calicopathd/metrics.py
+++ b/packages/daemon/calicopathd/metrics.py
@@ -53,6 +53,18 @@
             const,
             self.registry,
         )
+        self.ends_noted = Counter(
+            'calicopath_replica_ends_noted_total',
+            'Ends of endpoints, counted for each request that ran there.',
+            const,
+            self.registry,
+        )
+        self.blocked = Counter(
+            'calicopath_requests_blocked_total',
+            'Requests that are not sent on since endpoints end under them.',
+            const,
+            self.registry,
+        )
         self.state = Gauge(
             'calicopath_state', 'State of the box, by what is counted.', const, self.registry
         )
--- a/testkit/crashing.py
+++ b/testkit/crashing.py
@@ -6,8 +6,7 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from calicopath_core.backends.base import ConnectionBroken, NotStarted
-from calicopath_core.crashes.fate import Reach
+from calicopath_core.backends.base import ConnectionBroken, NotStarted, Reach
 from calicopath_core.fleet.store import RecordKind
 from testkit.gateway_replicas import FakeBody, FakeReplicas, FakeStages, FakeStream
 
--- a/testkit/fake_endpoints.py
+++ b/testkit/fake_endpoints.py
@@ -13,10 +13,12 @@
 from calicopath_core.backends.base import (
     Backends,
     ConnectionBroken,
+    EndpointReach,
     Engine,
     MayHaveRun,
     NotStarted,
     PlainService,
+    Reach,
     StagePool,
     WrongAnswer,
 )
@@ -204,7 +206,8 @@
     def backends(self, gate: Gate | None = None) -> Backends:
         """Return one box's adapters to this fleet."""
         calls = FakeCalls(fleet=self, gate=gate or Gate())
-        return Backends(engine=FakeEngine(fleet=self), pool=calls, service=calls)
+        reach = FakeReach(fleet=self)
+        return Backends(engine=FakeEngine(fleet=self), pool=calls, service=calls, reach=reach)
 
     def ran(self) -> Counter[str]:
         """Count what ran over all endpoints, by idempotency key or call."""
@@ -214,6 +217,17 @@
         return total
 
 
+class FakeReach(EndpointReach):
+    """Look whether fake endpoints are there."""
+
+    def __init__(self, *, fleet: FakeFleet) -> None:
+        self.fleet = fleet
+
+    async def reach(self, endpoint: Endpoint, watch_s: float) -> Reach:
+        """Return whether an endpoint is down."""
+        return Reach.REFUSED if self.fleet[endpoint.name].down else Reach.OPEN
+
+
 class FakeCalls(StagePool, PlainService):
     """Call fake pools and services."""
 
--- a/testkit/replay/stages.py
+++ b/testkit/replay/stages.py
@@ -6,8 +6,7 @@
 import itertools
 from typing import TYPE_CHECKING, NamedTuple
 
-from calicopath_core.backends.base import MayHaveRun, NotStarted
-from calicopath_core.crashes.fate import Reach
+from calicopath_core.backends.base import MayHaveRun, NotStarted, Reach
 from calicopath_core.scheduling.interfaces import PieceCall, PieceResult, StageCaller, StageReport
 
 if TYPE_CHECKING:
--- a/testkit/world.py
+++ b/testkit/world.py
@@ -29,6 +29,7 @@
 from calicopath_core.structure.stages import StageKind
 from testkit.fake_endpoints import FakeEndpoint, FakeFleet, Timing
 from testkit.fake_store import FakeStore, Gate, StoreState
+from testkit.ledgers import new_guard
 from testkit.virtual import WALL_START_S, VirtualClock
 
 if TYPE_CHECKING:
@@ -170,6 +171,7 @@
             budget=RetryBudget(),
             observer=NullObserver(),
             lag=self.lag,
+            crashes=new_guard(),
         )
         door = Door(pools=self.pools, margin=policy.door_margin, lag=self.lag)
         self.executor = PipelineExecutor(context=context, door=door, claims=self.claims)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -208,8 +208,8 @@
     Mutant(
         'one moment is one event',
         f'{CORE}/crashes/suspects.py',
-        'at - found[-1] > MOMENT_S',
-        'at - found[-1] >= 0.0',
+        'end.at - found[-1] > MOMENT_S',
+        'end.at - found[-1] >= 0.0',
         f'{CRASHES}::Counting',
     ),
     Mutant(
