--- a/packages/clients/calicopath_clients/http1/pool.py
+++ b/packages/clients/calicopath_clients/http1/pool.py
@@ -78,8 +78,17 @@
         self.pool.give_back(self.address, self.connection)
 
 
+def loop_time() -> float:
+    """Return the event loop's time."""
+    return asyncio.get_running_loop().time()
+
+
 class HttpPool:
-    """Make calls; `share_of` bounds the connections to a server, in use and idle ones together."""
+    """Make calls; `share_of` bounds the connections to a server, in use and idle ones together.
+
+    `now` tells the time by which idle connections grow old; one that counts suspensions keeps those
+    from being used that have died meanwhile.
+    """
 
     def __init__(
         self,
@@ -89,6 +98,7 @@
     ) -> None:
         self.connect_timeout_s = connect_timeout_s
         self.share_of = share_of
+        self.now = loop_time
         self.idle: dict[str, list[Connection]] = {}
         self.open: Counter[str] = Counter()
         self.opened = 0
@@ -125,7 +135,7 @@
 
     def take(self, address: str, idle_s: float) -> Connection | None:
         """Return an idle connection that is still good."""
-        now = asyncio.get_running_loop().time()
+        now = self.now()
         waiting = self.idle.get(address, [])
         while waiting:
             connection = waiting.pop()
@@ -189,7 +199,7 @@
         if not connection.usable:
             connection.abort()
             return
-        connection.used_at = asyncio.get_running_loop().time()
+        connection.used_at = self.now()
         waiting = self.idle.setdefault(address, [])
         waiting.append(connection)
         if len(waiting) > MAX_IDLE:
--- a/packages/core/calicopath_core/fleet/replicas.py
+++ b/packages/core/calicopath_core/fleet/replicas.py
@@ -17,7 +17,8 @@
 class Replica(NamedTuple):
     """Describe a replica: `id` is one incarnation, `address` is `host:port`.
 
-    `cold` says that it bears less than usual for some seconds, as it has last told.
+    `cold` says that it bears less than usual for some seconds, as it has last told; `born` is when
+    it was started, in milliseconds since 1970, 0 if it does not tell.
     """
 
     id: str
@@ -27,6 +28,7 @@
     slots: int
     draining: bool
     cold: bool = False
+    born: float = 0.0
 
 
 class ReplicaTable:
@@ -64,11 +66,24 @@
 
     def put(self, replica: Replica) -> None:
         """Take in a replica's entry."""
+        known = self.replicas.get(replica.id)
+        if known is not None and replica.born < known.born:
+            return
         self.leaving_at.pop(replica.id, None)
-        if self.replicas.get(replica.id) != replica:
+        if known is not None and replica.born > known.born:
+            self.end_life(replica.id)
+        if known != replica:
             self.replicas[replica.id] = replica
             self.changed()
 
+    def end_life(self, replica_id: str) -> None:
+        """Have everything forgotten that is held for a replica that has started again.
+
+        Whatever is kept by a replica's identifier goes when the table no longer holds it.
+        """
+        del self.replicas[replica_id]
+        self.publish()
+
     def remove(self, replica_id: str, now: float) -> None:
         """Take an entry's removal in: at once, or after a while if it is doubted."""
         if replica_id not in self.replicas or replica_id in self.leaving_at:
@@ -103,10 +118,16 @@
     def changed(self) -> None:
         """Index anew and tell the listeners, or do so at the end of a batch."""
         self.stale = self.batches > 0
-        if self.stale:
-            return
+        if not self.stale:
+            self.publish()
+
+    def publish(self) -> None:
+        """Index anew and tell the listeners, within a batch too."""
         self.by_service = {}
-        self.by_address = {replica.address: replica for replica in self.replicas.values()}
+        self.by_address = {}
+        for replica in self.replicas.values():
+            # The entry that was there first holds an address that another one claims.
+            self.by_address.setdefault(replica.address, replica)
         for replica in self.replicas.values():
             if self.takes_work(replica):
                 self.by_service.setdefault(replica.service, []).append(replica)
--- /dev/null
+++ b/packages/core/calicopath_core/fleet/tests/suspension_tests.py
@@ -0,0 +1,77 @@
+"""Test that time counts in which the machine was suspended."""
+
+from __future__ import annotations
+
+import asyncio
+
+from calicopath_core.clock import SUSPENDED_S, SuspensionClock
+from calicopath_core.fleet.contact import UNKNOWN
+from calicopath_core.scheduling.election import SILENT_S, BoxAddress, Election
+from calicopath_core.scheduling.messages import Pong
+from testkit.cases import VirtualCase
+
+OWN = BoxAddress('own', 'own:7', 'north', 'l', 2)
+OTHER = BoxAddress('other', 'other:7', 'north', 'l', 1)
+
+
+class Suspension(VirtualCase):
+    def test_what_the_machine_stood_still_for_counts_at_once(self) -> None:
+        async def scenario() -> None:
+            lead = [5.0]
+            clock = SuspensionClock(lead_s=lambda: lead[0])
+            for suspended_s in (0.3, 2.0, 20.0):
+                before = clock.monotonic()
+                lead[0] += suspended_s
+                self.assertAlmostEqual(before + suspended_s, clock.monotonic())
+
+        self.run_virtual(scenario())
+
+    def test_the_time_between_two_readings_is_no_suspension_and_nothing_goes_back(self) -> None:
+        async def scenario() -> None:
+            lead = [5.0]
+            clock = SuspensionClock(lead_s=lambda: lead[0])
+            for noise_s in (SUSPENDED_S / 2, -SUSPENDED_S, 0.0, 0.01):
+                lead[0] = 5.0 + noise_s
+                self.assertEqual(0.0, clock.monotonic())
+            lead[0] = 6.0
+            self.assertEqual(1.0, clock.monotonic())
+            lead[0] = 5.0
+            self.assertEqual(1.0, clock.monotonic())
+
+        self.run_virtual(scenario())
+
+    def test_a_box_that_was_suspended_takes_the_others_for_silent_until_it_hears_them(self) -> None:
+        async def scenario() -> None:
+            lead = [0.0]
+            clock = SuspensionClock(lead_s=lambda: lead[0])
+            election = Election(own=OWN)
+            election.on_listed([OWN, OTHER], clock.monotonic())
+            election.on_pong(pong(), clock.monotonic())
+            self.assertEqual(OTHER, election.scheduler(clock.monotonic()))
+            lead[0] += 3 * SILENT_S
+            self.assertFalse(election.hears('other:7', clock.monotonic()))
+            election.on_pong(pong(), clock.monotonic())
+            self.assertTrue(election.hears('other:7', clock.monotonic()))
+
+        self.run_virtual(scenario())
+
+    def test_the_machines_own_clocks_show_no_suspension_now(self) -> None:
+        async def scenario() -> None:
+            clock = SuspensionClock()
+            await asyncio.sleep(0)
+            clock.monotonic()
+            self.assertEqual(0.0, clock.suspended_s)
+
+        self.run_virtual(scenario())
+
+
+def pong() -> Pong:
+    """Return a sign of life."""
+    return Pong(
+        box='other',
+        address='other:7',
+        config_version=1,
+        contact=UNKNOWN,
+        leaving=False,
+        sequence=1,
+    )
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -10,7 +10,7 @@
 
 import structlog
 
-from calicopath_core.clock import LoopClock
+from calicopath_core.clock import SuspensionClock
 from calicopath_core.crashes.guard import CrashGuard
 from calicopath_core.crashes.keeping import BlockedKeeper
 from calicopath_core.crashes.ledger import CrashLedger
@@ -78,7 +78,7 @@
         self.settings = settings
         self.store = store
         self.observer = observer
-        self.clock = LoopClock()
+        self.clock = SuspensionClock()
         self.rng = random.Random(seed)
         self.life = f'{settings.box}-{os.urandom(4).hex()}'
         self.job_numbers = itertools.count(1)
--- a/packages/daemon/calicopathd/gateway/connection.py
+++ b/packages/daemon/calicopathd/gateway/connection.py
@@ -11,6 +11,7 @@
 from calicopathd.gateway.responder import AnswerChannel, Responder
 
 if TYPE_CHECKING:
+    from calicopath_core.clock import Clock
     from calicopathd.gateway.requests import RequestHandler
 
 STATUS_BAD_REQUEST = 400
@@ -43,8 +44,9 @@
     `closing` asks callers to close after their answer, `closing_idle` closes what rests.
     """
 
-    def __init__(self, *, handler: RequestHandler, max_connections: int) -> None:
+    def __init__(self, *, handler: RequestHandler, clock: Clock, max_connections: int) -> None:
         self.handler = handler
+        self.clock = clock
         self.max_connections = max_connections
         self.turned_away = 0
         self.connections: set[ServerConnection] = set()
@@ -127,7 +129,7 @@
 
     def on_message_begin(self) -> None:
         """Begin a request."""
-        self.incoming = Incoming(received_at=self.loop.time())
+        self.incoming = Incoming(received_at=self.server.clock.monotonic())
         if self.task is None:
             self.set_timer(self.server.handler.limits().header_s)
 
--- a/packages/daemon/calicopathd/gateway/metrics.py
+++ b/packages/daemon/calicopathd/gateway/metrics.py
@@ -43,6 +43,9 @@
         self.forged_headers = self.counter(
             'forged_headers_total', 'Headers of callers that only the system may set; dropped.'
         )
+        self.objects_bad = self.counter(
+            'objects_bad_total', 'Objects of the store that could not be understood, by kind.'
+        )
         self.store_calls = self.counter('store_calls_total', 'Calls to the store by cause.')
         self.state = Gauge(
             'calicopath_gateway_state', 'State of the box.', self.const, self.registry
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -215,6 +215,7 @@
 
     def on_bad_object(self, name: str, error: Exception) -> None:
         """Note an object that can't be understood."""
+        self.metrics.objects_bad.inc({'kind': name.partition('/')[0]})
         events.emit(log, events.OBJECT_BAD, key=name, error=str(error))
 
     def on_bad_message(self, error: str) -> None:
--- a/packages/daemon/calicopathd/gateway/requests.py
+++ b/packages/daemon/calicopathd/gateway/requests.py
@@ -11,7 +11,7 @@
 
 
 class RawRequest(NamedTuple):
-    """Hold a request as it came; `received_at` is the loop's time of its head's first byte."""
+    """Hold a request as it came; `received_at` is the box's time of its head's first byte."""
 
     method: str
     target: str
--- a/packages/daemon/calicopathd/gateway/run.py
+++ b/packages/daemon/calicopathd/gateway/run.py
@@ -62,10 +62,12 @@
         self.box = box
         self.transport = transport
         self.exchanges = HttpServer(
-            handler=exchange_handler, max_connections=box.settings.max_callers
+            handler=exchange_handler,
+            clock=box.clock,
+            max_connections=box.settings.max_callers,
         )
-        self.ready = HttpServer(handler=ready_handler)
-        self.metrics = HttpServer(handler=state_handler)
+        self.ready = HttpServer(handler=ready_handler, clock=box.clock)
+        self.metrics = HttpServer(handler=state_handler, clock=box.clock)
         self.figures = state_handler.metrics
         self.settings_file = state_handler.settings_file
         self.log_writer = log_writer
@@ -167,6 +169,7 @@
             jobs=len(box.scheduler.jobs),
             groups=box.election.groups,
             loop_lag_seconds=box.group_rule.lag.value_s,
+            suspended_seconds=box.clock.suspended_s,
             exchanges_in_progress=self.exchanges.in_progress,
             callers_connected=len(self.exchanges.connections),
             callers_turned_away=self.exchanges.turned_away,
--- a/packages/daemon/calicopathd/gateway/server.py
+++ b/packages/daemon/calicopathd/gateway/server.py
@@ -14,6 +14,7 @@
 from calicopathd.gateway.connection import ServerConnection, ServerState
 
 if TYPE_CHECKING:
+    from calicopath_core.clock import Clock
     from calicopathd.gateway.requests import RequestHandler
 
 
@@ -27,8 +28,10 @@
     Beyond `max_connections` new ones are closed unread, so that descriptors are left for the rest.
     """
 
-    def __init__(self, *, handler: RequestHandler, max_connections: int = MAX_CONNECTIONS) -> None:
-        super().__init__(handler=handler, max_connections=max_connections)
+    def __init__(
+        self, *, handler: RequestHandler, clock: Clock, max_connections: int = MAX_CONNECTIONS
+    ) -> None:
+        super().__init__(handler=handler, clock=clock, max_connections=max_connections)
         self.listener: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> int:
--- a/packages/daemon/calicopathd/gateway/tests/server_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/server_tests.py
@@ -9,6 +9,7 @@
 import testtools
 from testtools.matchers import EndsWith, StartsWith
 
+from calicopath_core.clock import LoopClock
 from calicopath_core.fleet.deployment import ClientLimits
 from calicopathd.gateway.requests import RawRequest, RequestHandler
 from calicopathd.gateway.server import HttpServer
@@ -68,7 +69,7 @@
 
         async def scenario() -> tuple[Any, Echo]:
             handler = Echo()
-            server = HttpServer(handler=handler)
+            server = HttpServer(handler=handler, clock=LoopClock())
             port = await server.start('127.0.0.1', 0)
             try:
                 return await work(server, port), handler
