--- a/packages/cli/calicopath_cli/commands/blocked.py
+++ b/packages/cli/calicopath_cli/commands/blocked.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import Any, NamedTuple
 
 import aiohttp
 
 from calicopath_cli.commands.gateways import moment
 from calicopath_cli.exceptions import CommandError
-from calicopath_cli.utils.inforce import MAX_PARALLEL, ask_box
+from calicopath_cli.utils.gateways import ask_gateways
 from calicopath_cli.utils.output import OutputFormat, print_json, print_table
 
 HEADERS = ('request', 'service', 'since', 'until', 'replicas ended', 'boxes')
@@ -31,28 +30,14 @@
 async def blocked(address: str, output: OutputFormat) -> None:
     """Ask one box for all, each for what it blocks, and show that."""
     async with aiohttp.ClientSession() as session:
-        answers = await ask_all(session, address)
-    rows = joined(answers)
+        answers = await ask_gateways(session, address, '/blocked')
+    rows = joined(list(answers.values()))
     if output is OutputFormat.JSON:
         print_json([row._asdict() for row in rows])
         return
     print_table(HEADERS, [cells(row) for row in rows])
 
 
-async def ask_all(session: aiohttp.ClientSession, address: str) -> list[Any]:
-    """Return what each box blocks, nothing for one that is silent."""
-    listed = await ask_box(session, address, '/boxes')
-    if listed is None:
-        raise CommandError(f'{address}: no box of calicopath answers there')
-    slots = asyncio.Semaphore(MAX_PARALLEL)
-
-    async def ask(item: dict[str, str]) -> Any:
-        async with slots:
-            return await ask_box(session, item['address'], '/blocked')
-
-    return await asyncio.gather(*(ask(item) for item in listed))
-
-
 def joined(answers: list[Any]) -> list[BlockedRow]:
     """Return a row a request, those blocked last first."""
     found: dict[tuple[str, str], list[dict[str, Any]]] = {}
--- a/packages/cli/calicopath_cli/commands/gateways.py
+++ b/packages/cli/calicopath_cli/commands/gateways.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 from datetime import UTC, datetime
 from typing import Any, NamedTuple
 
 import aiohttp
 
-from calicopath_cli.exceptions import CommandError
-from calicopath_cli.utils.inforce import MAX_PARALLEL, ask_box
+from calicopath_cli.utils.gateways import ask_gateways
 from calicopath_cli.utils.output import OutputFormat, print_json, print_table
 
 HEADERS = (
@@ -37,17 +35,8 @@
 async def gateways(address: str, output: OutputFormat) -> None:
     """Ask one box for all, each for its state, and show those that are behind first."""
     async with aiohttp.ClientSession() as session:
-        listed = await ask_box(session, address, '/boxes')
-        if listed is None:
-            raise CommandError(f'{address}: no box of calicopath answers there')
-        slots = asyncio.Semaphore(MAX_PARALLEL)
-
-        async def ask(item: dict[str, str]) -> Any:
-            async with slots:
-                return await ask_box(session, item['address'], '/state')
-
-        answers = await asyncio.gather(*(ask(item) for item in listed))
-    rows = judged({item['box']: answer for item, answer in zip(listed, answers, strict=True)})
+        answers = await ask_gateways(session, address, '/state')
+    rows = judged(answers)
     if output is OutputFormat.JSON:
         print_json([row._asdict() for row in rows])
         return
--- /dev/null
+++ b/packages/cli/calicopath_cli/utils/gateways.py
@@ -0,0 +1,29 @@
+"""Ask the boxes before callers, which any one of them lists."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from calicopath_cli.exceptions import CommandError
+from calicopath_cli.utils.inforce import MAX_PARALLEL, ask_box
+
+if TYPE_CHECKING:
+    import aiohttp
+
+
+async def ask_gateways(
+    session: aiohttp.ClientSession, address: str, path: str
+) -> dict[str, Any | None]:
+    """Return each box's answer by its name, nothing for one that is silent."""
+    listed = await ask_box(session, address, '/boxes')
+    if listed is None:
+        raise CommandError(f'{address}: no box of calicopath answers there')
+    slots = asyncio.Semaphore(MAX_PARALLEL)
+
+    async def ask(item: dict[str, str]) -> Any:
+        async with slots:
+            return await ask_box(session, item['address'], path)
+
+    answers = await asyncio.gather(*(ask(item) for item in listed))
+    return {item['box']: answer for item, answer in zip(listed, answers, strict=True)}
--- a/testkit/crashing_fleet.py
+++ b/testkit/crashing_fleet.py
@@ -9,14 +9,26 @@
 from calicopath_core.fleet.deployment import RouteKind, Tenant
 from calicopath_core.fleet.replicas import Replica
 from calicopath_core.fleet.store import RecordKind
+from testkit.cases import VirtualCase
 from testkit.crashing import CrashingReplicas, CrashingStages
 from testkit.gateway import GatewayFleet
 from testkit.gateway_world import KEY, ZONES, deployment, exchange, route
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from testkit.gateway_replicas import FakeSink
 
 ENGINES = 9
+POISON = '/chat/poison'
+"""What a request asks that ends engines, in most tests."""
+
+CONTACT_S = 3.0
+"""How long after the third end a request must not be sent on any more, but for what follows."""
+
+MOST_LATE = 3
+"""Sends later than that which the users' rules allow."""
+
 TENANTS = (Tenant('hire', (KEY,), None), Tenant('other', ('key-2',), None))
 
 
@@ -80,3 +92,18 @@
             sinks.append(self.ask(next(boxes), target, **changes))
             await asyncio.sleep(gap_s)
         return sinks
+
+
+class CrashingCase(VirtualCase):
+    """Run boxes before replicas that a request can end."""
+
+    def play(self, work: Callable[[CrashingFleet], Awaitable[None]]) -> None:
+        """Start a fleet, do some work with it, and stop it."""
+
+        async def scenario() -> None:
+            fleet = CrashingFleet()
+            await fleet.start()
+            await work(fleet)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -18,6 +18,8 @@
 CORE = 'packages/core/calicopath_core'
 CRASHES = f'{CORE}/crashes/tests/ledger_tests.py'
 CRASHING = 'packages/daemon/calicopathd/gateway/tests/crashing_tests.py'
+BLOCKED = 'packages/daemon/calicopathd/gateway/tests/blocked_answers_tests.py'
+KNOWN = 'packages/daemon/calicopathd/gateway/tests/blocked_known_tests.py'
 EVACUATING = 'packages/daemon/calicopathd/gateway/tests/evacuating_tests.py'
 WORKERS = 4
 
@@ -203,7 +205,7 @@
         f'{CORE}/crashes/guard.py',
         'if isinstance(error, ConnectionBroken) and await fate.has_ended():',
         'if isinstance(error, ConnectionBroken):',
-        f'{CRASHING}::Innocent',
+        f'{BLOCKED}::Innocent',
     ),
     Mutant(
         'one moment is one event',
@@ -224,7 +226,7 @@
         f'{CORE}/crashes/sharing.py',
         'if digest == self.ledger.digest():',
         'if self.ledger:',
-        f'{CRASHING}::Answered',
+        f'{BLOCKED}::Answered',
     ),
     Mutant(
         'every box knows',
@@ -245,7 +247,7 @@
         f'{CORE}/crashes/keeping.py',
         'self.sharing.report(news)',
         'self.ledger.suspects.clear()',
-        f'{CRASHING}::Known',
+        f'{KNOWN}::Known',
     ),
     Mutant(
         'those beside the cause are spared',
@@ -266,7 +268,7 @@
         f'{CORE}/exchanges/executor.py',
         '            check_sendable(self.context, ticket)',
         '            pass',
-        f'{CRASHING}::Answered',
+        f'{BLOCKED}::Answered',
     ),
     Mutant(
         'each send asks',
