Soak: replicas that start again under their name, and entries of other writers

Change: two faults drawn from a stream of their own, so that a seed's other steps stay as they were.

--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -24,6 +24,8 @@
     REPLICA_DRAINS = 'replica-drains'
     CHANGE = 'change'
     ZONE_OUT = 'zone-out'
+    REPLICA_REBORN = 'replica-reborn'
+    FOREIGN_ENTRY = 'foreign-entry'
 
 
 class LinkMode(enum.Enum):
@@ -44,10 +46,14 @@
         FaultKind.CHANGE,
         FaultKind.REPLICA_DRAINS,
         FaultKind.ZONE_OUT,
+        FaultKind.FOREIGN_ENTRY,
     }
 )
 """What is no fault but an operator's work: nothing may be cut by it."""
 
+OWN_STREAMS = frozenset({FaultKind.ZONE_OUT, FaultKind.REPLICA_REBORN, FaultKind.FOREIGN_ENTRY})
+"""What is drawn apart, so that what else a seed means stays as it was before these came."""
+
 BROKEN_LINKS = (
     LinkMode.DELAY,
     LinkMode.RESET,
@@ -63,6 +69,9 @@
 LONGEST_OUT_S = 8.0
 """The mean time between two zones taken out, and how long one is."""
 
+ENTRY_GAP_S = 2.0
+"""The mean time between two replicas that start again under their name, or foreign entries."""
+
 SERIES = 4
 """Changes of one kind that may come right after each other."""
 
@@ -85,7 +94,7 @@
 def draw(seed: int, *, seconds: float, boxes: int, replicas: int, zones: int) -> list[Step]:
     """Return the steps of a seed, in order; the same for the same arguments."""
     rng = random.Random(seed)
-    kinds = [kind for kind in FaultKind if kind is not FaultKind.ZONE_OUT]
+    kinds = [kind for kind in FaultKind if kind not in OWN_STREAMS]
     found: list[Step] = []
     at_s = 1.0
     while at_s < seconds:
@@ -104,14 +113,12 @@
             found.append(step)
         at_s += rng.expovariate(1 / GAP_S)
     found += draw_zones(seed, seconds=seconds, zones=zones)
+    found += draw_entries(seed, seconds=seconds, replicas=replicas)
     return sorted(found, key=lambda step: step.at_s)
 
 
 def draw_zones(seed: int, *, seconds: float, zones: int) -> list[Step]:
-    """Return which zones are taken out when, from a stream of its own.
-
-    What else a seed means stays as it was before zones were taken out at all.
-    """
+    """Return which zones are taken out when."""
     rng = random.Random(f'zones of {seed}')
     found: list[Step] = []
     at_s = rng.expovariate(1 / ZONE_GAP_S)
@@ -123,6 +130,20 @@
     return found
 
 
+def draw_entries(seed: int, *, seconds: float, replicas: int) -> list[Step]:
+    """Return which replicas start again under their names, and when foreign entries come."""
+    rng = random.Random(f'entries of {seed}')
+    found: list[Step] = []
+    at_s = rng.expovariate(1 / ENTRY_GAP_S)
+    while at_s < seconds:
+        kind = rng.choice((FaultKind.REPLICA_REBORN, FaultKind.FOREIGN_ENTRY))
+        target = rng.randrange(replicas)
+        for_s = rng.uniform(0.3, LONGEST_S) if kind is FaultKind.FOREIGN_ENTRY else 0.0
+        found.append(Step(round(at_s, 3), kind, target, for_s, LinkMode.PASS))
+        at_s += rng.expovariate(1 / ENTRY_GAP_S)
+    return found
+
+
 def calm(steps: list[Step], begin_s: float, end_s: float, *, own: Step | None = None) -> bool:
     """Tell whether no fault but `own` touches a span."""
     return not any(
--- a/tools/soak/tests/checks_tests.py
+++ b/tools/soak/tests/checks_tests.py
@@ -9,7 +9,7 @@
 
 from tools.soak import checks
 from tools.soak.records import EVENTS, RequestKind, Run, Seen, StopSeen, ZoneOut
-from tools.soak.schedule import FaultKind, LinkMode, Step, calm, draw
+from tools.soak.schedule import OWN_STREAMS, FaultKind, LinkMode, Step, calm, draw
 
 WHOLE = tuple(range(1, EVENTS + 1))
 FIRST_OF_57 = [(1.0, 'kill-box', 2), (1.178, 'store-silent', 3), (1.886, 'store-loses-answers', 0)]
@@ -161,7 +161,7 @@
 
     def test_taking_zones_out_leaves_what_a_seed_meant_as_it_was(self) -> None:
         steps = draw(57, seconds=20.0, boxes=4, replicas=9, zones=2)
-        others = [item for item in steps if item.kind is not FaultKind.ZONE_OUT]
+        others = [item for item in steps if item.kind not in OWN_STREAMS]
         first = [(item.at_s, item.kind.value, item.target) for item in others[:3]]
         self.assertEqual(FIRST_OF_57, first)
         self.assertGreater(len(steps), len(others))
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -13,7 +13,12 @@
 from aiohttp import web
 
 from calicopath_platform import names
-from calicopath_platform.tests.soak_replicas import SoakReplica, soak_config, soak_settings
+from calicopath_platform.tests.soak_replicas import (
+    SoakReplica,
+    foreign_spec,
+    soak_config,
+    soak_settings,
+)
 from calicopath_platform.tests.standins import StoreStandIn
 from testkit.ports import free_ports
 from tools.soak.boxes import BoxProcess
@@ -117,11 +122,11 @@
         box.path.write_text(soak_settings(f'box-{box.number}', zone, ports, store))
         box.frontend = f'127.0.0.1:{frontend}'
 
-    async def enter_replica(self, slot: Slot) -> None:
-        """Start a new incarnation and announce it."""
+    async def enter_replica(self, slot: Slot, name: str | None = None) -> None:
+        """Start a new incarnation, under a name of its own unless one is given, and announce it."""
         slot.life += 1
         slot.replica = SoakReplica(
-            name=f'i-{slot.number}-{slot.life}',
+            name=name or f'i-{slot.number}-{slot.life}',
             service=slot.service,
             zone=slot.zone,
             clock=self.now,
@@ -143,6 +148,7 @@
             'state': state,
             'warmupLeftMs': 0,
             'sequence': 1,
+            'born': slot.replica.born,
         }
         self.store.put(names.REPLICA_KIND, slot.replica.name, spec)
 
@@ -182,8 +188,10 @@
                 self.store.lose_answers = False
             case FaultKind.STORE_FORGETS:
                 self.store.history_from = self.store.revision
-            case FaultKind.REPLICA_CRASH | FaultKind.REPLICA_DRAINS:
+            case FaultKind.REPLICA_CRASH | FaultKind.REPLICA_DRAINS | FaultKind.REPLICA_REBORN:
                 await self.to_replica(step, self.slots[step.target])
+            case FaultKind.FOREIGN_ENTRY:
+                await self.write_foreign(step)
             case FaultKind.ZONE_OUT:
                 await self.take_zone_out(ZONES[step.target], step.for_s)
             case FaultKind.CHANGE:
@@ -202,6 +210,13 @@
         self.zones_out.append(ZoneOut(zone, began, self.now()))
         self.zones_out_now.discard(zone)
 
+    async def write_foreign(self, step: Step) -> None:
+        """Have another writer's entry, which names no replica, stand among the replicas'."""
+        name = f'foreign-{step.at_s}'
+        self.store.put(names.REPLICA_KIND, name, foreign_spec(step.target))
+        await asyncio.sleep(step.for_s)
+        self.store.delete(names.REPLICA_KIND, name)
+
     def zone_of(self, replica: str) -> str:
         """Return the zone of a replica, by the place in its name."""
         return ZONES[int(replica.split('-')[1]) % len(ZONES)]
@@ -233,7 +248,10 @@
             box.busy = False
 
     async def to_replica(self, step: Step, slot: Slot) -> None:
-        """Have a replica crash, or leave as announced, and another come in its place."""
+        """Have a replica crash or leave as announced, and another come in its place.
+
+        One that starts again under its name writes over its entry: nobody sees it go.
+        """
         async with slot.lock:
             assert slot.replica is not None
             name = slot.replica.name
@@ -242,6 +260,9 @@
                 self.drained[name] = self.now()
                 await asyncio.sleep(step.for_s + 2.0)
             await slot.stack.aclose()
+            if step.kind is FaultKind.REPLICA_REBORN:
+                await self.enter_replica(slot, name)
+                return
             self.store.delete(names.REPLICA_KIND, name)
             await asyncio.sleep(DOWN_S)
             await self.enter_replica(slot)
