--- a/packages/core/calicopath_core/claims/tests/claims_tests.py
+++ b/packages/core/calicopath_core/claims/tests/claims_tests.py
@@ -3,63 +3,23 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
-from typing import TYPE_CHECKING, Any
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from calicopath_core.claims.executors import (
-    ClaimPeers,
-    ForwardingExecutor,
-    GroupId,
-    GroupPlan,
-    LocalExecutor,
-)
-from calicopath_core.claims.keys import ClaimKey, InvalidKey, parse_key
-from calicopath_core.claims.registry import ClaimRegistry, Granted, Taken
+from calicopath_core.claims.keys import InvalidKey, parse_key
+from calicopath_core.claims.registry import Granted, Taken
+from calicopath_core.claims.tests.claim_case import group_value, key, link, new_registry
 from calicopath_core.store.base import StoreUnavailable
 from testkit.cases import VirtualCase
-from testkit.fake_store import FakeStore, StoreState, WriteFate
-from testkit.virtual import WALL_START_S, VirtualClock, run_virtual
+from testkit.fake_store import StoreState, WriteFate
+from testkit.virtual import WALL_START_S, run_virtual
 from testkit.world import uuid7
 
-if TYPE_CHECKING:
-    from calicopath_core.claims.operations import Op, OpResult
-
 DAY_S = 24 * 3600.0
 FATES = st.sampled_from(list(WriteFate))
 
 
-def key(number: int = 0, made_s: float = WALL_START_S) -> ClaimKey:
-    """Return a parsed key made at some time."""
-    return parse_key('towpath', 'act', uuid7(made_s, number), made_s)
-
-
-def new_registry(state: StoreState, box: str = 'a', **options: float) -> ClaimRegistry:
-    """Return one box's registry, with a single shard."""
-    numbers = itertools.count()
-    local = LocalExecutor(
-        store=FakeStore(state=state),
-        clock=VirtualClock(),
-        plan=GroupPlan(shards=1, **options),  # type: ignore[arg-type]
-    )
-    return ClaimRegistry(local=local, executor=local, new_nonce=lambda: f'{box}{next(numbers)}')
-
-
-def link(registry: ClaimRegistry) -> FakeStore:
-    """Return a registry's link to the store."""
-    store = registry.local.store
-    assert isinstance(store, FakeStore)
-    return store
-
-
-def group_value(state: StoreState, claim_key: ClaimKey) -> dict[str, Any]:
-    """Return the store's own copy of a key's group."""
-    group = GroupId(0, claim_key.time_ms // GroupPlan().slot_ms)
-    return state.objects[group.key].value
-
-
 class Keys(VirtualCase):
     def test_only_uuids_of_version_seven_are_taken(self) -> None:
         for text in ('', 'deposit-1', '6ba7b810-9dad-41d1-80b4-00c04fd430c8'):
@@ -268,81 +228,6 @@
         self.run_virtual(scenario())
 
 
-class FakePeers(ClaimPeers):
-    """Let one registry's executor own every shard, over a line that may be cut."""
-
-    def __init__(self, *, owner: LocalExecutor) -> None:
-        self.owner_executor = owner
-        self.lose_request = False
-        self.lose_reply = False
-
-    def owner(self, shard: int) -> str | None:
-        """Name the owner."""
-        return 'owner'
-
-    async def ask(self, address: str, group: GroupId, op: Op) -> OpResult:
-        """Carry the operation out over there, unless the line is cut."""
-        if not self.lose_request:
-            result = await self.owner_executor.execute(group, op)
-            if not self.lose_reply:
-                return result
-        await asyncio.sleep(3600)
-        raise AssertionError('unreachable')
-
-
-class Forwarding(VirtualCase):
-    def new_boxes(self, state: StoreState, count: int) -> tuple[list[ClaimRegistry], FakePeers]:
-        """Return boxes that all forward to one owner."""
-        owner = new_registry(state, 'owner')
-        peers = FakePeers(owner=owner.local)
-        boxes = []
-        for number in range(count):
-            box = new_registry(state, f'box{number}-')
-            box.executor = ForwardingExecutor(local=box.local, peers=peers)
-            boxes.append(box)
-        return boxes, peers
-
-    def test_claims_of_many_boxes_share_few_updates(self) -> None:
-        async def scenario() -> None:
-            state = StoreState()
-            boxes, _ = self.new_boxes(state, 20)
-
-            async def claim(number: int) -> Granted | Taken:
-                await asyncio.sleep(number * 0.005)
-                return await boxes[number % 20].claim(key(number), 'body', 1)
-
-            results = await asyncio.gather(*(claim(number) for number in range(400)))
-            self.assertTrue(all(isinstance(item, Granted) for item in results))
-            self.assertLessEqual(state.counts['write'], 2.0 / GroupPlan().write_interval_s + 2)
-
-        self.run_virtual(scenario())
-
-    def test_an_owner_that_does_not_answer_is_passed_over_without_a_double(self) -> None:
-        async def scenario() -> None:
-            for fault in ('lose_request', 'lose_reply'):
-                state = StoreState()
-                boxes, peers = self.new_boxes(state, 2)
-                setattr(peers, fault, True)
-                first = await boxes[0].claim(key(), 'body', 1)
-                second = await boxes[1].claim(key(), 'body', 1)
-                self.assertIsInstance(first, Granted)
-                self.assertIsInstance(second, Taken)
-
-        self.run_virtual(scenario())
-
-    def test_a_forwarded_claim_given_up_on_is_given_back(self) -> None:
-        async def scenario() -> None:
-            state = StoreState()
-            boxes, peers = self.new_boxes(state, 2)
-            peers.lose_reply = True
-            with self.assertRaises(StoreUnavailable):
-                await boxes[0].claim(key(), 'body', 0.1)
-            await asyncio.sleep(1)
-            self.assertEqual({}, group_value(state, key())['claims'])
-
-        self.run_virtual(scenario())
-
-
 class ClaimHistories(VirtualCase):
     @settings(derandomize=True, deadline=None, max_examples=400)
     @given(
--- /dev/null
+++ b/tools/mutants/__init__.py
@@ -0,0 +1,1 @@
+"""Check that tests fail where a mechanism is broken."""
