Sight: what replicas say of themselves in answers is read, logged and counted

Cause: two incidents turn on what a replica says in the heads of its answers: that it leaves, and for how long it wants nothing from the box that it turns away. The logs name neither (a line 604 says 'declined with 503', no line names a replica that leaves), so they can't tell whether the word was not read, not passed on to the box that places, or undone by an older entry of the store. Change: adapters decode it once into a Notice and tell a listener of every call and answer, of exchanges, stages' calls, reports and results given up alike; lines 609 to 611 and three counters, of which one counts the calls that go against what was said. Nothing is decided by it yet. Results are given up to a replica, no longer to an address. Fakes and stand-ins can say both, for each box. Ruled out: a listener in the answers' readers alone, which would miss stages' calls and reports.

--- a/packages/core/calicopath_core/exchanges/messages.py
+++ b/packages/core/calicopath_core/exchanges/messages.py
@@ -5,9 +5,12 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, NamedTuple
 
+from calicopath_core.fleet.notices import NOTHING_TOLD, Deaf, Notice
+
 if TYPE_CHECKING:
     from calicopath_core.backends.base import Reach
     from calicopath_core.exchanges.balancer import LoadReport
+    from calicopath_core.fleet.notices import ReplicaListener
     from calicopath_core.fleet.replicas import Replica
     from calicopath_core.scheduling.messages import Prompt
 
@@ -58,6 +61,7 @@
     headers: Headers
     declined: bool
     load: LoadReport | None
+    notice: Notice = NOTHING_TOLD
 
     @property
     def success(self) -> bool:
@@ -80,7 +84,9 @@
 
 
 class ReplicaReach(ABC):
-    """Look whether replicas can be reached."""
+    """Look whether replicas can be reached; `listener` learns of every call and answer."""
+
+    listener: ReplicaListener = Deaf()
 
     @abstractmethod
     async def reach(self, replica: Replica, watch_s: float) -> Reach:
--- a/packages/core/calicopath_core/scheduling/freeing.py
+++ b/packages/core/calicopath_core/scheduling/freeing.py
@@ -65,7 +65,7 @@
     async def free(self, replica: Replica, handles: list[str]) -> None:
         """Give results up; if that fails they run out by themselves."""
         try:
-            await self.caller.free(replica.address, handles)
+            await self.caller.free(replica, handles)
         except BackendError as error:
             self.observer.on_free_failed(replica.address, len(handles), error)
             return
--- a/packages/core/calicopath_core/scheduling/interfaces.py
+++ b/packages/core/calicopath_core/scheduling/interfaces.py
@@ -51,7 +51,7 @@
         """Make one call; raise `NotStarted` if it was declined, else `MayHaveRun`."""
 
     @abstractmethod
-    async def free(self, address: str, handles: list[str]) -> None:
+    async def free(self, replica: Replica, handles: list[str]) -> None:
         """Give results up; raise `BackendError`."""
 
     @abstractmethod
--- a/packages/core/calicopath_core/scheduling/tests/freeing_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/freeing_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 from unittest import mock
 
 from calicopath_core.backends.base import MayHaveRun
@@ -16,6 +17,9 @@
 from testkit.ledgers import new_guard
 from testkit.virtual import VirtualClock
 
+if TYPE_CHECKING:
+    from calicopath_core.fleet.replicas import Replica
+
 ANSWER_S = 0.02
 SIZE = 300_000
 
@@ -44,7 +48,7 @@
         """Return the bytes that count as taken some times after a result was given up."""
         caller = mock.Mock(spec=StageCaller)
 
-        async def free(address: str, handles: list[str]) -> None:
+        async def free(replica: Replica, handles: list[str]) -> None:
             await asyncio.sleep(ANSWER_S)
             if error is not None:
                 raise error
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -22,6 +22,7 @@
 from calicopath_core.fleet.deployment import DEFAULT_LIMITS, Deployment, DeploymentView
 from calicopath_core.fleet.evacuations import Evacuation, Evacuations
 from calicopath_core.fleet.feed import FeedHandler, KindFeed
+from calicopath_core.fleet.notices import ReplicaNotices
 from calicopath_core.fleet.publisher import Publisher
 from calicopath_core.fleet.relay_messages import NOTHING
 from calicopath_core.fleet.replicas import Replica, ReplicaTable
@@ -85,6 +86,11 @@
         self.leaving = False
         self.view = DeploymentView()
         self.replicas = ReplicaTable()
+        self.notices = ReplicaNotices(
+            clock=self.clock, known=lambda: self.replicas.replicas, observer=observer
+        )
+        self.replicas.listeners.append(self.notices.forget_gone)
+        exchanges.listener = stages.listener = self.notices
         self.evacuations = Evacuations(
             wall=self.clock.wall,
             on_taken_out=observer.on_zone_taken_out,
--- a/packages/daemon/calicopathd/gateway/metrics.py
+++ b/packages/daemon/calicopathd/gateway/metrics.py
@@ -32,6 +32,15 @@
         self.blocked_refused = self.counter(
             'blocked_refusals_total', 'Refusals of requests under which replicas end.'
         )
+        self.leaving = self.counter(
+            'replicas_leaving_total', 'Replicas whose answers told this box that they leave.'
+        )
+        self.backoffs = self.counter(
+            'replica_backoffs_total', 'Times that a replica wanted nothing from this box.'
+        )
+        self.calls_against = self.counter(
+            'calls_against_notice_total', 'Calls to replicas that had asked not to get them.'
+        )
         self.stage_calls = self.counter('stage_calls_total', 'Stage calls by service and result.')
         self.stage_pieces = self.counter('stage_pieces_total', 'Pieces in stage calls by service.')
         self.stage_seconds = self.histogram('stage_call_seconds', 'Time of a stage call.')
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -8,6 +8,7 @@
 
 from calicopath_core.exchanges.context import ExchangeObserver, failure_of
 from calicopath_core.fleet.feed import FeedObserver
+from calicopath_core.fleet.notices import NoticeObserver
 from calicopath_core.scheduling.interfaces import SchedulerObserver
 from calicopathd import events
 from calicopathd.crashlog import CrashLog
@@ -25,7 +26,7 @@
 log = structlog.get_logger(__name__)
 
 
-class GatewayObserver(ExchangeObserver, FeedObserver, SchedulerObserver, CrashLog):
+class GatewayObserver(ExchangeObserver, FeedObserver, NoticeObserver, SchedulerObserver, CrashLog):
     """Write one line a decision and keep the counters."""
 
     def __init__(self, *, metrics: GatewayMetrics) -> None:
@@ -90,6 +91,34 @@
         """Count a request that is not sent since replicas end under what it asks."""
         self.metrics.blocked_refused.inc({'service': ticket.service})
 
+    def on_leaving(self, replica: Replica) -> None:
+        """Note the first answer in which a replica says that it leaves."""
+        self.metrics.leaving.inc({'service': replica.service})
+        events.emit(log, events.REPLICA_LEAVING, replica=replica.id, service=replica.service)
+
+    def on_backoff(self, replica: Replica, backoff_s: float) -> None:
+        """Note a replica that wants nothing from this box for a while."""
+        self.metrics.backoffs.inc({'service': replica.service})
+        events.emit(
+            log,
+            events.REPLICA_BACKOFF,
+            replica=replica.id,
+            service=replica.service,
+            for_ms=round(backoff_s * 1000),
+        )
+
+    def on_call_against(self, replica: Replica, notice: str, since_s: float) -> None:
+        """Note a call that a replica had asked not to get."""
+        self.metrics.calls_against.inc({'service': replica.service, 'notice': notice})
+        events.emit(
+            log,
+            events.CALL_AGAINST_NOTICE,
+            replica=replica.id,
+            service=replica.service,
+            notice=notice,
+            since_ms=round(since_s * 1000),
+        )
+
     def on_stage_call(
         self, service: str, replica: str, pieces: list[Piece], took_s: float, outcome: str
     ) -> None:
--- a/testkit/gateway.py
+++ b/testkit/gateway.py
@@ -22,6 +22,7 @@
         Exchange,
     )
 
+from testkit.gateway_callers import BoxReplicas, BoxStages, Notices
 from testkit.gateway_replicas import FakeReplicas, FakeSink, FakeStages
 from testkit.gateway_store import FakeStore, FakeStoreClient
 from testkit.gateway_world import TERMS, ZONES, deployment, replicas
@@ -68,6 +69,7 @@
         self.network = FakeNetwork(seed=seed)
         self.replicas = self.new_replicas()
         self.stages = self.new_stages()
+        self.notices = Notices()
         self.boxes: dict[str, FleetBox] = {}
         self.served: list[asyncio.Task[None]] = []
         self.store.write(RecordKind.DEPLOYMENT, 'main', deployment())
@@ -91,8 +93,8 @@
             settings=settings(name, zone),
             store=client,
             transport=FakeTransport(network=self.network, address=f'{name}:7'),
-            exchanges=self.replicas,
-            stages=self.stages,
+            exchanges=BoxReplicas(replicas=self.replicas, notices=self.notices, box=name),
+            stages=BoxStages(stages=self.stages, notices=self.notices, box=name),
             observer=GatewayObserver(metrics=GatewayMetrics(box=name)),
             seed=1,
         )
--- /dev/null
+++ b/testkit/gateway_callers.py
@@ -0,0 +1,149 @@
+"""Give each box its own way to the replicas, which note from which box a call has come."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, NamedTuple
+
+from calicopath_core.backends.base import NotStarted
+from calicopath_core.exchanges.messages import AnswerHead, ReplicaCaller
+from calicopath_core.fleet.notices import NOTHING_TOLD, Notice
+from calicopath_core.scheduling.interfaces import StageCaller
+from testkit.gateway_replicas import FakeBody
+
+if TYPE_CHECKING:
+    from calicopath_core.backends.base import Reach
+    from calicopath_core.exchanges.messages import Outbound, ReplicaAnswer
+    from calicopath_core.fleet.replicas import Replica
+    from calicopath_core.scheduling.interfaces import PieceCall, PieceResult, StageReport
+    from testkit.gateway_replicas import FakeReplicas, FakeStages
+
+STATUS_UNAVAILABLE = 503
+DECLINE_S = 0.01
+
+
+class Arrival(NamedTuple):
+    """Note a call that reached a replica, from which box, and what its answer told.
+
+    Times are the loop's; `asked_at` is when the caller sent the request, for a stage's call when
+    it was sent.
+    """
+
+    box: str
+    replica: str
+    asked_at: float
+    at: float
+    notice: Notice
+
+
+class Notices:
+    """Hold what replicas say in their answers, and what reached them; shared by all boxes."""
+
+    def __init__(self) -> None:
+        self.said: dict[str, Notice] = {}
+        self.arrivals: list[Arrival] = []
+
+    def arrive(self, box: str, replica: Replica, asked_at: float) -> Notice:
+        """Note a call and return what its answer tells."""
+        notice = self.said.get(replica.id, NOTHING_TOLD)
+        now = asyncio.get_running_loop().time()
+        self.arrivals.append(Arrival(box, replica.id, asked_at, now, notice))
+        return notice
+
+    def between(self, box: str, replica: str, begin: float, end: float) -> list[Arrival]:
+        """Return what reached a replica from a box in a span."""
+        return [
+            item
+            for item in self.arrivals
+            if item.box == box and item.replica == replica and begin < item.at < end
+        ]
+
+    def late_sends(self, drain_s: float) -> list[Arrival]:
+        """Return what was asked longer than `drain_s` after a replica had told a box it leaves."""
+        told: dict[tuple[str, str], float] = {}
+        found = []
+        for item in self.arrivals:
+            key = (item.box, item.replica)
+            if item.asked_at > told.get(key, item.at) + drain_s:
+                found.append(item)
+            if item.notice.leaving:
+                told.setdefault(key, item.at)
+        return found
+
+    def sends_in_backoffs(self, slack_s: float) -> dict[tuple[str, str, float], int]:
+        """Return for each backoff how many calls came from that box in it, after some slack."""
+        found = {}
+        for item in self.arrivals:
+            if item.notice.backoff_s > slack_s:
+                span = (item.at + slack_s, item.at + item.notice.backoff_s)
+                came = self.between(item.box, item.replica, *span)
+                found[item.box, item.replica, item.at] = len(came)
+        return found
+
+
+class BoxReplicas(ReplicaCaller):
+    """Give one box the engines and plain services; one that wants a pause declines."""
+
+    def __init__(self, *, replicas: FakeReplicas, notices: Notices, box: str) -> None:
+        self.replicas = replicas
+        self.notices = notices
+        self.box = box
+
+    async def send(self, outbound: Outbound) -> ReplicaAnswer:
+        """Send a request, and tell the listener what the answer's head tells."""
+        replica = outbound.replica
+        self.listener.on_call(replica)
+        notice = self.notices.arrive(self.box, replica, outbound.exchange.received_at)
+        if notice.backoff_s:
+            self.replicas.sent.append(outbound)
+            await asyncio.sleep(DECLINE_S)
+            self.listener.on_notice(replica, notice)
+            head = AnswerHead(STATUS_UNAVAILABLE, (), True, None, notice)
+            return FakeBody(head=head, body=b'')
+        answer = await self.replicas.send(outbound)
+        self.listener.on_notice(replica, notice)
+        answer.head = answer.head._replace(notice=notice)
+        return answer
+
+    async def reach(self, replica: Replica, watch_s: float) -> Reach:
+        """Return what an attempt to connect shows."""
+        return await self.replicas.reach(replica, watch_s)
+
+
+class BoxStages(StageCaller):
+    """Give one box the replicas of stages."""
+
+    def __init__(self, *, stages: FakeStages, notices: Notices, box: str) -> None:
+        self.stages = stages
+        self.notices = notices
+        self.box = box
+
+    async def run(self, replica: Replica, calls: list[PieceCall]) -> list[PieceResult]:
+        """Make one call; its head comes when it is done."""
+        self.listener.on_call(replica)
+        now = asyncio.get_running_loop().time()
+        notice = self.notices.arrive(self.box, replica, now)
+        if notice.backoff_s:
+            await asyncio.sleep(DECLINE_S)
+            self.listener.on_notice(replica, notice)
+            raise NotStarted(f'{replica.id} declined with {STATUS_UNAVAILABLE}')
+        results = await self.stages.run(replica, calls)
+        self.listener.on_notice(replica, notice)
+        return results
+
+    async def report(self, replica: Replica) -> StageReport:
+        """Return what a replica tells of itself."""
+        self.listener.on_call(replica)
+        report = await self.stages.report(replica)
+        self.listener.on_notice(replica, self.notices.said.get(replica.id, NOTHING_TOLD))
+        return report
+
+    async def free(self, replica: Replica, handles: list[str]) -> None:
+        """Give results up."""
+        self.listener.on_call(replica)
+        await self.stages.free(replica, handles)
+        self.listener.on_notice(replica, self.notices.said.get(replica.id, NOTHING_TOLD))
+
+    async def reach(self, replica: Replica, watch_s: float) -> Reach:
+        """Return what an attempt to connect shows."""
+        return await self.stages.reach(replica, watch_s)
--- a/testkit/gateway_replicas.py
+++ b/testkit/gateway_replicas.py
@@ -90,9 +90,9 @@
         free_bytes = max(0.0, STAGE.room_bytes - held * RESULT_BYTES)
         return StageReport(free_bytes, idle=not self.at_work.get(replica.id, 0))
 
-    async def free(self, address: str, handles: list[str]) -> None:
+    async def free(self, replica: Replica, handles: list[str]) -> None:
         """Give results up."""
-        self.freed_at.append(address)
+        self.freed_at.append(replica.address)
         for handle in handles:
             self.live.pop(handle, None)
 
--- a/testkit/replay/stages.py
+++ b/testkit/replay/stages.py
@@ -147,7 +147,7 @@
         """Tell whether a maker is dead."""
         return Reach.REFUSED if self.maker(replica.id).dead else Reach.OPEN
 
-    async def free(self, address: str, handles: list[str]) -> None:
+    async def free(self, replica: Replica, handles: list[str]) -> None:
         """Give results up."""
         await asyncio.sleep(CALL_S)
         for handle in handles:
