--- /dev/null
+++ b/packages/daemon/calicopathd/gateway/tests/leaving_tests.py
@@ -0,0 +1,108 @@
+"""Test that replicas which say in an answer that they leave get nothing more.
+
+The store did not answer for 15 s, and in that time an engine began to leave. The store's entry of
+it still said that it was ready, and that was all that boxes went by: what the engine said in the
+heads of its own answers was passed on to callers and read by nobody. The box that places jobs gave
+it nine more in ten seconds, and two boxes that had been told sent it requests 7.4 s and 3.7 s
+later, where 2 s are allowed:
+
+    6.8  'feed lost' on all eight boxes, 'feed back' at 19.4 to 20.1
+    7.5  the replica says that it leaves; the store takes that at 20.7
+    9.4  a box passes on an answer of the replica that says so
+    17.7 the last of nine lines 'job placed' that name it
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from typing import TYPE_CHECKING
+
+from testkit.cases import VirtualCase
+from testkit.notice_fleet import NoticeFleet
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+DRAIN_S = 2.0
+"""How long after it has told a box a replica may still get requests from there."""
+
+GAP_S = 0.04
+
+
+class Leaving(VirtualCase):
+    def play(self, work: Callable[[NoticeFleet], Awaitable[None]]) -> NoticeFleet:
+        """Run boxes that the store does not answer, and do some work with them."""
+
+        async def scenario() -> NoticeFleet:
+            fleet = NoticeFleet()
+            await fleet.start()
+            fleet.silence_store()
+            await work(fleet)
+            await fleet.stop()
+            return fleet
+
+        return self.run_virtual(scenario())
+
+    def check_left(self, fleet: NoticeFleet) -> None:
+        """Check that replicas said that they leave, and got nothing late from boxes told so."""
+        self.assertTrue(any(item.notice.leaving for item in fleet.notices.arrivals))
+        self.assertEqual([], fleet.notices.late_sends(DRAIN_S))
+
+    def test_an_engine_that_says_so_gets_no_more_requests(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            fleet.leave('engine-4', 'engine-8')
+            await fleet.load('letter', GAP_S, for_s=6.0)
+
+        self.check_left(self.play(work))
+
+    def test_a_plain_services_replica_that_says_so_gets_no_more_requests(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            fleet.leave('desk-north', 'desk-south')
+            await fleet.load('read', GAP_S, for_s=6.0)
+
+        self.check_left(self.play(work))
+
+    def test_a_stages_replica_that_says_so_gets_no_more_calls(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            fleet.leave('look-north', 'look-south')
+            await fleet.load('draft', 0.2, for_s=6.0)
+
+        self.check_left(self.play(work))
+
+    def test_all_are_served_by_the_others(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            fleet.leave('engine-4', 'engine-8', 'look-north', 'look-south', 'desk-north')
+            kinds = itertools.cycle(('letter', 'read', 'pay', 'draft'))
+            sinks = []
+            for _ in range(100):
+                sinks += await fleet.load(next(kinds), GAP_S, for_s=GAP_S)
+            await fleet.settle()
+            self.assertEqual([], [sink.reason for sink in sinks if sink.status != 200])
+
+        self.play(work)
+
+    def test_the_stores_older_entry_does_not_take_it_back(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            fleet.leave('engine-4', 'engine-8')
+            await fleet.load('letter', GAP_S, for_s=2.0)
+            fleet.store_answers()
+            fleet.touch('engine-4')
+            await fleet.load('letter', GAP_S, for_s=4.0)
+            fleet.store.forget_history()
+            await fleet.load('letter', GAP_S, for_s=4.0)
+
+        self.check_left(self.play(work))
+
+    def test_an_entry_that_lapsed_and_is_back_does_not_take_it_back(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            fleet.leave('engine-4', 'engine-8')
+            await fleet.load('letter', GAP_S, for_s=2.0)
+            fleet.store_answers()
+            await asyncio.sleep(3.0)
+            entry = fleet.withdraw('engine-4')
+            await fleet.load('letter', GAP_S, for_s=1.0)
+            fleet.announce(entry)
+            await fleet.load('letter', GAP_S, for_s=4.0)
+
+        self.check_left(self.play(work))
