--- a/packages/clients/calicopath_clients/http1/pool.py
+++ b/packages/clients/calicopath_clients/http1/pool.py
@@ -40,6 +40,10 @@
 """Idle connections kept an address; a bound on descriptors and on a server's connections."""
 
 
+def let_go() -> None:
+    """Let a call be sent."""
+
+
 class CallHead(NamedTuple):
     """Hold the request line and headers of a call."""
 
@@ -111,14 +115,21 @@
         *,
         accepts: Callable[[Head], bool] = lambda head: True,
         fresh: bool = False,
+        check: Callable[[], None] = let_go,
     ) -> Call:
         """Send a call and return its answer's head.
 
-        Raise `NotStarted` if it was not sent, `MayHaveRun` if no answer came.
+        Raise `NotStarted` if it was not sent, `MayHaveRun` if no answer came. `check` is asked as
+        the first byte is to go, when a connection is there; what it raises leaves the call unsent.
         """
         connection = self.take(address, IDLE_S if not fresh else FRESH_IDLE_S)
         if connection is None:
             connection = await self.connect(address)
+        try:
+            check()
+        except NotStarted:
+            self.give_back(address, connection)
+            raise
         no_body = head.method == 'HEAD'
         inbound = connection.begin([encode_head(head), body], accepts, no_body=no_body)
         try:
--- a/packages/core/calicopath_core/backends/base.py
+++ b/packages/core/calicopath_core/backends/base.py
@@ -44,6 +44,19 @@
         self.retry_after_s = retry_after_s
 
 
+class Declined(NotStarted):
+    """Report that an endpoint answered that it did not run a call: it works, and is reached.
+
+    `turned_away` says that it had too much to do, not that something is wrong with the call.
+    """
+
+    def __init__(
+        self, message: str, *, turned_away: bool = False, retry_after_s: float | None = None
+    ) -> None:
+        super().__init__(message, retry_after_s=retry_after_s)
+        self.turned_away = turned_away
+
+
 class MayHaveRun(BackendError):
     """Report that a call may have run, in whole or in part."""
 
--- a/packages/core/calicopath_core/crashes/fate.py
+++ b/packages/core/calicopath_core/crashes/fate.py
@@ -65,10 +65,10 @@
         ends_at = loop.time() + LAPSE_S
         while loop.time() < ends_at:
             known = self.replicas.replicas.get(self.replica.id)
+            if self.replicas.leaves(known or self.replica):
+                return False
             if known is None:
                 return True
-            if known.draining:
-                return False
             await asyncio.sleep(LAPSE_CHECK_S)
         return False
 
--- a/packages/core/calicopath_core/crashes/messages.py
+++ b/packages/core/calicopath_core/crashes/messages.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from calicopath_core.membership.messages import News
+
 
 class Evidence(msgspec.Struct, frozen=True, array_like=True):
     """Tell how long ago which replicas ended under a request, and when it last survived.
@@ -21,15 +23,10 @@
     survived_s: float | None
 
 
-class CrashNews(msgspec.Struct, frozen=True, tag='cr'):
-    """Tell a box of requests under which replicas have ended.
-
-    `whole` says that this is all the sender shares: a box that knows more of it answers with that.
-    """
+class CrashNews(News, frozen=True, tag='cr'):
+    """Tell a box of requests under which replicas have ended."""
 
-    sender: str
     evidence: tuple[Evidence, ...]
-    whole: bool
 
 
 CRASH_MESSAGES = (CrashNews,)
--- a/packages/core/calicopath_core/crashes/tests/ledger_tests.py
+++ b/packages/core/calicopath_core/crashes/tests/ledger_tests.py
@@ -14,7 +14,7 @@
     CrashObserver,
 )
 from calicopath_core.crashes.messages import CrashNews, Evidence
-from calicopath_core.crashes.sharing import REPEAT_S, CrashSharing
+from calicopath_core.crashes.sharing import CrashSharing
 from calicopath_core.crashes.suspects import (
     BLOCK_S,
     KEEP_S,
@@ -26,6 +26,7 @@
     SuspectKey,
     name_of_end,
 )
+from calicopath_core.membership.sharing import REPEAT_S
 from testkit.cases import VirtualCase
 from testkit.ledgers import new_ledger
 
--- a/packages/core/calicopath_core/exchanges/balancer.py
+++ b/packages/core/calicopath_core/exchanges/balancer.py
@@ -10,6 +10,7 @@
     import random
     from collections.abc import Callable
 
+    from calicopath_core.fleet.gate import CallGate
     from calicopath_core.fleet.replicas import Replica, ReplicaTable
 
 FIRST_LATENCY_S = 0.05
@@ -83,11 +84,13 @@
         self,
         *,
         replicas: ReplicaTable,
+        gate: CallGate,
         zone: str,
         rng: random.Random,
         cold_rate_of: Callable[[str], float | None] = lambda service: None,
     ) -> None:
         self.replicas = replicas
+        self.gate = gate
         self.zone = zone
         self.rng = rng
         self.stats: dict[str, ReplicaStats] = {}
@@ -110,7 +113,7 @@
 
     def choose(self, service: str, tried: set[str], now: float) -> Replica | None:
         """Return the better of two replicas drawn, or of all if there are few."""
-        usable = [item for item in self.replicas.usable(service) if item.id not in tried]
+        usable = [item for item in self.gate.usable(service) if item.id not in tried]
         usable = self.cold.allowed(usable, now)
         if not usable:
             return None
--- a/packages/core/calicopath_core/exchanges/context.py
+++ b/packages/core/calicopath_core/exchanges/context.py
@@ -5,7 +5,7 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, NamedTuple
 
-from calicopath_core.backends.base import ConnectionBroken, NotStarted, WrongAnswer
+from calicopath_core.backends.base import ConnectionBroken, Declined, NotStarted, WrongAnswer
 from calicopath_core.exceptions import CalicopathError
 from calicopath_core.exchanges.content import content_of
 
@@ -18,6 +18,8 @@
     from calicopath_core.exchanges.budget import Budgets
     from calicopath_core.exchanges.messages import Exchange, ReplicaCaller
     from calicopath_core.fleet.deployment import Deployment, DeploymentView, Route
+    from calicopath_core.fleet.gate import CallGate
+    from calicopath_core.fleet.notices import Bar
     from calicopath_core.fleet.replicas import ReplicaTable
     from calicopath_core.scheduling.client import SchedulerClient
     from calicopath_core.scheduling.election import Election
@@ -46,10 +48,6 @@
         self.retry_after_s = retry_after_s
 
 
-class Declined(NotStarted):
-    """Report that a replica answered that it did not run the request: it works, and is reached."""
-
-
 def failure_of(error: Exception) -> str:
     """Return in one word how an attempt failed, for logs and figures."""
     if isinstance(error, ConnectionBroken):
@@ -86,6 +84,7 @@
         self.priority = priority
         self.deadline_at = deadline_at
         self.replicas: list[str] = []
+        self.passed_over: list[str] = []
         self.runs = 0
         self.sends = 0
         self.sent_at = 0.0
@@ -95,11 +94,6 @@
         self.outcome = ''
         self.detail = ''
 
-    @property
-    def tried(self) -> set[str]:
-        """Return the replicas that were sent the request."""
-        return set(self.replicas)
-
     def expired(self, now: float) -> bool:
         """Tell whether the time to answer is over."""
         return now >= self.deadline_at - TIMER_SLACK_S
@@ -109,6 +103,22 @@
         """Return the services that the request needs: those of its stages, then its own."""
         return (*(phase.service for phase in self.route.phases), self.service)
 
+    def on_send(self, replica: str, now: float) -> None:
+        """Note that the request goes to a replica."""
+        self.replicas.append(replica)
+        self.sends += 1
+        self.sent_at = now
+
+    def on_unsent(self) -> None:
+        """Note that it did not go there after all."""
+        self.replicas.pop()
+        self.sends -= 1
+
+    @property
+    def left_out(self) -> set[str]:
+        """Return the replicas that are not chosen for it any more."""
+        return {*self.replicas, *self.passed_over}
+
     def may_send_again(self) -> bool:
         """Tell whether the request may run on one more replica."""
         if self.may_have_run and not self.route.repeatable:
@@ -133,6 +143,10 @@
     ) -> None:
         """Note an attempt that gave no whole answer, and the time that was left."""
 
+    @abstractmethod
+    def on_passed_over(self, ticket: Ticket, replica: str, bar: Bar) -> None:
+        """Note a replica that was chosen for a request and must not get it."""
+
     @abstractmethod
     def on_blocked_refused(self, ticket: Ticket) -> None:
         """Note a request that is not sent since replicas end under what it asks."""
@@ -162,6 +176,7 @@
     clock: Clock
     view: DeploymentView
     replicas: ReplicaTable
+    gate: CallGate
     balancer: Balancer
     budgets: Budgets
     election: Election
--- a/packages/core/calicopath_core/exchanges/messages.py
+++ b/packages/core/calicopath_core/exchanges/messages.py
@@ -14,6 +14,9 @@
     from calicopath_core.fleet.replicas import Replica
     from calicopath_core.scheduling.messages import Prompt
 
+STATUSES_OF_LOAD = (429, 503)
+"""With what a replica declines that has too much to do."""
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -63,6 +66,11 @@
     load: LoadReport | None
     notice: Notice = NOTHING_TOLD
 
+    @property
+    def turned_away(self) -> bool:
+        """Tell whether the replica declined since it has too much to do."""
+        return self.declined and self.status in STATUSES_OF_LOAD
+
     @property
     def success(self) -> bool:
         """Tell whether the status is 2xx."""
--- a/packages/core/calicopath_core/exchanges/plain.py
+++ b/packages/core/calicopath_core/exchanges/plain.py
@@ -5,18 +5,24 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from calicopath_core.backends.base import BackendError, MayHaveRun, NotStarted, WrongAnswer
+from calicopath_core.backends.base import (
+    BackendError,
+    Declined,
+    MayHaveRun,
+    NotStarted,
+    WrongAnswer,
+)
 from calicopath_core.crashes.fate import ReplicaFate
 from calicopath_core.exchanges.context import (
     RETRY_SOON_S,
     STATUS_BAD_GATEWAY,
     STATUS_GATEWAY_TIMEOUT,
     STATUS_UNAVAILABLE,
-    Declined,
     RefusedExchange,
     check_sendable,
 )
 from calicopath_core.exchanges.messages import Outbound
+from calicopath_core.fleet.notices import Barred
 
 if TYPE_CHECKING:
     from calicopath_core.exchanges.context import ExchangeContext, Ticket
@@ -49,6 +55,11 @@
         replica = choose(context, ticket)
         try:
             answer = await attempt(context, ticket, replica)
+        except Barred as error:
+            ticket.on_unsent()
+            ticket.passed_over.append(replica.id)
+            context.observer.on_passed_over(ticket, replica.id, error.bar)
+            continue
         except BackendError as error:
             left_s = ticket.deadline_at - context.clock.monotonic()
             context.observer.on_attempt_failed(ticket, replica.id, error, left_s)
@@ -86,22 +97,26 @@
 def choose(context: ExchangeContext, ticket: Ticket) -> Replica:
     """Return the replica to try next; raise `RefusedExchange` if there is none."""
     now = context.clock.monotonic()
-    replica = context.balancer.choose(ticket.service, ticket.tried, now)
+    replica = context.balancer.choose(ticket.service, ticket.left_out, now)
     if replica is not None:
         return replica
     if ticket.may_have_run:
         raise RefusedExchange(STATUS_BAD_GATEWAY, 'no-other-endpoint')
-    raise RefusedExchange(STATUS_UNAVAILABLE, 'no-endpoint', retry_after_s=RETRY_SOON_S)
+    raise RefusedExchange(
+        STATUS_UNAVAILABLE, 'no-endpoint', retry_after_s=return_s(context, ticket)
+    )
+
+
+def return_s(context: ExchangeContext, ticket: Ticket) -> float:
+    """Return when a caller may come back: not before the first replica that may be called."""
+    return max(RETRY_SOON_S, context.gate.first_back_s(ticket.service))
 
 
 def may_repeat(context: ExchangeContext, ticket: Ticket) -> bool:
     """Tell whether a request that ran may be sent once more, and take it from the budget."""
     if ticket.sends >= MAX_SENDS or not ticket.may_send_again():
         return False
-    others = [
-        item for item in context.replicas.usable(ticket.service) if item.id not in ticket.tried
-    ]
-    if not others:
+    if all(item.id in ticket.left_out for item in context.gate.usable(ticket.service)):
         return False
     now = context.clock.monotonic()
     return context.budgets.of(ticket.service).take(now, context.election.boxes_sharing())
@@ -117,7 +132,7 @@
             raise RefusedExchange(STATUS_GATEWAY_TIMEOUT, 'deadline-passed') from error
         raise RefusedExchange(STATUS_BAD_GATEWAY, 'endpoint-failed') from error
     raise RefusedExchange(
-        STATUS_UNAVAILABLE, 'endpoints-declined', retry_after_s=RETRY_SOON_S
+        STATUS_UNAVAILABLE, 'endpoints-declined', retry_after_s=return_s(context, ticket)
     ) from error
 
 
@@ -126,9 +141,7 @@
     begun = context.clock.monotonic()
     stats = context.balancer.of(replica)
     stats.in_flight += 1
-    ticket.replicas.append(replica.id)
-    ticket.sends += 1
-    ticket.sent_at = begun
+    ticket.on_send(replica.id, begun)
     limit_s = ticket.deadline_at - begun
     if ticket.route.repeatable and ticket.runs + 1 < ticket.route.max_attempts:
         limit_s = min(limit_s, max(LEAST_PATIENCE_S, PATIENCE * stats.latency_s))
@@ -140,6 +153,8 @@
         ticket.runs += 1
         stats.on_failure(context.clock.monotonic())
         raise MayHaveRun(f'{replica.id} did not answer within {limit_s:.3f} s') from error
+    except Barred:
+        raise
     except NotStarted:
         stats.on_failure(context.clock.monotonic())
         raise
@@ -181,7 +196,8 @@
     finally:
         answer.close()
     if answer.head.declined:
-        raise Declined(f'{replica.id} declined with {answer.head.status}')
+        text = f'{replica.id} declined with {answer.head.status}'
+        raise Declined(text, turned_away=answer.head.turned_away)
     return WholeAnswer(head=answer.head, body=body)
 
 
--- a/packages/core/calicopath_core/exchanges/streams.py
+++ b/packages/core/calicopath_core/exchanges/streams.py
@@ -5,19 +5,19 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from calicopath_core.backends.base import BackendError, MayHaveRun, NotStarted
+from calicopath_core.backends.base import BackendError, Declined, MayHaveRun, NotStarted
 from calicopath_core.exchanges.context import (
     RETRY_SOON_S,
     STATUS_BAD_GATEWAY,
     STATUS_GATEWAY_TIMEOUT,
     STATUS_UNAVAILABLE,
-    Declined,
     RefusedExchange,
     check_sendable,
 )
 from calicopath_core.exchanges.events import EventSplitter
 from calicopath_core.exchanges.messages import Outbound
 from calicopath_core.exchanges.plain import note_crash, read_all
+from calicopath_core.fleet.notices import Bar, Barred
 from calicopath_core.scheduling.client import PlacementRejected
 from calicopath_core.scheduling.messages import PhaseWork, Place, Prompt
 
@@ -30,8 +30,9 @@
 MAX_SENDS = 4
 """Engines that one request may be sent to, those counted that declined it."""
 
-MAX_AVOIDED = 4
-"""Engines that were chosen for one request although they are leaving, before it is refused."""
+MAX_PASSED_OVER = 4
+"""Engines that were chosen for one request although this box must not call them, before it is
+refused. Each question names those that it knows of, so that it takes as many surprises."""
 
 FIRST_EVENT_S = 2.0
 COST_FACTOR = 3.0
@@ -56,7 +57,6 @@
         self.splitter.last_id = ticket.exchange.last_event_id
         self.begun = False
         self.answered = False
-        self.avoided: list[str] = []
 
     async def serve(self) -> None:
         """Place and run the stream until it is whole or can't be gone on with."""
@@ -66,18 +66,23 @@
     async def attempt(self) -> bool:
         """Place the request once and run it there; say whether the exchange is over."""
         job = self.context.new_job()
-        failed = False
+        failed = turned_away = False
         try:
             placed = await self.place(job)
             replica = self.context.replicas.replicas.get(placed.replica)
-            if replica is None or not self.context.replicas.takes_work(replica):
-                # The scheduler's list is older than ours; nothing was sent.
-                return self.pass_over(placed)
+            bar = Bar.GONE if replica is None else self.context.gate.bar_of(replica)
+            if replica is None or bar is not None:
+                # This box knows of the replica what the scheduler did not; nothing was sent.
+                return self.pass_over(placed, bar or Bar.GONE)
             check_sendable(self.context, self.ticket)
             try:
                 return await self.run(job, placed, replica)
+            except Barred as error:
+                self.ticket.on_unsent()
+                return self.pass_over(placed, error.bar)
             except BackendError as error:
                 failed = not isinstance(error, Declined)
+                turned_away = isinstance(error, Declined) and error.turned_away
                 await note_crash(self.context, self.ticket, replica, error, answered=self.answered)
                 raise
         except BackendError as error:
@@ -87,12 +92,13 @@
             self.check_again(error)
             return False
         finally:
-            self.context.scheduler.ended(job, failed=failed)
+            self.context.scheduler.ended(job, failed=failed, turned_away=turned_away)
 
-    def pass_over(self, placed: Placed) -> bool:
+    def pass_over(self, placed: Placed, bar: Bar) -> bool:
         """Have another engine chosen, unless that went wrong too often."""
-        self.avoided.append(placed.replica)
-        if len(self.avoided) > MAX_AVOIDED:
+        self.context.observer.on_passed_over(self.ticket, placed.replica, bar)
+        self.ticket.passed_over.append(placed.replica)
+        if len(self.ticket.passed_over) > MAX_PASSED_OVER:
             raise self.refusal('no-endpoint', None)
         return False
 
@@ -138,10 +144,12 @@
             service=ticket.service,
             phases=phases,
             prompt=exchange.prompt or Prompt('', (), 0, 0),
-            exclude=(*ticket.replicas, *self.avoided),
+            exclude=(*ticket.replicas, *ticket.passed_over),
             resumed=bool(ticket.replicas),
             workspace=ticket.tenant or '',
             content=ticket.content,
+            backoffs=self.context.gate.backoffs_of(ticket.service),
+            may_have_run=ticket.may_have_run,
         )
 
     def left_s(self) -> float:
@@ -151,14 +159,13 @@
     async def run(self, job: str, placed: Placed, replica: Replica) -> bool:
         """Send the request to an engine and pass its events on; say whether it is over."""
         ticket = self.ticket
-        ticket.replicas.append(replica.id)
-        ticket.sends += 1
-        ticket.sent_at = self.context.clock.monotonic()
+        ticket.on_send(replica.id, self.context.clock.monotonic())
         self.answered = False
         answer = await self.send(placed, replica)
         try:
             if answer.head.declined:
-                raise Declined(f'{replica.id} declined with {answer.head.status}')
+                text = f'{replica.id} declined with {answer.head.status}'
+                raise Declined(text, turned_away=answer.head.turned_away)
             ticket.may_have_run = True
             ticket.runs += 1
             if not answer.head.success:
--- a/packages/core/calicopath_core/exchanges/tests/cold_tests.py
+++ b/packages/core/calicopath_core/exchanges/tests/cold_tests.py
@@ -8,6 +8,7 @@
 
 from calicopath_core.exchanges.balancer import Balancer
 from calicopath_core.fleet.replicas import Replica, ReplicaTable
+from testkit.gates import new_gate
 
 PER_S = 6.7
 MOST_A_SECOND = 15
@@ -27,6 +28,7 @@
     """Return a box's balancer."""
     return Balancer(
         replicas=replicas,
+        gate=new_gate(replicas),
         zone='a',
         rng=random.Random(seed),
         cold_rate_of=lambda service: rate,
--- a/packages/core/calicopath_core/exchanges/tests/parts_tests.py
+++ b/packages/core/calicopath_core/exchanges/tests/parts_tests.py
@@ -13,6 +13,7 @@
 from calicopath_core.exchanges.budget import CAUTION, BudgetTerms, WindowBudget
 from calicopath_core.exchanges.events import MAX_EVENT_BYTES, EventSplitter
 from calicopath_core.fleet.replicas import Replica, ReplicaTable
+from testkit.gates import new_gate
 
 EVENTS = b''.join(b'id: %d\r\ndata: a\r\n\r\nid: %d\ndata: b\n\n' % (n, n + 1) for n in (1, 3, 5))
 
@@ -63,7 +64,9 @@
         self.near = Replica('near', 's', 'a:1', 'here', 4, False)
         self.far = Replica('far', 's', 'b:1', 'there', 4, False)
         self.table.replace([self.near, self.far], 0.0)
-        self.balancer = Balancer(replicas=self.table, zone='here', rng=random.Random(1))
+        self.balancer = Balancer(
+            replicas=self.table, gate=new_gate(self.table), zone='here', rng=random.Random(1)
+        )
 
     def chosen(self, now: float = 0.0) -> str:
         """Return the replica chosen."""
--- /dev/null
+++ b/packages/core/calicopath_core/fleet/gate.py
@@ -0,0 +1,92 @@
+"""Let calls to replicas go, or hold them back: the one place that all calls of a box pass.
+
+Who chooses replicas leaves out those that are barred; between the choice and the first byte a
+connection may have to be opened, and another answer may come.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from calicopath_core.fleet.notices import Bar, Barred, ReplicaListener
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from calicopath_core.fleet.backoffs import Backoffs
+    from calicopath_core.fleet.leaving import LeavingReplicas
+    from calicopath_core.fleet.notices import Notice, NoticeObserver
+    from calicopath_core.fleet.replicas import Replica, ReplicaTable
+
+
+class CallGate(ReplicaListener):
+    """Know by which orders a replica must not be called from this box.
+
+    `on_leaving` is told of replicas that this box is the first to hear of, `on_backoff` of each
+    wish to be left alone.
+    """
+
+    def __init__(
+        self,
+        *,
+        replicas: ReplicaTable,
+        leaving: LeavingReplicas,
+        backoffs: Backoffs,
+        observer: NoticeObserver,
+        on_leaving: Callable[[str], None],
+        on_backoff: Callable[[Replica], None],
+    ) -> None:
+        self.replicas = replicas
+        self.leaving = leaving
+        self.backoffs = backoffs
+        self.observer = observer
+        self.on_leaving = on_leaving
+        self.on_backoff = on_backoff
+
+    def bar_of(self, replica: Replica) -> Bar | None:
+        """Return why a replica gets no new work from this box."""
+        bar = self.replicas.bar_of(replica)
+        if bar is None and self.backoffs.left_s(replica) > 0:
+            return Bar.BACKOFF
+        return bar
+
+    def usable(self, service: str) -> list[Replica]:
+        """Return the replicas of a service that may be called now."""
+        found = self.replicas.usable(service)
+        if not self.backoffs.held:
+            return found
+        return [item for item in found if self.backoffs.left_s(item) <= 0]
+
+    def backoffs_of(self, service: str) -> dict[str, float]:
+        """Return the replicas of a service that want nothing from this box, for how long yet."""
+        return self.backoffs.left_of(self.replicas.usable(service))
+
+    def first_back_s(self, service: str) -> float:
+        """Return when the first replica of a service may be called, 0 if one may or none will."""
+        return self.backoffs.first_back_s(self.replicas.usable(service))
+
+    def check_call(self, replica: Replica, *, new_work: bool) -> None:
+        """Raise `Barred` if a call must not be sent now.
+
+        One that leaves may still be asked for its state, and have results given up.
+        """
+        bar = self.bar_of(replica)
+        if bar is not None and (new_work or bar is Bar.BACKOFF):
+            self.observer.on_held_back(replica, bar)
+            raise Barred(replica, bar)
+        self.backoffs.on_sent(replica)
+
+    def on_notice(self, replica: Replica, notice: Notice) -> None:
+        """Keep what a replica's answer tells."""
+        if notice.leaving and self.leaving.note(replica.id, replica.born):
+            self.on_leaving(replica.id)
+        if notice.backoff_s > 0:
+            self.backoffs.note(replica, notice.backoff_s)
+            self.on_backoff(replica)
+        else:
+            self.backoffs.on_accepted(replica)
+
+    def expire(self) -> None:
+        """Forget what is old."""
+        self.backoffs.expire()
+        self.leaving.expire(self.replicas.replicas)
--- /dev/null
+++ b/packages/core/calicopath_core/fleet/leaving_sharing.py
@@ -0,0 +1,90 @@
+"""Have every box know which replicas have said that they leave."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from calicopath_core.membership.messages import News
+from calicopath_core.membership.sharing import NewsSharing
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from calicopath_core.clock import Clock
+    from calicopath_core.fleet.leaving import LeavingReplicas
+
+MAX_WORDS_TOLD = 200
+"""Words told in one message, the latest ones: 6 KB. A whole zone that leaves while the store is
+away is more; what is left over each box hears from the replicas themselves."""
+
+
+class LeavingWord(msgspec.Struct, frozen=True, array_like=True):
+    """Tell that a life of a replica leaves, and how many seconds ago that was heard."""
+
+    replica: str
+    born: float
+    age_s: float
+
+
+class LeavingNews(News, frozen=True, tag='lv'):
+    """Tell a box of replicas that have said in answers that they leave."""
+
+    words: tuple[LeavingWord, ...]
+
+
+class LeavingSharing(NewsSharing[str, LeavingNews]):
+    """Exchange which replicas leave."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        leaving: LeavingReplicas,
+        own_address: str,
+        hubs: Callable[[], Iterable[str]],
+        send: Callable[[str, msgspec.Struct], None],
+    ) -> None:
+        super().__init__(clock=clock, own_address=own_address, hubs=hubs, send=send)
+        self.leaving = leaving
+
+    def digest(self) -> str:
+        """Return what is alike at boxes that share the same words."""
+        return self.leaving.digest()
+
+    def holds(self, key: str) -> bool:
+        """Tell whether a replica's word is kept."""
+        return key in self.leaving.words
+
+    def news_of(self, keys: Iterable[str]) -> LeavingNews:
+        """Return the words of some replicas."""
+        return self.message(keys, whole=False)
+
+    def everything(self, *, whole: bool) -> LeavingNews:
+        """Return all words that are shared."""
+        return self.message(self.leaving.shared(), whole=whole)
+
+    def message(self, names: Iterable[str], *, whole: bool) -> LeavingNews:
+        """Return the latest words of some replicas."""
+        now, held = self.clock.monotonic(), self.leaving.words
+        words = [LeavingWord(name, held[name].born, now - held[name].at) for name in names]
+        words.sort(key=lambda word: word.age_s)
+        return LeavingNews(
+            sender=self.own_address, whole=whole, words=tuple(words[:MAX_WORDS_TOLD])
+        )
+
+    def merge(self, news: LeavingNews) -> list[str]:
+        """Join another box's words; return which were news."""
+        return [
+            word.replica
+            for word in news.words
+            if self.leaving.note(word.replica, word.born, word.age_s, news.sender)
+        ]
+
+    def lacks(self, news: LeavingNews) -> bool:
+        """Tell whether this box shares a word that is not in another's news."""
+        return not {word.replica for word in news.words}.issuperset(self.leaving.shared())
+
+
+LEAVING_MESSAGES = (LeavingNews,)
--- a/packages/core/calicopath_core/fleet/notices.py
+++ b/packages/core/calicopath_core/fleet/notices.py
@@ -1,17 +1,17 @@
-"""Hold what replicas have told this box of themselves in the heads of their answers.
+"""Define what replicas tell of themselves in the heads of their answers, and who listens.
 
 It is the earliest word of a replica that leaves, and the only one while the store is away.
 """
 
 from __future__ import annotations
 
+import enum
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, NamedTuple
 
-if TYPE_CHECKING:
-    from collections.abc import Callable, Container
+from calicopath_core.backends.base import NotStarted
 
-    from calicopath_core.clock import Clock
+if TYPE_CHECKING:
     from calicopath_core.fleet.replicas import Replica
 
 
@@ -29,12 +29,33 @@
 NOTHING_TOLD = Notice()
 
 
+class Bar(enum.Enum):
+    """Say why a replica must not be called: an order, which holds even if nobody else is left.
+
+    What is only slow, failing or far is passed over while there is another, and is no bar.
+    """
+
+    GONE = 'gone'
+    DRAINING = 'draining'
+    TAKEN_OUT = 'taken-out'
+    LEAVING = 'leaving'
+    BACKOFF = 'backoff'
+
+
+class Barred(NotStarted):
+    """Report that a call was not sent since its replica must not get it."""
+
+    def __init__(self, replica: Replica, bar: Bar) -> None:
+        super().__init__(f'{replica.id} must not be called: {bar.value}')
+        self.bar = bar
+
+
 class ReplicaListener(ABC):
-    """Learn of each call to a replica, and of what its answer tells; adapters tell of all calls."""
+    """Have the last word before each call to a replica, and learn what each answer tells."""
 
     @abstractmethod
-    def on_call(self, replica: Replica) -> None:
-        """Note that a call is sent to a replica."""
+    def check_call(self, replica: Replica, *, new_work: bool) -> None:
+        """Raise `Barred` if a call must not be sent now; asked as its first byte is to go."""
 
     @abstractmethod
     def on_notice(self, replica: Replica, notice: Notice) -> None:
@@ -42,82 +63,30 @@
 
 
 class Deaf(ReplicaListener):
-    """Listen to nothing."""
+    """Bar nothing and listen to nothing."""
 
-    def on_call(self, replica: Replica) -> None:
-        """Note nothing."""
+    def check_call(self, replica: Replica, *, new_work: bool) -> None:
+        """Let a call go."""
 
     def on_notice(self, replica: Replica, notice: Notice) -> None:
         """Note nothing."""
 
 
 class NoticeObserver(ABC):
-    """Learn of what replicas have told."""
+    """Learn of what replicas have told, and what follows from it."""
 
     @abstractmethod
-    def on_leaving(self, replica: Replica) -> None:
-        """Note the first answer in which a replica says that it leaves."""
+    def on_leaving(self, replica: str, source: str) -> None:
+        """Note that a replica says that it leaves; `source` is `own` or the box that told."""
 
     @abstractmethod
     def on_backoff(self, replica: Replica, backoff_s: float) -> None:
         """Note a replica that wants nothing from this box for a while."""
 
     @abstractmethod
-    def on_call_against(self, replica: Replica, notice: str, since_s: float) -> None:
-        """Note a call that a replica had asked not to get, and how long before."""
-
-
-class Backoff(NamedTuple):
-    """Hold since when and until when a replica wants nothing, in monotonic seconds."""
-
-    since: float
-    until: float
-
+    def on_backoff_ended(self, replica: str, held_s: float, turned_away: int) -> None:
+        """Note that a replica may be called again, and how many calls it had turned away."""
 
-class ReplicaNotices(ReplicaListener):
-    """Hold by replica what was told, as long as the replica is `known`."""
-
-    def __init__(
-        self, *, clock: Clock, known: Callable[[], Container[str]], observer: NoticeObserver
-    ) -> None:
-        self.clock = clock
-        self.known = known
-        self.observer = observer
-        self.leaving: dict[str, float] = {}
-        self.backoffs: dict[str, Backoff] = {}
-
-    def on_call(self, replica: Replica) -> None:
-        """Tell of a call that goes against what its replica has said."""
-        now = self.clock.monotonic()
-        said_at = self.leaving.get(replica.id)
-        if said_at is not None:
-            self.observer.on_call_against(replica, 'leaving', now - said_at)
-        backoff = self.backoffs.get(replica.id)
-        if backoff is not None and now < backoff.until:
-            self.observer.on_call_against(replica, 'backoff', now - backoff.since)
-
-    def on_notice(self, replica: Replica, notice: Notice) -> None:
-        """Keep what a replica's answer tells."""
-        now = self.clock.monotonic()
-        if notice.leaving and replica.id not in self.leaving:
-            self.leaving[replica.id] = now
-            self.observer.on_leaving(replica)
-        if notice.backoff_s > 0:
-            self.note_backoff(replica, now, now + notice.backoff_s)
-
-    def note_backoff(self, replica: Replica, now: float, until: float) -> None:
-        """Keep until when a replica wants nothing; the longest wish holds."""
-        held = self.backoffs.get(replica.id)
-        if held is None or held.until <= now:
-            self.backoffs[replica.id] = Backoff(now, until)
-            self.observer.on_backoff(replica, until - now)
-        elif until > held.until:
-            self.backoffs[replica.id] = held._replace(until=until)
-
-    def forget_gone(self) -> None:
-        """Forget replicas that are gone, and wishes whose time is over."""
-        known, now = self.known(), self.clock.monotonic()
-        self.leaving = {name: at for name, at in self.leaving.items() if name in known}
-        self.backoffs = {
-            name: item for name, item in self.backoffs.items() if name in known and item.until > now
-        }
+    @abstractmethod
+    def on_held_back(self, replica: Replica, bar: Bar) -> None:
+        """Note a call that was chosen and not sent."""
--- a/packages/core/calicopath_core/fleet/replicas.py
+++ b/packages/core/calicopath_core/fleet/replicas.py
@@ -5,9 +5,13 @@
 import contextlib
 from typing import TYPE_CHECKING, NamedTuple
 
+from calicopath_core.fleet.notices import Bar
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
 
+    from calicopath_core.fleet.leaving import LeavingReplicas
+
 BACK_S = 2.0
 """How long after the store's return entries that lapsed while it was away may take to be back, as
 the users' pages say; one that is still missing then is gone. In that time, too, a box is not held
@@ -32,9 +36,15 @@
 
 
 class ReplicaTable:
-    """Hold the replicas known, with the removals that are still doubted."""
+    """Hold the replicas known, with the removals that are still doubted.
+
+    `leaving` are those that have said in answers that they leave, whatever their entries say.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, *, leaving: LeavingReplicas | None = None) -> None:
+        self.leaving = leaving
+        if leaving is not None:
+            leaving.listeners.append(self.changed)
         self.replicas: dict[str, Replica] = {}
         self.leaving_at: dict[str, float] = {}
         self.disrupted_at: float | None = None
@@ -89,7 +99,7 @@
         if replica_id not in self.replicas or replica_id in self.leaving_at:
             return
         until = self.doubted_until(now)
-        if until > now and not self.replicas[replica_id].draining:
+        if until > now and not self.leaves(self.replicas[replica_id]):
             self.leaving_at[replica_id] = until
             return
         del self.replicas[replica_id]
@@ -129,7 +139,7 @@
             # The entry that was there first holds an address that another one claims.
             self.by_address.setdefault(replica.address, replica)
         for replica in self.replicas.values():
-            if self.takes_work(replica):
+            if self.bar_of(replica) is None:
                 self.by_service.setdefault(replica.service, []).append(replica)
         for listener in self.listeners:
             listener()
@@ -140,15 +150,23 @@
             self.evacuated = zones
             self.changed()
 
-    def takes_work(self, replica: Replica) -> bool:
-        """Tell whether a replica may be sent new work, as far as this box knows."""
-        return not replica.draining and replica.zone not in self.evacuated
+    def leaves(self, replica: Replica) -> bool:
+        """Tell whether a replica has said that it leaves, in its entry or in an answer."""
+        return replica.draining or (self.leaving is not None and self.leaving.holds(replica))
+
+    def bar_of(self, replica: Replica) -> Bar | None:
+        """Return why a replica gets no new work from any box, as far as this one knows."""
+        found = self.replicas.get(replica.id)
+        if found is None or found.born > replica.born:
+            return Bar.GONE
+        if found.draining:
+            return Bar.DRAINING
+        if found.zone in self.evacuated:
+            return Bar.TAKEN_OUT
+        # A replica's own answers tell that it leaves while the store is away, up to 15 s before
+        # its entry does; an entry that says `ready` does not take that back.
+        return Bar.LEAVING if self.leaves(found) else None
 
     def usable(self, service: str) -> list[Replica]:
         """Return the replicas of a service that take new work."""
         return self.by_service.get(service, [])
-
-    def is_usable(self, replica: Replica) -> bool:
-        """Tell whether a replica still takes new work."""
-        found = self.replicas.get(replica.id)
-        return found is not None and self.takes_work(found)
--- a/packages/core/calicopath_core/fleet/tests/evacuations_tests.py
+++ b/packages/core/calicopath_core/fleet/tests/evacuations_tests.py
@@ -5,6 +5,7 @@
 import testtools
 
 from calicopath_core.fleet.evacuations import Evacuation, Evacuations
+from calicopath_core.fleet.notices import Bar
 from calicopath_core.fleet.relay_messages import decode_changes, encode_changes
 from calicopath_core.fleet.replicas import Replica, ReplicaTable
 from calicopath_core.fleet.store import Change, RecordKind
@@ -32,7 +33,7 @@
     def test_replicas_of_a_zone_taken_out_get_no_new_work_until_it_is_given_back(self) -> None:
         self.evacuations.change([('a', Evacuation('a', 7))])
         self.assertEqual(['r-b'], self.usable())
-        self.assertFalse(self.table.is_usable(self.table.replicas['r-a']))
+        self.assertEqual(Bar.TAKEN_OUT, self.table.bar_of(self.table.replicas['r-a']))
         self.evacuations.change([('a', None)])
         self.assertEqual(['r-a', 'r-b'], sorted(self.usable()))
         self.assertEqual(['out a', 'back a'], self.told)
--- /dev/null
+++ b/packages/core/calicopath_core/fleet/tests/gate_tests.py
@@ -0,0 +1,242 @@
+"""Test what a box holds of replicas by their answers, and which calls it holds back."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from calicopath_core.crashes.fate import ReplicaFate
+from calicopath_core.exchanges.messages import ReplicaReach
+from calicopath_core.fleet.backoffs import KEEP_S, MAX_BACKOFF_S, SPREAD_S, TRIAL_S
+from calicopath_core.fleet.leaving import KEEP_S as WORD_KEEP_S
+from calicopath_core.fleet.leaving import MAX_WORDS
+from calicopath_core.fleet.notices import NOTHING_TOLD, Bar, Barred, Notice
+from calicopath_core.fleet.replicas import Replica, ReplicaTable
+from testkit.cases import VirtualCase
+from testkit.gates import new_gate
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from calicopath_core.backends.base import Reach
+    from calicopath_core.fleet.gate import CallGate
+
+FIRST = Replica('i', 'desk', 'a:1', 'north', 6, False, born=100.0)
+AGAIN = FIRST._replace(born=200.0)
+OTHER = Replica('j', 'desk', 'b:1', 'north', 6, False, born=100.0)
+LEAVES = Notice(leaving=True)
+
+
+class GateCase(VirtualCase):
+    def play(self, work: Callable[[CallGate], Awaitable[None]]) -> None:
+        """Do some work with a gate before two replicas."""
+
+        async def scenario() -> None:
+            gate = new_gate()
+            for replica in (FIRST, OTHER):
+                gate.replicas.put(replica)
+            await work(gate)
+
+        self.run_virtual(scenario())
+
+
+class Leaving(GateCase):
+    def test_the_word_holds_against_every_entry_of_the_same_life(self) -> None:
+        async def work(gate: CallGate) -> None:
+            gate.on_notice(FIRST, LEAVES)
+            for entry in (FIRST, FIRST._replace(cold=True)):
+                gate.replicas.put(entry)
+                self.assertEqual(Bar.LEAVING, gate.bar_of(entry))
+            self.assertEqual([OTHER], gate.usable('desk'))
+
+        self.play(work)
+
+    def test_the_word_outlasts_an_entry_that_lapses_and_comes_back(self) -> None:
+        async def work(gate: CallGate) -> None:
+            gate.on_notice(FIRST, LEAVES)
+            gate.replicas.remove('i', asyncio.get_running_loop().time())
+            await asyncio.sleep(WORD_KEEP_S / 2)
+            gate.expire()
+            gate.replicas.put(FIRST)
+            self.assertEqual(Bar.LEAVING, gate.bar_of(FIRST))
+
+        self.play(work)
+
+    def test_a_later_life_is_not_bound_by_the_word_of_the_one_before(self) -> None:
+        async def work(gate: CallGate) -> None:
+            gate.on_notice(FIRST, LEAVES)
+            gate.replicas.put(AGAIN)
+            self.assertIsNone(gate.bar_of(AGAIN))
+            gate.on_notice(FIRST, LEAVES)
+            self.assertIsNone(gate.bar_of(AGAIN))
+            gate.on_notice(AGAIN, LEAVES)
+            self.assertEqual(Bar.LEAVING, gate.bar_of(AGAIN))
+
+        self.play(work)
+
+    def test_a_call_to_an_earlier_life_is_held_back(self) -> None:
+        async def work(gate: CallGate) -> None:
+            gate.replicas.put(AGAIN)
+            self.assertEqual(Bar.GONE, gate.bar_of(FIRST))
+
+        self.play(work)
+
+    def test_its_state_may_be_asked_and_results_given_up(self) -> None:
+        async def work(gate: CallGate) -> None:
+            gate.on_notice(FIRST, LEAVES)
+            gate.check_call(FIRST, new_work=False)
+            self.assertRaises(Barred, gate.check_call, FIRST, new_work=True)
+
+        self.play(work)
+
+    def test_others_are_told_once(self) -> None:
+        async def work(gate: CallGate) -> None:
+            for _ in range(3):
+                gate.on_notice(FIRST, LEAVES)
+            gate.on_leaving.assert_called_once_with('i')  # type: ignore[attr-defined]
+
+        self.play(work)
+
+    def test_a_removal_is_not_doubted_of_one_that_said_it_leaves(self) -> None:
+        async def work(gate: CallGate) -> None:
+            gate.replicas.on_disrupted(0.0)
+            gate.on_notice(FIRST, LEAVES)
+            gate.replicas.remove('i', 0.0)
+            gate.replicas.remove('j', 0.0)
+            self.assertEqual({'j'}, set(gate.replicas.replicas))
+
+        self.play(work)
+
+    def test_words_are_bounded_and_old_ones_of_unknown_replicas_go(self) -> None:
+        async def work(gate: CallGate) -> None:
+            for number in range(MAX_WORDS + 10):
+                gate.leaving.note(f'r{number}', 0.0)
+            self.assertEqual(MAX_WORDS, len(gate.leaving.words))
+            gate.on_notice(FIRST, LEAVES)
+            await asyncio.sleep(WORD_KEEP_S + 1)
+            gate.expire()
+            self.assertEqual({'i'}, set(gate.leaving.words))
+
+        self.play(work)
+
+    def test_the_end_of_one_that_said_it_leaves_is_no_crash(self) -> None:
+        class Silent(ReplicaReach):
+            async def reach(self, replica: Replica, watch_s: float) -> Reach:
+                raise AssertionError
+
+        async def work(gate: CallGate) -> None:
+            for goes in (False, True):
+                gate.on_notice(FIRST, LEAVES)
+                if goes:
+                    gate.replicas.remove('i', 0.0)
+                fate = ReplicaFate(reach=Silent(), replicas=gate.replicas, replica=FIRST)
+                self.assertFalse(await fate.lapses())
+
+        self.play(work)
+
+
+class Backoffs(GateCase):
+    def test_nothing_is_sent_until_the_wish_is_over(self) -> None:
+        async def work(gate: CallGate) -> None:
+            gate.on_notice(FIRST, Notice(backoff_s=3.0))
+            for new_work in (True, False):
+                self.assertRaises(Barred, gate.check_call, FIRST, new_work=new_work)
+            await asyncio.sleep(2.99)
+            self.assertEqual(Bar.BACKOFF, gate.bar_of(FIRST))
+            await asyncio.sleep(0.02 + SPREAD_S)
+            self.assertIsNone(gate.bar_of(FIRST))
+
+        self.play(work)
+
+    def test_a_later_shorter_wish_does_not_end_an_earlier_longer_one(self) -> None:
+        async def work(gate: CallGate) -> None:
+            gate.on_notice(FIRST, Notice(backoff_s=3.0))
+            await asyncio.sleep(0.1)
+            gate.on_notice(FIRST, Notice(backoff_s=0.2))
+            await asyncio.sleep(1.0)
+            gate.on_notice(FIRST, NOTHING_TOLD)
+            self.assertEqual(Bar.BACKOFF, gate.bar_of(FIRST))
+
+        self.play(work)
+
+    def test_it_is_between_one_replica_and_this_box(self) -> None:
+        async def work(gate: CallGate) -> None:
+            gate.on_notice(FIRST, Notice(backoff_s=3.0))
+            self.assertEqual([OTHER], gate.usable('desk'))
+            self.assertIsNone(gate.bar_of(OTHER))
+
+        self.play(work)
+
+    def test_a_later_life_has_wished_for_nothing(self) -> None:
+        async def work(gate: CallGate) -> None:
+            gate.on_notice(FIRST, Notice(backoff_s=3.0))
+            gate.replicas.put(AGAIN)
+            self.assertIsNone(gate.bar_of(AGAIN))
+
+        self.play(work)
+
+    def test_a_wish_beyond_all_measure_is_bounded(self) -> None:
+        async def work(gate: CallGate) -> None:
+            gate.on_notice(FIRST, Notice(backoff_s=1e12))
+            self.assertLessEqual(gate.backoffs.left_s(FIRST), MAX_BACKOFF_S + SPREAD_S)
+
+        self.play(work)
+
+    def test_one_call_goes_first_when_it_is_over(self) -> None:
+        async def work(gate: CallGate) -> None:
+            gate.on_notice(FIRST, Notice(backoff_s=1.0))
+            await asyncio.sleep(1.0 + SPREAD_S)
+            gate.check_call(FIRST, new_work=True)
+            self.assertRaises(Barred, gate.check_call, FIRST, new_work=True)
+            gate.on_notice(FIRST, NOTHING_TOLD)
+            for _ in range(3):
+                gate.check_call(FIRST, new_work=True)
+
+        self.play(work)
+
+    def test_the_next_follows_where_the_first_gets_no_answer(self) -> None:
+        async def work(gate: CallGate) -> None:
+            gate.on_notice(FIRST, Notice(backoff_s=1.0))
+            await asyncio.sleep(1.0 + SPREAD_S)
+            gate.check_call(FIRST, new_work=True)
+            await asyncio.sleep(TRIAL_S)
+            gate.check_call(FIRST, new_work=True)
+
+        self.play(work)
+
+    def test_boxes_come_back_at_different_moments(self) -> None:
+        async def scenario() -> None:
+            gates = [new_gate() for _ in range(20)]
+            for number, gate in enumerate(gates):
+                gate.backoffs.rng.seed(number)
+                gate.on_notice(FIRST, Notice(backoff_s=1.0))
+            lefts = [gate.backoffs.left_s(FIRST) for gate in gates]
+            self.assertGreater(max(lefts) - min(lefts), SPREAD_S / 2)
+            self.assertGreaterEqual(min(lefts), 1.0)
+
+        self.run_virtual(scenario())
+
+    def test_its_end_is_told_once_with_how_many_were_turned_away(self) -> None:
+        async def work(gate: CallGate) -> None:
+            for _ in range(3):
+                gate.on_notice(FIRST, Notice(backoff_s=1.0))
+            for _ in range(4):
+                await asyncio.sleep(0.5)
+                gate.expire()
+            told = gate.observer.on_backoff_ended.call_args_list  # type: ignore[attr-defined]
+            self.assertEqual([('i', 3)], [(call.args[0], call.args[2]) for call in told])
+            await asyncio.sleep(KEEP_S + SPREAD_S)
+            gate.expire()
+            self.assertEqual({}, gate.backoffs.held)
+
+        self.play(work)
+
+
+class Tables(VirtualCase):
+    def test_a_table_that_hears_no_answers_goes_by_entries_alone(self) -> None:
+        table = ReplicaTable()
+        table.put(FIRST)
+        self.assertIsNone(table.bar_of(FIRST))
+        table.put(FIRST._replace(draining=True))
+        self.assertEqual(Bar.DRAINING, table.bar_of(FIRST))
+        self.assertTrue(table.leaves(table.replicas['i']))
--- a/packages/core/calicopath_core/fleet/tests/lives_tests.py
+++ b/packages/core/calicopath_core/fleet/tests/lives_tests.py
@@ -12,6 +12,7 @@
 from calicopath_core.scheduling.messages import Prompt, PromptPart
 from calicopath_core.scheduling.stages import StageQueue
 from calicopath_core.scheduling.tests.work import SPEC, job
+from testkit.gates import new_gate
 
 FIRST = Replica('i', 'engine', 'a:1', 'north', 6, False, born=100.0)
 AGAIN = FIRST._replace(born=200.0)
@@ -22,7 +23,9 @@
     def setUp(self) -> None:
         super().setUp()
         self.table = ReplicaTable()
-        self.balancer = Balancer(replicas=self.table, zone='north', rng=random.Random(1))
+        self.balancer = Balancer(
+            replicas=self.table, gate=new_gate(self.table), zone='north', rng=random.Random(1)
+        )
         self.board = EngineBoard(slots=2, kv_tokens=10_000)
         self.queue = StageQueue(service='engine', spec=SPEC)
         self.table.listeners.append(self.follow)
--- a/packages/core/calicopath_core/membership/messages.py
+++ b/packages/core/calicopath_core/membership/messages.py
@@ -21,6 +21,16 @@
     """Report a message that cannot be decoded."""
 
 
+class News(msgspec.Struct, frozen=True):
+    """Carry what a box has seen and another may lack; each kind of news has its own message.
+
+    `whole` says that this is all the sender shares: a box that knows more of it answers with that.
+    """
+
+    sender: str
+    whole: bool
+
+
 class MemberInfo(msgspec.Struct, frozen=True, array_like=True):
     """Describe a box to another; `beat` grows with every heartbeat that the box itself sends.
 
--- a/packages/core/calicopath_core/scheduling/admission.py
+++ b/packages/core/calicopath_core/scheduling/admission.py
@@ -97,6 +97,8 @@
         for number, phase in enumerate(job.place.phases):
             queue = queues.get(phase.service)
             begin_s = max((done_at[need] for need in phase.needs), default=0.0)
+            if queue is not None:
+                begin_s = max(begin_s, queue.opens_in_s())
             if queue is None or phase.pieces == 0:
                 done_at[number] = begin_s
                 continue
--- a/packages/core/calicopath_core/scheduling/boards.py
+++ b/packages/core/calicopath_core/scheduling/boards.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from calicopath_core.scheduling.backoffs import FleetBackoffs
 from calicopath_core.scheduling.engines import EngineBoard
 from calicopath_core.scheduling.starts import bound_of
 
@@ -28,11 +29,14 @@
         super().__init__()
         self.salt = salt
         self.warmup = warmup
+        self.backoffs = FleetBackoffs()
         self.new_board = new_board or self.board_of
 
     def board_of(self, spec: EngineSpec) -> EngineBoard:
         """Return the board of a service's engines."""
-        return EngineBoard(slots=spec.slots, kv_tokens=spec.kv_tokens, salt=self.salt)
+        return EngineBoard(
+            slots=spec.slots, kv_tokens=spec.kv_tokens, salt=self.salt, backoffs=self.backoffs
+        )
 
     def set_spec(self, service: ServiceSpec) -> None:
         """Take in what a service's engines can do, if it has engines."""
@@ -59,6 +63,7 @@
         """Drop runs whose end was never told."""
         for board in self.values():
             board.forget_lost(now)
+        self.backoffs.expire(now)
 
     def loads(self) -> dict[str, float]:
         """Return the work that waits at each engine, in seconds."""
--- a/packages/core/calicopath_core/scheduling/client.py
+++ b/packages/core/calicopath_core/scheduling/client.py
@@ -86,11 +86,17 @@
             self.place,
             objective_s=self.place.objective_s - spent_s,
             deadline_s=self.place.deadline_s - spent_s,
+            backoffs=backoffs_after(self.place.backoffs, spent_s),
             asked_before=bool(self.targets),
             missed=missed,
         )
 
 
+def backoffs_after(backoffs: dict[str, float], spent_s: float) -> dict[str, float]:
+    """Return what is left of backoffs after some time."""
+    return {name: left_s - spent_s for name, left_s in backoffs.items() if left_s > spent_s}
+
+
 class SchedulerClient:
     """Hold the jobs of this box that a scheduler knows of."""
 
@@ -211,9 +217,10 @@
         """Tell that the engine has read a job's prompt."""
         self.tell(job, RunStarted(job=job, sender=self.election.own.name))
 
-    def ended(self, job: str, *, failed: bool) -> None:
+    def ended(self, job: str, *, failed: bool, turned_away: bool = False) -> None:
         """Tell that a job is over, and forget it."""
-        self.tell(job, RunEnded(job=job, sender=self.election.own.name, failed=failed))
+        own = self.election.own.name
+        self.tell(job, RunEnded(job=job, sender=own, failed=failed, turned_away=turned_away))
         asked = self.asked.pop(job, None)
         if asked is not None and not asked.answer.done():
             asked.answer.cancel()
--- a/packages/core/calicopath_core/scheduling/engines.py
+++ b/packages/core/calicopath_core/scheduling/engines.py
@@ -6,6 +6,7 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING, NamedTuple
 
+from calicopath_core.scheduling.backoffs import FleetBackoffs
 from calicopath_core.scheduling.starts import WINDOW_S, Starts
 
 if TYPE_CHECKING:
@@ -171,7 +172,15 @@
     would all choose the first one listed.
     """
 
-    def __init__(self, *, slots: int, kv_tokens: int, salt: str = '') -> None:
+    def __init__(
+        self,
+        *,
+        slots: int,
+        kv_tokens: int,
+        salt: str = '',
+        backoffs: FleetBackoffs | None = None,
+    ) -> None:
+        self.backoffs = backoffs or FleetBackoffs()
         self.slots = slots
         self.salt = salt
         self.bound: StartBound | None = None
@@ -223,8 +232,9 @@
             if len(engine.runs) < self.slots
             and engine.replica.id not in job.place.exclude
             and engine.may_begin(bound, now)
+            and self.may_take(engine, job, now)
         ]
-        healthy = [engine for engine in usable if engine.ejected_until <= now]
+        healthy = [engine for engine in usable if self.is_healthy(engine, now)]
         candidates = healthy or usable
         if not candidates:
             return None
@@ -241,11 +251,32 @@
         _, time_s, engine = min(costs, key=lambda item: item[0])
         return EngineChoice(engine, time_s)
 
+    def may_take(self, engine: Engine, job: Job, now: float) -> bool:
+        """Tell whether an engine takes a run from a job's box now."""
+        replica = engine.replica.id
+        barred = self.backoffs.bars(job.place.reply_to, replica, now)
+        return not barred and not self.backoffs.in_trial(replica, now)
+
+    def is_healthy(self, engine: Engine, now: float) -> bool:
+        """Tell whether an engine has neither failed nor turned away runs of late."""
+        shunned = self.backoffs.is_shunned(engine.replica.id, now)
+        return engine.ejected_until <= now and not shunned
+
+    def first_back_s(self, job: Job, now: float) -> float:
+        """Return when the first engine takes a run from a job's box, 0 for now."""
+        names = (name for name in self.engines if name not in job.place.exclude)
+        return self.backoffs.first_back_s(job.place.reply_to, names, now)
+
     def least_time_s(self, job: Job, now: float) -> float:
         """Return when the first event of a job would come from the best engine of the moment."""
         parts = part_keys(job.place.prompt)
         healthy = [item for item in self.engines.values() if item.ejected_until <= now]
-        return min((self.time_s(engine, parts) for engine in healthy), default=0.0)
+        box = job.place.reply_to
+        times = (
+            self.time_s(engine, parts) + self.backoffs.left_s(box, engine.replica.id, now)
+            for engine in healthy
+        )
+        return min(times, default=0.0)
 
     def time_s(self, engine: Engine, parts: PartKeys) -> float:
         """Return the seconds of work before a prompt's first event on an engine."""
@@ -274,10 +305,12 @@
         decode_s = job.place.prompt.tokens_out * DECODE_S_A_TOKEN
         engine.put_run(job.id, Run(prefill_s, decode_s, now + LOST_RUN_S))
         engine.starts.note(now)
+        self.backoffs.on_placed(engine.replica.id, now)
         engine.remember(parts, self.kv_tokens, now)
 
-    def started(self, replica_id: str, job_id: str) -> None:
+    def started(self, replica_id: str, job_id: str, now: float) -> None:
         """Note that an engine has read a prompt, and so works well."""
+        self.backoffs.on_started(replica_id, now)
         engine = self.known.get(replica_id)
         run = engine.runs.get(job_id) if engine else None
         if engine is None or run is None:
@@ -285,6 +318,11 @@
         engine.failures = 0
         engine.put_run(job_id, run._replace(prefill_s=0.0))
 
+    def turned_away(self, replica_id: str, job_id: str, now: float) -> None:
+        """Take a run off the engine that would not take it."""
+        self.backoffs.on_turned_away(replica_id, now)
+        self.ended(replica_id, job_id, failed=False, now=now)
+
     def ended(self, replica_id: str, job_id: str, *, failed: bool, now: float) -> None:
         """Take a run off its engine; a failure leaves the engine alone for a while."""
         engine = self.known.get(replica_id)
--- a/packages/core/calicopath_core/scheduling/freeing.py
+++ b/packages/core/calicopath_core/scheduling/freeing.py
@@ -23,7 +23,8 @@
 
     Their room counts as free only then: a call on another connection may overtake the one that
     gives them up, and would find the room still taken. Nothing is sent to a zone that is taken out:
-    its results run out by themselves, and their room counts as taken until then.
+    its results run out by themselves, and their room counts as taken until then. Nor is anything
+    sent to a maker that wants nothing from this box, before `back_s`.
     """
 
     def __init__(
@@ -34,7 +35,9 @@
         observer: SchedulerObserver,
         spawn: Callable[[Coroutine[Any, Any, None]], None],
         on_freed: Callable[[str, list[str]], None],
+        back_s: Callable[[Replica], float] = lambda replica: 0.0,
     ) -> None:
+        self.back_s = back_s
         self.replicas = replicas
         self.caller = caller
         self.observer = observer
@@ -56,11 +59,20 @@
     def send(self) -> None:
         """Send what is to be given up, one call a maker."""
         self.timer = None
+        later: dict[str, list[str]] = {}
+        back_s = 0.0
         for maker, handles in self.waiting.items():
             replica = self.replicas.replicas.get(maker)
-            if replica is not None and replica.zone not in self.replicas.evacuated:
-                self.spawn(self.free(replica, handles))
-        self.waiting = {}
+            if replica is None or replica.zone in self.replicas.evacuated:
+                continue
+            if (left_s := self.back_s(replica)) > 0:
+                later[maker] = handles
+                back_s = max(back_s, left_s)
+                continue
+            self.spawn(self.free(replica, handles))
+        self.waiting = later
+        if later:
+            self.timer = asyncio.get_running_loop().call_later(back_s + GATHER_S, self.send)
 
     async def free(self, replica: Replica, handles: list[str]) -> None:
         """Give results up; if that fails they run out by themselves."""
--- a/packages/core/calicopath_core/scheduling/messages.py
+++ b/packages/core/calicopath_core/scheduling/messages.py
@@ -49,7 +49,9 @@
     `exclude` are engines not to choose; `resumed` says that one failed the request midway,
     `asked_before` that an earlier scheduler had let the job in and fell silent; `missed` is its
     address, to which the job must not be handed over. `beyond` says that an earlier scheduler found
-    the job beyond its workspace's allowance. `content` names what the request asks.
+    the job beyond its workspace's allowance. `content` names what the request asks. `backoffs` are
+    the engines that want nothing from the asking box, for how many seconds yet; `may_have_run` says
+    that a refusal would come too late for the caller to ask elsewhere.
     `objective_s` and `deadline_s` are what is left of them when the message is sent.
     """
 
@@ -71,6 +73,8 @@
     workspace: str = ''
     beyond: bool = False
     content: str = ''
+    backoffs: dict[str, float] = {}
+    may_have_run: bool = False
 
     @property
     def services(self) -> tuple[str, ...]:
@@ -165,17 +169,29 @@
 
 
 class RunEnded(msgspec.Struct, frozen=True, tag='en'):
-    """Tell the scheduler that a job is over; `failed` blames the engine."""
+    """Tell the scheduler that a job is over; `failed` blames the engine.
+
+    `turned_away` says that the engine would not take it.
+    """
 
     job: str
     sender: str
     failed: bool
+    turned_away: bool = False
+
+
+class BackoffNews(msgspec.Struct, frozen=True, tag='bo'):
+    """Tell the scheduler which engines want nothing from a box, for how many seconds yet."""
+
+    address: str
+    backoffs: dict[str, float]
 
 
 class Presence(msgspec.Struct, frozen=True):
     """Say that a box is alive, how the store answers it, whether it leaves, how many groups are.
 
-    `crashes` is a digest of what it knows of requests under which replicas have ended.
+    `crashes` is a digest of what it knows of requests under which replicas have ended, `replicas`
+    one of which replicas it has heard leave.
     """
 
     box: str
@@ -186,6 +202,7 @@
     sequence: int
     groups: GroupCount = GroupCount()
     crashes: str = ''
+    replicas: str = ''
 
 
 class Ping(Presence, frozen=True, tag='hi'):
@@ -212,6 +229,7 @@
     Rejected,
     RunStarted,
     RunEnded,
+    BackoffNews,
     Ping,
     Pong,
 )
--- a/packages/core/calicopath_core/scheduling/overdue.py
+++ b/packages/core/calicopath_core/scheduling/overdue.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from calicopath_core.backends.base import BackendError, MayHaveRun
+from calicopath_core.fleet.notices import Barred
 
 if TYPE_CHECKING:
     from calicopath_core.clock import Clock
@@ -76,6 +77,8 @@
         try:
             async with asyncio.timeout(REPORT_TIMEOUT_S):
                 return (await self.caller.report(replica)).idle
+        except Barred:
+            return False
         except (BackendError, TimeoutError) as error:
             self.observer.on_report_failed(replica, error)
             return False
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -33,7 +33,13 @@
     from calicopath_core.fleet.replicas import Replica, ReplicaTable
     from calicopath_core.scheduling.engines import EngineBoard
     from calicopath_core.scheduling.interfaces import SchedulerObserver, StageCaller
-    from calicopath_core.scheduling.messages import MadeResult, Place, RunEnded, RunStarted
+    from calicopath_core.scheduling.messages import (
+        BackoffNews,
+        MadeResult,
+        Place,
+        RunEnded,
+        RunStarted,
+    )
 
 TICK_S = 0.05
 JOB_MEMORY_S = 30.0
@@ -68,6 +74,7 @@
         crashes: CrashGuard,
         warmup: WarmupTerms = NO_ALLOWANCE,
         new_board: Callable[[EngineSpec], EngineBoard] | None = None,
+        back_s: Callable[[Replica], float] = lambda replica: 0.0,
     ) -> None:
         self.clock = clock
         self.replicas = replicas
@@ -93,6 +100,7 @@
             keeper=self,
             share_of=share_of,
             crashes=crashes,
+            back_s=back_s,
         )
         self.succession = Succession(scheduler=self)
         replicas.listeners.append(self.on_replicas)
@@ -146,6 +154,7 @@
         self.reject_blocked()
         self.place_waiting()
         self.reject_hopeless(now)
+        self.reject_backing_off(now)
         self.give_up_fetched(now)
         for job in list(self.jobs.values()):
             if now > job.deadline_at + JOB_MEMORY_S:
@@ -169,6 +178,37 @@
         for job in self.engine_queue.hopeless(now):
             self.reject(job, 'no-engine', self.admission.return_s(job, NO_ENGINE_S, now))
 
+    def reject_backing_off(self, now: float) -> None:
+        """Tell callers at once that would wait in vain for engines which want nothing from them."""
+        if self.boards.backoffs.by_box:
+            for job in list(self.unplaced.values()):
+                self.check_backoffs(job, now)
+
+    def check_backoffs(self, job: Job, now: float) -> bool:
+        """Tell whether some engine takes a job from its box in time; reject it if not.
+
+        In time is before its objective, so that its caller may still try another box; once its
+        stages are begun, before its deadline.
+        """
+        board = self.boards.get(job.place.service)
+        back_s = board.first_back_s(job, now) if board is not None else 0.0
+        if back_s <= 0:
+            return True
+        engine_s = self.engine_s(job)
+        ready_s = max(back_s, job.least_s() - engine_s)
+        committed = job.begun or job.place.may_have_run
+        limit = job.deadline_at if committed else job.objective_at
+        if now + ready_s + engine_s <= limit:
+            return True
+        self.reject(job, 'backing-off', self.admission.return_s(job, back_s, now))
+        return False
+
+    def on_backoffs(self, message: BackoffNews) -> None:
+        """Take in which engines want nothing from a box, and look anew at what waits for it."""
+        now = self.clock.monotonic()
+        self.boards.backoffs.note(message.address, message.backoffs, now)
+        self.reject_backing_off(now)
+
     def reject_blocked(self) -> None:
         """Reject the jobs at once that were let in before their request was blocked."""
         if self.crashes.blocks_any:
@@ -188,6 +228,7 @@
         if place.job in self.jobs:
             return
         now = self.clock.monotonic()
+        self.boards.backoffs.note(place.reply_to, place.backoffs, now)
         job = Job(place=place, now=now)
         self.remember(job)
         successor = self.succession.successor
@@ -202,7 +243,7 @@
         if not board.serves(job):
             self.reject_unserved(job)
             return
-        if not self.check_sendable(job):
+        if not self.check_sendable(job) or not self.check_backoffs(job, now):
             return
         job.urgency = self.evenness.urgency(place.priority)
         if not place.resumed and not place.asked_before:
@@ -278,9 +319,13 @@
             if job.place.service in full:
                 continue
             self.place_engine(job)
-            if job.id in self.engine_queue.jobs and not job.place.exclude:
+            if job.id in self.engine_queue.jobs and not self.is_restricted(job):
                 full.add(job.place.service)
 
+    def is_restricted(self, job: Job) -> bool:
+        """Tell whether others may find a place at an engine where a job found none."""
+        return bool(job.place.exclude) or job.place.reply_to in self.boards.backoffs.by_box
+
     def reject_unserved(self, job: Job) -> None:
         """Tell the box at once that there is no engine for a job."""
         now = self.clock.monotonic()
@@ -332,7 +377,8 @@
         if job.engine_at is not None:
             took_s = self.clock.monotonic() - job.engine_at
             self.engine_times.learn(job.place.prompt.tokens_in, took_s)
-        self.boards[job.place.service].started(job.placed_on, job.id)
+        now = self.clock.monotonic()
+        self.boards[job.place.service].started(job.placed_on, job.id, now)
         self.stages.release.give_up(job.all_results())
 
     def on_ended(self, message: RunEnded) -> None:
@@ -343,7 +389,10 @@
         if job.placed_on is not None:
             now = self.clock.monotonic()
             board = self.boards[job.place.service]
-            board.ended(job.placed_on, job.id, failed=message.failed, now=now)
+            if message.turned_away:
+                board.turned_away(job.placed_on, job.id, now)
+            else:
+                board.ended(job.placed_on, job.id, failed=message.failed, now=now)
         self.end(job)
         self.place_waiting()
 
--- a/packages/core/calicopath_core/scheduling/stage_calls.py
+++ b/packages/core/calicopath_core/scheduling/stage_calls.py
@@ -7,6 +7,7 @@
 
 from calicopath_core.backends.base import BackendError, ConnectionBroken, NotStarted
 from calicopath_core.crashes.fate import ReplicaFate
+from calicopath_core.fleet.notices import Barred
 from calicopath_core.scheduling.freeing import ResultFreeing
 from calicopath_core.scheduling.interfaces import PieceCall, PieceResult
 from calicopath_core.scheduling.jobs import Job, Piece, Result
@@ -54,7 +55,9 @@
         keeper: JobKeeper,
         share_of: Callable[[list[Replica]], list[Replica]],
         crashes: CrashGuard,
+        back_s: Callable[[Replica], float] = lambda replica: 0.0,
     ) -> None:
+        self.back_s = back_s
         self.clock = clock
         self.replicas = replicas
         self.caller = caller
@@ -71,6 +74,7 @@
             observer=observer,
             spawn=self.spawn,
             on_freed=self.on_freed,
+            back_s=back_s,
         )
         self.release = ResultRelease(
             clock=clock,
@@ -91,6 +95,7 @@
                 service=service,
                 spec=spec,
                 goes_alone=lambda job: self.crashes.is_suspect(job.place.content, service),
+                back_s=self.back_s,
             )
         queue.spec = spec
 
@@ -152,6 +157,8 @@
         try:
             async with asyncio.timeout(REPORT_TIMEOUT_S):
                 report = await self.caller.report(target.replica)
+        except Barred:
+            return
         except (BackendError, TimeoutError) as error:
             self.observer.on_report_failed(target.replica, error)
             return
--- a/packages/core/calicopath_core/scheduling/stage_replicas.py
+++ b/packages/core/calicopath_core/scheduling/stage_replicas.py
@@ -44,6 +44,7 @@
         self.booked_bytes = 0
         self.reserved_bytes = 0
         self.failures = 0
+        self.declines = 0
         self.idle_until = 0.0
         self.no_room_until = 0.0
         self.foreign_bytes = 0.0
--- a/packages/core/calicopath_core/scheduling/stages.py
+++ b/packages/core/calicopath_core/scheduling/stages.py
@@ -26,7 +26,9 @@
 """How long a replica that failed a call is left alone; doubled with each failure in a row."""
 
 FULL_S = 0.05
-"""How long a replica that declined a call as full is left alone."""
+MAX_FULL_S = 0.4
+"""How long a replica that declined a call as full is left alone, doubled each time in a row: one
+that declines all for 5 s gets 15 calls in place of 100. What it asks for itself comes on top."""
 
 BUSY_SHARE = 1.0
 """With more pieces waiting than this many calls for each replica, no zone is waited for: what
@@ -51,7 +53,8 @@
     """Hold the pieces that wait for one service, and its replicas.
 
     A job that `goes_alone` shares no call with others: replicas have ended under its request, and
-    those that are in the call with the cause would be blocked with it.
+    those that are in the call with the cause would be blocked with it. `back_s` tells for how long
+    a replica wants nothing from this box.
     """
 
     def __init__(
@@ -60,10 +63,12 @@
         service: str,
         spec: StageSpec,
         goes_alone: Callable[[Job], bool] = lambda job: False,
+        back_s: Callable[[Replica], float] = lambda replica: 0.0,
     ) -> None:
         self.service = service
         self.spec = spec
         self.goes_alone = goes_alone
+        self.back_s = back_s
         self.replicas: dict[str, StageReplica] = {}
         self.known: dict[str, StageReplica] = {}
         self.waiting = WaitingPieces()
@@ -93,11 +98,15 @@
         """Forget the pieces of a job that is over, or that it makes anew."""
         self.waiting.drop_stale(job)
 
+    def open_replicas(self) -> list[StageReplica]:
+        """Return the replicas that do not ask this box to leave them alone."""
+        return [item for item in self.replicas.values() if self.back_s(item.replica) <= 0]
+
     def free_replicas(self, now: float) -> list[StageReplica]:
         """Return the replicas that could take a call now, those with most room first."""
         found = [
             item
-            for item in self.replicas.values()
+            for item in self.open_replicas()
             if item.calls < self.spec.concurrency and item.idle_until <= now
         ]
         if len(self.waiting) <= self.backlog_bound(now):
@@ -106,7 +115,7 @@
 
     def backlog_bound(self, now: float) -> int:
         """Return how many waiting pieces the replicas that aren't slow take with two calls each."""
-        quick = sum(not item.is_slow(now) for item in self.replicas.values())
+        quick = sum(not item.is_slow(now) for item in self.open_replicas())
         return 2 * quick * self.spec.batch
 
     def batches(self, now: float, held: Container[str] = ()) -> Iterator[StageBatch]:
@@ -139,7 +148,7 @@
     ) -> StageBatch | None:
         """Return a call of waiting groups to one of the free replicas, the first that it suits."""
         tied = self.is_calm() and any(homes[item.number].zone for item in ranked)
-        waits = zone_waits(self.replicas.values(), self.spec, now) if tied else {}
+        waits = zone_waits(self.open_replicas(), self.spec, now) if tied else {}
         for target in free:
             zone = target.replica.zone
             near = [item.group for item in ranked if may_go(homes[item.number], zone, waits)]
@@ -155,11 +164,11 @@
 
     def is_calm(self) -> bool:
         """Tell whether few enough pieces wait for zones to matter."""
-        return len(self.waiting) <= BUSY_SHARE * self.spec.batch * len(self.replicas)
+        return len(self.waiting) <= BUSY_SHARE * self.spec.batch * len(self.open_replicas())
 
     def wait_s(self, free: int) -> float:
         """Return how long a call that is not full may wait: longer, the fewer replicas are free."""
-        usable = max(1, len(self.replicas))
+        usable = max(1, len(self.open_replicas()))
         return GATHER_S * (1 - (free - 1) / usable)
 
     def fitting(self, near: list[PieceGroup], target: StageReplica, now: float) -> list[Piece]:
@@ -216,7 +225,7 @@
         for handle, size in made.items():
             target.bookings[handle] = Booking(size, now + self.spec.result_ttl_s)
             target.booked_bytes += size
-        target.failures = 0
+        target.failures = target.declines = 0
 
     def no_room(self, batch: StageBatch, now: float) -> None:
         """Note that a replica had no room for a result."""
@@ -233,7 +242,8 @@
         target.calls -= 1
         target.reserved_bytes -= sum(piece.result_bytes for piece in batch.pieces)
         if full:
-            target.idle_until = now + FULL_S
+            target.idle_until = now + min(MAX_FULL_S, FULL_S * 2**target.declines)
+            target.declines += 1
             return
         target.failures += 1
         target.idle_until = now + min(MAX_EJECT_S, EJECT_S * 2 ** (target.failures - 1))
@@ -241,7 +251,11 @@
     def rate(self) -> float:
         """Return the pieces a second that the replicas can make with calls nearly full."""
         pieces = max(1, round(self.spec.batch * USUAL_FILL))
-        return len(self.replicas) * pieces / self.expected_s(pieces)
+        return len(self.open_replicas()) * pieces / self.expected_s(pieces)
+
+    def opens_in_s(self) -> float:
+        """Return when the first replica may be called, 0 for now."""
+        return min((self.back_s(item.replica) for item in self.replicas.values()), default=0.0)
 
     def share_s(self) -> float:
         """Return what a piece takes of a call that is filled as usual."""
--- a/packages/core/calicopath_core/scheduling/succession.py
+++ b/packages/core/calicopath_core/scheduling/succession.py
@@ -67,6 +67,7 @@
             deadline_s=job.deadline_at - now,
             asked_before=True,
             beyond=job.beyond,
+            backoffs=scheduler.boards.backoffs.of_box(job.place.reply_to, now),
         )
         waited_s = now - job.arrived_at
         scheduler.send(successor, Adopt(place=place, results=results, waited_s=waited_s))
@@ -81,6 +82,7 @@
         if message.place.job in scheduler.jobs:
             return
         now = scheduler.clock.monotonic()
+        scheduler.boards.backoffs.note(message.place.reply_to, message.place.backoffs, now)
         job = Job(place=message.place, now=now)
         job.adopted = True
         job.arrived_at = now - message.waited_s
--- a/packages/core/calicopath_core/scheduling/tests/stages_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/stages_tests.py
@@ -294,6 +294,37 @@
             pauses.append(target.replicas['r'].idle_until - now)
         self.assertEqual([1.0, 2.0, 4.0], pauses)
 
+    def test_one_that_wants_nothing_gets_nothing_and_counts_for_nothing_until_it_is_back(
+        self,
+    ) -> None:
+        wishes = {'r': 3.0}
+        target = queue(replica('r'), replica('s'))
+        target.back_s = lambda item: wishes.get(item.id, 0.0)
+        both = queue(replica('r'), replica('s')).rate()
+        self.assertEqual(both / 2, target.rate())
+        wait(target, job('one', phase(count=8)))
+        names = [batch.target.replica.id for batch in target.batches(LATER)]
+        self.assertEqual(['s'], names)
+        wishes['s'] = 2.0
+        self.assertEqual(2.0, target.opens_in_s())
+
+    def test_a_replica_that_declines_all_is_asked_less_often_each_time(self) -> None:
+        target = queue(replica('r'))
+        now, calls = 0.0, 0
+        while now < 5.0:
+            wait(target, job(f'j{calls}', phase(count=4)))
+            batch = target.next_batch(now)
+            assert batch is not None
+            target.failed(batch, now, full=True)
+            calls += 1
+            now = target.replicas['r'].idle_until
+        self.assertLessEqual(calls, 15)
+        wait(target, job('taken', phase(count=4)))
+        batch = target.next_batch(now)
+        assert batch is not None
+        target.finished(batch, {}, now)
+        self.assertEqual(0, target.replicas['r'].declines)
+
     def test_a_full_replica_is_asked_again_soon(self) -> None:
         target = queue(replica('r'))
         wait(target, job('one', phase(count=4)))
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -71,14 +71,15 @@
     608, 'warning', 'blocked unkept', 'Blocked requests were not read from or written to the store.'
 )
 REPLICA_LEAVING = Event(
-    609, 'info', 'replica leaving', 'An answer of a replica says that it gets no new work.'
+    609, 'info', 'replica leaving', 'It has said in an answer that it gets no new work.'
 )
 REPLICA_BACKOFF = Event(
     610, 'info', 'replica backoff', 'A replica asked this box to send it nothing for a while.'
 )
-CALL_AGAINST_NOTICE = Event(
-    611, 'warning', 'call against notice', 'A replica was called though it had said not to.'
+REPLICA_PASSED_OVER = Event(
+    611, 'info', 'replica passed over', 'It was chosen for a request, and must not get it.'
 )
+BACKOFF_ENDED = Event(612, 'info', 'backoff ended', 'A replica may be called again from here.')
 
 JOB_PLACED = Event(701, 'info', 'job placed', 'An engine was chosen for a request.')
 JOB_REJECTED = Event(702, 'warning', 'job rejected', 'A request will not be placed.')
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -19,10 +19,13 @@
 from calicopath_core.exchanges.budget import Budgets
 from calicopath_core.exchanges.context import ExchangeContext
 from calicopath_core.exchanges.executor import ExchangeExecutor
+from calicopath_core.fleet.backoffs import Backoffs
 from calicopath_core.fleet.deployment import DEFAULT_LIMITS, Deployment, DeploymentView
 from calicopath_core.fleet.evacuations import Evacuation, Evacuations
 from calicopath_core.fleet.feed import FeedHandler, KindFeed
-from calicopath_core.fleet.notices import ReplicaNotices
+from calicopath_core.fleet.gate import CallGate
+from calicopath_core.fleet.leaving import LeavingReplicas
+from calicopath_core.fleet.leaving_sharing import LeavingSharing
 from calicopath_core.fleet.publisher import Publisher
 from calicopath_core.fleet.relay_messages import NOTHING
 from calicopath_core.fleet.replicas import Replica, ReplicaTable
@@ -32,7 +35,7 @@
 from calicopath_core.scheduling.client import SchedulerClient
 from calicopath_core.scheduling.election import BoxAddress, Election
 from calicopath_core.scheduling.groups import GroupRule
-from calicopath_core.scheduling.messages import Pong
+from calicopath_core.scheduling.messages import BackoffNews, Pong
 from calicopath_core.scheduling.scheduler import Scheduler
 from calicopathd import events
 from calicopathd.gateway.peers import PeerLink
@@ -85,12 +88,17 @@
         self.job_numbers = itertools.count(1)
         self.leaving = False
         self.view = DeploymentView()
-        self.replicas = ReplicaTable()
-        self.notices = ReplicaNotices(
-            clock=self.clock, known=lambda: self.replicas.replicas, observer=observer
+        self.leaving_replicas = LeavingReplicas(clock=self.clock, observer=observer)
+        self.replicas = ReplicaTable(leaving=self.leaving_replicas)
+        self.gate = CallGate(
+            replicas=self.replicas,
+            leaving=self.leaving_replicas,
+            backoffs=Backoffs(clock=self.clock, observer=observer, rng=self.rng),
+            observer=observer,
+            on_leaving=self.on_replica_leaving,
+            on_backoff=self.on_replica_backoff,
         )
-        self.replicas.listeners.append(self.notices.forget_gone)
-        exchanges.listener = stages.listener = self.notices
+        exchanges.listener = stages.listener = self.gate
         self.evacuations = Evacuations(
             wall=self.clock.wall,
             on_taken_out=observer.on_zone_taken_out,
@@ -125,6 +133,13 @@
             hubs=lambda: self.election.hubs(self.clock.monotonic()),
             send=self.link.send,
         )
+        self.leaving_sharing = LeavingSharing(
+            clock=self.clock,
+            leaving=self.leaving_replicas,
+            own_address=self.own.address,
+            hubs=lambda: self.election.hubs(self.clock.monotonic()),
+            send=self.link.send,
+        )
         self.keeper = BlockedKeeper(
             clock=self.clock,
             ledger=self.ledger,
@@ -144,6 +159,7 @@
             own_address=self.own.address,
             share_of=self.election.share_of,
             crashes=self.crashes,
+            back_s=self.gate.backoffs.left_s,
             warmup=settings.warmup,
             new_board=self.random_board if alone else None,
         )
@@ -172,6 +188,7 @@
         )
         self.link.scheduler, self.link.client = self.scheduler, self.client
         self.link.subscription, self.link.crashes = self.subscription, self.sharing
+        self.link.leaving = self.leaving_sharing
         self.feeds = {kind: self.new_feed(kind) for kind in settings.followed}
         self.subscription.feeds.update(self.feeds)
         self.publisher.feeds.update(self.feeds)
@@ -183,8 +200,10 @@
             clock=self.clock,
             view=self.view,
             replicas=self.replicas,
+            gate=self.gate,
             balancer=Balancer(
                 replicas=self.replicas,
+                gate=self.gate,
                 zone=self.settings.failure_domain,
                 rng=self.rng,
                 cold_rate_of=self.cold_rate_of,
@@ -372,8 +391,26 @@
             ranks={item.name: item.priority for item in deployment.tenants_by_key.values()},
         )
 
+    def on_replica_leaving(self, replica: str) -> None:
+        """Tell other boxes of a replica that has told this one that it leaves."""
+        self.leaving_sharing.report([replica])
+
+    def on_replica_backoff(self, replica: Replica) -> None:
+        """Tell the box that schedules which engine wants nothing from this one."""
+        if replica.service in self.scheduler.boards:
+            lefts = {replica.id: self.gate.backoffs.left_s(replica)}
+            self.tell_backoffs(lefts)
+
+    def tell_backoffs(self, lefts: dict[str, float]) -> None:
+        """Tell the box that schedules of engines that want nothing from this one."""
+        if lefts:
+            news = BackoffNews(address=self.own.address, backoffs=lefts)
+            self.link.send(self.client.target, news)
+
     def on_scheduler(self, address: str, asked_again: int) -> None:
         """Note that another box schedules now."""
+        for service in self.scheduler.boards:
+            self.tell_backoffs(self.gate.backoffs_of(service))
         if address == self.own.address:
             self.scheduler.succession.take_up()
             self.scheduler.stages.on_take_over(has_work=asked_again > 0)
@@ -390,6 +427,7 @@
         self.judge_groups(now)
         self.follow_group()
         self.ledger.expire()
+        self.gate.expire()
 
     def leave(self) -> None:
         """Ask for no more callers and hand scheduling over."""
--- a/packages/daemon/calicopathd/gateway/metrics.py
+++ b/packages/daemon/calicopathd/gateway/metrics.py
@@ -38,8 +38,11 @@
         self.backoffs = self.counter(
             'replica_backoffs_total', 'Times that a replica wanted nothing from this box.'
         )
-        self.calls_against = self.counter(
-            'calls_against_notice_total', 'Calls to replicas that had asked not to get them.'
+        self.held_back = self.counter(
+            'calls_held_back_total', 'Calls not sent as their replica must not get them, by bar.'
+        )
+        self.passed_over = self.counter(
+            'replicas_passed_over_total', 'Replicas chosen for requests that must not get them.'
         )
         self.stage_calls = self.counter('stage_calls_total', 'Stage calls by service and result.')
         self.stage_pieces = self.counter('stage_pieces_total', 'Pieces in stage calls by service.')
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -8,6 +8,7 @@
 
 from calicopath_core.exchanges.context import ExchangeObserver, failure_of
 from calicopath_core.fleet.feed import FeedObserver
+from calicopath_core.fleet.leaving import OWN
 from calicopath_core.fleet.notices import NoticeObserver
 from calicopath_core.scheduling.interfaces import SchedulerObserver
 from calicopathd import events
@@ -18,6 +19,7 @@
     from calicopath_core.exchanges.context import RefusedExchange, Ticket
     from calicopath_core.exchanges.messages import Exchange
     from calicopath_core.fleet.evacuations import Evacuation, HeldEvacuation
+    from calicopath_core.fleet.notices import Bar
     from calicopath_core.fleet.replicas import Replica
     from calicopath_core.fleet.store import RecordKind
     from calicopath_core.scheduling.jobs import Job, Piece
@@ -91,10 +93,10 @@
         """Count a request that is not sent since replicas end under what it asks."""
         self.metrics.blocked_refused.inc({'service': ticket.service})
 
-    def on_leaving(self, replica: Replica) -> None:
-        """Note the first answer in which a replica says that it leaves."""
-        self.metrics.leaving.inc({'service': replica.service})
-        events.emit(log, events.REPLICA_LEAVING, replica=replica.id, service=replica.service)
+    def on_leaving(self, replica: str, source: str) -> None:
+        """Note that a replica says that it leaves."""
+        self.metrics.leaving.inc({'source': 'own' if source == OWN else 'peer'})
+        events.emit(log, events.REPLICA_LEAVING, replica=replica, source=source)
 
     def on_backoff(self, replica: Replica, backoff_s: float) -> None:
         """Note a replica that wants nothing from this box for a while."""
@@ -107,16 +109,29 @@
             for_ms=round(backoff_s * 1000),
         )
 
-    def on_call_against(self, replica: Replica, notice: str, since_s: float) -> None:
-        """Note a call that a replica had asked not to get."""
-        self.metrics.calls_against.inc({'service': replica.service, 'notice': notice})
+    def on_backoff_ended(self, replica: str, held_s: float, turned_away: int) -> None:
+        """Note that a replica may be called again."""
         events.emit(
             log,
-            events.CALL_AGAINST_NOTICE,
-            replica=replica.id,
-            service=replica.service,
-            notice=notice,
-            since_ms=round(since_s * 1000),
+            events.BACKOFF_ENDED,
+            replica=replica,
+            held_ms=round(held_s * 1000),
+            turned_away=turned_away,
+        )
+
+    def on_held_back(self, replica: Replica, bar: Bar) -> None:
+        """Count a call that was chosen and not sent."""
+        self.metrics.held_back.inc({'service': replica.service, 'bar': bar.value})
+
+    def on_passed_over(self, ticket: Ticket, replica: str, bar: Bar) -> None:
+        """Note a replica that was chosen for a request and must not get it."""
+        self.metrics.passed_over.inc({'service': ticket.service, 'bar': bar.value})
+        events.emit(
+            log,
+            events.REPLICA_PASSED_OVER,
+            request=ticket.exchange.call_id,
+            replica=replica,
+            bar=bar.value,
         )
 
     def on_stage_call(
--- a/packages/daemon/calicopathd/gateway/peers.py
+++ b/packages/daemon/calicopathd/gateway/peers.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from calicopath_core.crashes.messages import CRASH_MESSAGES, CrashNews
+from calicopath_core.fleet.leaving_sharing import LEAVING_MESSAGES, LeavingNews
 from calicopath_core.fleet.relay_messages import (
     RELAY_MESSAGES,
     RelayBeat,
@@ -19,6 +20,7 @@
 from calicopath_core.scheduling.messages import (
     MESSAGES,
     Adopt,
+    BackoffNews,
     EngineLoads,
     HandedOver,
     Learned,
@@ -38,6 +40,7 @@
     from calicopath_core.clock import Clock
     from calicopath_core.crashes.sharing import CrashSharing
     from calicopath_core.fleet.contact import StoreContact
+    from calicopath_core.fleet.leaving_sharing import LeavingSharing
     from calicopath_core.fleet.subscription import Subscription
     from calicopath_core.membership.transport import PeerTransport
     from calicopath_core.scheduling.client import SchedulerClient
@@ -64,11 +67,14 @@
         self.config_version = config_version
         self.contact = contact
         self.on_bad = on_bad
-        self.decoder = MessageDecoder(types=(*MESSAGES, *RELAY_MESSAGES, *CRASH_MESSAGES))
+        self.decoder = MessageDecoder(
+            types=(*MESSAGES, *RELAY_MESSAGES, *CRASH_MESSAGES, *LEAVING_MESSAGES)
+        )
         self.scheduler: Scheduler | None = None
         self.client: SchedulerClient | None = None
         self.subscription: Subscription | None = None
         self.crashes: CrashSharing | None = None
+        self.leaving: LeavingSharing | None = None
         self.sent = 0
         transport.listen(self.on_data)
 
@@ -95,6 +101,7 @@
         assert self.client is not None
         assert self.subscription is not None
         assert self.crashes is not None
+        assert self.leaving is not None
         match message:
             case Ping():
                 self.election.on_ping(message, self.clock.monotonic())
@@ -102,6 +109,7 @@
                     self.transport.renew(message.address)
                 self.send(message.address, self.presence(Pong, message.sequence))
                 self.crashes.on_digest(message.address, message.crashes)
+                self.leaving.on_digest(message.address, message.replicas)
             case Pong():
                 self.election.on_pong(message, self.clock.monotonic())
             case Place():
@@ -134,10 +142,15 @@
                 self.subscription.on_update(message)
             case CrashNews():
                 self.crashes.on_news(message)
+            case LeavingNews():
+                self.leaving.on_news(message)
+            case BackoffNews():
+                self.scheduler.on_backoffs(message)
 
     def presence(self, kind: type[Ping] | type[Pong], sequence: int) -> Ping | Pong:
         """Return what this box says of itself."""
         assert self.crashes is not None
+        assert self.leaving is not None
         own = self.election.own
         return kind(
             box=own.name,
@@ -147,7 +160,8 @@
             leaving=self.election.leaving,
             sequence=sequence,
             groups=self.election.count,
-            crashes=self.crashes.ledger.digest(),
+            crashes=self.crashes.digest(),
+            replicas=self.leaving.digest(),
         )
 
     def ping_all(self) -> None:
@@ -166,7 +180,9 @@
     async def run(self) -> None:
         """Ping until cancelled."""
         assert self.crashes is not None
+        assert self.leaving is not None
         while True:
             self.ping_all()
             self.crashes.tell_hubs()
+            self.leaving.tell_hubs()
             await asyncio.sleep(PING_S)
--- /dev/null
+++ b/packages/daemon/calicopathd/gateway/tests/notice_knowledge_tests.py
@@ -0,0 +1,230 @@
+"""Test which boxes know what replicas have said in answers, and what is under way then."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from calicopath_core.fleet.notices import NOTHING_TOLD, Bar, Notice
+from calicopath_core.scheduling.election import CANDIDATES
+from testkit.cases import VirtualCase
+from testkit.notice_fleet import NoticeFleet
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from calicopathd.gateway.box import GatewayBox
+
+LEAVES = Notice(leaving=True)
+PAUSE_S = 3.0
+
+
+class KnowledgeCase(VirtualCase):
+    def play(
+        self, work: Callable[[NoticeFleet], Awaitable[None]], *, count: int = 4
+    ) -> NoticeFleet:
+        """Run boxes that the store does not answer, and do some work with them."""
+
+        async def scenario() -> NoticeFleet:
+            fleet = NoticeFleet(count=count)
+            await fleet.start()
+            fleet.silence_store()
+            await work(fleet)
+            await fleet.stop()
+            return fleet
+
+        return self.run_virtual(scenario())
+
+    def box(self, fleet: NoticeFleet, name: str) -> GatewayBox:
+        """Return a box."""
+        return fleet.boxes[name].box
+
+    def hear(self, fleet: NoticeFleet, name: str, replica: str, notice: Notice) -> None:
+        """Have a box hear something in an answer."""
+        box = self.box(fleet, name)
+        box.gate.on_notice(box.replicas.replicas[replica], notice)
+
+    def knowing(self, fleet: NoticeFleet, replica: str) -> set[str]:
+        """Return the boxes that would not call a replica since it leaves."""
+        return {
+            name
+            for name, item in fleet.boxes.items()
+            if item.box.gate.bar_of(item.box.replicas.replicas[replica]) is Bar.LEAVING
+        }
+
+
+class Leaving(KnowledgeCase):
+    def test_what_one_box_is_told_all_know_within_a_second(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            self.hear(fleet, 'box-9', 'engine-4', LEAVES)
+            await asyncio.sleep(1.0)
+            self.assertEqual(set(fleet.boxes), self.knowing(fleet, 'engine-4'))
+
+        self.play(work, count=12)
+
+    def test_the_box_that_places_knows_at_once(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            for number in range(2, 8):
+                name = f'engine-{number}'
+                self.hear(fleet, 'box-3', name, LEAVES)
+                await asyncio.sleep(0.004)
+                self.assertIn('box-0', self.knowing(fleet, name))
+                await asyncio.sleep(0.033)
+
+        self.play(work)
+
+    def test_it_is_known_where_many_messages_are_lost(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            fleet.network.loss = 0.4
+            self.hear(fleet, 'box-5', 'engine-4', LEAVES)
+            await asyncio.sleep(4.0)
+            fleet.network.loss = 0.0
+            await asyncio.sleep(1.0)
+            self.assertEqual(set(fleet.boxes), self.knowing(fleet, 'engine-4'))
+
+        self.play(work, count=8)
+
+    def test_a_box_that_starts_is_told(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            self.hear(fleet, 'box-1', 'engine-4', LEAVES)
+            await asyncio.sleep(0.5)
+            fleet.store_answers()
+            await fleet.add('box-new', 'north').start()
+            await asyncio.sleep(3.0)
+            self.assertIn('box-new', self.knowing(fleet, 'engine-4'))
+
+        self.play(work)
+
+    def test_it_outlives_the_box_that_places(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            self.hear(fleet, 'box-3', 'engine-4', LEAVES)
+            await asyncio.sleep(0.3)
+            for number in range(CANDIDATES - 1):
+                fleet.kill(f'box-{number}')
+            await asyncio.sleep(3.0)
+            self.assertEqual(set(fleet.boxes), self.knowing(fleet, 'engine-4'))
+
+        self.play(work)
+
+    def test_a_service_replaced_as_a_whole_costs_each_box_little(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            before = self.bytes_sent(fleet)
+            for number in range(2, 9):
+                for box in fleet.boxes:
+                    self.hear(fleet, box, f'engine-{number}', LEAVES)
+            await asyncio.sleep(2.0)
+            sent = max(self.bytes_sent(fleet)[name] - before[name] for name in before)
+            # 24 KB/s is all that a box may spend on control, pings included.
+            self.assertLess(sent / 2.0, 24_000)
+
+        self.play(work, count=20)
+
+    def bytes_sent(self, fleet: NoticeFleet) -> dict[str, int]:
+        """Return what each box has sent to peers so far."""
+        return {name: fleet.network.sent_bytes.get(f'{name}:7', 0) for name in fleet.boxes}
+
+
+class UnderWay(KnowledgeCase):
+    def test_what_is_placed_and_not_sent_goes_elsewhere_and_costs_no_retry(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            box = self.box(fleet, 'box-3')
+            sink = fleet.ask('box-3', 'letter')
+            await asyncio.sleep(0.0015)
+            engines = [item for item in box.replicas.replicas.values() if item.service == 'engine']
+            for item in engines[1:]:
+                self.hear(fleet, 'box-3', item.id, LEAVES)
+            await fleet.settle()
+            reached = [item.replica for item in fleet.notices.arrivals]
+            self.assertEqual((200, [engines[0].id]), (sink.status, reached))
+            self.assertEqual(0, len(box.executor.context.budgets.of('engine').repeats))
+
+        self.play(work)
+
+    def test_a_stream_that_breaks_goes_on_elsewhere(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            fleet.replicas.faults['*'] = ['break:3']
+            sink = fleet.ask('box-1', 'draft')
+            while not fleet.notices.arrivals:
+                await asyncio.sleep(0.001)
+            await asyncio.sleep(0.05)
+            first = [item.replica for item in fleet.notices.arrivals if 'engine' in item.replica]
+            for number in range(2, 6):
+                self.hear(fleet, 'box-1', f'engine-{number}', LEAVES)
+            await fleet.settle()
+            later = [item for item in fleet.notices.arrivals if 'engine' in item.replica]
+            self.assertEqual([1, 2, 3, 4, 5, 6], sink.event_ids)
+            self.assertNotIn(first, [later[-1].replica])
+            self.assertFalse(later[-1].replica in {f'engine-{n}' for n in range(2, 6)})
+
+        self.play(work)
+
+    def test_a_request_whose_other_replicas_all_leave_is_refused_at_once(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            for name in ('desk-north', 'desk-south', 'desk-2', 'desk-3'):
+                self.hear(fleet, 'box-1', name, LEAVES)
+            for kind in ('read', 'pay'):
+                sink = fleet.ask('box-1', kind)
+                await asyncio.sleep(0.01)
+                self.assertEqual((503, 'no-endpoint'), (sink.status, sink.reason))
+            self.assertEqual([], fleet.notices.arrivals)
+
+        self.play(work)
+
+    def test_with_all_engines_leaving_a_stream_is_refused_at_once(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            for item in list(self.box(fleet, 'box-1').replicas.usable('engine')):
+                self.hear(fleet, 'box-1', item.id, LEAVES)
+            await asyncio.sleep(0.5)
+            sink = fleet.ask('box-2', 'letter')
+            await asyncio.sleep(0.02)
+            self.assertEqual(503, sink.status)
+            self.assertEqual([], fleet.notices.arrivals)
+
+        self.play(work)
+
+
+class Backoffs(KnowledgeCase):
+    def test_only_the_box_that_was_asked_stays_away(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            self.hear(fleet, 'box-1', 'desk-2', Notice(backoff_s=PAUSE_S))
+            await asyncio.sleep(0.5)
+            bars = {name: self.bar(fleet, name, 'desk-2') for name in fleet.boxes}
+            self.assertEqual(Bar.BACKOFF, bars.pop('box-1'))
+            self.assertEqual({None}, set(bars.values()))
+
+        self.play(work)
+
+    def bar(self, fleet: NoticeFleet, name: str, replica: str) -> Bar | None:
+        """Return why a box would not call a replica."""
+        box = self.box(fleet, name)
+        return box.gate.bar_of(box.replicas.replicas[replica])
+
+    def test_the_next_scheduler_is_told_what_holds(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            for name in ('engine-4', 'engine-5'):
+                self.hear(fleet, 'box-3', name, Notice(backoff_s=60.0))
+            await asyncio.sleep(0.1)
+            fleet.kill('box-0')
+            await asyncio.sleep(2.0)
+            scheduler = self.box(fleet, self.box(fleet, 'box-3').client.target.split(':')[0])
+            now = scheduler.clock.monotonic()
+            held = scheduler.scheduler.boards.backoffs.of_box('box-3:7', now)
+            self.assertEqual({'engine-4', 'engine-5'}, set(held))
+
+        self.play(work)
+
+    def test_a_suspension_counts_as_time(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            self.hear(fleet, 'box-1', 'desk-2', Notice(backoff_s=PAUSE_S))
+            self.box(fleet, 'box-1').clock.suspended_s += PAUSE_S + 1.0
+            self.assertIsNone(self.bar(fleet, 'box-1', 'desk-2'))
+
+        self.play(work)
+
+    def test_an_answer_without_a_wish_ends_none(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            self.hear(fleet, 'box-1', 'desk-2', Notice(backoff_s=PAUSE_S))
+            self.hear(fleet, 'box-1', 'desk-2', NOTHING_TOLD)
+            self.assertEqual(Bar.BACKOFF, self.bar(fleet, 'box-1', 'desk-2'))
+
+        self.play(work)
--- a/packages/daemon/calicopathd/gateway/tests/relaying_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/relaying_tests.py
@@ -6,6 +6,7 @@
 import itertools
 from typing import TYPE_CHECKING
 
+from calicopath_core.fleet.notices import Bar
 from calicopath_core.fleet.store import RecordKind
 from testkit.cases import VirtualCase
 from testkit.gateway import GatewayFleet
@@ -45,7 +46,7 @@
             fleet.store.write(RecordKind.REPLICA, leaving.id, leaving._replace(draining=True))
             await asyncio.sleep(0.05)
             for box in fleet.boxes.values():
-                self.assertFalse(box.box.replicas.is_usable(leaving))
+                self.assertEqual(Bar.DRAINING, box.box.replicas.bar_of(leaving))
             fleet.store.write(RecordKind.REPLICA, leaving.id, None)
             await asyncio.sleep(0.05)
             for box in fleet.boxes.values():
--- a/testkit/fake_network.py
+++ b/testkit/fake_network.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from calicopath_core.membership.transport import PeerTransport
@@ -20,10 +21,12 @@
         self.latency_s = latency_s
         self.loss = loss
         self.handlers: dict[str, Callable[[bytes], None]] = {}
+        self.sent_bytes: Counter[str] = Counter()
         self.blocked: Callable[[str, str], bool] = lambda source, target: False
 
     def deliver(self, source: str, target: str, data: bytes) -> None:
         """Deliver after the latency, unless the message is lost."""
+        self.sent_bytes[source] += len(data)
         if self.blocked(source, target) or self.rng.random() < self.loss:
             return
         loop = asyncio.get_running_loop()
--- /dev/null
+++ b/testkit/gates.py
@@ -0,0 +1,32 @@
+"""Make what a box knows of replicas by their answers."""
+
+from __future__ import annotations
+
+import random
+from unittest import mock
+
+from calicopath_core.fleet.backoffs import Backoffs
+from calicopath_core.fleet.gate import CallGate
+from calicopath_core.fleet.leaving import LeavingReplicas
+from calicopath_core.fleet.notices import NoticeObserver
+from calicopath_core.fleet.replicas import ReplicaTable
+from testkit.virtual import VirtualClock
+
+
+def new_leaving() -> LeavingReplicas:
+    """Return what knows of no replica that leaves, on virtual time."""
+    return LeavingReplicas(clock=VirtualClock(), observer=mock.Mock(spec=NoticeObserver))
+
+
+def new_gate(replicas: ReplicaTable | None = None) -> CallGate:
+    """Return a gate that bars nothing yet, on virtual time."""
+    leaving = new_leaving()
+    observer = mock.Mock(spec=NoticeObserver)
+    return CallGate(
+        replicas=replicas or ReplicaTable(leaving=leaving),
+        leaving=leaving,
+        backoffs=Backoffs(clock=VirtualClock(), observer=observer, rng=random.Random(1)),
+        observer=observer,
+        on_leaving=mock.Mock(),
+        on_backoff=mock.Mock(),
+    )
--- a/testkit/gateway_callers.py
+++ b/testkit/gateway_callers.py
@@ -92,7 +92,7 @@
     async def send(self, outbound: Outbound) -> ReplicaAnswer:
         """Send a request, and tell the listener what the answer's head tells."""
         replica = outbound.replica
-        self.listener.on_call(replica)
+        self.listener.check_call(replica, new_work=True)
         notice = self.notices.arrive(self.box, replica, outbound.exchange.received_at)
         if notice.backoff_s:
             self.replicas.sent.append(outbound)
@@ -120,7 +120,7 @@
 
     async def run(self, replica: Replica, calls: list[PieceCall]) -> list[PieceResult]:
         """Make one call; its head comes when it is done."""
-        self.listener.on_call(replica)
+        self.listener.check_call(replica, new_work=True)
         now = asyncio.get_running_loop().time()
         notice = self.notices.arrive(self.box, replica, now)
         if notice.backoff_s:
@@ -133,14 +133,14 @@
 
     async def report(self, replica: Replica) -> StageReport:
         """Return what a replica tells of itself."""
-        self.listener.on_call(replica)
+        self.listener.check_call(replica, new_work=False)
         report = await self.stages.report(replica)
         self.listener.on_notice(replica, self.notices.said.get(replica.id, NOTHING_TOLD))
         return report
 
     async def free(self, replica: Replica, handles: list[str]) -> None:
         """Give results up."""
-        self.listener.on_call(replica)
+        self.listener.check_call(replica, new_work=False)
         await self.stages.free(replica, handles)
         self.listener.on_notice(replica, self.notices.said.get(replica.id, NOTHING_TOLD))
 
--- a/tools/mutants/__main__.py
+++ b/tools/mutants/__main__.py
@@ -11,11 +11,16 @@
 import tempfile
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from testkit.processes import ROOT
-from tools.mutants.catalogue import MUTANTS, Mutant
+from tools.mutants.catalogue import MUTANTS
+
+if TYPE_CHECKING:
+    from tools.mutants.mutant import Mutant
 
 WORKERS = 4
+PACKAGES = ('core', 'clients', 'daemon', 'cli')
 
 LEFT_OUT = ('.git', '.venv', '__pycache__', '.*_cache', '.hypothesis', 'journal', 'target')
 """What no test reads is not copied."""
@@ -34,7 +39,7 @@
         target.write_text(text.replace(mutant.old, mutant.new))
         paths = ':'.join(
             str(copy / part)
-            for part in ('', *(f'packages/{name}' for name in ('core', 'clients', 'daemon', 'cli')))
+            for part in ('', 'platform', *(f'packages/{name}' for name in PACKAGES))
         )
         result = subprocess.run(
             [sys.executable, '-m', 'pytest', '-q', '-x', mutant.test],
--- a/tools/mutants/catalogue.py
+++ b/tools/mutants/catalogue.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from tools.mutants.mutant import CORE, Mutant
+from tools.mutants.notices import NOTICE_MUTANTS
 
-CORE = 'packages/core/calicopath_core'
 CRASHES = f'{CORE}/crashes/tests/ledger_tests.py'
 CRASHING = 'packages/daemon/calicopathd/gateway/tests/crashing_tests.py'
 BLOCKED = 'packages/daemon/calicopathd/gateway/tests/blocked_answers_tests.py'
@@ -12,16 +12,6 @@
 EVACUATING = 'packages/daemon/calicopathd/gateway/tests/evacuating_tests.py'
 
 
-class Mutant(NamedTuple):
-    """Name a promise, a change that breaks its mechanism, and the test that must fail."""
-
-    promise: str
-    file: str
-    old: str
-    new: str
-    test: str
-
-
 MUTANTS = (
     Mutant(
         'own answers',
@@ -152,22 +142,22 @@
     Mutant(
         'zones taken out',
         f'{CORE}/fleet/replicas.py',
-        'return not replica.draining and replica.zone not in self.evacuated',
-        'return not replica.draining',
+        'if found.zone in self.evacuated:',
+        'if False:',
         f'{EVACUATING}::Evacuating',
     ),
     Mutant(
         'zones taken out',
         f'{CORE}/exchanges/streams.py',
-        'not self.context.replicas.takes_work(replica)',
-        'replica.draining',
+        'if replica is None or bar is not None:',
+        'if replica is None:',
         f'{EVACUATING}::Evacuating',
     ),
     Mutant(
         'zones taken out',
         f'{CORE}/scheduling/freeing.py',
-        'replica is not None and replica.zone not in self.replicas.evacuated',
-        'replica is not None',
+        'if replica is None or replica.zone in self.replicas.evacuated:',
+        'if replica is None:',
         f'{EVACUATING}::Evacuating',
     ),
     Mutant(
@@ -207,21 +197,21 @@
     ),
     Mutant(
         'every box knows',
-        f'{CORE}/crashes/sharing.py',
-        'if digest == self.ledger.digest():',
-        'if self.ledger:',
+        f'{CORE}/membership/sharing.py',
+        'if digest == self.digest():',
+        'if self.send:',
         f'{BLOCKED}::Answered',
     ),
     Mutant(
         'every box knows',
-        f'{CORE}/crashes/sharing.py',
+        f'{CORE}/membership/sharing.py',
         'if news.whole and self.lacks(news):',
         'if False:',
         f'{CRASHES}::Sharing',
     ),
     Mutant(
         'every box knows',
-        f'{CORE}/crashes/sharing.py',
+        f'{CORE}/membership/sharing.py',
         'REPEAT_S = 1.0',
         'REPEAT_S = 1e-9',
         f'{CRASHES}::Sharing',
@@ -282,4 +272,5 @@
         '        if False:',
         f'{CRASHING}::Crashing',
     ),
+    *NOTICE_MUTANTS,
 )
--- /dev/null
+++ b/tools/mutants/notices.py
@@ -0,0 +1,136 @@
+"""List what breaks the keeping of what replicas say of themselves, and the tests that must fail."""
+
+from __future__ import annotations
+
+from tools.mutants.mutant import CORE, Mutant
+
+GATEWAY = 'packages/daemon/calicopathd/gateway/tests'
+GATE = f'{CORE}/fleet/tests/gate_tests.py'
+LEAVING = f'{GATEWAY}/leaving_tests.py::Leaving'
+BACKOFF = f'{GATEWAY}/backoff_tests.py::Backoffs'
+KNOWLEDGE = f'{GATEWAY}/notice_knowledge_tests.py'
+PLACING = f'{CORE}/scheduling/tests/backoffs_tests.py::Backoffs'
+WIRE = 'platform/calicopath_platform/tests/notices_tests.py'
+
+NOTICE_MUTANTS = (
+    Mutant(
+        'the word that a replica leaves',
+        f'{CORE}/fleet/replicas.py',
+        'return Bar.LEAVING if self.leaves(found) else None',
+        'return None',
+        LEAVING,
+    ),
+    Mutant(
+        'the word is of one life',
+        f'{CORE}/fleet/leaving.py',
+        'return word is not None and replica.born <= word.born',
+        'return word is not None',
+        f'{GATE}::Leaving',
+    ),
+    Mutant(
+        'the word outlasts a lapsed entry',
+        f'{CORE}/fleet/leaving.py',
+        'if word.at < oldest and name not in known',
+        'if name not in known',
+        f'{GATE}::Leaving',
+    ),
+    Mutant(
+        'all boxes know the word',
+        f'{CORE}/fleet/gate.py',
+        'self.on_leaving(replica.id)',
+        'pass',
+        f'{KNOWLEDGE}::Leaving',
+    ),
+    Mutant(
+        'all boxes know the word',
+        'packages/daemon/calicopathd/gateway/peers.py',
+        'self.leaving.on_digest(message.address, message.replicas)',
+        'pass',
+        f'{KNOWLEDGE}::Leaving',
+    ),
+    Mutant(
+        'one that leaves and ends has not crashed',
+        f'{CORE}/crashes/fate.py',
+        'if self.replicas.leaves(known or self.replica):',
+        'if known is not None and known.draining:',
+        f'{GATE}::Leaving',
+    ),
+    Mutant(
+        'the last word before a call',
+        f'{CORE}/fleet/gate.py',
+        'raise Barred(replica, bar)',
+        'pass',
+        f'{GATE}::Backoffs',
+    ),
+    Mutant(
+        'the longest wish holds',
+        f'{CORE}/fleet/backoffs.py',
+        'known.until = max(known.until, until)',
+        'known.until = until',
+        f'{GATE}::Backoffs',
+    ),
+    Mutant(
+        'calls come back gradually',
+        f'{CORE}/fleet/backoffs.py',
+        'found.trial_until = self.clock.monotonic() + TRIAL_S',
+        'pass',
+        f'{GATE}::Backoffs',
+    ),
+    Mutant(
+        'runs come back gradually',
+        f'{CORE}/scheduling/backoffs.py',
+        'return shun is not None and shun.trial_until > now',
+        'return False',
+        PLACING,
+    ),
+    Mutant(
+        'a box is given no engine that wants nothing from it',
+        f'{CORE}/scheduling/backoffs.py',
+        'return held is not None and held.get(replica, 0.0) > now',
+        'return False',
+        PLACING,
+    ),
+    Mutant(
+        'an engine that turns away draws nothing',
+        f'{CORE}/scheduling/backoffs.py',
+        'return shun is not None and shun.until > now',
+        'return False',
+        PLACING,
+    ),
+    Mutant(
+        'what waits is judged anew',
+        f'{CORE}/scheduling/scheduler.py',
+        '        self.boards.backoffs.note(message.address, message.backoffs, now)\n'
+        '        self.reject_backing_off(now)',
+        '        self.boards.backoffs.note(message.address, message.backoffs, now)',
+        PLACING,
+    ),
+    Mutant(
+        'the next scheduler is told',
+        'packages/daemon/calicopathd/gateway/box.py',
+        'self.tell_backoffs(self.gate.backoffs_of(service))',
+        'pass',
+        f'{KNOWLEDGE}::Backoffs',
+    ),
+    Mutant(
+        'stages that want nothing',
+        f'{CORE}/scheduling/stages.py',
+        'if self.back_s(item.replica) <= 0]',
+        'if item]',
+        f'{CORE}/scheduling/tests/stages_tests.py::Failing',
+    ),
+    Mutant(
+        'plain services that want nothing',
+        f'{CORE}/fleet/gate.py',
+        'return [item for item in found if self.backoffs.left_s(item) <= 0]',
+        'return found',
+        BACKOFF,
+    ),
+    Mutant(
+        'every answer is read',
+        'platform/calicopath_platform/replicas.py',
+        'self.listener.on_notice(replica, decode_notice(call.head))',
+        'pass',
+        f'{WIRE}::Answers',
+    ),
+)
