--- a/tools/mutants/notices.py
+++ b/tools/mutants/notices.py
@@ -7,7 +7,6 @@
 GATEWAY = 'packages/daemon/calicopathd/gateway/tests'
 GATE = f'{CORE}/fleet/tests/gate_tests.py'
 LEAVING = f'{GATEWAY}/leaving_tests.py::Leaving'
-BACKOFF = f'{GATEWAY}/backoff_tests.py::Backoffs'
 KNOWLEDGE = f'{GATEWAY}/notice_knowledge_tests.py'
 PLACING = f'{CORE}/scheduling/tests/backoffs_tests.py::Backoffs'
 WIRE = 'platform/calicopath_platform/tests/notices_tests.py'
@@ -124,7 +123,7 @@
         f'{CORE}/fleet/gate.py',
         'return [item for item in found if self.backoffs.left_s(item) <= 0]',
         'return found',
-        BACKOFF,
+        f'{GATE}::Backoffs',
     ),
     Mutant(
         'every answer is read',
