--- a/packages/core/calicopath_core/scheduling/backoffs.py
+++ b/packages/core/calicopath_core/scheduling/backoffs.py
@@ -31,6 +31,7 @@
     def __init__(self) -> None:
         self.until = 0.0
         self.turned_away = 0
+        self.turned_away_at = -math.inf
         self.trial_until = -math.inf
 
 
@@ -88,16 +89,17 @@
         if shun is not None:
             shun.trial_until = now + TRIAL_S
 
-    def on_started(self, replica: str, now: float) -> None:
-        """Note a run that has begun: the engine takes calls again."""
+    def on_started(self, replica: str, placed_at: float, now: float) -> None:
+        """Note a run that has begun: the engine takes calls again, if it was asked since."""
         shun = self.shuns.get(replica)
-        if shun is not None and shun.until <= now:
+        if shun is not None and shun.until <= now and placed_at >= shun.turned_away_at:
             del self.shuns[replica]
 
     def on_turned_away(self, replica: str, now: float) -> None:
         """Note a run that was turned away, for which the engine need not have asked anything."""
         shun = self.shuns.setdefault(replica, Shun())
         shun.turned_away += 1
+        shun.turned_away_at = now
         shun_s = min(MAX_SHUN_S, LEAST_SHUN_S * 2 ** (shun.turned_away - 1))
         shun.until = max(shun.until, now + shun_s)
         shun.trial_until = -math.inf
--- a/packages/core/calicopath_core/scheduling/engines.py
+++ b/packages/core/calicopath_core/scheduling/engines.py
@@ -308,9 +308,9 @@
         self.backoffs.on_placed(engine.replica.id, now)
         engine.remember(parts, self.kv_tokens, now)
 
-    def started(self, replica_id: str, job_id: str, now: float) -> None:
+    def started(self, replica_id: str, job_id: str, placed_at: float, now: float) -> None:
         """Note that an engine has read a prompt, and so works well."""
-        self.backoffs.on_started(replica_id, now)
+        self.backoffs.on_started(replica_id, placed_at, now)
         engine = self.known.get(replica_id)
         run = engine.runs.get(job_id) if engine else None
         if engine is None or run is None:
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -374,11 +374,12 @@
         job = self.jobs.get(message.job)
         if job is None or job.placed_on is None:
             return
-        if job.engine_at is not None:
-            took_s = self.clock.monotonic() - job.engine_at
-            self.engine_times.learn(job.place.prompt.tokens_in, took_s)
         now = self.clock.monotonic()
-        self.boards[job.place.service].started(job.placed_on, job.id, now)
+        placed_at = now
+        if job.engine_at is not None:
+            placed_at = job.engine_at
+            self.engine_times.learn(job.place.prompt.tokens_in, now - placed_at)
+        self.boards[job.place.service].started(job.placed_on, job.id, placed_at, now)
         self.stages.release.give_up(job.all_results())
 
     def on_ended(self, message: RunEnded) -> None:
--- a/packages/core/calicopath_core/scheduling/tests/backoffs_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/backoffs_tests.py
@@ -189,7 +189,9 @@
             self.assertTrue(backoffs.is_shunned('e1', LEAST_SHUN_S / 2))
             backoffs.on_placed('e1', LEAST_SHUN_S)
             self.assertTrue(backoffs.in_trial('e1', LEAST_SHUN_S + TRIAL_S / 2))
-            backoffs.on_started('e1', LEAST_SHUN_S + TRIAL_S / 2)
+            backoffs.on_started('e1', -1.0, LEAST_SHUN_S + TRIAL_S / 2)
+            self.assertTrue(backoffs.in_trial('e1', LEAST_SHUN_S + TRIAL_S / 2))
+            backoffs.on_started('e1', LEAST_SHUN_S, LEAST_SHUN_S + TRIAL_S / 2)
             self.assertFalse(backoffs.in_trial('e1', LEAST_SHUN_S + TRIAL_S / 2))
 
         self.play(work)
--- a/packages/core/calicopath_core/scheduling/tests/engines_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/engines_tests.py
@@ -37,7 +37,7 @@
 
     def test_a_part_that_an_engine_keeps_is_read_there_again(self) -> None:
         first = self.place(job('one', prompt=prompt(('shared', 4000), ('a', 10))))
-        self.board.started(first, 'one', 0.0)
+        self.board.started(first, 'one', 0.0, 0.0)
         self.assertEqual(first, self.place(job('two', prompt=prompt(('shared', 4000), ('b', 10)))))
 
     def test_what_was_not_used_for_long_draws_nobody(self) -> None:
