--- a/packages/core/calicopath_core/routing/pools.py
+++ b/packages/core/calicopath_core/routing/pools.py
@@ -89,8 +89,8 @@
         self.pool.note_failure(self.replica)
         self.pool.release(self.replica)
 
-    def declined(self) -> None:
-        """Give the place back after the endpoint said that it is full."""
+    def declined(self, backoff_s: float = 0.0) -> None:
+        """Give the place back after the endpoint said that it is full, and for how long."""
         self.replica.limit.on_overload()
         self.replica.health.on_neutral()
         self.pool.release(self.replica)
