The callers' own interface goes by the pauses that endpoints ask for

Change: an endpoint that asks for a pause is no candidate until it is over, whoever else is left; what waits for it in vain is told at once, and the rest is served when the first pause ends. A decline without the header is told apart by its type, no longer by a made-up second.

--- a/packages/clients/calicopath_clients/calls.py
+++ b/packages/clients/calicopath_clients/calls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlsplit
 
@@ -12,6 +13,7 @@
 
 from calicopath_core.backends.base import (
     ConnectionBroken,
+    Declined,
     EndpointReach,
     MayHaveRun,
     NotStarted,
@@ -59,7 +61,8 @@
     try:
         async with session.post(url, data=msgspec.json.encode(body), timeout=NO_TIMEOUT) as answer:
             if answer.status == STATUS_DECLINED:
-                raise NotStarted(f'{url} declined', retry_after_s=retry_after(answer))
+                text, wait_s = f'{url} declined', retry_after(answer)
+                raise Declined(text, turned_away=True, retry_after_s=wait_s)
             if answer.status != STATUS_OK:
                 raise MayHaveRun(f'{url} answered {answer.status}')
             try:
@@ -75,12 +78,13 @@
         raise MayHaveRun(f'the call to {url} broke: {error!r}') from error
 
 
-def retry_after(answer: aiohttp.ClientResponse) -> float:
-    """Return the seconds that a declining endpoint asks for."""
+def retry_after(answer: aiohttp.ClientResponse) -> float | None:
+    """Return the seconds for which a declining endpoint wants nothing, if it says so."""
     try:
-        return float(answer.headers.get('Retry-After', '1'))
+        seconds = float(answer.headers.get('Retry-After', ''))
     except ValueError:
-        return 1.0
+        return None
+    return seconds if math.isfinite(seconds) and seconds > 0 else None
 
 
 async def call_stage(
--- a/packages/core/calicopath_core/execution/attempts.py
+++ b/packages/core/calicopath_core/execution/attempts.py
@@ -4,7 +4,13 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from calicopath_core.backends.base import ConnectionBroken, MayHaveRun, NotStarted, WrongAnswer
+from calicopath_core.backends.base import (
+    ConnectionBroken,
+    Declined,
+    MayHaveRun,
+    NotStarted,
+    WrongAnswer,
+)
 from calicopath_core.crashes.fate import EndpointFate
 from calicopath_core.execution.requests import CallResult
 from calicopath_core.execution.run import Run, StageFailed
@@ -197,12 +203,12 @@
         elif self.is_failure(error, served_s):
             self.slot.failed()
         else:
-            self.slot.declined()
+            self.slot.declined(backoff_of(error))
 
     def is_failure(self, error: BaseException | None, served_s: float) -> bool:
         """Tell whether the endpoint failed, rather than having too much to do."""
         if isinstance(error, NotStarted):
-            return error.retry_after_s is None
+            return not isinstance(error, Declined)
         if isinstance(error, TimedOut):
             return self.tells_of_endpoint(served_s)
         return True
@@ -217,6 +223,11 @@
         return in_time or served_s >= self.budget.expected_s * LATE_FACTOR
 
 
+def backoff_of(error: BaseException | None) -> float:
+    """Return for how many seconds a declining endpoint wants nothing, 0 if it does not say."""
+    return (error.retry_after_s or 0.0) if isinstance(error, NotStarted) else 0.0
+
+
 def result_of(error: BaseException | None) -> CallResult:
     """Return how a call ended by what it raised."""
     if error is None:
--- a/packages/core/calicopath_core/limits/queue.py
+++ b/packages/core/calicopath_core/limits/queue.py
@@ -117,6 +117,11 @@
             1 for level, group in self.classes.items() if level >= priority for _ in group.waiters()
         )
 
+    def waiters(self) -> Iterator[Waiter]:
+        """Yield the live waiters in no particular order."""
+        for group in self.classes.values():
+            yield from group.waiters()
+
     def __len__(self) -> int:
         """Count the live waiters."""
         return self.ahead_of(-1)
--- a/packages/core/calicopath_core/routing/pools.py
+++ b/packages/core/calicopath_core/routing/pools.py
@@ -23,6 +23,9 @@
 AVERAGE_WEIGHT = 0.05
 MIN_RETRY_AFTER_S = 0.1
 MAX_QUEUED = 10_000
+TIMER_SLACK_S = 0.001
+"""How much later than a pause ends a timer is set: those may fire a rounding early."""
+
 MAX_WAIT_S = 60.0
 """The wait that is told when requests of higher priority take all there is."""
 
@@ -91,9 +94,10 @@
 
     def declined(self, backoff_s: float = 0.0) -> None:
         """Give the place back after the endpoint said that it is full, and for how long."""
-        self.replica.limit.on_overload()
+        self.replica.on_declined(backoff_s, self.pool.clock.monotonic())
         self.replica.health.on_neutral()
         self.pool.release(self.replica)
+        self.pool.on_declined()
 
     def abandoned(self) -> None:
         """Give the place back when nothing was learnt about the endpoint."""
@@ -123,6 +127,7 @@
         self.token_gap_s: float | None = None
         self.arrivals = ArrivalRates(clock=clock)
         self.ejections = 0
+        self.timer: asyncio.TimerHandle | None = None
 
     def update(self, endpoints: Iterable[Endpoint]) -> None:
         """Take over the endpoints that configuration gives; calls in flight go on."""
@@ -153,19 +158,48 @@
             if replica.endpoint.state is EndpointState.ACTIVE
         ]
 
+    def callable(self) -> list[Replica]:
+        """Return the active endpoints that have not asked for a pause: an order, not a choice."""
+        now = self.clock.monotonic()
+        return [replica for replica in self.active() if replica.back_s(now) <= 0]
+
     def candidates(self) -> list[Replica]:
-        """Return the active endpoints that are healthy, or all of them if none is."""
+        """Return the endpoints to call that are healthy, or all that may be called if none is."""
         now = self.clock.monotonic()
-        active = self.active()
-        healthy = [replica for replica in active if not replica.health.is_ejected(now)]
-        return healthy or active
+        allowed = self.callable()
+        healthy = [replica for replica in allowed if not replica.health.is_ejected(now)]
+        return healthy or allowed
+
+    def first_back_s(self) -> float:
+        """Return when the first endpoint may be called, 0 if one may now."""
+        now = self.clock.monotonic()
+        return min((replica.back_s(now) for replica in self.active()), default=0.0)
+
+    def on_declined(self) -> None:
+        """Look anew at what waits once an endpoint has asked for a pause."""
+        back_s = self.first_back_s()
+        if back_s <= 0:
+            return
+        back_at = self.clock.monotonic() + back_s
+        for waiter in list(self.queue.waiters()):
+            assert isinstance(waiter, QueuedCall)
+            if back_at > waiter.ticket.latest_start:
+                waiter.future.set_exception(self.no_room(waiter.priority))
+        self.pump_in(back_s)
+
+    def pump_in(self, wait_s: float) -> None:
+        """Serve whoever waits when the first pause is over."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = asyncio.get_running_loop().call_later(wait_s + TIMER_SLACK_S, self.pump)
 
     async def acquire(self, ticket: Ticket) -> Slot:
         """Return a slot; raise `NoEndpoint` or `NoRoom` at once when there will be none."""
         asked = self.clock.monotonic()
         if not self.active():
             raise NoEndpoint(f'service {self.service!r} has no active endpoint')
-        if asked > ticket.latest_start:
+        back_s = self.first_back_s()
+        if asked + back_s > ticket.latest_start:
             raise self.no_room(ticket.priority)
         if not self.queue.ahead_of(ticket.priority):
             replica = self.choose(ticket)
@@ -186,6 +220,8 @@
         future: asyncio.Future[Replica] = asyncio.get_running_loop().create_future()
         self.queue.push(QueuedCall(ticket=ticket, future=future))
         self.pump()
+        if back_s := self.first_back_s():
+            self.pump_in(back_s)
         try:
             async with asyncio.timeout_at(ticket.latest_start):
                 return await future
@@ -304,6 +340,8 @@
         waiting = ahead + 1 - self.free_places()
         if waiting <= 0:
             return 0.0
+        if not self.callable():
+            return self.first_back_s()
         left = self.rate() - self.arrivals.above(priority)
         return waiting / left if left > 0 else MAX_WAIT_S
 
--- a/packages/core/calicopath_core/routing/replicas.py
+++ b/packages/core/calicopath_core/routing/replicas.py
@@ -19,6 +19,10 @@
 MEMORY_S = 10.0
 """Time in which what was learnt fades when no call tells more, so that a replica is tried again."""
 
+MAX_BACKOFF_S = 60.0
+"""The longest pause that is kept to; an endpoint that asks for more is called again after this, and
+operators who want it left alone drain it."""
+
 LATENCY_WEIGHT = 0.2
 """Weight of a new sample in the moving average."""
 
@@ -56,6 +60,7 @@
         self.limit = limit
         self.health = Health()
         self.in_flight = 0
+        self.backoff_until = -math.inf
         self.slowness = Fading(clock=clock)
         self.penalty = Fading(clock=clock)
 
@@ -75,6 +80,15 @@
         """Learn from a failed call, which has no service time of its own."""
         self.penalty.learn(min(MAX_PENALTY, self.penalty.value * FAILURE_PENALTY))
 
+    def on_declined(self, backoff_s: float, now: float) -> None:
+        """Learn from a call that the endpoint would not take; it may ask for a pause."""
+        self.limit.on_overload()
+        self.backoff_until = max(self.backoff_until, now + min(backoff_s, MAX_BACKOFF_S))
+
+    def back_s(self, now: float) -> float:
+        """Return for how long the endpoint wants nothing yet."""
+        return max(0.0, self.backoff_until - now)
+
     def has_room(self) -> bool:
         """Tell whether the limit allows one more call."""
         return self.in_flight < self.limit.value
