Soak: replicas that leave by their answers alone, and that turn calls away and ask for pauses

Cause: no stand-in ever said such a thing, which is why neither tests nor soak could find it. Two checks that hold always, since they count only what a box was asked after its caller had seen the word or the refusal.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -23,6 +23,7 @@
     sealed: bool
     body: bytes
     closes: bool
+    leaving: bool = False
 
 
 NO_ANSWER = Answer(0, False, False, b'', True)
@@ -85,7 +86,8 @@
         body, whole = await read_chunks(reader)
     else:
         body, whole = b'', False
-    return Answer(status, whole, sealed, body, closes)
+    leaving = b'\r\nserver-leaving: 1\r\n' in lowered
+    return Answer(status, whole, sealed, body, closes, leaving)
 
 
 async def read_length(reader: asyncio.StreamReader, length: int) -> tuple[bytes, bool]:
@@ -137,4 +139,5 @@
         body=answer.body[:200],
         event_ids=ids,
         since=question.since,
+        leaving=answer.leaving,
     )
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -7,12 +7,12 @@
 from typing import TYPE_CHECKING
 
 from tools.soak.records import EVENTS, STREAMS, RequestKind, Run, Seen
-from tools.soak.schedule import Step, calm
+from tools.soak.schedule import FaultKind, Step, calm
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from tools.soak.records import StopSeen, ZoneOut
+    from tools.soak.records import Arrived, StopSeen, TurnedAway, ZoneOut
 
 CONTACT_S = 4.0
 """How long after a fault a box is not held to times; the users' pages say 3 to 4 s."""
@@ -30,6 +30,9 @@
 GRACE_S = 8.0
 """How long a box may take to stop, as the users' pages say; a busy machine is given twice that."""
 
+MOST_IN_PAUSE = 2
+"""What a replica may get from a box in a pause that it has asked for, as the users' pages say."""
+
 OWN_WHOLE = frozenset({200})
 
 
@@ -127,6 +130,76 @@
     return problems
 
 
+def told_boxes_send_nothing(
+    seen: Iterable[Seen], runs: Iterable[Run], steps: list[Step]
+) -> list[str]:
+    """Check that no box sends to a replica what it was asked long after that had said it leaves.
+
+    The box had passed the word on before its caller saw it, so that no slow machine excuses it;
+    only a new life of the box, or a pause, does.
+    """
+    listed = {item.call_id: item for item in seen}
+    told: dict[tuple[str, int, int], float] = {}
+    problems = []
+    ordered = sorted(runs, key=lambda run: run.began)
+    last = {run.call_id: run.replica for run in ordered}
+    for item in listed.values():
+        if item.leaving and item.call_id in last:
+            key = (last[item.call_id], item.box, item.life)
+            told[key] = min(told.get(key, item.ended), item.ended)
+    for run in ordered:
+        asked = listed.get(run.call_id)
+        at = told.get((run.replica, asked.box, asked.life)) if asked is not None else None
+        if asked is None or at is None or asked.began < at + DRAIN_S:
+            continue
+        if not paused(steps, asked.box, at, run.began):
+            late_s = asked.began - at
+            problems.append(f'{run.call_id}: asked {late_s:.2f} s after {run.replica} told its box')
+    return problems
+
+
+def pauses_are_kept(
+    seen: Iterable[Seen],
+    turned_away: Iterable[TurnedAway],
+    arrivals: Iterable[Arrived],
+    steps: list[Step],
+) -> list[str]:
+    """Check that a replica gets hardly anything from a box in a pause that it has asked it for.
+
+    Counted is what the box was asked after the answer that followed the wish: it knew by then.
+    """
+    listed = {item.call_id: item for item in seen}
+    by_replica: dict[str, list[Arrived]] = defaultdict(list)
+    for arrived in arrivals:
+        by_replica[arrived.replica].append(arrived)
+    problems = []
+    for wish in turned_away:
+        told = listed.get(wish.call_id)
+        if told is None or not told.status or paused(steps, told.box, wish.at, wish.ends):
+            continue
+        came = 0
+        for arrived in by_replica[wish.replica]:
+            item = listed.get(arrived.call_id)
+            same = item is not None and (item.box, item.life) == (told.box, told.life)
+            if same and item is not None and told.ended < item.began and arrived.at < wish.ends:
+                came += 1
+        if came > MOST_IN_PAUSE:
+            text = f'{came} calls of box {told.box} in a pause of {wish.wish_s:.2f} s'
+            problems.append(f'{wish.replica}: {text}')
+    return problems
+
+
+def paused(steps: list[Step], box: int, begin_s: float, end_s: float) -> bool:
+    """Tell whether a box stood still in a span: it may not know, and need not keep to times."""
+    return any(
+        step.kind is FaultKind.PAUSE_BOX
+        and step.target == box
+        and step.at_s <= end_s
+        and step.ends_s >= begin_s
+        for step in steps
+    )
+
+
 def zones_out_get_nothing(
     runs: Iterable[Run],
     zones_out: list[ZoneOut],
--- a/tools/soak/records.py
+++ b/tools/soak/records.py
@@ -26,7 +26,8 @@
     """Hold what a caller saw of one request.
 
     `status` is 0 without an answer; `whole` says that the answer had its proper end; `life` counts
-    the starts of the box; `since` is the configuration that a probe asks for.
+    the starts of the box; `since` is the configuration that a probe asks for; `leaving` says that
+    the answer came from a replica that leaves.
     """
 
     call_id: str
@@ -41,6 +42,7 @@
     body: bytes
     event_ids: tuple[int, ...]
     since: int = 0
+    leaving: bool = False
 
     @property
     def refused(self) -> bool:
@@ -59,6 +61,28 @@
         self.ended: float | None = None
 
 
+class TurnedAway(NamedTuple):
+    """Hold a call that a replica turned away, and for how many seconds it asked for a pause."""
+
+    call_id: str
+    replica: str
+    at: float
+    wish_s: float
+
+    @property
+    def ends(self) -> float:
+        """Return when the pause is over."""
+        return self.at + self.wish_s
+
+
+class Arrived(NamedTuple):
+    """Hold a request that reached a replica, whether it ran or not."""
+
+    call_id: str
+    replica: str
+    at: float
+
+
 class ZoneOut(NamedTuple):
     """Hold when a zone was taken out and given back, in the world's seconds."""
 
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -154,6 +154,13 @@
             *checks.nothing_runs_twice(self.seen, world.runs),
             *checks.no_unknown_request_ran(self.seen, world.runs, self.open_ids),
             *checks.configuration_never_goes_back(self.seen),
+            *checks.told_boxes_send_nothing(self.seen, world.runs, steps),
+            *checks.pauses_are_kept(
+                self.seen,
+                [item for life in world.lives for item in life.turned_away if item.wish_s],
+                [item for life in world.lives for item in life.arrivals],
+                steps,
+            ),
         ]
         if self.plan.timed:
             problems += checks.runs_do_not_overlap(world.runs, steps, world.now())
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -26,6 +26,8 @@
     ZONE_OUT = 'zone-out'
     REPLICA_REBORN = 'replica-reborn'
     FOREIGN_ENTRY = 'foreign-entry'
+    REPLICA_LEAVES = 'replica-leaves'
+    REPLICA_TURNS_AWAY = 'replica-turns-away'
 
 
 class LinkMode(enum.Enum):
@@ -47,11 +49,21 @@
         FaultKind.REPLICA_DRAINS,
         FaultKind.ZONE_OUT,
         FaultKind.FOREIGN_ENTRY,
+        FaultKind.REPLICA_LEAVES,
+        FaultKind.REPLICA_TURNS_AWAY,
     }
 )
 """What is no fault but an operator's work: nothing may be cut by it."""
 
-OWN_STREAMS = frozenset({FaultKind.ZONE_OUT, FaultKind.REPLICA_REBORN, FaultKind.FOREIGN_ENTRY})
+OWN_STREAMS = frozenset(
+    {
+        FaultKind.ZONE_OUT,
+        FaultKind.REPLICA_REBORN,
+        FaultKind.FOREIGN_ENTRY,
+        FaultKind.REPLICA_LEAVES,
+        FaultKind.REPLICA_TURNS_AWAY,
+    }
+)
 """What is drawn apart, so that what else a seed means stays as it was before these came."""
 
 BROKEN_LINKS = (
@@ -72,6 +84,9 @@
 ENTRY_GAP_S = 2.0
 """The mean time between two replicas that start again under their name, or foreign entries."""
 
+WORD_GAP_S = 1.5
+"""The mean time between two replicas that leave by their answers alone, or turn calls away."""
+
 SERIES = 4
 """Changes of one kind that may come right after each other."""
 
@@ -114,6 +129,7 @@
         at_s += rng.expovariate(1 / GAP_S)
     found += draw_zones(seed, seconds=seconds, zones=zones)
     found += draw_entries(seed, seconds=seconds, replicas=replicas)
+    found += draw_words(seed, seconds=seconds, replicas=replicas)
     return sorted(found, key=lambda step: step.at_s)
 
 
@@ -144,6 +160,19 @@
     return found
 
 
+def draw_words(seed: int, *, seconds: float, replicas: int) -> list[Step]:
+    """Return which replicas leave by their answers alone, and which turn calls away for a while."""
+    rng = random.Random(f'words of {seed}')
+    found: list[Step] = []
+    at_s = rng.expovariate(1 / WORD_GAP_S)
+    while at_s < seconds:
+        kind = rng.choice((FaultKind.REPLICA_LEAVES, FaultKind.REPLICA_TURNS_AWAY))
+        for_s = round(rng.uniform(0.3, LONGEST_S), 3)
+        found.append(Step(round(at_s, 3), kind, rng.randrange(replicas), for_s, LinkMode.PASS))
+        at_s += rng.expovariate(1 / WORD_GAP_S)
+    return found
+
+
 def calm(steps: list[Step], begin_s: float, end_s: float, *, own: Step | None = None) -> bool:
     """Tell whether no fault but `own` touches a span."""
     return not any(
--- a/tools/soak/tests/checks_tests.py
+++ b/tools/soak/tests/checks_tests.py
@@ -8,7 +8,16 @@
 import testtools
 
 from tools.soak import checks
-from tools.soak.records import EVENTS, RequestKind, Run, Seen, StopSeen, ZoneOut
+from tools.soak.records import (
+    EVENTS,
+    Arrived,
+    RequestKind,
+    Run,
+    Seen,
+    StopSeen,
+    TurnedAway,
+    ZoneOut,
+)
 from tools.soak.schedule import OWN_STREAMS, FaultKind, LinkMode, Step, calm, draw
 
 WHOLE = tuple(range(1, EVENTS + 1))
@@ -46,6 +55,55 @@
     return Step(at_s, kind, 0, for_s, LinkMode.RESET)
 
 
+class Words(testtools.TestCase):
+    def told(self, later_began: float, **changes: Any) -> list[str]:
+        """Judge a request that reached a replica after another box or this one was told by it."""
+        first = seen(RequestKind.READ, leaving=True)
+        later = seen(RequestKind.READ, call_id='c-2', began=later_began, **changes)
+        again = run(later_began + 0.1)
+        again.call_id = 'c-2'
+        return checks.told_boxes_send_nothing([first, later], [run(), again], [])
+
+    def test_what_a_told_box_sends_late_is_seen(self) -> None:
+        self.assertEqual(1, len(self.told(10.6 + checks.DRAIN_S)))
+        self.assertEqual([], self.told(10.4 + checks.DRAIN_S))
+
+    def test_other_boxes_and_later_lives_are_not_held_to_it(self) -> None:
+        self.assertEqual([], self.told(20.0, box=1))
+        self.assertEqual([], self.told(20.0, life=2))
+
+    def test_a_box_that_stood_still_is_excused(self) -> None:
+        first, later = seen(RequestKind.READ, leaving=True), seen(RequestKind.READ, call_id='c-2')
+        later = later._replace(began=20.0)
+        again = run(20.1)
+        again.call_id = 'c-2'
+        pause = step(FaultKind.PAUSE_BOX, 15.0)
+        found = checks.told_boxes_send_nothing([first, later], [run(), again], [pause])
+        self.assertEqual([], found)
+
+    def kept(self, began: list[float], **changes: Any) -> list[str]:
+        """Judge calls that were asked at some times, after one was turned away at 10.1 for 3 s."""
+        listed = [seen(RequestKind.READ, status=503, ended=10.2)]
+        arrived = [Arrived('c-1', 'i-1', 10.1)]
+        for number, at in enumerate(began, 2):
+            fields = {'call_id': f'c-{number}', 'began': at, 'ended': at + 0.1} | changes
+            listed.append(seen(RequestKind.READ, **fields))
+            arrived.append(Arrived(f'c-{number}', 'i-1', at + 0.05))
+        wish = TurnedAway('c-1', 'i-1', 10.1, 3.0)
+        return checks.pauses_are_kept(listed, [wish], arrived, [])
+
+    def test_a_pause_that_is_not_kept_is_seen(self) -> None:
+        self.assertEqual(1, len(self.kept([10.3, 11.0, 12.9])))
+        self.assertEqual([], self.kept([10.3, 12.9]))
+
+    def test_what_was_asked_before_or_comes_after_it_does_not_count(self) -> None:
+        self.assertEqual([], self.kept([10.15, 10.18, 13.1, 13.2, 13.3]))
+
+    def test_a_pause_binds_one_box_in_one_life(self) -> None:
+        self.assertEqual([], self.kept([10.3, 11.0, 12.0], box=1))
+        self.assertEqual([], self.kept([10.3, 11.0, 12.0], life=2))
+
+
 class Answers(testtools.TestCase):
     def test_what_is_right_is_no_problem(self) -> None:
         good = [seen(RequestKind.READ), seen(RequestKind.DRAFT), seen(RequestKind.READ, status=503)]
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import random
 import signal
 import tempfile
 import time
@@ -14,6 +15,7 @@
 
 from calicopath_platform import names
 from calicopath_platform.tests.soak_replicas import (
+    WRONG_WISHES,
     SoakReplica,
     foreign_spec,
     soak_config,
@@ -38,6 +40,8 @@
 """How often a box is given other ports when somebody took one before it listened."""
 
 STATUS_DOWN = 503
+WRONG_SHARE = 0.2
+"""How many of the wishes make no sense."""
 
 
 class Slot:
@@ -66,6 +70,7 @@
         self.boxes: list[BoxProcess] = []
         self.count = boxes
         self.runs: list[Run] = []
+        self.lives: list[SoakReplica] = []
         self.handles: dict[str, str] = {}
         self.drained: dict[str, float] = {}
         self.stops: list[StopSeen] = []
@@ -133,6 +138,7 @@
             runs=self.runs,
             handles=self.handles,
         )
+        self.lives.append(slot.replica)
         slot.link.target = await slot.stack.enter_async_context(slot.replica.served())
         self.announce(slot, 'ready')
 
@@ -188,8 +194,15 @@
                 self.store.lose_answers = False
             case FaultKind.STORE_FORGETS:
                 self.store.history_from = self.store.revision
-            case FaultKind.REPLICA_CRASH | FaultKind.REPLICA_DRAINS | FaultKind.REPLICA_REBORN:
+            case (
+                FaultKind.REPLICA_CRASH
+                | FaultKind.REPLICA_DRAINS
+                | FaultKind.REPLICA_REBORN
+                | FaultKind.REPLICA_LEAVES
+            ):
                 await self.to_replica(step, self.slots[step.target])
+            case FaultKind.REPLICA_TURNS_AWAY:
+                await self.turn_away(step, self.slots[step.target].replica)
             case FaultKind.FOREIGN_ENTRY:
                 await self.write_foreign(step)
             case FaultKind.ZONE_OUT:
@@ -217,6 +230,15 @@
         await asyncio.sleep(step.for_s)
         self.store.delete(names.REPLICA_KIND, name)
 
+    async def turn_away(self, step: Step, replica: SoakReplica | None) -> None:
+        """Have a replica turn calls away, with a wish that may make no sense."""
+        assert replica is not None
+        rng = random.Random(step.at_s)
+        wish = b'%.2f' % rng.uniform(0.5, step.for_s + 1.0)
+        replica.turns_away = rng.choice(WRONG_WISHES) if rng.random() < WRONG_SHARE else wish
+        await asyncio.sleep(step.for_s)
+        replica.turns_away = None
+
     def zone_of(self, replica: str) -> str:
         """Return the zone of a replica, by the place in its name."""
         return ZONES[int(replica.split('-')[1]) % len(ZONES)]
@@ -255,9 +277,11 @@
         async with slot.lock:
             assert slot.replica is not None
             name = slot.replica.name
-            if step.kind is FaultKind.REPLICA_DRAINS:
-                self.announce(slot, 'draining')
-                self.drained[name] = self.now()
+            if step.kind in (FaultKind.REPLICA_DRAINS, FaultKind.REPLICA_LEAVES):
+                slot.replica.leaving = True
+                if step.kind is FaultKind.REPLICA_DRAINS:
+                    self.announce(slot, 'draining')
+                    self.drained[name] = self.now()
                 await asyncio.sleep(step.for_s + 2.0)
             await slot.stack.aclose()
             if step.kind is FaultKind.REPLICA_REBORN:
