Operators see which replicas are not called and why; wishes that can't be read are counted

Cause: from a request's identifier nobody could tell that a replica was left out for its own word, or who had told it; a wish that makes no sense was taken for none without a trace. What boxes tell by key is joined in one place for 'blocked' too.

--- a/packages/cli/calicopath_cli/__main__.py
+++ b/packages/cli/calicopath_cli/__main__.py
@@ -12,7 +12,7 @@
 
 from calicopath_cli.commands import apply as apply_command
 from calicopath_cli.commands import audit as audit_command
-from calicopath_cli.commands import blocked, endpoints, gateways, objects
+from calicopath_cli.commands import blocked, endpoints, gateways, objects, replicas
 from calicopath_cli.commands import check as check_command
 from calicopath_cli.commands import status as status_command
 from calicopath_cli.exceptions import (
@@ -52,6 +52,10 @@
     'Show which settings and configuration are in force on every box of the second front door, '
     'those behind first.'
 )
+REPLICAS_HELP = (
+    'Show which replicas the boxes of the second front door do not call, why, who has told them '
+    'and how many of them know it.'
+)
 BLOCKED_HELP = (
     'Show the requests that boxes of the second front door do not send on since replicas end under '
     'them; with --release, let one go.'
@@ -141,6 +145,15 @@
     run(gateways.gateways(address, context.obj.output))
 
 
+@app.command('replicas', help=REPLICAS_HELP)
+def show_replicas(
+    context: typer.Context,
+    address: Annotated[str, typer.Argument(help=GATEWAY_ADDRESS_HELP)],
+) -> None:
+    """Show the replicas that boxes do not call, and why."""
+    run(replicas.replicas(address, context.obj.output))
+
+
 @app.command('blocked', help=BLOCKED_HELP)
 def show_blocked(
     context: typer.Context,
--- a/packages/cli/calicopath_cli/commands/blocked.py
+++ b/packages/cli/calicopath_cli/commands/blocked.py
@@ -8,7 +8,7 @@
 
 from calicopath_cli.commands.gateways import moment
 from calicopath_cli.exceptions import CommandError
-from calicopath_cli.utils.gateways import ask_gateways
+from calicopath_cli.utils.gateways import ask_gateways, grouped
 from calicopath_cli.utils.output import OutputFormat, print_json, print_table
 
 HEADERS = ('request', 'service', 'since', 'until', 'replicas ended', 'boxes')
@@ -40,13 +40,9 @@
 
 def joined(answers: list[Any]) -> list[BlockedRow]:
     """Return a row a request, those blocked last first."""
-    found: dict[tuple[str, str], list[dict[str, Any]]] = {}
-    heard = [answer for answer in answers if answer is not None]
-    for answer in heard:
-        for item in answer:
-            found.setdefault((item['content'], item['service']), []).append(item)
+    found = grouped(answers, 'content', 'service')
     rows = []
-    for (content, service), items in found.items():
+    for (content, service), items in found.items.items():
         first = min(items, key=lambda item: float(item['since']))
         rows.append(
             BlockedRow(
@@ -56,7 +52,7 @@
                 until=max(float(item['until']) for item in items),
                 replicas=first['replicas'],
                 boxes=len(items),
-                asked=len(heard),
+                asked=found.asked,
             )
         )
     return sorted(rows, key=lambda row: (-row.since, row.content, row.service))
--- /dev/null
+++ b/packages/cli/calicopath_cli/commands/replicas.py
@@ -0,0 +1,75 @@
+"""Show which replicas the boxes before callers do not call, and why."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+import aiohttp
+
+from calicopath_cli.commands.gateways import moment
+from calicopath_cli.utils.gateways import ask_gateways, grouped
+from calicopath_cli.utils.output import OutputFormat, print_json, print_table
+
+HEADERS = ('replica', 'service', 'not called as', 'told by', 'since', 'until', 'boxes')
+
+
+class BarredRow(NamedTuple):
+    """Hold why replicas are not called as the box tells that knows it longest.
+
+    `boxes` counts those that know it, of those that answered.
+    """
+
+    replica: str
+    service: str
+    bar: str
+    source: str
+    since: float
+    until: float
+    boxes: int
+    asked: int
+
+
+async def replicas(address: str, output: OutputFormat) -> None:
+    """Ask one box for all, each for the replicas that it does not call, and show that."""
+    async with aiohttp.ClientSession() as session:
+        answers = await ask_gateways(session, address, '/replicas')
+    rows = joined(list(answers.values()))
+    if output is OutputFormat.JSON:
+        print_json([row._asdict() for row in rows])
+        return
+    print_table(HEADERS, [cells(row) for row in rows])
+
+
+def joined(answers: list[Any]) -> list[BarredRow]:
+    """Return a row a replica and reason, by service and name."""
+    found = grouped(answers, 'service', 'replica', 'bar')
+    rows = []
+    for (service, replica, bar), items in sorted(found.items.items()):
+        known = [item for item in items if item['since']] or items
+        first = min(known, key=lambda item: float(item['since']))
+        rows.append(
+            BarredRow(
+                replica=replica,
+                service=service,
+                bar=bar,
+                source=first['source'],
+                since=first['since'],
+                until=max(float(item['until']) for item in items),
+                boxes=len(items),
+                asked=found.asked,
+            )
+        )
+    return rows
+
+
+def cells(row: BarredRow) -> tuple[Any, ...]:
+    """Return a row as it is shown."""
+    return (
+        row.replica,
+        row.service,
+        row.bar,
+        row.source,
+        moment(row.since),
+        moment(row.until),
+        f'{row.boxes} of {row.asked}',
+    )
--- /dev/null
+++ b/packages/cli/calicopath_cli/tests/replicas_tests.py
@@ -0,0 +1,85 @@
+"""Test the table of replicas that are not called, against boxes that tell of theirs."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import io
+import json
+from typing import Any
+
+import testtools
+from aiohttp import web
+
+from calicopath_cli.commands.replicas import replicas
+from calicopath_cli.utils.output import OutputFormat
+from testkit.servers import served
+
+LEAVES = {
+    'replica': 'r1',
+    'service': 'engine',
+    'bar': 'leaving',
+    'source': 'own',
+    'since': 200.0,
+    'until': 0.0,
+}
+PAUSE = LEAVES | {'replica': 'r2', 'bar': 'backoff', 'since': 300.0, 'until': 303.0}
+DRAINS = LEAVES | {'replica': 'r3', 'bar': 'draining', 'source': 'store', 'since': 0.0}
+TOLD: tuple[list[dict[str, Any]] | None, ...] = (
+    [LEAVES, PAUSE],
+    [LEAVES | {'source': 'box-1:7', 'since': 201.0}, DRAINS],
+    None,
+)
+
+
+def box(items: list[dict[str, Any]] | None, listed: list[dict[str, str]]) -> web.Application:
+    """Return a box that tells which replicas it does not call, or that only lists boxes."""
+    app = web.Application()
+
+    async def boxes(request: web.Request) -> web.Response:
+        return web.json_response(listed)
+
+    async def tell(request: web.Request) -> web.Response:
+        if items is None:
+            raise web.HTTPServiceUnavailable
+        return web.json_response(items)
+
+    app.router.add_get('/boxes', boxes)
+    app.router.add_get('/replicas', tell)
+    return app
+
+
+class Replicas(testtools.TestCase):
+    def printed(self, output: OutputFormat) -> str:
+        """Return what the command prints."""
+
+        async def scenario() -> str:
+            printed = io.StringIO()
+            listed: list[dict[str, str]] = []
+            async with contextlib.AsyncExitStack() as stack:
+                for number, items in enumerate(TOLD):
+                    url = await stack.enter_async_context(served(box(items, listed)))
+                    listed.append({'box': f'b{number}', 'address': url.removeprefix('http://')})
+                with contextlib.redirect_stdout(printed):
+                    await replicas(listed[0]['address'], output)
+            return printed.getvalue()
+
+        return asyncio.run(scenario())
+
+    def test_each_has_a_row_with_who_told_first_and_how_many_boxes_know(self) -> None:
+        rows = json.loads(self.printed(OutputFormat.JSON))
+        shown = [(row['replica'], row['bar'], row['source'], row['boxes']) for row in rows]
+        self.assertEqual(
+            [
+                ('r1', 'leaving', 'own', 2),
+                ('r2', 'backoff', 'own', 1),
+                ('r3', 'draining', 'store', 1),
+            ],
+            shown,
+        )
+        self.assertEqual({2}, {row['asked'] for row in rows})
+
+    def test_the_table_leaves_out_times_that_nobody_knows(self) -> None:
+        lines = self.printed(OutputFormat.TEXT).splitlines()
+        self.assertIn('1970-01-01 00:05:03', lines[2])
+        self.assertNotIn('1970', lines[3])
--- a/packages/clients/calicopath_clients/http1/answers.py
+++ b/packages/clients/calicopath_clients/http1/answers.py
@@ -25,6 +25,11 @@
                 return value
         return None
 
+    def get_all(self, name: str) -> list[str]:
+        """Return every value of a header."""
+        wanted = name.lower()
+        return [value for key, value in self.headers if key.lower() == wanted]
+
 
 class Inbound:
     """Hold what has come of one answer; `ended` tells whether it is whole."""
--- a/packages/core/calicopath_core/exchanges/messages.py
+++ b/packages/core/calicopath_core/exchanges/messages.py
@@ -5,7 +5,7 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, NamedTuple
 
-from calicopath_core.fleet.notices import NOTHING_TOLD, Deaf, Notice
+from calicopath_core.fleet.notices import Deaf
 
 if TYPE_CHECKING:
     from calicopath_core.backends.base import Reach
@@ -64,7 +64,6 @@
     headers: Headers
     declined: bool
     load: LoadReport | None
-    notice: Notice = NOTHING_TOLD
 
     @property
     def turned_away(self) -> bool:
--- a/packages/daemon/calicopathd/gateway/metrics.py
+++ b/packages/daemon/calicopathd/gateway/metrics.py
@@ -38,6 +38,9 @@
         self.backoffs = self.counter(
             'replica_backoffs_total', 'Times that a replica wanted nothing from this box.'
         )
+        self.notices_bad = self.counter(
+            'notices_bad_total', 'Answers that ask for a pause which can not be read.'
+        )
         self.held_back = self.counter(
             'calls_held_back_total', 'Calls not sent as their replica must not get them, by bar.'
         )
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -119,6 +119,10 @@
             turned_away=turned_away,
         )
 
+    def on_bad_notice(self, service: str) -> None:
+        """Count an answer that asks for a pause nobody can read."""
+        self.metrics.notices_bad.inc({'service': service})
+
     def on_held_back(self, replica: Replica, bar: Bar) -> None:
         """Count a call that was chosen and not sent."""
         self.metrics.held_back.inc({'service': replica.service, 'bar': bar.value})
--- a/packages/daemon/calicopathd/gateway/state.py
+++ b/packages/daemon/calicopathd/gateway/state.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from calicopath_core.fleet.store import RecordKind
+from calicopathd.gateway.barred import barred_replicas
 from calicopathd.gateway.requests import RawRequest, RequestHandler
 
 if TYPE_CHECKING:
@@ -20,6 +21,7 @@
 STATE_PATH = '/state'
 BOXES_PATH = '/boxes'
 BLOCKED_PATH = '/blocked'
+REPLICAS_PATH = '/replicas'
 RELEASE_PATH = '/blocked/release'
 STATUS_OK = 200
 STATUS_WRONG_METHOD = 405
@@ -96,6 +98,9 @@
             responder.respond(STATUS_OK, JSON_HEADERS, msgspec.json.encode(self.boxes()))
         elif path == BLOCKED_PATH:
             responder.respond(STATUS_OK, JSON_HEADERS, msgspec.json.encode(self.blocked()))
+        elif path == REPLICAS_PATH:
+            body = msgspec.json.encode(barred_replicas(self.box))
+            responder.respond(STATUS_OK, JSON_HEADERS, body)
         elif path == RELEASE_PATH and request.method == 'POST':
             released = self.release(query)
             responder.respond(STATUS_OK, JSON_HEADERS, msgspec.json.encode(released))
--- a/testkit/gateway_callers.py
+++ b/testkit/gateway_callers.py
@@ -98,11 +98,10 @@
             self.replicas.sent.append(outbound)
             await asyncio.sleep(DECLINE_S)
             self.listener.on_notice(replica, notice)
-            head = AnswerHead(STATUS_UNAVAILABLE, (), True, None, notice)
+            head = AnswerHead(STATUS_UNAVAILABLE, (), True, None)
             return FakeBody(head=head, body=b'')
         answer = await self.replicas.send(outbound)
         self.listener.on_notice(replica, notice)
-        answer.head = answer.head._replace(notice=notice)
         return answer
 
     async def reach(self, replica: Replica, watch_s: float) -> Reach:
