An answer that breaks off after its head tells that its connection broke

What callers saw: one request that crashed its engines took 18 and 25 of them down, each with whatever else ran there; others' drafts were cut or answered 502. Cause: the client turned the loss of a connection into a failure of any kind once an answer's head had come, and engines give their head before they begin to run. Whether an engine has ended was looked for after broken connections only, so most ends were never counted against the request. A look at replicas after all failures, added since without knowing this, found such ends some time later and hid the cause. Change: what ended an answer is raised as it is; in the callers' own interface a stream that just stops is a broken connection too. The end is known before the request is sent once more. Why it holds: every way in which a connection ends passes one place, and keeps its type from there on.

--- a/packages/clients/calicopath_clients/http1/answers.py
+++ b/packages/clients/calicopath_clients/http1/answers.py
@@ -5,8 +5,6 @@
 import asyncio
 from typing import NamedTuple
 
-from calicopath_core.backends.base import MayHaveRun
-
 PAUSE_BYTES = 256 * 1024
 """Body bytes that wait unread before the connection stops reading."""
 
@@ -72,12 +70,16 @@
         self.changed.set()
 
     async def read(self) -> bytes | None:
-        """Return the next bytes, nothing at the end; raise `MayHaveRun` if the answer was cut."""
+        """Return the next bytes, nothing at the end; raise `MayHaveRun` if the answer was cut.
+
+        It is a `ConnectionBroken` where the connection was lost.
+        """
         while not self.chunks:
             if self.ended:
                 return None
             if self.error is not None:
-                raise MayHaveRun(str(self.error)) from self.error
+                # As it is: whether the connection broke tells whether the replica may have ended.
+                raise self.error
             self.changed.clear()
             await self.changed.wait()
         data = b''.join(self.chunks)
--- a/packages/clients/calicopath_clients/tests/ended_answers_tests.py
+++ b/packages/clients/calicopath_clients/tests/ended_answers_tests.py
@@ -1,16 +1,17 @@
 """Test that an answer which breaks off after its head tells that its connection broke.
 
-A request ended each engine that began to run it, and came again and again. An engine gives the head
-of its answer at once and the first event some 100 ms later, so nearly each of them ended between
-the two. The client raised "the connection was lost" for it as any failure that may have run, and not
-as a broken connection; only the latter made a box look whether the engine had ended. So most ends
-were never counted: 34 engines ended under three requests in one day, of which boxes saw 15.
+A request ended each engine that began to run it, and came again and again. An engine gives the
+head of its answer at once and the first event some 100 ms later, so nearly each of them ended
+between the two. The client raised "the connection was lost" for it as any failure that may have
+run, and not as a broken connection; only the latter made a box look whether the engine had ended.
+So most ends were never counted: 34 engines ended under three requests in one day, of which boxes
+saw 15.
 
 The lines that settled it, of one engine's end, all of one digest of content: `"failure":"silent",
 "begun":false,"error":"the connection was lost: None"` at the box whose request ended it, and
 `"failure":"broken"` with the same words only where no head had come yet. Looking at every failed
-attempt hides the fault, some time later; telling it for what it is lets a box know the end before it
-sends the request once more.
+attempt hides the fault, some time later; telling it for what it is lets a box know the end before
+it sends the request once more.
 """
 
 from __future__ import annotations
--- a/packages/core/calicopath_core/execution/generation.py
+++ b/packages/core/calicopath_core/execution/generation.py
@@ -7,7 +7,12 @@
 import contextlib
 from typing import TYPE_CHECKING
 
-from calicopath_core.backends.base import MayHaveRun, NotStarted, WrongAnswer
+from calicopath_core.backends.base import (
+    ConnectionBroken,
+    MayHaveRun,
+    NotStarted,
+    WrongAnswer,
+)
 from calicopath_core.execution.attempts import (
     CallAttempt,
     StageBudget,
@@ -249,4 +254,5 @@
     try:
         return await anext(items)
     except StopAsyncIteration:
-        raise MayHaveRun('the stream ended before the end of the answer') from None
+        # The end of an engine's connection looks like the end of an answer that has no length.
+        raise ConnectionBroken('the stream ended before the end of the answer') from None
