--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -55,6 +55,12 @@
 RELOAD_FAILED = Event(
     509, 'error', 'reload failed', 'The settings file is unsound; the old hold on.'
 )
+GATEWAY_LOADED = Event(
+    510, 'info', 'gateway loaded', 'Settings and modules are read; the box listens nowhere yet.'
+)
+LOOP_FAULT = Event(
+    511, 'error', 'loop fault', 'A fault reached the event loop, since nothing awaited it.'
+)
 EXCHANGE_ENDED = Event(601, 'info', 'exchange ended', 'An exchange has its one final answer.')
 EXCHANGE_REFUSED = Event(602, 'info', 'exchange refused', 'A request has no route, key or view.')
 EXCHANGE_BAD = Event(603, 'info', 'exchange bad', 'A request could not be read.')
--- a/packages/daemon/calicopathd/gateway/run.py
+++ b/packages/daemon/calicopathd/gateway/run.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 import signal
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import structlog
 
@@ -77,6 +77,7 @@
     async def run(self) -> None:
         """Serve until a stop signal, then end every request in progress and return."""
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(on_loop_fault)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop.set)
         loop.add_signal_handler(signal.SIGHUP, self.on_reload)
@@ -219,3 +220,17 @@
                 await self.box.store.withdraw(self.box.own)
         except (FleetStoreError, TimeoutError) as error:
             events.emit(log, events.REGISTER_FAILED, error=repr(error))
+
+
+def note_loaded(box: str) -> None:
+    """Log that a box has loaded all it needs.
+
+    With the line that it listens, it places an end that leaves no word of its own.
+    """
+    events.emit(log, events.GATEWAY_LOADED, box=box)
+
+
+def on_loop_fault(_: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """Log a fault of a callback, or of a task whose result nothing awaited."""
+    error = context.get('exception')
+    events.emit(log, events.LOOP_FAULT, error=context['message'], exc_info=error)
--- a/packages/daemon/calicopathd/logs.py
+++ b/packages/daemon/calicopathd/logs.py
@@ -5,11 +5,16 @@
 import logging
 import os
 import sys
+import traceback
 from collections import deque
+from typing import TYPE_CHECKING
 
 import msgspec
 import structlog
 
+if TYPE_CHECKING:
+    from structlog.typing import ExcInfo
+
 
 def set_up_logs(*, level: str, json: bool, box: str) -> None:
     """Write log lines to standard error, as JSON or for a terminal."""
@@ -84,7 +89,7 @@
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt='iso', utc=True),
-            structlog.processors.format_exc_info,
+            structlog.processors.ExceptionRenderer(frames_of),
             structlog.processors.JSONRenderer(serializer=encode_line),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
@@ -95,6 +100,20 @@
     return writer
 
 
+def frames_of(exc_info: ExcInfo) -> list[str]:
+    """Return what an error says and the frames that it passed, the innermost first.
+
+    The lines of the sources are left out: to read them blocks the loop, and a plain read of a file
+    beside the threads of the peers' sockets has ended processes.
+    """
+    kind, error, trace = exc_info
+    frames = [
+        f'{frame.f_code.co_filename}:{line} in {frame.f_code.co_name}'
+        for frame, line in traceback.walk_tb(trace)
+    ]
+    return [f'{kind.__name__}: {error}', *reversed(frames)]
+
+
 def encode_line(line: object, **_: object) -> bytes:
     """Return a log line as JSON."""
     return msgspec.json.encode(line, enc_hook=str)
