After all boxes were killed, none is ready before it knows which requests are blocked

What callers saw: each restart of all boxes let a blocked request end one to three more engines, with the streams of whoever ran beside it. Cause: the first relay looked every 0.3 s whether it was its turn to read what is kept, nobody waited for it, and boxes that no hub pinged heard of it last. Change: a box is complete once it has read what is kept, or a complete box has told it everything; it is ready then, or 0.5 s after all else is known. The first relay looks every 20 ms until it has read; who becomes complete tells its subscribers and the other relays; a relay tells a box that starts; the digest of a box that is not complete differs from all others. Why it holds: complete is only who has read or was told by one who has; where nobody can, callers are served.

--- a/packages/core/calicopath_core/crashes/keeping.py
+++ b/packages/core/calicopath_core/crashes/keeping.py
@@ -21,7 +21,10 @@
     from calicopath_core.crashes.sharing import CrashSharing
 
 LOOK_S = 0.3
-"""How often it is looked whether there is anything to read or to write."""
+"""How often it is looked whether there is anything to write."""
+
+READ_LOOK_S = 0.02
+"""How often it is looked whether it is this box's turn to read: callers wait for that."""
 
 FIRST_PAUSE_S = 1.0
 LONGEST_PAUSE_S = 8.0
@@ -70,7 +73,7 @@
         """Read once and write what changes, until cancelled."""
         pause_s = FIRST_PAUSE_S
         while True:
-            await asyncio.sleep(LOOK_S)
+            await asyncio.sleep(LOOK_S if self.sharing.complete else READ_LOOK_S)
             if not self.is_due():
                 continue
             try:
@@ -89,6 +92,7 @@
             self.written = frozenset((item.content, item.service) for item in kept)
             news = self.ledger.merge([self.evidence_of(item) for item in kept], 'store')
             self.sharing.report(news)
+            self.sharing.on_complete()
         blocked = frozenset((key.content, key.service) for key in self.ledger.blocked)
         if blocked != self.written:
             await self.write(self.kept())
--- a/packages/core/calicopath_core/crashes/messages.py
+++ b/packages/core/calicopath_core/crashes/messages.py
@@ -24,9 +24,13 @@
 
 
 class CrashNews(News, frozen=True, tag='cr'):
-    """Tell a box of requests under which replicas have ended."""
+    """Tell a box of requests under which replicas have ended.
+
+    `complete` says that the sender knows what is kept in the store.
+    """
 
     evidence: tuple[Evidence, ...]
+    complete: bool = False
 
 
 CRASH_MESSAGES = (CrashNews,)
--- a/packages/core/calicopath_core/crashes/sharing.py
+++ b/packages/core/calicopath_core/crashes/sharing.py
@@ -19,9 +19,16 @@
 MAX_EVIDENCE = 500
 """Requests told of in one message: 60 KB."""
 
+INCOMPLETE_MARK = '?'
+"""Begins the digest of a box that does not know what is kept, so that those that do tell it."""
+
 
 class CrashSharing(NewsSharing[SuspectKey, CrashNews]):
-    """Exchange what ledgers hold."""
+    """Exchange what ledgers hold.
+
+    A box is `complete` once it knows what is kept in the store, by itself or from another box; all
+    are where nothing is kept. The `listeners` are the addresses of those that wait for its word.
+    """
 
     def __init__(
         self,
@@ -32,15 +39,19 @@
         hubs: Callable[[], Iterable[str]],
         send: Callable[[str, msgspec.Struct], None],
         forwards: bool = False,
+        complete: bool = True,
     ) -> None:
         super().__init__(
             clock=clock, own_address=own_address, hubs=hubs, send=send, forwards=forwards
         )
         self.ledger = ledger
+        self.complete = complete
+        self.listeners: Callable[[], Iterable[str]] = list
 
     def digest(self) -> str:
         """Return what is alike at boxes that share the same evidence."""
-        return self.ledger.digest()
+        digest = self.ledger.digest()
+        return digest if self.complete else INCOMPLETE_MARK + digest
 
     def holds(self, key: SuspectKey) -> bool:
         """Tell whether a request is still suspect."""
@@ -56,12 +67,24 @@
     def everything(self, *, whole: bool) -> CrashNews:
         """Return all evidence that is shared."""
         evidence = self.ledger.shared()[:MAX_EVIDENCE]
-        return CrashNews(sender=self.own_address, evidence=evidence, whole=whole)
+        return CrashNews(
+            sender=self.own_address, evidence=evidence, whole=whole, complete=self.complete
+        )
 
     def merge(self, news: CrashNews) -> list[SuspectKey]:
         """Join another box's evidence; return on which requests that was news."""
+        if news.whole and news.complete:
+            self.on_complete()
         return self.ledger.merge(news.evidence, news.sender)
 
+    def on_complete(self) -> None:
+        """Note that this box knows what is kept, and tell those that wait for it."""
+        if self.complete:
+            return
+        self.complete = True
+        for address in self.listeners():
+            self.send_whole(address)
+
     def lacks(self, news: CrashNews) -> bool:
         """Tell whether this box shares something that is not in another's news."""
         told = {(item.content, item.service): item for item in news.evidence}
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -55,6 +55,10 @@
 """The part of a replica's connections that boxes use together: a restarted box opens new ones while
 the replica still holds the old."""
 
+KNOWN_WAIT_S = 0.5
+"""How long a box that could serve waits to hear which requests are blocked. That takes one call to
+the store by one box, and a ping; where it fails, callers are served all the same."""
+
 UNMEASURED_S = 1.0
 """How often a box that does not schedule looks whether it does."""
 
@@ -115,6 +119,7 @@
         self.boxes: dict[str, BoxAddress] = {}
         self.election = AloneElection(own=self.own) if alone else Election(own=self.own)
         self.config_since = 0.0
+        self.synced_at: float | None = None
         self.group = (0, 1)
         self.group_rule = GroupRule(clock=self.clock)
         self.link = PeerLink(
@@ -132,6 +137,7 @@
             own_address=self.own.address,
             hubs=lambda: self.election.hubs(self.clock.monotonic()),
             send=self.link.send,
+            complete=False,
         )
         self.leaving_sharing = LeavingSharing(
             clock=self.clock,
@@ -189,6 +195,7 @@
         self.link.scheduler, self.link.client = self.scheduler, self.client
         self.link.subscription, self.link.crashes = self.subscription, self.sharing
         self.link.leaving = self.leaving_sharing
+        self.sharing.listeners = self.unaware_boxes
         self.feeds = {kind: self.new_feed(kind) for kind in settings.followed}
         self.subscription.feeds.update(self.feeds)
         self.publisher.feeds.update(self.feeds)
@@ -215,7 +222,7 @@
             observer=self.observer,
             crashes=self.crashes,
             new_job=self.new_job,
-            may_serve=self.synced,
+            may_serve=self.serves,
             zone=self.settings.failure_domain,
         )
 
@@ -283,7 +290,28 @@
 
     def ready(self) -> bool:
         """Tell whether callers should be sent here."""
-        return self.synced() and bool(self.replicas.replicas) and not self.leaving
+        return self.serves() and bool(self.replicas.replicas) and not self.leaving
+
+    def serves(self) -> bool:
+        """Tell whether what callers ask is sent on."""
+        return self.synced() and self.knows_blocked()
+
+    def unaware_boxes(self) -> set[str]:
+        """Return the boxes that hear the store through this one, and the other relays."""
+        relays = self.subscription.choice.candidates if self.subscription.choice.is_relay else []
+        return {*self.publisher.subscribers, *relays}
+
+    def knows_blocked(self) -> bool:
+        """Tell whether the box has heard which requests are blocked, or has waited long enough.
+
+        Callers who waited while all boxes restarted come at once, and with them what ends replicas.
+        """
+        if self.sharing.complete:
+            return True
+        now = self.clock.monotonic()
+        if self.synced_at is None:
+            self.synced_at = now
+        return now - self.synced_at >= KNOWN_WAIT_S
 
     def on_registered(self) -> None:
         """Note that this box's own record is in the store."""
--- a/packages/daemon/calicopathd/gateway/peers.py
+++ b/packages/daemon/calicopathd/gateway/peers.py
@@ -10,6 +10,7 @@
 from calicopath_core.crashes.messages import CRASH_MESSAGES, CrashNews
 from calicopath_core.fleet.leaving_sharing import LEAVING_MESSAGES, LeavingNews
 from calicopath_core.fleet.relay_messages import (
+    NOTHING,
     RELAY_MESSAGES,
     RelayBeat,
     RelayUpdate,
@@ -136,6 +137,9 @@
                 self.scheduler.on_ended(message)
             case Subscribe():
                 self.subscription.on_subscribe(message)
+                if NOTHING in message.revisions.values():
+                    # A box that starts serves as soon as it has heard everything.
+                    self.crashes.send_whole(message.sender)
             case RelayBeat():
                 self.subscription.on_beat(message)
             case RelayUpdate():
--- a/packages/daemon/calicopathd/gateway/tests/blocked_known_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/blocked_known_tests.py
@@ -3,9 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 from testkit.crashing_fleet import CONTACT_S, MOST_LATE, POISON, CrashingCase, CrashingFleet
 
+if TYPE_CHECKING:
+    from testkit.gateway import FleetBox
+
+
+async def wait_ready(item: FleetBox) -> None:
+    """Ask a box whether it is ready until it is, as the platform does."""
+    while not item.box.ready():
+        await asyncio.sleep(0.01)
+
 
 class Known(CrashingCase):
     """Test that every box knows, whatever happens to boxes."""
@@ -104,8 +114,7 @@
             ]
             await asyncio.gather(*starts)
             for name in names:
-                while not fleet.boxes[name].box.ready():
-                    await asyncio.sleep(0.01)
+                await wait_ready(fleet.boxes[name])
                 fleet.ask(name, POISON)
             await fleet.settle()
             self.assertEqual(self.sent, fleet.replicas.sent_after(POISON, 0.0))
@@ -120,8 +129,7 @@
                 item.store.blocked_cut = True
                 await item.start()
             async with asyncio.timeout(2.0):
-                while not all(item.box.ready() for item in fleet.boxes.values()):
-                    await asyncio.sleep(0.05)
+                await asyncio.gather(*(wait_ready(item) for item in fleet.boxes.values()))
             await fleet.stop()
 
         self.run_virtual(scenario())
