--- a/packages/core/calicopath_core/crashes/tests/ledger_tests.py
+++ b/packages/core/calicopath_core/crashes/tests/ledger_tests.py
@@ -258,6 +258,23 @@
 
         self.run_virtual(scenario())
 
+    def test_who_is_told_what_is_kept_tells_all_of_it_to_those_that_wait_for_its_word(self) -> None:
+        # A relay that heard from the first one what is kept told its subscribers that it knew, with
+        # what it had known before: they were ready, and sent on what is blocked. Found by reading:
+        # the message told `complete=True` with no evidence.
+        async def scenario() -> None:
+            first, relay, sent = self.pair()
+            await ended(first.ledger, 'r1', 'r2', 'r3')
+            relay.complete = False
+            relay.listeners = lambda: ['subscriber']
+            relay.on_news(first.everything(whole=True))
+            self.assertTrue(relay.complete)
+            ((address, news),) = sent
+            self.assertEqual(('subscriber', True), (address, news.complete))
+            self.assertEqual([{'r1', 'r2', 'r3'}], [set(item.ended_s) for item in news.evidence])
+
+        self.run_virtual(scenario())
+
     def test_one_box_is_told_everything_a_few_times_a_second_at_most(self) -> None:
         async def scenario() -> None:
             _, hub, sent = self.pair()
--- a/packages/daemon/calicopathd/logs.py
+++ b/packages/daemon/calicopathd/logs.py
@@ -100,6 +100,10 @@
     return writer
 
 
+MAX_FRAMES = 20
+"""Frames told of one failure: 2 KB, where a recursion has a thousand."""
+
+
 def frames_of(exc_info: ExcInfo) -> list[str]:
     """Return what an error says and the frames that it passed, the innermost first.
 
@@ -111,7 +115,7 @@
         f'{frame.f_code.co_filename}:{line} in {frame.f_code.co_name}'
         for frame, line in traceback.walk_tb(trace)
     ]
-    return [f'{kind.__name__}: {error}', *reversed(frames)]
+    return [f'{kind.__name__}: {error}', *reversed(frames[-MAX_FRAMES:])]
 
 
 def encode_line(line: object, **_: object) -> bytes:
--- a/packages/daemon/calicopathd/tests/logs_tests.py
+++ b/packages/daemon/calicopathd/tests/logs_tests.py
@@ -17,7 +17,7 @@
 import testtools
 
 from calicopathd import events
-from calicopathd.logs import set_up_bounded_logs
+from calicopathd.logs import MAX_FRAMES, frames_of, set_up_bounded_logs
 
 log = structlog.get_logger(__name__)
 
@@ -27,7 +27,22 @@
     raise ValueError('no such thing')
 
 
+def recurse(depth: int) -> None:
+    """Fail deep down."""
+    if not depth:
+        fail()
+    recurse(depth - 1)
+
+
 class Failures(testtools.TestCase):
+    def test_of_many_frames_the_innermost_are_told(self) -> None:
+        try:
+            recurse(200)
+        except ValueError as error:
+            told = frames_of((ValueError, error, error.__traceback__))
+        self.assertLessEqual(len(told), 1 + MAX_FRAMES)
+        self.assertTrue(told[1].endswith(' in fail'))
+
     def test_a_failure_tells_its_frames_innermost_first_and_reads_no_file(self) -> None:
         source, sink = os.pipe()
         with mock.patch('sys.stdout') as stdout:
