A relay joins what it is told of blocked requests before it passes the word on

What callers would have seen: after a restart of all boxes, those that start through the second relay served what is blocked until the next ping. Cause: the word that a box knows what is kept went out before the evidence of the same message was joined. Why it holds: one place passes the word on, after the join. Result: the failing test passes with the others of the package and the daemon.

--- a/packages/core/calicopath_core/crashes/sharing.py
+++ b/packages/core/calicopath_core/crashes/sharing.py
@@ -73,9 +73,11 @@
 
     def merge(self, news: CrashNews) -> list[SuspectKey]:
         """Join another box's evidence; return on which requests that was news."""
+        found = self.ledger.merge(news.evidence, news.sender)
         if news.whole and news.complete:
+            # After the evidence is joined, which those that wait for this box's word are told.
             self.on_complete()
-        return self.ledger.merge(news.evidence, news.sender)
+        return found
 
     def on_complete(self) -> None:
         """Note that this box knows what is kept, and tell those that wait for it."""
