--- a/packages/core/calicopath_core/crashes/tests/ledger_tests.py
+++ b/packages/core/calicopath_core/crashes/tests/ledger_tests.py
@@ -25,6 +25,7 @@
     End,
     SuspectKey,
     name_of_end,
+    replica_of,
 )
 from calicopath_core.membership.sharing import REPEAT_S
 from testkit.cases import VirtualCase
@@ -271,7 +272,8 @@
             self.assertTrue(relay.complete)
             ((address, news),) = sent
             self.assertEqual(('subscriber', True), (address, news.complete))
-            self.assertEqual([{'r1', 'r2', 'r3'}], [set(item.ended_s) for item in news.evidence])
+            told = [set(map(replica_of, item.ended_s)) for item in news.evidence]
+            self.assertEqual([{'r1', 'r2', 'r3'}], told)
 
         self.run_virtual(scenario())
 
