--- a/tools/tests/docs_tests.py
+++ b/tools/tests/docs_tests.py
@@ -27,7 +27,7 @@
         self.assertEqual([], missing)
 
     def test_every_scenario_that_a_promise_names_exists(self) -> None:
-        source = (ROOT / 'tools/faults.py').read_text()
+        source = (ROOT / 'tools/faults/scenarios.py').read_text()
         text = (DOCS / 'promises.md').read_text()
         named = set(re.findall(r'`(\w+)`(?=[^`]*(?:`\w+`[^`]*)*of\s+`make faults`)', text))
         self.assertGreater(len(named), 3)
