Limits that replicas name are read, logged and counted; nothing goes by them yet

Change: the header is decoded once into the notice of an answer; 613 tells which box heard which limit, 614 that an answer names none any more, for how long it held and how many calls this box sent meanwhile; a counter by service. One test of notices expects `ran=False` of an answer that turns its call away: the notice says that now.

--- a/packages/core/calicopath_core/fleet/gate.py
+++ b/packages/core/calicopath_core/fleet/gate.py
@@ -15,6 +15,7 @@
 
     from calicopath_core.fleet.backoffs import Backoffs
     from calicopath_core.fleet.leaving import LeavingReplicas
+    from calicopath_core.fleet.limits import NamedLimits
     from calicopath_core.fleet.notices import Notice, NoticeObserver
     from calicopath_core.fleet.replicas import Replica, ReplicaTable
 
@@ -32,6 +33,7 @@
         replicas: ReplicaTable,
         leaving: LeavingReplicas,
         backoffs: Backoffs,
+        limits: NamedLimits,
         observer: NoticeObserver,
         on_leaving: Callable[[str], None],
         on_backoff: Callable[[Replica], None],
@@ -39,6 +41,7 @@
         self.replicas = replicas
         self.leaving = leaving
         self.backoffs = backoffs
+        self.limits = limits
         self.observer = observer
         self.on_leaving = on_leaving
         self.on_backoff = on_backoff
@@ -75,9 +78,11 @@
             self.observer.on_held_back(replica, bar)
             raise Barred(replica, bar)
         self.backoffs.on_sent(replica)
+        self.limits.on_sent(replica)
 
     def on_notice(self, replica: Replica, notice: Notice) -> None:
         """Keep what a replica's answer tells."""
+        self.limits.on_notice(replica, notice)
         if notice.leaving and self.leaving.note(replica.id, replica.born):
             self.on_leaving(replica.id)
         if notice.backoff_s > 0:
@@ -90,3 +95,4 @@
         """Forget what is old."""
         self.backoffs.expire()
         self.leaving.expire(self.replicas.replicas)
+        self.limits.expire(self.replicas.replicas)
--- a/packages/core/calicopath_core/fleet/notices.py
+++ b/packages/core/calicopath_core/fleet/notices.py
@@ -19,11 +19,15 @@
     """Say what the head of an answer tells of its replica.
 
     One that is `leaving` wants no new work from anybody; `backoff_s` is for how many seconds it
-    wants nothing from the box that it answered, 0 if it asks for none.
+    wants nothing from the box that it answered, 0 if it asks for none. `limit_per_s` is how many
+    requests a second it takes from all boxes together, nothing if it names no limit; `ran` is false
+    for an answer that turns its call away.
     """
 
     leaving: bool = False
     backoff_s: float = 0.0
+    limit_per_s: float | None = None
+    ran: bool = True
 
 
 NOTHING_TOLD = Notice()
@@ -87,6 +91,14 @@
     def on_backoff_ended(self, replica: str, held_s: float, turned_away: int) -> None:
         """Note that a replica may be called again, and how many calls it had turned away."""
 
+    @abstractmethod
+    def on_limit(self, replica: Replica, per_s: float, source: str) -> None:
+        """Note the requests a second that a replica takes; `source` is `own` or a box."""
+
+    @abstractmethod
+    def on_limit_ended(self, replica: str, held_s: float, sent: int, source: str) -> None:
+        """Note that a replica limits no more, and how many calls it got from this box meanwhile."""
+
     @abstractmethod
     def on_held_back(self, replica: Replica, bar: Bar) -> None:
         """Note a call that was chosen and not sent."""
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -86,6 +86,10 @@
     611, 'info', 'replica passed over', 'It was chosen for a request, and must not get it.'
 )
 BACKOFF_ENDED = Event(612, 'info', 'backoff ended', 'A replica may be called again from here.')
+REPLICA_LIMIT = Event(
+    613, 'info', 'replica limit', 'A replica names how much it takes from all boxes together.'
+)
+LIMIT_ENDED = Event(614, 'info', 'limit ended', 'A replica names no limit any more.')
 
 JOB_PLACED = Event(701, 'info', 'job placed', 'An engine was chosen for a request.')
 JOB_REJECTED = Event(702, 'warning', 'job rejected', 'A request will not be placed.')
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -26,6 +26,7 @@
 from calicopath_core.fleet.gate import CallGate
 from calicopath_core.fleet.leaving import LeavingReplicas
 from calicopath_core.fleet.leaving_sharing import LeavingSharing
+from calicopath_core.fleet.limits import NamedLimits
 from calicopath_core.fleet.publisher import Publisher
 from calicopath_core.fleet.relay_messages import NOTHING
 from calicopath_core.fleet.replicas import Replica, ReplicaTable
@@ -98,6 +99,7 @@
             replicas=self.replicas,
             leaving=self.leaving_replicas,
             backoffs=Backoffs(clock=self.clock, observer=observer, rng=self.rng),
+            limits=NamedLimits(clock=self.clock, observer=observer),
             observer=observer,
             on_leaving=self.on_replica_leaving,
             on_backoff=self.on_replica_backoff,
--- a/packages/daemon/calicopathd/gateway/metrics.py
+++ b/packages/daemon/calicopathd/gateway/metrics.py
@@ -38,6 +38,10 @@
         self.backoffs = self.counter(
             'replica_backoffs_total', 'Times that a replica wanted nothing from this box.'
         )
+        self.limits_named = self.counter(
+            'replica_limits_named_total',
+            'Times that a replica named how much it takes, or another.',
+        )
         self.notices_bad = self.counter(
             'notices_bad_total', 'Answers that ask for a pause which can not be read.'
         )
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -123,6 +123,29 @@
         """Count an answer that asks for a pause nobody can read."""
         self.metrics.notices_bad.inc({'service': service})
 
+    def on_limit(self, replica: Replica, per_s: float, source: str) -> None:
+        """Note the requests a second that a replica takes."""
+        self.metrics.limits_named.inc({'service': replica.service})
+        events.emit(
+            log,
+            events.REPLICA_LIMIT,
+            replica=replica.id,
+            service=replica.service,
+            per_s=per_s,
+            source=source,
+        )
+
+    def on_limit_ended(self, replica: str, held_s: float, sent: int, source: str) -> None:
+        """Note that a replica limits no more."""
+        events.emit(
+            log,
+            events.LIMIT_ENDED,
+            replica=replica,
+            held_ms=round(held_s * 1000),
+            sent=sent,
+            source=source,
+        )
+
     def on_held_back(self, replica: Replica, bar: Bar) -> None:
         """Count a call that was chosen and not sent."""
         self.metrics.held_back.inc({'service': replica.service, 'bar': bar.value})
--- a/testkit/gates.py
+++ b/testkit/gates.py
@@ -8,6 +8,7 @@
 from calicopath_core.fleet.backoffs import Backoffs
 from calicopath_core.fleet.gate import CallGate
 from calicopath_core.fleet.leaving import LeavingReplicas
+from calicopath_core.fleet.limits import NamedLimits
 from calicopath_core.fleet.notices import NoticeObserver
 from calicopath_core.fleet.replicas import ReplicaTable
 from testkit.virtual import VirtualClock
@@ -26,6 +27,7 @@
         replicas=replicas or ReplicaTable(leaving=leaving),
         leaving=leaving,
         backoffs=Backoffs(clock=VirtualClock(), observer=observer, rng=random.Random(1)),
+        limits=NamedLimits(clock=VirtualClock(), observer=observer),
         observer=observer,
         on_leaving=mock.Mock(),
         on_backoff=mock.Mock(),
