Failing test: replicas that name a limit get what they would get without it

Callers see nothing of it; a replica in need is called on like any other. Seen on this code, on virtual time with eight boxes: engines that name 1 request a second get 16 and 26 in 4 s, desks 51 to 114, a stage's replica that names 0.5 gets 14, with twenty boxes 15 and 55; allowed are 11 and 8. With every replica limited nothing is refused, and what waits is not told when to come back.

--- /dev/null
+++ b/packages/daemon/calicopathd/gateway/tests/limit_tests.py
@@ -0,0 +1,192 @@
+"""Test that replicas which name a limit of requests a second get no more from all boxes together."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from testkit.cases import VirtualCase
+from testkit.notice_fleet import NoticeFleet
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from testkit.gateway_replicas import FakeSink
+
+SPAN_S = 4.0
+CONTACT_S = 3.0
+SURPLUS_SHARE = 1.5
+SURPLUS = 5
+"""In any 4 s from 3 s after it first named a limit, a replica may get one and a half times that and
+five requests more, as the users' pages say."""
+
+HEARD_S = 0.5
+"""How long a box may take to go by a limit that it has been told."""
+
+GAP_S = 0.02
+ENGINES = tuple(f'engine-{number}' for number in range(2, 9))
+DESKS = ('desk-north', 'desk-south', 'desk-2', 'desk-3')
+
+
+class LimitCase(VirtualCase):
+    def play(
+        self, work: Callable[[NoticeFleet], Awaitable[None]], *, count: int = 8
+    ) -> NoticeFleet:
+        """Run boxes and do some work with them."""
+
+        async def scenario() -> NoticeFleet:
+            fleet = NoticeFleet(count=count)
+            await fleet.start()
+            await work(fleet)
+            await fleet.stop()
+            return fleet
+
+        return self.run_virtual(scenario())
+
+    def check_kept(self, fleet: NoticeFleet, per_s: float) -> None:
+        """Check that no replica that named a limit got more, and that some did."""
+        worst = fleet.notices.most_after_limits(span_s=SPAN_S, after_s=CONTACT_S, heard_s=HEARD_S)
+        self.assertNotEqual({}, worst)
+        most = SURPLUS_SHARE * SPAN_S * per_s + SURPLUS
+        self.assertEqual({}, {name: count for name, count in worst.items() if count > most})
+
+    def served(self, sinks: list[FakeSink]) -> int:
+        """Return how many requests were served."""
+        return sum(sink.status == 200 for sink in sinks)
+
+
+class Kept(LimitCase):
+    def test_an_engine_that_names_a_limit_gets_no_more_than_that(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            fleet.limit(1.0, 'engine-4')
+            await fleet.load('letter', GAP_S, for_s=10.0)
+
+        self.check_kept(self.play(work), 1.0)
+
+    def test_a_plain_services_replica_that_names_a_limit_gets_no_more(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            fleet.limit(1.0, 'desk-north', 'desk-south')
+            await fleet.load('read', GAP_S, for_s=10.0)
+
+        self.check_kept(self.play(work), 1.0)
+
+    def test_a_stages_replica_that_names_a_limit_gets_no_more(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            fleet.limit(0.5, 'look-north')
+            await fleet.load('draft', 0.1, for_s=12.0)
+
+        self.check_kept(self.play(work), 0.5)
+
+    def test_all_replicas_of_a_service_at_once(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            fleet.limit(1.0, *DESKS, 'engine-north', 'engine-south', *ENGINES)
+            for _ in range(10):
+                await fleet.load('read', GAP_S, for_s=0.5)
+                await fleet.load('letter', GAP_S, for_s=0.5)
+
+        self.check_kept(self.play(work), 1.0)
+
+    def test_with_twenty_boxes(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            fleet.limit(0.5, 'engine-4', 'desk-2', 'desk-3')
+            for _ in range(10):
+                await fleet.load('read', GAP_S, for_s=0.5)
+                await fleet.load('letter', GAP_S, for_s=0.5)
+
+        self.check_kept(self.play(work, count=20), 0.5)
+
+    def test_the_box_that_schedules_is_lost_meanwhile(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            fleet.limit(1.0, 'engine-4', 'desk-north', 'desk-south', 'look-north')
+            await fleet.load('letter', GAP_S, for_s=4.0)
+            for name in ('box-0', 'box-1'):
+                fleet.kill(name)
+                await fleet.load('letter', GAP_S, for_s=2.0)
+                await fleet.load('read', GAP_S, for_s=2.0)
+
+        self.check_kept(self.play(work), 1.0)
+
+    def test_a_limit_that_falls_is_kept_to(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            fleet.limit(20.0, 'engine-4', 'desk-north')
+            await fleet.load('letter', GAP_S, for_s=2.0)
+            await fleet.load('read', GAP_S, for_s=2.0)
+            fleet.notices.arrivals.clear()
+            fleet.limit(0.5, 'engine-4', 'desk-north')
+            await fleet.load('letter', GAP_S, for_s=8.0)
+            await fleet.load('read', GAP_S, for_s=8.0)
+
+        self.check_kept(self.play(work), 0.5)
+
+
+class Served(LimitCase):
+    def test_what_others_can_run_is_not_refused(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            fleet.limit(1.0, 'engine-4', 'engine-5', 'desk-2', 'look-north')
+            sinks = []
+            for kind in ('letter', 'read', 'pay', 'draft') * 60:
+                sinks += await fleet.load(kind, GAP_S, for_s=GAP_S)
+            await fleet.settle()
+            self.assertEqual([], [sink.reason for sink in sinks if sink.status != 200])
+
+        self.play(work)
+
+    def test_with_every_replica_limited_what_they_take_is_used(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            fleet.limit(2.0, *DESKS, 'engine-north', 'engine-south', *ENGINES)
+            await fleet.load('read', GAP_S, for_s=2.0)
+            desks = await fleet.load('read', GAP_S, for_s=8.0)
+            engines = await fleet.load('letter', GAP_S, for_s=8.0)
+            await fleet.settle()
+            self.assertGreater(self.served(desks), 0.7 * 2.0 * len(DESKS) * 8.0)
+            self.assertGreater(self.served(engines), 0.7 * 2.0 * 9 * 8.0)
+
+        self.play(work)
+
+    def test_what_exceeds_all_limits_is_refused_at_once_with_when_to_come_back(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            fleet.limit(0.5, *DESKS, 'engine-north', 'engine-south', *ENGINES)
+            for kind in ('read', 'letter'):
+                await fleet.load(kind, GAP_S, for_s=4.0)
+                await fleet.settle()
+                asked_at = asyncio.get_running_loop().time()
+                sinks = await fleet.load(kind, 0.001, for_s=0.2)
+                await asyncio.sleep(0.1)
+                refused = [sink for sink in sinks if sink.status == 503]
+                self.assertGreater(len(refused), 50)
+                self.assertTrue(all((sink.retry_after_s or 0) > 0 for sink in refused))
+                await fleet.settle()
+                self.assertLess(asyncio.get_running_loop().time() - asked_at, 9.0)
+
+        self.play(work)
+
+    def test_once_no_limit_is_named_all_is_served_again(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            fleet.limit(1.0, *DESKS, 'engine-north', 'engine-south', *ENGINES)
+            await fleet.load('read', GAP_S, for_s=4.0)
+            await fleet.load('letter', GAP_S, for_s=4.0)
+            fleet.unlimit(*DESKS, 'engine-north', 'engine-south', *ENGINES)
+            await fleet.load('read', GAP_S, for_s=2.0)
+            await fleet.load('letter', GAP_S, for_s=2.0)
+            await fleet.settle()
+            sinks = [*await fleet.load('read', GAP_S, for_s=2.0)]
+            sinks += await fleet.load('letter', GAP_S, for_s=2.0)
+            await fleet.settle()
+            self.assertEqual(len(sinks), self.served(sinks))
+
+        self.play(work)
+
+    def test_one_that_takes_nothing_is_asked_now_and_then_whether_that_holds(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            fleet.limit(0.0, 'engine-4', 'desk-north')
+            await fleet.load('letter', GAP_S, for_s=8.0)
+            await fleet.load('read', GAP_S, for_s=8.0)
+            fleet.notices.arrivals.clear()
+            fleet.unlimit('engine-4', 'desk-north')
+            await fleet.load('letter', GAP_S, for_s=12.0)
+            await fleet.load('read', GAP_S, for_s=12.0)
+            reached = [item.replica for item in fleet.notices.arrivals]
+            self.assertGreater(reached.count('engine-4'), 10)
+            self.assertGreater(reached.count('desk-north'), 10)
+
+        self.play(work)
--- a/testkit/gateway_callers.py
+++ b/testkit/gateway_callers.py
@@ -80,6 +80,30 @@
                 found[item.box, item.replica, item.at] = len(came)
         return found
 
+    def most_after_limits(self, *, span_s: float, after_s: float, heard_s: float) -> dict[str, int]:
+        """Return the most calls in a span that replicas which named a limit got from told boxes.
+
+        Counted from `after_s` after the first answer that names it; a box counts from `heard_s`
+        after the first such answer that it got itself.
+        """
+        named: dict[str, float] = {}
+        told: dict[tuple[str, str], float] = {}
+        counted: dict[str, list[float]] = {}
+        for item in self.arrivals:
+            key = (item.box, item.replica)
+            first, heard = named.get(item.replica), told.get(key)
+            if first is not None and item.at >= first + after_s:
+                times = counted.setdefault(item.replica, [])
+                if heard is not None and item.at >= heard + heard_s:
+                    times.append(item.at)
+            if item.notice.limit_per_s is not None:
+                named.setdefault(item.replica, item.at)
+                told.setdefault(key, item.at)
+        return {
+            name: max((sum(at <= one < at + span_s for one in times) for at in times), default=0)
+            for name, times in counted.items()
+        }
+
 
 class BoxReplicas(ReplicaCaller):
     """Give one box the engines and plain services; one that wants a pause declines."""
--- a/testkit/notice_fleet.py
+++ b/testkit/notice_fleet.py
@@ -59,6 +59,16 @@
         for name in names:
             self.notices.said[name] = Notice(backoff_s=pause_s)
 
+    def limit(self, per_s: float, *names: str) -> None:
+        """Have replicas name from now on how many requests a second they take."""
+        for name in names:
+            self.notices.said[name] = Notice(limit_per_s=per_s)
+
+    def unlimit(self, *names: str) -> None:
+        """Have replicas name no limit any more."""
+        for name in names:
+            self.notices.said.pop(name, None)
+
     def silence_store(self) -> None:
         """Have the store answer no box."""
         for box in self.boxes.values():
