--- a/packages/core/calicopath_core/permits/client.py
+++ b/packages/core/calicopath_core/permits/client.py
@@ -127,6 +127,10 @@
                 )
                 self.send(self.holder(), ask)
 
+    def on_limits_changed(self) -> None:
+        """Ask anew: what was answered went by other limits."""
+        self.closed_until.clear()
+
     def refuse_waiting(self) -> None:
         """End the wait of every ask, since this box has to end."""
         for item in self.open.values():
--- a/packages/core/calicopath_core/permits/limits.py
+++ b/packages/core/calicopath_core/permits/limits.py
@@ -90,7 +90,10 @@
 
 
 class NamedLimits:
-    """Hold limits by replica; `on_changed` is told what other boxes should know."""
+    """Hold limits by replica; `on_changed` is told what other boxes should know.
+
+    Listeners learn that some limit is another one now, whoever has heard it.
+    """
 
     def __init__(
         self,
@@ -103,6 +106,7 @@
         self.observer = observer
         self.on_changed = on_changed
         self.held: dict[str, NamedLimit] = {}
+        self.listeners: list[Callable[[], None]] = []
         self.cached_digest: str | None = None
 
     def of(self, replica: Replica) -> NamedLimit | None:
@@ -166,6 +170,8 @@
             known = NamedLimit(heard=heard, since=now, heard_at=heard_at, source=source)
             self.held[replica] = known
         known.heard, known.heard_at, known.source = heard, heard_at, source
+        for listener in self.listeners:
+            listener()
         if heard.ended:
             self.observer.on_limit_ended(replica, now - known.since, known.sent, source)
         else:
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -111,6 +111,7 @@
             observer=observer,
             on_changed=lambda replica: self.limit_sharing.report([replica]),
         )
+        self.named_limits.listeners.append(self.permits.on_limits_changed)
         self.gate = CallGate(
             replicas=self.replicas,
             leaving=self.leaving_replicas,
