--- a/bench/permits.py
+++ b/bench/permits.py
@@ -16,8 +16,9 @@
 from calicopath_core.membership.messages import encode
 from calicopath_core.permits.buckets import PermitBucket
 from calicopath_core.permits.client import PermitClient
-from calicopath_core.permits.holder import PermitHolder
+from calicopath_core.permits.holder import PermitHolder, PermitObserver
 from calicopath_core.permits.limits import NamedLimits
+from calicopath_core.permits.messages import PermitAnswer, PermitAsk
 from testkit.virtual import VirtualClock, run_virtual
 
 if TYPE_CHECKING:
@@ -90,6 +91,7 @@
             share=lambda: 1.0,
             send=self.answer,
             own=self.clients[0],
+            observer=mock.Mock(spec=PermitObserver),
         )
 
     async def ask(self, box: int) -> str:
@@ -104,12 +106,13 @@
 
     def send(self, address: str, message: msgspec.Struct) -> None:
         """Bring an ask to the lender."""
-        sender = message.address  # type: ignore[attr-defined]
-        self.count(sender, address, message=message)
+        assert isinstance(message, PermitAsk)
+        self.count(message.address, address, message=message)
         asyncio.get_running_loop().call_later(DELAY_S, self.holder.on_ask, message)
 
     def answer(self, address: str, message: msgspec.Struct) -> None:
         """Bring an answer to a box."""
+        assert isinstance(message, PermitAnswer)
         self.count('0', address, message=message)
         client = self.clients[int(address)]
         asyncio.get_running_loop().call_later(DELAY_S, client.on_answer, message)
--- a/packages/cli/calicopath_cli/commands/replicas.py
+++ b/packages/cli/calicopath_cli/commands/replicas.py
@@ -1,4 +1,4 @@
-"""Show which replicas the boxes before callers do not call, and why."""
+"""Show which replicas the boxes before callers do not call, or hold to a limit, and why."""
 
 from __future__ import annotations
 
@@ -10,13 +10,24 @@
 from calicopath_cli.utils.gateways import ask_gateways, grouped
 from calicopath_cli.utils.output import OutputFormat, print_json, print_table
 
-HEADERS = ('replica', 'service', 'not called as', 'told by', 'since', 'until', 'boxes')
+HEADERS = (
+    'replica',
+    'service',
+    'not called as',
+    'told by',
+    'since',
+    'until',
+    'boxes',
+    'a second',
+    'sent',
+)
 
 
 class BarredRow(NamedTuple):
     """Hold why replicas are not called as the box tells that knows it longest.
 
-    `boxes` counts those that know it, of those that answered.
+    `boxes` counts those that know it, of those that answered. `per_s` is the lowest limit that is
+    known, `sent` what all have sent since it was named.
     """
 
     replica: str
@@ -27,6 +38,8 @@
     until: float
     boxes: int
     asked: int
+    per_s: float | None
+    sent: int
 
 
 async def replicas(address: str, output: OutputFormat) -> None:
@@ -57,6 +70,8 @@
                 until=max(float(item['until']) for item in items),
                 boxes=len(items),
                 asked=found.asked,
+                per_s=min((item['per_s'] for item in items if item.get('per_s')), default=None),
+                sent=sum(item.get('sent', 0) for item in items),
             )
         )
     return rows
@@ -72,4 +87,6 @@
         moment(row.since),
         moment(row.until),
         f'{row.boxes} of {row.asked}',
+        '' if row.per_s is None else f'{row.per_s:g}',
+        '' if row.per_s is None else row.sent,
     )
--- a/packages/core/calicopath_core/exchanges/context.py
+++ b/packages/core/calicopath_core/exchanges/context.py
@@ -147,6 +147,12 @@
     def on_passed_over(self, ticket: Ticket, replica: str, bar: Bar) -> None:
         """Note a replica that was chosen for a request and must not get it."""
 
+    @abstractmethod
+    def on_permit_awaited(
+        self, ticket: Ticket, replica: str, waited_s: float, opens_in_s: float
+    ) -> None:
+        """Note a request that only limited replicas could serve, and the permit it got, if any."""
+
     @abstractmethod
     def on_blocked_refused(self, ticket: Ticket) -> None:
         """Note a request that is not sent since replicas end under what it asks."""
--- a/packages/core/calicopath_core/exchanges/plain.py
+++ b/packages/core/calicopath_core/exchanges/plain.py
@@ -120,6 +120,8 @@
     wait_s = ticket.deadline_at - now - context.balancer.usual_s(limited)
     priority = ticket.priority
     permit = await context.gate.permits.ask(limited, wait_s=max(0.0, wait_s), priority=priority)
+    waited_s = context.clock.monotonic() - now
+    context.observer.on_permit_awaited(ticket, permit.replica, waited_s, permit.opens_in_s)
     found = context.replicas.replicas.get(permit.replica)
     if found is None:
         raise none_left(context, ticket, permit.opens_in_s)
--- a/packages/core/calicopath_core/permits/client.py
+++ b/packages/core/calicopath_core/permits/client.py
@@ -64,6 +64,7 @@
         self.lent: dict[str, deque[float]] = {}
         self.open: dict[int, Open] = {}
         self.closed_until: dict[str, float] = {}
+        self.unused = 0
 
     def lend(self, replica: str) -> None:
         """Hold a permit for a replica."""
@@ -76,6 +77,7 @@
         now = self.clock.monotonic()
         while held and held[0] < now:
             held.popleft()
+            self.unused += 1
         if not held:
             self.lent.pop(replica, None)
             return False
@@ -143,4 +145,5 @@
         self.closed_until = {name: at for name, at in self.closed_until.items() if at > now}
         for name, held in list(self.lent.items()):
             if held[-1] < now:
+                self.unused += len(held)
                 del self.lent[name]
--- a/packages/core/calicopath_core/permits/holder.py
+++ b/packages/core/calicopath_core/permits/holder.py
@@ -43,6 +43,14 @@
     until: float
 
 
+class PermitObserver(ABC):
+    """Learn what becomes of permits."""
+
+    @abstractmethod
+    def on_permit(self, service: str, outcome: str) -> None:
+        """Note a permit that was `lent`, `refused` or not used."""
+
+
 class PermitLender(ABC):
     """Say which replicas may be called now, and count the calls."""
 
@@ -110,6 +118,7 @@
         share: Callable[[], float],
         send: Callable[[str, msgspec.Struct], None],
         own: PermitClient,
+        observer: PermitObserver,
     ) -> None:
         self.clock = clock
         self.limits = limits
@@ -117,13 +126,12 @@
         self.share = share
         self.send = send
         self.own = own
+        self.observer = observer
         self.buckets: dict[str, PermitBucket] = {}
         self.alone_from = clock.monotonic() + CONTESTED_S
         self.waiting: list[Waiting] = []
         self.serials = 0
         self.timer: asyncio.TimerHandle | None = None
-        self.lent = 0
-        self.refused = 0
 
     def on_take_up(self) -> None:
         """Begin to lend in place of another box: with empty buckets, and a part for a while."""
@@ -173,7 +181,7 @@
         if per_s is None:
             return False
         self.bucket_of(replica, per_s).take(per_s, self.clock.monotonic())
-        self.lent += 1
+        self.observer.on_permit(replica.service, 'lent')
         return True
 
     def take_own(self, replica: Replica) -> None:
@@ -217,7 +225,8 @@
 
     def refuse(self, ask: PermitAsk, opens_in_s: float) -> None:
         """Answer that there is no permit in time, and when there may be one."""
-        self.refused += 1
+        service = next((item.service for item in self.listed(ask)), '')
+        self.observer.on_permit(service, 'refused')
         self.send(ask.address, PermitAnswer(ask.number, '', opens_in_s))
 
     def serve(self) -> None:
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -89,6 +89,9 @@
 REPLICA_LIMIT = Event(
     613, 'info', 'replica limit', 'A replica names how much it takes from all boxes together.'
 )
+PERMIT_AWAITED = Event(
+    615, 'info', 'permit awaited', 'Only replicas that name limits could serve a request.'
+)
 LIMIT_ENDED = Event(614, 'info', 'limit ended', 'A replica names no limit any more.')
 
 JOB_PLACED = Event(701, 'info', 'job placed', 'An engine was chosen for a request.')
--- a/packages/daemon/calicopathd/gateway/barred.py
+++ b/packages/daemon/calicopathd/gateway/barred.py
@@ -1,4 +1,4 @@
-"""Tell operators which replicas a box does not call, why, and since when."""
+"""Tell operators which replicas a box does not call, or holds to a limit, why, since when."""
 
 from __future__ import annotations
 
@@ -7,19 +7,22 @@
 import msgspec
 
 from calicopath_core.fleet.notices import Bar
+from calicopath_core.permits.limits import RETURN_S
 
 if TYPE_CHECKING:
     from calicopath_core.fleet.replicas import Replica
+    from calicopath_core.permits.limits import NamedLimit
     from calicopathd.gateway.box import GatewayBox
 
 STORE = 'store'
 
 
 class BarredReplica(msgspec.Struct, frozen=True):
-    """Say why a box does not call a replica.
+    """Say why a box does not call a replica, or what it holds calls of all boxes to.
 
     `since` and `until` are in seconds since 1970, 0 where the box does not know; `source` says who
-    has told: the replica itself (`own`), another box, or the `store`.
+    has told: the replica itself (`own`), another box, or the `store`. `per_s` is a limit that is
+    named, in requests a second of all boxes, `sent` what this one has sent since.
     """
 
     replica: str
@@ -28,18 +31,39 @@
     source: str
     since: float
     until: float
+    per_s: float | None = None
+    sent: int = 0
 
 
 def barred_replicas(box: GatewayBox) -> list[BarredReplica]:
-    """Return the replicas that a box knows and does not call, by service and name."""
+    """Return the replicas that a box knows and does not call as it likes, by service and name."""
     found = []
     for replica in box.replicas.replicas.values():
         bar = box.gate.bar_of(replica)
         if bar is not None:
             found.append(describe(box, replica, bar))
+        limit = box.named_limits.of(replica)
+        if limit is not None:
+            found.append(describe_limit(box, replica, limit))
     return sorted(found, key=lambda item: (item.service, item.replica))
 
 
+def describe_limit(box: GatewayBox, replica: Replica, limit: NamedLimit) -> BarredReplica:
+    """Return what a replica that names a limit is held to."""
+    now = box.clock.monotonic()
+    since_1970 = box.clock.wall() - now
+    return BarredReplica(
+        replica=replica.id,
+        service=replica.service,
+        bar=Bar.LIMIT.value,
+        source=limit.source,
+        since=limit.since + since_1970,
+        until=limit.heard_at + RETURN_S + since_1970 if limit.heard.ended else 0.0,
+        per_s=limit.rate(now),
+        sent=limit.sent,
+    )
+
+
 def describe(box: GatewayBox, replica: Replica, bar: Bar) -> BarredReplica:
     """Return why a replica is not called, with what is known of that."""
     since_1970 = box.clock.wall() - box.clock.monotonic()
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -181,6 +181,7 @@
             share=lambda: 1 / max(1, self.election.groups),
             send=self.link.send,
             own=self.permits,
+            observer=observer,
         )
         self.keeper = BlockedKeeper(
             clock=self.clock,
--- a/packages/daemon/calicopathd/gateway/metrics.py
+++ b/packages/daemon/calicopathd/gateway/metrics.py
@@ -42,6 +42,9 @@
             'replica_limits_named_total',
             'Times that a replica named how much it takes, or another.',
         )
+        self.permits = self.counter(
+            'permits_total', 'Permits to call limited replicas that this box has lent or refused.'
+        )
         self.notices_bad = self.counter(
             'notices_bad_total', 'Answers that ask for a pause which can not be read.'
         )
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -10,6 +10,7 @@
 from calicopath_core.fleet.feed import FeedObserver
 from calicopath_core.fleet.leaving import OWN
 from calicopath_core.fleet.notices import NoticeObserver
+from calicopath_core.permits.holder import PermitObserver
 from calicopath_core.scheduling.interfaces import SchedulerObserver
 from calicopathd import events
 from calicopathd.crashlog import CrashLog
@@ -28,7 +29,9 @@
 log = structlog.get_logger(__name__)
 
 
-class GatewayObserver(ExchangeObserver, FeedObserver, NoticeObserver, SchedulerObserver, CrashLog):
+class GatewayObserver(
+    ExchangeObserver, FeedObserver, NoticeObserver, PermitObserver, SchedulerObserver, CrashLog
+):
     """Write one line a decision and keep the counters."""
 
     def __init__(self, *, metrics: GatewayMetrics) -> None:
@@ -89,6 +92,24 @@
             error=str(error),
         )
 
+    def on_permit(self, service: str, outcome: str) -> None:
+        """Count what became of a permit."""
+        self.metrics.permits.inc({'service': service, 'outcome': outcome})
+
+    def on_permit_awaited(
+        self, ticket: Ticket, replica: str, waited_s: float, opens_in_s: float
+    ) -> None:
+        """Note a request that only limited replicas could serve."""
+        events.emit(
+            log,
+            events.PERMIT_AWAITED,
+            request=ticket.exchange.call_id,
+            service=ticket.service,
+            replica=replica or None,
+            waited_ms=round(waited_s * 1000),
+            opens_in_ms=round(opens_in_s * 1000),
+        )
+
     def on_blocked_refused(self, ticket: Ticket) -> None:
         """Count a request that is not sent since replicas end under what it asks."""
         self.metrics.blocked_refused.inc({'service': ticket.service})
