Boxes whose views of a limit differ agree, and ask rather than have stages made again

Cause, by reading: a box that had heard a limit 0.1 s after another had heard its end kept the limit for ever, since nobody calls a replica that seems closed; each run placed there for it would have been passed over, and its stages made again. Change: of words within 0.1 s the end counts; a run that was placed without a permit asks the lender for one. Cold replicas that are limited keep their share.

--- a/packages/core/calicopath_core/exchanges/balancer.py
+++ b/packages/core/calicopath_core/exchanges/balancer.py
@@ -124,6 +124,11 @@
         self.cold.on_sent(found, now)
         return found
 
+    def limited(self, service: str, tried: set[str], now: float) -> list[Replica]:
+        """Return the replicas that may be called with a permit, the quickest first."""
+        found = [item for item in self.gate.limited(service) if item.id not in tried]
+        return sorted(self.cold.allowed(found, now), key=lambda item: self.cost_s(item, now))
+
     def usual_s(self, replicas: Iterable[Replica]) -> float:
         """Return what the quickest of some replicas usually takes."""
         return min((self.of(item).latency_s for item in replicas), default=0.0)
--- a/packages/core/calicopath_core/exchanges/plain.py
+++ b/packages/core/calicopath_core/exchanges/plain.py
@@ -112,9 +112,7 @@
     if replica is not None:
         permit = await context.gate.permits.ask([replica], wait_s=0.0, priority=ticket.priority)
         return replica if permit.replica else None
-    limited = [
-        item for item in context.gate.limited(ticket.service) if item.id not in ticket.left_out
-    ]
+    limited = context.balancer.limited(ticket.service, ticket.left_out, now)
     if not limited:
         raise none_left(context, ticket)
     wait_s = ticket.deadline_at - now - context.balancer.usual_s(limited)
@@ -125,6 +123,7 @@
     found = context.replicas.replicas.get(permit.replica)
     if found is None:
         raise none_left(context, ticket, permit.opens_in_s)
+    context.balancer.cold.on_sent(found, context.clock.monotonic())
     return found
 
 
--- a/packages/core/calicopath_core/exchanges/streams.py
+++ b/packages/core/calicopath_core/exchanges/streams.py
@@ -43,6 +43,9 @@
 """How long the next event of a stream that may be resumed is waited for. The users count a pause
 of 0.5 s as late and give up after some 4 s."""
 
+PERMIT_WAIT_S = 0.2
+"""How long a permit is waited for that did not come with the place at an engine."""
+
 STATUS_CONFLICT = 409
 
 
@@ -69,13 +72,12 @@
         failed = turned_away = False
         try:
             placed = await self.place(job)
-            if placed.permit:
-                self.context.gate.permits.lend(placed.replica)
             replica = self.context.replicas.replicas.get(placed.replica)
             bar = Bar.GONE if replica is None else self.context.gate.bar_of(replica)
             if replica is None or bar is not None:
                 # This box knows of the replica what the scheduler did not; nothing was sent.
                 return self.pass_over(placed, bar or Bar.GONE)
+            await self.take_permit(placed, replica)
             check_sendable(self.context, self.ticket)
             try:
                 return await self.run(job, placed, replica)
@@ -96,6 +98,17 @@
         finally:
             self.context.scheduler.ended(job, failed=failed, turned_away=turned_away)
 
+    async def take_permit(self, placed: Placed, replica: Replica) -> None:
+        """Hold the permit that came with a place; ask for one if the limit was not known there.
+
+        To have another engine chosen would have the stages' work done again.
+        """
+        permits = self.context.gate.permits
+        if placed.permit:
+            permits.lend(replica.id)
+        elif self.context.gate.limits.binds(replica):
+            await permits.ask([replica], wait_s=PERMIT_WAIT_S, priority=self.ticket.priority)
+
     def pass_over(self, placed: Placed, bar: Bar) -> bool:
         """Have another engine chosen, unless that went wrong too often."""
         self.context.observer.on_passed_over(self.ticket, placed.replica, bar)
--- a/packages/core/calicopath_core/membership/sharing.py
+++ b/packages/core/calicopath_core/membership/sharing.py
@@ -45,7 +45,9 @@
         hubs: Callable[[], Iterable[str]],
         send: Callable[[str, msgspec.Struct], None],
         forwards: bool = False,
+        repeat_s: float = REPEAT_S,
     ) -> None:
+        self.repeat_s = repeat_s
         self.clock = clock
         self.own_address = own_address
         self.hubs = hubs
@@ -80,7 +82,7 @@
 
     def report(self, keys: Iterable[Key]) -> None:
         """Tell the hubs at once, and repeat it for a while."""
-        until = self.clock.monotonic() + REPEAT_S
+        until = self.clock.monotonic() + self.repeat_s
         for key in keys:
             self.fresh[key] = until
         self.tell_hubs()
--- a/packages/core/calicopath_core/permits/limits.py
+++ b/packages/core/calicopath_core/permits/limits.py
@@ -25,9 +25,10 @@
 OVERTAKEN_S = 0.3
 """How long after a limit was named an answer without one ends nothing: answers overtake others."""
 
-NEWER_S = 0.1
-"""By how much another box's word has to be newer than what this one has heard: its age counts from
-when it was sent, and messages take some ms."""
+TIE_S = 0.1
+"""Words heard by different boxes within this time may be told in either order: the end of a limit
+counts then. If it has not ended the next answer says so; nobody asks a replica that seems closed.
+"""
 
 LEAST_PER_S = 0.2
 """The rate at which a replica is asked that names less, or 0: without calls nobody would hear that
@@ -89,6 +90,15 @@
         return self.heard.ended and now >= self.heard_at + RETURN_S
 
 
+def is_newer(heard: Heard, heard_at: float, known: NamedLimit) -> bool:
+    """Tell whether a word counts more than what is known of the same life."""
+    if heard.ended:
+        return heard_at > known.heard_at - TIE_S
+    if known.heard.ended:
+        return heard_at > known.heard_at + TIE_S
+    return heard_at > known.heard_at
+
+
 class NamedLimits:
     """Hold limits by replica; `on_changed` is told what other boxes should know.
 
@@ -154,7 +164,7 @@
         if known is not None:
             if known.heard == heard or heard.born < known.heard.born:
                 return False
-            if heard.born == known.heard.born and heard_at < known.heard_at + NEWER_S:
+            if heard.born == known.heard.born and not is_newer(heard, heard_at, known):
                 return False
         self.keep(replica, service, heard, heard_at, source)
         return True
--- a/packages/core/calicopath_core/permits/sharing.py
+++ b/packages/core/calicopath_core/permits/sharing.py
@@ -19,6 +19,10 @@
 MAX_WORDS_TOLD = 200
 """Words told in one message, the latest ones: 8 KB."""
 
+REPEAT_S = 0.3
+"""How long own words are repeated: many boxes hear the same in one moment, and digests heal what
+is lost."""
+
 
 class LimitWord(msgspec.Struct, frozen=True, array_like=True):
     """Tell what one life of a replica has named, and how many seconds ago that was heard."""
@@ -49,7 +53,9 @@
         send: Callable[[str, msgspec.Struct], None],
         service_of: Callable[[str], str],
     ) -> None:
-        super().__init__(clock=clock, own_address=own_address, hubs=hubs, send=send)
+        super().__init__(
+            clock=clock, own_address=own_address, hubs=hubs, send=send, repeat_s=REPEAT_S
+        )
         self.limits = limits
         self.service_of = service_of
 
--- a/packages/daemon/calicopathd/gateway/tests/limit_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/limit_tests.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from calicopath_core.fleet.notices import Notice
+from calicopath_core.permits.limits import Heard
 from testkit.cases import VirtualCase
 from testkit.notice_fleet import NoticeFleet
 
@@ -119,6 +121,74 @@
         self.check_kept(self.play(work), 0.5)
 
 
+class Views(LimitCase):
+    def test_a_box_that_believes_a_limit_which_the_lender_does_not_still_uses_the_engine(
+        self,
+    ) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            box = fleet.boxes['box-3'].box
+            engines = box.replicas.usable('engine')
+            for item in engines:
+                # Nobody else is told.
+                heard = Heard(item.born, 1.0, ended=False)
+                box.named_limits.merge(item.id, 'engine', heard, 5.0, 'box-9')
+            box.limit_sharing.fresh.clear()
+            fleet.boxes['box-0'].box.named_limits.held.clear()
+            sinks = []
+            for _ in range(20):
+                sinks.append(fleet.ask('box-3', 'draft'))
+                await asyncio.sleep(0.2)
+            await fleet.settle()
+            self.assertEqual(20, self.served(sinks))
+            reached = [item for item in fleet.notices.arrivals if 'engine' in item.replica]
+            self.assertEqual(20, len(reached))
+            pieces = sum(len(calls) for _, calls in fleet.stages.calls)
+            self.assertEqual(20 * 3, pieces)
+
+        self.play(work, count=4)
+
+    def test_what_one_box_is_told_all_know_and_a_box_that_starts(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            fleet.silence_store()
+            box = fleet.boxes['box-5'].box
+            box.gate.on_notice(box.replicas.replicas['desk-2'], Notice(limit_per_s=2.0))
+            await asyncio.sleep(1.0)
+            fleet.store_answers()
+            await fleet.add('box-new', 'north').start()
+            await asyncio.sleep(3.0)
+            limits = [item.box.named_limits for item in fleet.boxes.values()]
+            rates = [item.rate_of(box.replicas.replicas['desk-2']) for item in limits]
+            self.assertEqual([2.0] * 9, rates)
+
+        self.play(work)
+
+    def test_a_service_that_limits_as_a_whole_costs_each_box_little(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            before = {name: self.sent(fleet, name) for name in fleet.boxes}
+            for number in range(2, 9):
+                for name in fleet.boxes:
+                    self.hear(fleet, name, f'engine-{number}', 1.0)
+            await asyncio.sleep(1.0)
+            # At one request a second one box hears of a change.
+            for number in range(2, 9):
+                self.hear(fleet, f'box-{number}', f'engine-{number}', 2.0)
+            await asyncio.sleep(1.0)
+            sent = max(self.sent(fleet, name) - before[name] for name in before)
+            # 24 KB/s is all that a box may spend on control, pings included.
+            self.assertLess(sent / 2.0, 24_000)
+
+        self.play(work, count=20)
+
+    def hear(self, fleet: NoticeFleet, name: str, replica: str, per_s: float) -> None:
+        """Have a box hear of a limit in an answer."""
+        box = fleet.boxes[name].box
+        box.gate.on_notice(box.replicas.replicas[replica], Notice(limit_per_s=per_s))
+
+    def sent(self, fleet: NoticeFleet, name: str) -> int:
+        """Return what a box has sent to peers so far."""
+        return fleet.network.sent_bytes.get(f'{name}:7', 0)
+
+
 class Served(LimitCase):
     def test_what_others_can_run_is_not_refused(self) -> None:
         async def work(fleet: NoticeFleet) -> None:
