Soak: replicas that name limits while boxes are killed, paused and cut off

Change: a stream of steps of its own in which replicas of every kind name 0 to 4 requests a second for 6 to 12 s, and the users' rule as a check, counted at the replica.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -25,6 +25,7 @@
     closes: bool
     leaving: bool = False
     retry_after_s: float = 0.0
+    limited: bool = False
 
 
 NO_ANSWER = Answer(0, False, False, b'', True)
@@ -91,7 +92,8 @@
     leaving = b'\r\nserver-leaving: 1\r\n' in lowered
     wish = re.search(rb'\r\nretry-after: ([\d.]+)', lowered)
     retry_after_s = float(wish[1]) if wish is not None else 0.0
-    return Answer(status, whole, sealed, body, closes, leaving, retry_after_s)
+    limited = b'\r\nserver-limit: ' in lowered
+    return Answer(status, whole, sealed, body, closes, leaving, retry_after_s, limited)
 
 
 async def read_length(reader: asyncio.StreamReader, length: int) -> tuple[bytes, bool]:
@@ -146,4 +148,5 @@
         leaving=answer.leaving,
         deadly=question.deadly,
         retry_after_s=answer.retry_after_s,
+        limited=answer.limited,
     )
--- a/tools/soak/records.py
+++ b/tools/soak/records.py
@@ -27,8 +27,8 @@
 
     `status` is 0 without an answer; `whole` says that the answer had its proper end; `life` counts
     the starts of the box; `since` is the configuration that a probe asks for; `leaving` says that
-    the answer came from a replica that leaves; `deadly` is the path of a request that ends what
-    runs it.
+    the answer came from a replica that leaves, `limited` that it came from one that names a limit;
+    `deadly` is the path of a request that ends what runs it.
     """
 
     call_id: str
@@ -46,6 +46,7 @@
     leaving: bool = False
     deadly: str = ''
     retry_after_s: float = 0.0
+    limited: bool = False
 
     @property
     def refused(self) -> bool:
@@ -86,6 +87,15 @@
     at: float
 
 
+class LimitNamed(NamedTuple):
+    """Hold which limit a replica named in its answers, from the first one until it no more did."""
+
+    replica: str
+    per_s: float
+    began: float
+    ended: float
+
+
 class ZoneOut(NamedTuple):
     """Hold when a zone was taken out and given back, in the world's seconds."""
 
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -12,6 +12,7 @@
 from calicopath_platform.tests.soak_replicas import soak_request
 from tools.soak import checks, deadly
 from tools.soak.callers import CallerConnection, Question, ask
+from tools.soak.limits import limits_are_kept
 from tools.soak.records import RequestKind, Seen
 from tools.soak.schedule import FaultKind, Step, draw
 from tools.soak.world import REPLICAS, ZONES, World
@@ -177,6 +178,12 @@
             *deadly.nobody_else_is_blocked(self.seen),
             *deadly.blocked_stays_blocked(self.seen, world.runs),
             *checks.told_boxes_send_nothing(self.seen, world.runs, steps),
+            *limits_are_kept(
+                self.seen,
+                world.limits_named,
+                [item for life in world.lives for item in life.arrivals],
+                steps,
+            ),
             *checks.pauses_are_kept(
                 self.seen,
                 [item for life in world.lives for item in life.turned_away if item.wish_s],
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -29,6 +29,7 @@
     REPLICA_LEAVES = 'replica-leaves'
     REPLICA_TURNS_AWAY = 'replica-turns-away'
     DEADLY_REQUEST = 'deadly-request'
+    REPLICA_LIMITS = 'replica-limits'
 
 
 class LinkMode(enum.Enum):
@@ -52,6 +53,7 @@
         FaultKind.FOREIGN_ENTRY,
         FaultKind.REPLICA_LEAVES,
         FaultKind.REPLICA_TURNS_AWAY,
+        FaultKind.REPLICA_LIMITS,
     }
 )
 """What is no fault but an operator's work: nothing may be cut by it."""
@@ -64,6 +66,7 @@
         FaultKind.REPLICA_LEAVES,
         FaultKind.REPLICA_TURNS_AWAY,
         FaultKind.DEADLY_REQUEST,
+        FaultKind.REPLICA_LIMITS,
     }
 )
 """What is drawn apart, so that what else a seed means stays as it was before these came."""
@@ -94,6 +97,11 @@
 LONGEST_DEADLY_S = 12.0
 """The mean time between two requests that begin to end replicas, and how long one is repeated."""
 
+LIMIT_GAP_S = 3.0
+SHORTEST_LIMIT_S = 6.0
+LONGEST_LIMIT_S = 12.0
+"""The mean time between two replicas that begin to name a limit, and for how long they do."""
+
 SERIES = 4
 """Changes of one kind that may come right after each other."""
 
@@ -138,6 +146,7 @@
     found += draw_entries(seed, seconds=seconds, replicas=replicas)
     found += draw_words(seed, seconds=seconds, replicas=replicas)
     found += draw_deadly(seed, seconds=seconds)
+    found += draw_limits(seed, seconds=seconds, replicas=replicas)
     return sorted(found, key=lambda step: step.at_s)
 
 
@@ -194,6 +203,19 @@
     return found
 
 
+def draw_limits(seed: int, *, seconds: float, replicas: int) -> list[Step]:
+    """Return which replicas name limits, and when."""
+    rng = random.Random(f'limits of {seed}')
+    found: list[Step] = []
+    at_s = rng.expovariate(1 / LIMIT_GAP_S)
+    while at_s < seconds:
+        for_s = round(rng.uniform(SHORTEST_LIMIT_S, LONGEST_LIMIT_S), 3)
+        target = rng.randrange(replicas)
+        found.append(Step(round(at_s, 3), FaultKind.REPLICA_LIMITS, target, for_s, LinkMode.PASS))
+        at_s += rng.expovariate(1 / LIMIT_GAP_S)
+    return found
+
+
 def calm(steps: list[Step], begin_s: float, end_s: float, *, own: Step | None = None) -> bool:
     """Tell whether no fault but `own` touches a span."""
     return not any(
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -26,7 +26,7 @@
 from testkit.ports import free_ports
 from tools.soak.boxes import BoxProcess
 from tools.soak.links import Link
-from tools.soak.records import Run, StopSeen, ZoneOut
+from tools.soak.records import LimitNamed, Run, StopSeen, ZoneOut
 from tools.soak.schedule import FaultKind, LinkMode
 
 if TYPE_CHECKING:
@@ -45,6 +45,9 @@
 """How often a box is given other ports when somebody took one before it listened."""
 
 STATUS_DOWN = 503
+LIMITS_PER_S = (0.0, 0.5, 1.0, 4.0)
+"""What replicas name, in requests a second."""
+
 WRONG_SHARE = 0.2
 """How many of the wishes make no sense."""
 
@@ -81,6 +84,7 @@
         self.stops: list[StopSeen] = []
         self.zones_out: list[ZoneOut] = []
         self.zones_out_now: set[str] = set()
+        self.limits_named: list[LimitNamed] = []
         self.ends: dict[str, list[float]] = {}
         self.ending: set[asyncio.Task[None]] = set()
         self.version = 1
@@ -236,6 +240,8 @@
                 await self.to_replica(step, self.slots[step.target])
             case FaultKind.REPLICA_TURNS_AWAY:
                 await self.turn_away(step, self.slots[step.target].replica)
+            case FaultKind.REPLICA_LIMITS:
+                await self.limit(step, self.slots[step.target].replica)
             case FaultKind.FOREIGN_ENTRY:
                 await self.write_foreign(step)
             case FaultKind.ZONE_OUT:
@@ -275,6 +281,19 @@
         await asyncio.sleep(step.for_s)
         replica.turns_away = None
 
+    async def limit(self, step: Step, replica: SoakReplica | None) -> None:
+        """Have a replica name a limit, unless it does already."""
+        assert replica is not None
+        if replica.limit is not None:
+            return
+        per_s = random.Random(step.at_s).choice(LIMITS_PER_S)
+        replica.limit, replica.limited_at = per_s, None
+        await asyncio.sleep(step.for_s)
+        replica.limit = None
+        if replica.limited_at is not None:
+            named = LimitNamed(replica.name, per_s, replica.limited_at, self.now())
+            self.limits_named.append(named)
+
     def zone_of(self, replica: str) -> str:
         """Return the zone of a replica, by the place in its name."""
         return ZONES[int(replica.split('-')[1]) % len(ZONES)]
