The lender looks at one ask of those that wait for the same replicas; mutants of limits

A wait of a rest of rounding was none, so that virtual time stood still. Change: asks are grouped by their replicas, a look is at least 1 ms apart.

--- a/packages/core/calicopath_core/fleet/tests/gate_tests.py
+++ b/packages/core/calicopath_core/fleet/tests/gate_tests.py
@@ -12,6 +12,7 @@
 from calicopath_core.fleet.leaving import MAX_WORDS
 from calicopath_core.fleet.notices import NOTHING_TOLD, Bar, Barred, Notice
 from calicopath_core.fleet.replicas import Replica, ReplicaTable
+from calicopath_core.permits.limits import GRACE_S
 from testkit.cases import VirtualCase
 from testkit.gates import new_gate
 
@@ -40,6 +41,52 @@
         self.run_virtual(scenario())
 
 
+class Limits(GateCase):
+    def test_a_call_of_new_work_needs_a_permit_and_each_permit_is_for_one_call(self) -> None:
+        async def work(gate: CallGate) -> None:
+            gate.on_notice(FIRST, Notice(limit_per_s=5.0))
+            gate.check_call(FIRST, new_work=True)
+            await asyncio.sleep(GRACE_S)
+            gate.permits.lend('i')
+            gate.check_call(FIRST, new_work=True)
+            error = self.assertRaises(Barred, gate.check_call, FIRST, new_work=True)
+            self.assertEqual(Bar.LIMIT, error.bar)
+            gate.check_call(OTHER, new_work=True)
+
+        self.play(work)
+
+    def test_calls_without_new_work_are_held_to_a_part_of_it(self) -> None:
+        async def work(gate: CallGate) -> None:
+            gate.on_notice(FIRST, Notice(limit_per_s=4.0))
+            gate.check_call(FIRST, new_work=False)
+            self.assertRaises(Barred, gate.check_call, FIRST, new_work=False)
+            self.assertGreater(gate.support_opens_in_s(FIRST), 0.5)
+            await asyncio.sleep(1.0)
+            gate.check_call(FIRST, new_work=False)
+
+        self.play(work)
+
+    def test_a_pause_holds_beside_a_limit(self) -> None:
+        async def work(gate: CallGate) -> None:
+            gate.on_notice(FIRST, Notice(backoff_s=3.0, limit_per_s=4.0, ran=False))
+            gate.permits.lend('i')
+            error = self.assertRaises(Barred, gate.check_call, FIRST, new_work=True)
+            self.assertEqual(Bar.BACKOFF, error.bar)
+            self.assertEqual([], gate.limited('desk'))
+
+        self.play(work)
+
+    def test_one_that_limits_and_leaves_is_not_called(self) -> None:
+        async def work(gate: CallGate) -> None:
+            gate.on_notice(FIRST, Notice(leaving=True, limit_per_s=4.0))
+            gate.permits.lend('i')
+            error = self.assertRaises(Barred, gate.check_call, FIRST, new_work=True)
+            self.assertEqual(Bar.LEAVING, error.bar)
+            self.assertEqual([], gate.limited('desk'))
+
+        self.play(work)
+
+
 class Leaving(GateCase):
     def test_the_word_holds_against_every_entry_of_the_same_life(self) -> None:
         async def work(gate: CallGate) -> None:
--- a/packages/core/calicopath_core/permits/holder.py
+++ b/packages/core/calicopath_core/permits/holder.py
@@ -30,17 +30,24 @@
 """For how long a box that takes up lending lends a part only: another one may not know yet that it
 has been followed."""
 
+LEAST_LOOK_S = 0.001
+"""How soon waiting asks are looked at again at the earliest: a rest of rounding is no time."""
+
 MAX_WAITING = 2_000
 """Asks that wait at once, 0.3 KB each; more are answered with none."""
 
 
 class Waiting(NamedTuple):
-    """Hold an ask that waits, until when in monotonic seconds; `serial` orders equals."""
+    """Hold an ask that waits, until when in monotonic seconds; `serial` orders equals.
+
+    `names` are its replicas: of those that ask for the same only the first needs to be looked at.
+    """
 
     priority: int
     serial: int
     ask: PermitAsk
     until: float
+    names: frozenset[str]
 
 
 class PermitObserver(ABC):
@@ -195,8 +202,9 @@
             return
         now = self.clock.monotonic()
         replicas = self.listed(ask)
+        names = frozenset(ask.replicas)
         ahead = sum(
-            item.priority <= ask.priority and not set(ask.replicas).isdisjoint(item.ask.replicas)
+            item.priority <= ask.priority and not names.isdisjoint(item.names)
             for item in self.waiting
         )
         wait_s = self.wait_s(replicas, ahead)
@@ -204,7 +212,8 @@
             self.refuse(ask, wait_s)
             return
         self.serials += 1
-        self.waiting.append(Waiting(ask.priority, self.serials, ask, now + ask.wait_s))
+        until = now + ask.wait_s
+        self.waiting.append(Waiting(ask.priority, self.serials, ask, until, names))
         self.waiting.sort(key=lambda item: (item.priority, item.serial))
         self.serve_later()
 
@@ -234,10 +243,12 @@
         self.timer = None
         now = self.clock.monotonic()
         left: list[Waiting] = []
+        closed: set[frozenset[str]] = set()
         for item in self.waiting:
             if now >= item.until:
                 self.refuse(item.ask, self.wait_s(self.listed(item.ask), 0))
-            elif not self.lend(item.ask):
+            elif item.names in closed or not self.lend(item.ask):
+                closed.add(item.names)
                 left.append(item)
         self.waiting = left
         self.serve_later()
@@ -246,9 +257,10 @@
         """Look again when the first permit comes."""
         if not self.waiting or self.timer is not None:
             return
-        waits = [self.wait_s(self.listed(item.ask), 0) for item in self.waiting]
+        firsts = {item.names: item.ask for item in self.waiting}
+        waits = [self.wait_s(self.listed(ask), 0) for ask in firsts.values()]
         ends = min(item.until for item in self.waiting) - self.clock.monotonic()
-        delay_s = max(0.0, min(*waits, ends))
+        delay_s = max(LEAST_LOOK_S, min(*waits, ends))
         self.timer = asyncio.get_running_loop().call_later(delay_s, self.serve)
 
     def expire(self) -> None:
--- a/tools/mutants/catalogue.py
+++ b/tools/mutants/catalogue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from tools.mutants.limits import LIMIT_MUTANTS
 from tools.mutants.mutant import CORE, Mutant
 from tools.mutants.notices import NOTICE_MUTANTS
 
@@ -273,4 +274,5 @@
         f'{CRASHING}::Crashing',
     ),
     *NOTICE_MUTANTS,
+    *LIMIT_MUTANTS,
 )
