What a box knows by answers, and what the scheduler rejects, in modules of their own

Change: gateway/notices.py assembles leaving, backoffs, limits and permits, and takes the messages about them; scheduling/rejections.py judges jobs at the door and while they wait. No decision differs: the same calls in the same order.

--- /dev/null
+++ b/packages/core/calicopath_core/scheduling/rejections.py
@@ -0,0 +1,154 @@
+"""Reject jobs that can't be made before their callers give up, at the door and while they wait."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from calicopath_core.scheduling.admission import outranks
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator, Mapping
+
+    from calicopath_core.crashes.guard import CrashGuard
+    from calicopath_core.permits.holder import PermitLender
+    from calicopath_core.scheduling.admission import Admission
+    from calicopath_core.scheduling.boards import EngineBoards
+    from calicopath_core.scheduling.engine_queue import EngineQueue
+    from calicopath_core.scheduling.engines import Engine
+    from calicopath_core.scheduling.jobs import Job
+    from calicopath_core.scheduling.stages import StageQueue
+
+NO_ENGINE_S = 1.2
+"""When a job may come back that no engine can take: replicas tell of themselves that often."""
+
+
+class Rejections:
+    """Judge jobs that have no engine yet.
+
+    `reject` ends one with its reason and a time to come back, `engine_s` tells what an engine takes
+    to a job's first event.
+    """
+
+    def __init__(
+        self,
+        *,
+        unplaced: Mapping[str, Job],
+        boards: EngineBoards,
+        engine_queue: EngineQueue,
+        queues: Mapping[str, StageQueue],
+        admission: Admission,
+        crashes: CrashGuard,
+        permits: PermitLender,
+        engine_s: Callable[[Job], float],
+        reject: Callable[[Job, str, float], None],
+    ) -> None:
+        self.unplaced = unplaced
+        self.boards = boards
+        self.engine_queue = engine_queue
+        self.queues = queues
+        self.admission = admission
+        self.crashes = crashes
+        self.permits = permits
+        self.engine_s = engine_s
+        self.reject = reject
+
+    def judge_waiting(self, now: float) -> None:
+        """Look at every job that waits for stages or an engine."""
+        self.reject_hopeless(now)
+        self.reject_backing_off(now)
+        self.reject_beyond_limits(now)
+
+    def lets_in(self, job: Job, now: float) -> bool:
+        """Tell whether a new job may be begun; reject it if not."""
+        return (
+            self.check_sendable(job)
+            and self.check_backoffs(job, now)
+            and self.check_limits(job, self.ahead_of(job, now), now)
+        )
+
+    def reject_hopeless(self, now: float) -> None:
+        """Tell callers at once whose jobs can't be made before their deadline any more."""
+        for job in list(self.unplaced.values()):
+            if now + job.least_s() > job.deadline_at:
+                others, queues = self.unplaced.values(), self.queues
+                room_in_s = self.admission.room_in_s(job, others, queues, now)
+                self.reject(job, 'hopeless', self.admission.return_s(job, room_in_s, now))
+        for job in self.engine_queue.hopeless(now):
+            self.reject(job, 'no-engine', self.admission.return_s(job, NO_ENGINE_S, now))
+
+    def reject_backing_off(self, now: float) -> None:
+        """Tell callers at once that would wait in vain for engines which want nothing from them."""
+        if self.boards.backoffs.by_box:
+            for job in list(self.unplaced.values()):
+                self.check_backoffs(job, now)
+
+    def check_backoffs(self, job: Job, now: float) -> bool:
+        """Tell whether some engine takes a job from its box in time; reject it if not.
+
+        In time is before its objective, so that its caller may still try another box; once its
+        stages are begun, before its deadline.
+        """
+        board = self.boards.get(job.place.service)
+        back_s = board.first_back_s(job, now) if board is not None else 0.0
+        if back_s <= 0:
+            return True
+        engine_s = self.engine_s(job)
+        ready_s = max(back_s, job.least_s() - engine_s)
+        committed = job.begun or job.place.may_have_run
+        limit = job.deadline_at if committed else job.objective_at
+        if now + ready_s + engine_s <= limit:
+            return True
+        self.reject(job, 'backing-off', self.admission.return_s(job, back_s, now))
+        return False
+
+    def check_limits(self, job: Job, ahead: int, now: float) -> bool:
+        """Tell whether an engine's limit lets a job begin in time; reject it if none does."""
+        board = self.boards.get(job.place.service)
+        wait_s = board.permit_wait_s(job, ahead) if board is not None else 0.0
+        if wait_s <= 0:
+            return True
+        engine_s = self.engine_s(job)
+        ready_s = max(wait_s, job.least_s() - engine_s)
+        if now + ready_s + engine_s <= job.deadline_at:
+            return True
+        self.reject(job, 'limited', self.admission.return_s(job, wait_s, now))
+        return False
+
+    def ahead_of(self, job: Job, now: float) -> int:
+        """Return how many jobs for the same engines get permits before a new one."""
+        return sum(
+            other is not job
+            and other.place.service == job.place.service
+            and not outranks(job, other)
+            and not other.is_late(now)
+            for other in self.unplaced.values()
+        )
+
+    def reject_beyond_limits(self, now: float) -> None:
+        """Tell callers at once whose jobs wait for engines that can't take them all in time."""
+        if not any(self.permits.rate_of(item.replica) for item in self.waited_for()):
+            return
+        ahead: Counter[str] = Counter()
+        for job in self.engine_queue.ordered(now):
+            if self.check_limits(job, ahead[job.place.service], now):
+                ahead[job.place.service] += 1
+
+    def waited_for(self) -> Iterator[Engine]:
+        """Yield the engines of the services that jobs with all their results wait for."""
+        for service in {job.place.service for job in self.engine_queue.jobs.values()}:
+            yield from self.boards[service].engines.values()
+
+    def reject_blocked(self) -> None:
+        """Reject the jobs at once that were let in before their request was blocked."""
+        if self.crashes.blocks_any:
+            for job in list(self.unplaced.values()):
+                self.check_sendable(job)
+
+    def check_sendable(self, job: Job) -> bool:
+        """Tell whether a job may go on; reject it if too many replicas ended under its request."""
+        wait_s = self.crashes.blocked_s(job.place.content, job.place.services)
+        if wait_s is None:
+            return True
+        self.reject(job, 'crashes-replicas', wait_s)
+        return False
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
 from typing import TYPE_CHECKING
 
 from calicopath_core.permits.holder import NoLimits, PermitLender
-from calicopath_core.scheduling.admission import Admission, outranks
+from calicopath_core.scheduling.admission import Admission
 from calicopath_core.scheduling.beliefs import EngineTimes
 from calicopath_core.scheduling.boards import EngineBoards
 from calicopath_core.scheduling.engine_queue import EngineQueue
@@ -20,12 +19,13 @@
     Progress,
     Rejected,
 )
+from calicopath_core.scheduling.rejections import NO_ENGINE_S, Rejections
 from calicopath_core.scheduling.stage_calls import MAX_PIECE_TRIES, StageCalls
 from calicopath_core.scheduling.starts import NO_ALLOWANCE, WarmupTerms
 from calicopath_core.scheduling.succession import Succession
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Callable
 
     import msgspec
 
@@ -33,7 +33,7 @@
     from calicopath_core.crashes.guard import CrashGuard
     from calicopath_core.fleet.deployment import Deployment, EngineSpec
     from calicopath_core.fleet.replicas import Replica, ReplicaTable
-    from calicopath_core.scheduling.engines import Engine, EngineBoard
+    from calicopath_core.scheduling.engines import EngineBoard
     from calicopath_core.scheduling.interfaces import SchedulerObserver, StageCaller
     from calicopath_core.scheduling.messages import (
         BackoffNews,
@@ -53,9 +53,6 @@
 under 10 ms. Results that lie longer take room from what their makers could make: with 0.15 s the
 mean worth of days with faults was 0.015 less."""
 
-NO_ENGINE_S = 1.2
-"""When a job may come back that no engine can take: replicas tell of themselves that often."""
-
 RETRY_AFTER_S = 0.5
 """When a rejected job may come back, if nothing better is known."""
 
@@ -111,6 +108,17 @@
             support_back_s=support_back_s,
             permits=self.permits,
         )
+        self.rejections = Rejections(
+            unplaced=self.unplaced,
+            boards=self.boards,
+            engine_queue=self.engine_queue,
+            queues=self.stages.queues,
+            admission=self.admission,
+            crashes=crashes,
+            permits=self.permits,
+            engine_s=self.engine_s,
+            reject=self.reject,
+        )
         self.succession = Succession(scheduler=self)
         replicas.listeners.append(self.on_replicas)
 
@@ -160,11 +168,9 @@
             return
         now = self.clock.monotonic()
         self.boards.forget_lost(now)
-        self.reject_blocked()
+        self.rejections.reject_blocked()
         self.place_waiting()
-        self.reject_hopeless(now)
-        self.reject_backing_off(now)
-        self.reject_beyond_limits(now)
+        self.rejections.judge_waiting(now)
         self.give_up_fetched(now)
         for job in list(self.jobs.values()):
             if now > job.deadline_at + JOB_MEMORY_S:
@@ -178,97 +184,11 @@
                 job.placed_at = None
                 self.stages.release.give_up(job.all_results())
 
-    def reject_hopeless(self, now: float) -> None:
-        """Tell callers at once whose jobs can't be made before their deadline any more."""
-        for job in list(self.unplaced.values()):
-            if now + job.least_s() > job.deadline_at:
-                others, queues = self.unplaced.values(), self.stages.queues
-                room_in_s = self.admission.room_in_s(job, others, queues, now)
-                self.reject(job, 'hopeless', self.admission.return_s(job, room_in_s, now))
-        for job in self.engine_queue.hopeless(now):
-            self.reject(job, 'no-engine', self.admission.return_s(job, NO_ENGINE_S, now))
-
-    def reject_backing_off(self, now: float) -> None:
-        """Tell callers at once that would wait in vain for engines which want nothing from them."""
-        if self.boards.backoffs.by_box:
-            for job in list(self.unplaced.values()):
-                self.check_backoffs(job, now)
-
-    def check_backoffs(self, job: Job, now: float) -> bool:
-        """Tell whether some engine takes a job from its box in time; reject it if not.
-
-        In time is before its objective, so that its caller may still try another box; once its
-        stages are begun, before its deadline.
-        """
-        board = self.boards.get(job.place.service)
-        back_s = board.first_back_s(job, now) if board is not None else 0.0
-        if back_s <= 0:
-            return True
-        engine_s = self.engine_s(job)
-        ready_s = max(back_s, job.least_s() - engine_s)
-        committed = job.begun or job.place.may_have_run
-        limit = job.deadline_at if committed else job.objective_at
-        if now + ready_s + engine_s <= limit:
-            return True
-        self.reject(job, 'backing-off', self.admission.return_s(job, back_s, now))
-        return False
-
-    def check_limits(self, job: Job, ahead: int, now: float) -> bool:
-        """Tell whether an engine's limit lets a job begin in time; reject it if none does."""
-        board = self.boards.get(job.place.service)
-        wait_s = board.permit_wait_s(job, ahead) if board is not None else 0.0
-        if wait_s <= 0:
-            return True
-        engine_s = self.engine_s(job)
-        ready_s = max(wait_s, job.least_s() - engine_s)
-        if now + ready_s + engine_s <= job.deadline_at:
-            return True
-        self.reject(job, 'limited', self.admission.return_s(job, wait_s, now))
-        return False
-
-    def ahead_of(self, job: Job, now: float) -> int:
-        """Return how many jobs for the same engines get permits before a new one."""
-        return sum(
-            other is not job
-            and other.place.service == job.place.service
-            and not outranks(job, other)
-            and not other.is_late(now)
-            for other in self.unplaced.values()
-        )
-
-    def reject_beyond_limits(self, now: float) -> None:
-        """Tell callers at once whose jobs wait for engines that can't take them all in time."""
-        if not any(self.permits.rate_of(item.replica) for item in self.waited_for()):
-            return
-        ahead: Counter[str] = Counter()
-        for job in self.engine_queue.ordered(now):
-            if self.check_limits(job, ahead[job.place.service], now):
-                ahead[job.place.service] += 1
-
-    def waited_for(self) -> Iterator[Engine]:
-        """Yield the engines of the services that jobs with all their results wait for."""
-        for service in {job.place.service for job in self.engine_queue.jobs.values()}:
-            yield from self.boards[service].engines.values()
-
     def on_backoffs(self, message: BackoffNews) -> None:
         """Take in which engines want nothing from a box, and look anew at what waits for it."""
         now = self.clock.monotonic()
         self.boards.backoffs.note(message.address, message.backoffs, now)
-        self.reject_backing_off(now)
-
-    def reject_blocked(self) -> None:
-        """Reject the jobs at once that were let in before their request was blocked."""
-        if self.crashes.blocks_any:
-            for job in list(self.unplaced.values()):
-                self.check_sendable(job)
-
-    def check_sendable(self, job: Job) -> bool:
-        """Tell whether a job may go on; reject it if too many replicas ended under its request."""
-        wait_s = self.crashes.blocked_s(job.place.content, job.place.services)
-        if wait_s is None:
-            return True
-        self.reject(job, 'crashes-replicas', wait_s)
-        return False
+        self.rejections.reject_backing_off(now)
 
     def on_place(self, place: Place) -> None:
         """Begin a job; a repeated message begins nothing twice."""
@@ -290,9 +210,7 @@
         if not board.serves(job):
             self.reject_unserved(job)
             return
-        if not self.check_sendable(job) or not self.check_backoffs(job, now):
-            return
-        if not self.check_limits(job, self.ahead_of(job, now), now):
+        if not self.rejections.lets_in(job, now):
             return
         job.urgency = self.evenness.urgency(place.priority)
         if not place.resumed and not place.asked_before:
--- a/packages/daemon/calicopathd/gateway/barred.py
+++ b/packages/daemon/calicopathd/gateway/barred.py
@@ -42,7 +42,7 @@
         bar = box.gate.bar_of(replica)
         if bar is not None:
             found.append(describe(box, replica, bar))
-        limit = box.named_limits.of(replica)
+        limit = box.notices.limits.of(replica)
         if limit is not None:
             found.append(describe_limit(box, replica, limit))
     return sorted(found, key=lambda item: (item.service, item.replica))
@@ -70,7 +70,7 @@
     since = until = 0.0
     source = STORE
     if bar is Bar.LEAVING:
-        word = box.leaving_replicas.words[replica.id]
+        word = box.notices.leaving.words[replica.id]
         since, source = word.at + since_1970, word.source
     elif bar is Bar.BACKOFF:
         backoff = box.gate.backoffs.held[replica.id]
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -19,22 +19,14 @@
 from calicopath_core.exchanges.budget import Budgets
 from calicopath_core.exchanges.context import ExchangeContext
 from calicopath_core.exchanges.executor import ExchangeExecutor
-from calicopath_core.fleet.backoffs import Backoffs
 from calicopath_core.fleet.deployment import DEFAULT_LIMITS, Deployment, DeploymentView
 from calicopath_core.fleet.evacuations import Evacuation, Evacuations
 from calicopath_core.fleet.feed import FeedHandler, KindFeed
-from calicopath_core.fleet.gate import CallGate
-from calicopath_core.fleet.leaving import LeavingReplicas
-from calicopath_core.fleet.leaving_sharing import LeavingSharing
 from calicopath_core.fleet.publisher import Publisher
 from calicopath_core.fleet.relay_messages import NOTHING
-from calicopath_core.fleet.replicas import Replica, ReplicaTable
+from calicopath_core.fleet.replicas import Replica
 from calicopath_core.fleet.store import RecordKind
 from calicopath_core.fleet.subscription import Subscription
-from calicopath_core.permits.client import PermitClient
-from calicopath_core.permits.holder import PermitHolder
-from calicopath_core.permits.limits import NamedLimits
-from calicopath_core.permits.sharing import LimitSharing
 from calicopath_core.scheduling.baseline import AloneElection, RandomEngineBoard
 from calicopath_core.scheduling.client import SchedulerClient
 from calicopath_core.scheduling.election import BoxAddress, Election
@@ -42,6 +34,7 @@
 from calicopath_core.scheduling.messages import BackoffNews, Pong
 from calicopath_core.scheduling.scheduler import Scheduler
 from calicopathd import events
+from calicopathd.gateway.notices import BoxNotices
 from calicopathd.gateway.peers import PeerLink
 
 if TYPE_CHECKING:
@@ -98,30 +91,18 @@
         self.job_numbers = itertools.count(1)
         self.leaving = False
         self.view = DeploymentView()
-        self.leaving_replicas = LeavingReplicas(clock=self.clock, observer=observer)
-        self.replicas = ReplicaTable(leaving=self.leaving_replicas)
-        self.permits = PermitClient(
+        self.notices = BoxNotices(
             clock=self.clock,
+            observer=observer,
+            rng=self.rng,
             own_address=str(settings.peer_listen),
-            holder=lambda: self.client.target,
+            hubs=self.hubs,
             send=self.send,
-        )
-        self.named_limits = NamedLimits(
-            clock=self.clock,
-            observer=observer,
-            on_changed=lambda replica: self.limit_sharing.report([replica]),
-        )
-        self.named_limits.listeners.append(self.permits.on_limits_changed)
-        self.gate = CallGate(
-            replicas=self.replicas,
-            leaving=self.leaving_replicas,
-            backoffs=Backoffs(clock=self.clock, observer=observer, rng=self.rng),
-            limits=self.named_limits,
-            permits=self.permits,
-            observer=observer,
-            on_leaving=self.on_replica_leaving,
+            lender=lambda: self.client.target,
+            share=lambda: 1 / max(1, self.election.groups),
             on_backoff=self.on_replica_backoff,
         )
+        self.replicas, self.gate = self.notices.replicas, self.notices.gate
         exchanges.listener = stages.listener = self.gate
         self.evacuations = Evacuations(
             wall=self.clock.wall,
@@ -155,34 +136,10 @@
             clock=self.clock,
             ledger=self.ledger,
             own_address=self.own.address,
-            hubs=lambda: self.election.hubs(self.clock.monotonic()),
+            hubs=self.hubs,
             send=self.link.send,
             complete=False,
         )
-        self.leaving_sharing = LeavingSharing(
-            clock=self.clock,
-            leaving=self.leaving_replicas,
-            own_address=self.own.address,
-            hubs=lambda: self.election.hubs(self.clock.monotonic()),
-            send=self.link.send,
-        )
-        self.limit_sharing = LimitSharing(
-            clock=self.clock,
-            limits=self.named_limits,
-            own_address=self.own.address,
-            hubs=lambda: self.election.hubs(self.clock.monotonic()),
-            send=self.link.send,
-            service_of=self.service_of,
-        )
-        self.permit_holder = PermitHolder(
-            clock=self.clock,
-            limits=self.named_limits,
-            replicas=self.replicas,
-            share=lambda: 1 / max(1, self.election.groups),
-            send=self.link.send,
-            own=self.permits,
-            observer=observer,
-        )
         self.keeper = BlockedKeeper(
             clock=self.clock,
             ledger=self.ledger,
@@ -204,7 +161,7 @@
             crashes=self.crashes,
             back_s=self.gate.backoffs.left_s,
             support_back_s=self.gate.support_opens_in_s,
-            permits=self.permit_holder,
+            permits=self.notices.holder,
             warmup=settings.warmup,
             new_board=self.random_board if alone else None,
         )
@@ -233,8 +190,7 @@
         )
         self.link.scheduler, self.link.client = self.scheduler, self.client
         self.link.subscription, self.link.crashes = self.subscription, self.sharing
-        self.link.leaving, self.link.limits = self.leaving_sharing, self.limit_sharing
-        self.link.holder, self.link.permits = self.permit_holder, self.permits
+        self.link.notices = self.notices
         self.sharing.listeners = self.unaware_boxes
         self.feeds = {kind: self.new_feed(kind) for kind in settings.followed}
         self.subscription.feeds.update(self.feeds)
@@ -463,14 +419,9 @@
         """Send a message to another box, or to this one."""
         self.link.send(address, message)
 
-    def service_of(self, replica: str) -> str:
-        """Return a replica's service, nothing for one that is not known here."""
-        found = self.replicas.replicas.get(replica)
-        return found.service if found is not None else ''
-
-    def on_replica_leaving(self, replica: str) -> None:
-        """Tell other boxes of a replica that has told this one that it leaves."""
-        self.leaving_sharing.report([replica])
+    def hubs(self) -> list[str]:
+        """Return the boxes that all others ping, which hear first of what a box has seen."""
+        return self.election.hubs(self.clock.monotonic())
 
     def on_replica_backoff(self, replica: Replica) -> None:
         """Tell the box that schedules which engine wants nothing from this one."""
@@ -490,13 +441,11 @@
             self.tell_backoffs(self.gate.backoffs_of(service))
         if address == self.own.address:
             self.scheduler.succession.take_up()
-            self.permit_holder.on_take_up()
             self.scheduler.stages.on_take_over(has_work=asked_again > 0)
         else:
             self.scheduler.stages.release.on_hand_over()
             self.scheduler.succession.give_way(address)
-            self.permit_holder.on_give_way()
-        self.permits.on_holder()
+        self.notices.on_lender(own=address == self.own.address)
         self.observer.on_scheduler(address, asked_again)
 
     def tick(self) -> None:
@@ -507,8 +456,7 @@
         self.judge_groups(now)
         self.follow_group()
         self.ledger.expire()
-        self.gate.expire()
-        self.permit_holder.expire()
+        self.notices.expire()
 
     def leave(self) -> None:
         """Ask for no more callers and hand scheduling over."""
--- /dev/null
+++ b/packages/daemon/calicopathd/gateway/notices.py
@@ -0,0 +1,132 @@
+"""Hold what a box knows of replicas by their answers, and which calls to them may go."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from calicopath_core.fleet.backoffs import Backoffs
+from calicopath_core.fleet.gate import CallGate
+from calicopath_core.fleet.leaving import LeavingReplicas
+from calicopath_core.fleet.leaving_sharing import LeavingNews, LeavingSharing
+from calicopath_core.fleet.replicas import ReplicaTable
+from calicopath_core.permits.client import PermitClient
+from calicopath_core.permits.holder import PermitHolder
+from calicopath_core.permits.limits import NamedLimits
+from calicopath_core.permits.messages import PermitAnswer, PermitAsk
+from calicopath_core.permits.sharing import LimitNews, LimitSharing
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Iterable
+
+    import msgspec
+
+    from calicopath_core.clock import Clock
+    from calicopath_core.fleet.replicas import Replica
+    from calicopath_core.scheduling.messages import Presence
+    from calicopathd.gateway.observer import GatewayObserver
+
+
+class BoxNotices:
+    """Assemble leaving, backoffs, limits and permits of one box.
+
+    `hubs` are the boxes that hear of it first, `lender` is the one that lends permits, `share` the
+    part of limits that it lends; `on_backoff` is told of each wish to be left alone.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        observer: GatewayObserver,
+        rng: random.Random,
+        own_address: str,
+        hubs: Callable[[], Iterable[str]],
+        send: Callable[[str, msgspec.Struct], None],
+        lender: Callable[[], str],
+        share: Callable[[], float],
+        on_backoff: Callable[[Replica], None],
+    ) -> None:
+        self.leaving = LeavingReplicas(clock=clock, observer=observer)
+        self.replicas = ReplicaTable(leaving=self.leaving)
+        self.permits = PermitClient(clock=clock, own_address=own_address, holder=lender, send=send)
+        self.limits = NamedLimits(clock=clock, observer=observer, on_changed=self.on_limit)
+        self.limits.listeners.append(self.permits.on_limits_changed)
+        self.gate = CallGate(
+            replicas=self.replicas,
+            leaving=self.leaving,
+            backoffs=Backoffs(clock=clock, observer=observer, rng=rng),
+            limits=self.limits,
+            permits=self.permits,
+            observer=observer,
+            on_leaving=self.on_leaving,
+            on_backoff=on_backoff,
+        )
+        self.leaving_sharing = LeavingSharing(
+            clock=clock, leaving=self.leaving, own_address=own_address, hubs=hubs, send=send
+        )
+        self.limit_sharing = LimitSharing(
+            clock=clock,
+            limits=self.limits,
+            own_address=own_address,
+            hubs=hubs,
+            send=send,
+            service_of=self.service_of,
+        )
+        self.holder = PermitHolder(
+            clock=clock,
+            limits=self.limits,
+            replicas=self.replicas,
+            share=share,
+            send=send,
+            own=self.permits,
+            observer=observer,
+        )
+
+    def on_leaving(self, replica: str) -> None:
+        """Tell other boxes of a replica that has told this one that it leaves."""
+        self.leaving_sharing.report([replica])
+
+    def on_limit(self, replica: str) -> None:
+        """Tell other boxes of a limit that a replica has named to this one, or names no more."""
+        self.limit_sharing.report([replica])
+
+    def service_of(self, replica: str) -> str:
+        """Return a replica's service, nothing for one that is not known here."""
+        found = self.replicas.replicas.get(replica)
+        return found.service if found is not None else ''
+
+    def on_digests(self, ping: Presence) -> None:
+        """Send a box that has pinged what it lacks."""
+        self.leaving_sharing.on_digest(ping.address, ping.replicas)
+        self.limit_sharing.on_digest(ping.address, ping.limits)
+
+    def tell_hubs(self) -> None:
+        """Tell the hubs what is new here."""
+        self.leaving_sharing.tell_hubs()
+        self.limit_sharing.tell_hubs()
+
+    def handle(self, message: msgspec.Struct) -> None:
+        """Take in a message about replicas or permits."""
+        match message:
+            case LeavingNews():
+                self.leaving_sharing.on_news(message)
+            case LimitNews():
+                self.limit_sharing.on_news(message)
+            case PermitAsk():
+                self.holder.on_ask(message)
+            case PermitAnswer():
+                self.permits.on_answer(message)
+
+    def on_lender(self, *, own: bool) -> None:
+        """Note that another box lends permits now, or this one."""
+        if own:
+            self.holder.on_take_up()
+        else:
+            self.holder.on_give_way()
+        self.permits.on_holder()
+
+    def expire(self) -> None:
+        """Forget what is old."""
+        self.gate.expire()
+        self.holder.expire()
--- a/packages/daemon/calicopathd/gateway/peers.py
+++ b/packages/daemon/calicopathd/gateway/peers.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from calicopath_core.crashes.messages import CRASH_MESSAGES, CrashNews
-from calicopath_core.fleet.leaving_sharing import LEAVING_MESSAGES, LeavingNews
+from calicopath_core.fleet.leaving_sharing import LEAVING_MESSAGES
 from calicopath_core.fleet.relay_messages import (
     NOTHING,
     RELAY_MESSAGES,
@@ -17,8 +17,8 @@
     Subscribe,
 )
 from calicopath_core.membership.messages import BadMessage, MessageDecoder, encode
-from calicopath_core.permits.messages import PERMIT_MESSAGES, PermitAnswer, PermitAsk
-from calicopath_core.permits.sharing import LIMIT_MESSAGES, LimitNews
+from calicopath_core.permits.messages import PERMIT_MESSAGES
+from calicopath_core.permits.sharing import LIMIT_MESSAGES
 from calicopath_core.scheduling.election import PING_S
 from calicopath_core.scheduling.messages import (
     MESSAGES,
@@ -43,15 +43,12 @@
     from calicopath_core.clock import Clock
     from calicopath_core.crashes.sharing import CrashSharing
     from calicopath_core.fleet.contact import StoreContact
-    from calicopath_core.fleet.leaving_sharing import LeavingSharing
     from calicopath_core.fleet.subscription import Subscription
     from calicopath_core.membership.transport import PeerTransport
-    from calicopath_core.permits.client import PermitClient
-    from calicopath_core.permits.holder import PermitHolder
-    from calicopath_core.permits.sharing import LimitSharing
     from calicopath_core.scheduling.client import SchedulerClient
     from calicopath_core.scheduling.election import Election
     from calicopath_core.scheduling.scheduler import Scheduler
+    from calicopathd.gateway.notices import BoxNotices
 
 
 class PeerLink:
@@ -87,10 +84,7 @@
         self.client: SchedulerClient | None = None
         self.subscription: Subscription | None = None
         self.crashes: CrashSharing | None = None
-        self.leaving: LeavingSharing | None = None
-        self.limits: LimitSharing | None = None
-        self.holder: PermitHolder | None = None
-        self.permits: PermitClient | None = None
+        self.notices: BoxNotices | None = None
         self.sent = 0
         transport.listen(self.on_data)
 
@@ -117,10 +111,7 @@
         assert self.client is not None
         assert self.subscription is not None
         assert self.crashes is not None
-        assert self.leaving is not None
-        assert self.limits is not None
-        assert self.holder is not None
-        assert self.permits is not None
+        assert self.notices is not None
         match message:
             case Ping():
                 self.election.on_ping(message, self.clock.monotonic())
@@ -128,8 +119,7 @@
                     self.transport.renew(message.address)
                 self.send(message.address, self.presence(Pong, message.sequence))
                 self.crashes.on_digest(message.address, message.crashes)
-                self.leaving.on_digest(message.address, message.replicas)
-                self.limits.on_digest(message.address, message.limits)
+                self.notices.on_digests(message)
             case Pong():
                 self.election.on_pong(message, self.clock.monotonic())
             case Place():
@@ -165,22 +155,15 @@
                 self.subscription.on_update(message)
             case CrashNews():
                 self.crashes.on_news(message)
-            case LeavingNews():
-                self.leaving.on_news(message)
-            case LimitNews():
-                self.limits.on_news(message)
-            case PermitAsk():
-                self.holder.on_ask(message)
-            case PermitAnswer():
-                self.permits.on_answer(message)
             case BackoffNews():
                 self.scheduler.on_backoffs(message)
+            case _:
+                self.notices.handle(message)
 
     def presence(self, kind: type[Ping] | type[Pong], sequence: int) -> Ping | Pong:
         """Return what this box says of itself."""
         assert self.crashes is not None
-        assert self.leaving is not None
-        assert self.limits is not None
+        assert self.notices is not None
         own = self.election.own
         return kind(
             box=own.name,
@@ -191,8 +174,8 @@
             sequence=sequence,
             groups=self.election.count,
             crashes=self.crashes.digest(),
-            replicas=self.leaving.digest(),
-            limits=self.limits.digest(),
+            replicas=self.notices.leaving_sharing.digest(),
+            limits=self.notices.limit_sharing.digest(),
         )
 
     def ping_all(self) -> None:
@@ -211,11 +194,9 @@
     async def run(self) -> None:
         """Ping until cancelled."""
         assert self.crashes is not None
-        assert self.leaving is not None
-        assert self.limits is not None
+        assert self.notices is not None
         while True:
             self.ping_all()
             self.crashes.tell_hubs()
-            self.leaving.tell_hubs()
-            self.limits.tell_hubs()
+            self.notices.tell_hubs()
             await asyncio.sleep(PING_S)
--- a/packages/daemon/calicopathd/gateway/run.py
+++ b/packages/daemon/calicopathd/gateway/run.py
@@ -165,9 +165,9 @@
             replicas=len(box.replicas.replicas),
             zones_taken_out=len(box.evacuations.held),
             requests_blocked=len(box.ledger.blocked),
-            limits_named=len(box.named_limits.held),
-            permits_waiting=len(box.permit_holder.waiting),
-            permits_unused=box.permits.unused,
+            limits_named=len(box.notices.limits.held),
+            permits_waiting=len(box.notices.holder.waiting),
+            permits_unused=box.notices.permits.unused,
             requests_suspected=len(box.ledger.suspects),
             boxes_listed=box.election.boxes_sharing(),
             jobs=len(box.scheduler.jobs),
@@ -213,7 +213,7 @@
         if not await self.exchanges.wait_idle(max(0.0, left_s - REFUSE_MARGIN_S)):
             events.emit(log, events.GATEWAY_REFUSING, in_progress=self.exchanges.in_progress)
             self.box.client.refuse_waiting()
-            self.box.permits.refuse_waiting()
+            self.box.notices.permits.refuse_waiting()
             await self.exchanges.wait_idle(REFUSE_MARGIN_S)
         await self.withdraw()
 
--- a/packages/daemon/calicopathd/gateway/tests/limit_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/limit_tests.py
@@ -131,9 +131,9 @@
             for item in engines:
                 # Nobody else is told.
                 heard = Heard(item.born, 1.0, ended=False)
-                box.named_limits.merge(item.id, 'engine', heard, 5.0, 'box-9')
-            box.limit_sharing.fresh.clear()
-            fleet.boxes['box-0'].box.named_limits.held.clear()
+                box.notices.limits.merge(item.id, 'engine', heard, 5.0, 'box-9')
+            box.notices.limit_sharing.fresh.clear()
+            fleet.boxes['box-0'].box.notices.limits.held.clear()
             sinks = []
             for _ in range(20):
                 sinks.append(fleet.ask('box-3', 'draft'))
@@ -156,7 +156,7 @@
             fleet.store_answers()
             await fleet.add('box-new', 'north').start()
             await asyncio.sleep(3.0)
-            limits = [item.box.named_limits for item in fleet.boxes.values()]
+            limits = [item.box.notices.limits for item in fleet.boxes.values()]
             rates = [item.rate_of(box.replicas.replicas['desk-2']) for item in limits]
             self.assertEqual([2.0] * 9, rates)
 
--- a/tools/mutants/catalogue.py
+++ b/tools/mutants/catalogue.py
@@ -234,7 +234,7 @@
     Mutant(
         'what waits is rejected',
         f'{CORE}/scheduling/scheduler.py',
-        '        self.reject_blocked()',
+        '        self.rejections.reject_blocked()',
         '        pass',
         f'{CRASHING}::Crashing',
     ),
--- a/tools/mutants/limits.py
+++ b/tools/mutants/limits.py
@@ -89,7 +89,7 @@
     ),
     Mutant(
         'what exceeds limits is refused at once',
-        f'{CORE}/scheduling/scheduler.py',
+        f'{CORE}/scheduling/rejections.py',
         "        self.reject(job, 'limited', self.admission.return_s(job, wait_s, now))\n"
         '        return False',
         '        return True',
@@ -97,8 +97,8 @@
     ),
     Mutant(
         'a box that starts is told of limits',
-        'packages/daemon/calicopathd/gateway/peers.py',
-        'self.limits.on_digest(message.address, message.limits)',
+        'packages/daemon/calicopathd/gateway/notices.py',
+        'self.limit_sharing.on_digest(ping.address, ping.limits)',
         'pass',
         f'{FLEET}::Views',
     ),
--- a/tools/mutants/notices.py
+++ b/tools/mutants/notices.py
@@ -42,8 +42,8 @@
     ),
     Mutant(
         'all boxes know the word',
-        'packages/daemon/calicopathd/gateway/peers.py',
-        'self.leaving.on_digest(message.address, message.replicas)',
+        'packages/daemon/calicopathd/gateway/notices.py',
+        'self.leaving_sharing.on_digest(ping.address, ping.replicas)',
         'pass',
         f'{KNOWLEDGE}::Leaving',
     ),
@@ -100,7 +100,7 @@
         'what waits is judged anew',
         f'{CORE}/scheduling/scheduler.py',
         '        self.boards.backoffs.note(message.address, message.backoffs, now)\n'
-        '        self.reject_backing_off(now)',
+        '        self.rejections.reject_backing_off(now)',
         '        self.boards.backoffs.note(message.address, message.backoffs, now)',
         PLACING,
     ),
