Taking in of the store's records in a module of its own

Change: gateway/records.py takes in what feeds bring of replicas, boxes, zones and configurations; the box is told when boxes or the configuration are others. No decision differs.

--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -20,11 +20,10 @@
 from calicopath_core.exchanges.context import ExchangeContext
 from calicopath_core.exchanges.executor import ExchangeExecutor
 from calicopath_core.fleet.deployment import DEFAULT_LIMITS, Deployment, DeploymentView
-from calicopath_core.fleet.evacuations import Evacuation, Evacuations
-from calicopath_core.fleet.feed import FeedHandler, KindFeed
+from calicopath_core.fleet.evacuations import Evacuations
+from calicopath_core.fleet.feed import KindFeed
 from calicopath_core.fleet.publisher import Publisher
 from calicopath_core.fleet.relay_messages import NOTHING
-from calicopath_core.fleet.replicas import Replica
 from calicopath_core.fleet.store import RecordKind
 from calicopath_core.fleet.subscription import Subscription
 from calicopath_core.scheduling.baseline import AloneElection, RandomEngineBoard
@@ -36,6 +35,7 @@
 from calicopathd import events
 from calicopathd.gateway.notices import BoxNotices
 from calicopathd.gateway.peers import PeerLink
+from calicopathd.gateway.records import RecordIntake
 
 if TYPE_CHECKING:
     import msgspec
@@ -43,7 +43,8 @@
     from calicopath_core.exchanges.messages import ReplicaCaller
     from calicopath_core.fleet.contact import StoreContact
     from calicopath_core.fleet.deployment import ClientLimits, EngineSpec
-    from calicopath_core.fleet.store import Change, FleetStore, Listing
+    from calicopath_core.fleet.replicas import Replica
+    from calicopath_core.fleet.store import FleetStore
     from calicopath_core.membership.transport import PeerTransport
     from calicopath_core.scheduling.engines import EngineBoard
     from calicopath_core.scheduling.interfaces import StageCaller
@@ -67,7 +68,7 @@
 log = structlog.get_logger(__name__)
 
 
-class GatewayBox(FeedHandler):
+class GatewayBox:
     """Hold everything that one gateway box consists of; no I/O of its own."""
 
     def __init__(
@@ -117,7 +118,6 @@
             self.life,
             small=settings.small,
         )
-        self.boxes: dict[str, BoxAddress] = {}
         self.election = AloneElection(own=self.own) if alone else Election(own=self.own)
         self.config_since = 0.0
         self.synced_at: float | None = None
@@ -176,6 +176,15 @@
         self.publisher = Publisher(
             own_address=self.own.address, clock=self.clock, send=self.link.send
         )
+        self.records = RecordIntake(
+            clock=self.clock,
+            view=self.view,
+            replicas=self.replicas,
+            evacuations=self.evacuations,
+            publisher=self.publisher,
+            on_boxes=self.on_boxes,
+            on_applied=self.on_applied,
+        )
         self.subscription = Subscription(
             own=self.own,
             clock=self.clock,
@@ -229,7 +238,7 @@
             kind=kind,
             clock=self.clock,
             observer=self.observer,
-            handler=self,
+            handler=self.records,
             mode=self.subscription,
         )
 
@@ -313,47 +322,11 @@
         """Note that this box's own record is in the store."""
         self.subscription.start.registered = True
 
-    def on_disrupted(self) -> None:
-        """Note that the store does not tell everything."""
-        self.replicas.on_disrupted(self.clock.monotonic())
-
-    def on_listing(self, kind: RecordKind, listing: Listing) -> None:
-        """Take a whole kind in."""
-        now = self.clock.monotonic()
-        records = listing.records
-        if kind is RecordKind.REPLICA:
-            self.replicas.replace(
-                [item for item in records.values() if isinstance(item, Replica)], now
-            )
-        elif kind is RecordKind.BOX:
-            self.boxes = {
-                name: item for name, item in records.items() if isinstance(item, BoxAddress)
-            }
-            self.on_boxes(now)
-        elif kind is RecordKind.EVACUATION:
-            self.evacuations.replace(
-                [item for item in records.values() if isinstance(item, Evacuation)]
-            )
-        else:
-            for record in records.values():
-                if isinstance(record, Deployment):
-                    self.on_deployment(record)
-        self.publisher.on_listed(kind, listing.revision)
-
-    def on_changes(self, kind: RecordKind, revision: int, changes: list[Change]) -> None:
-        """Take records in together, and hand them on to boxes that hear the store through this."""
-        with self.replicas.batch():
-            for change in changes:
-                self.on_change(kind, change)
-        if kind is RecordKind.BOX:
-            self.on_boxes(self.clock.monotonic())
-        self.publisher.on_changed(kind, revision, [change.name for change in changes])
-
     def on_boxes(self, now: float) -> None:
         """Take in which boxes there are."""
-        self.election.on_listed(self.boxes.values(), now)
+        self.election.on_listed(self.records.boxes.values(), now)
         self.follow_group()
-        self.subscription.on_listed(self.boxes.values())
+        self.subscription.on_listed(self.records.boxes.values())
 
     def follow_group(self) -> None:
         """Schedule for the group that this box is in now, if it schedules."""
@@ -381,29 +354,8 @@
             self.group_rule.next_count(self.election.count, leads=leads, now=now)
         )
 
-    def on_change(self, kind: RecordKind, change: Change) -> None:
-        """Take one record's change in."""
-        now = self.clock.monotonic()
-        record = change.record
-        if isinstance(record, Deployment):
-            self.on_deployment(record)
-        elif isinstance(record, Replica):
-            self.replicas.put(record)
-        elif isinstance(record, BoxAddress):
-            self.boxes[change.name] = record
-        elif isinstance(record, Evacuation):
-            self.evacuations.change([(change.name, record)])
-        elif kind is RecordKind.EVACUATION:
-            self.evacuations.change([(change.name, None)])
-        elif kind is RecordKind.BOX:
-            self.boxes.pop(change.name, None)
-        elif kind is RecordKind.REPLICA:
-            self.replicas.remove(change.name, now)
-
-    def on_deployment(self, deployment: Deployment) -> None:
-        """Apply a configuration if it is newer."""
-        if not self.view.offer(deployment, self.clock.monotonic()):
-            return
+    def on_applied(self, deployment: Deployment) -> None:
+        """Note that a newer configuration is in force."""
         self.config_since = self.clock.wall()
         self.scheduler.on_deployment(deployment)
         events.emit(
--- /dev/null
+++ b/packages/daemon/calicopathd/gateway/records.py
@@ -0,0 +1,109 @@
+"""Take in what feeds bring of the store's records, and hand it on to boxes that follow this one."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from calicopath_core.fleet.deployment import Deployment
+from calicopath_core.fleet.evacuations import Evacuation
+from calicopath_core.fleet.feed import FeedHandler
+from calicopath_core.fleet.replicas import Replica
+from calicopath_core.fleet.store import RecordKind
+from calicopath_core.scheduling.election import BoxAddress
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from calicopath_core.clock import Clock
+    from calicopath_core.fleet.deployment import DeploymentView
+    from calicopath_core.fleet.evacuations import Evacuations
+    from calicopath_core.fleet.publisher import Publisher
+    from calicopath_core.fleet.replicas import ReplicaTable
+    from calicopath_core.fleet.store import Change, Listing
+
+
+class RecordIntake(FeedHandler):
+    """Hold the boxes listed, and fill the tables of replicas, zones and the configuration.
+
+    `on_boxes` is told when boxes have changed, `on_applied` of a newer configuration in force.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        view: DeploymentView,
+        replicas: ReplicaTable,
+        evacuations: Evacuations,
+        publisher: Publisher,
+        on_boxes: Callable[[float], None],
+        on_applied: Callable[[Deployment], None],
+    ) -> None:
+        self.clock = clock
+        self.view = view
+        self.replicas = replicas
+        self.evacuations = evacuations
+        self.publisher = publisher
+        self.on_boxes = on_boxes
+        self.on_applied = on_applied
+        self.boxes: dict[str, BoxAddress] = {}
+
+    def on_disrupted(self) -> None:
+        """Note that the store does not tell everything."""
+        self.replicas.on_disrupted(self.clock.monotonic())
+
+    def on_listing(self, kind: RecordKind, listing: Listing) -> None:
+        """Take a whole kind in."""
+        now = self.clock.monotonic()
+        records = listing.records
+        if kind is RecordKind.REPLICA:
+            self.replicas.replace(
+                [item for item in records.values() if isinstance(item, Replica)], now
+            )
+        elif kind is RecordKind.BOX:
+            self.boxes = {
+                name: item for name, item in records.items() if isinstance(item, BoxAddress)
+            }
+            self.on_boxes(now)
+        elif kind is RecordKind.EVACUATION:
+            self.evacuations.replace(
+                [item for item in records.values() if isinstance(item, Evacuation)]
+            )
+        else:
+            for record in records.values():
+                if isinstance(record, Deployment):
+                    self.on_deployment(record)
+        self.publisher.on_listed(kind, listing.revision)
+
+    def on_changes(self, kind: RecordKind, revision: int, changes: list[Change]) -> None:
+        """Take records in together, and hand them on to boxes that hear the store through this."""
+        with self.replicas.batch():
+            for change in changes:
+                self.on_change(kind, change)
+        if kind is RecordKind.BOX:
+            self.on_boxes(self.clock.monotonic())
+        self.publisher.on_changed(kind, revision, [change.name for change in changes])
+
+    def on_change(self, kind: RecordKind, change: Change) -> None:
+        """Take one record's change in."""
+        now = self.clock.monotonic()
+        record = change.record
+        if isinstance(record, Deployment):
+            self.on_deployment(record)
+        elif isinstance(record, Replica):
+            self.replicas.put(record)
+        elif isinstance(record, BoxAddress):
+            self.boxes[change.name] = record
+        elif isinstance(record, Evacuation):
+            self.evacuations.change([(change.name, record)])
+        elif kind is RecordKind.EVACUATION:
+            self.evacuations.change([(change.name, None)])
+        elif kind is RecordKind.BOX:
+            self.boxes.pop(change.name, None)
+        elif kind is RecordKind.REPLICA:
+            self.replicas.remove(change.name, now)
+
+    def on_deployment(self, deployment: Deployment) -> None:
+        """Apply a configuration if it is newer."""
+        if self.view.offer(deployment, self.clock.monotonic()):
+            self.on_applied(deployment)
--- a/packages/daemon/calicopathd/gateway/state.py
+++ b/packages/daemon/calicopathd/gateway/state.py
@@ -159,7 +159,7 @@
     def boxes(self) -> list[ListedBox]:
         """Return every box, this one included; boxes have their ports alike."""
         port = self.box.settings.metrics_listen.port
-        listed = {self.box.own.name: self.box.own, **self.box.boxes}
+        listed = {self.box.own.name: self.box.own, **self.box.records.boxes}
         return [
             ListedBox(name, f'{box.address.rpartition(":")[0]}:{port}')
             for name, box in sorted(listed.items())
