Soak: the word of a replica that leaves is not put down to the one that went on with its stream

The check was wrong: no box logs 609 for i-6-2; c-0-27 ran at i-0-1, i-0-2 and i-6-2, and the answer keeps the head of i-0-2, which had said that it leaves (609 at 23.44 s). The check took the last replica for the one that spoke. It counts the word of calls that ran at one replica now, for which it is as strict as before; what a call of several replicas told it can't place.

--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import itertools
-from collections import defaultdict
+from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
 from tools.soak.records import EVENTS, STREAMS, RequestKind, Run, Seen
@@ -143,8 +143,10 @@
     problems = []
     ordered = sorted(runs, key=lambda run: run.began)
     last = {run.call_id: run.replica for run in ordered}
+    sends = Counter(run.call_id for run in ordered)
     for item in listed.values():
-        if item.leaving and item.call_id in last:
+        # A stream that went on elsewhere keeps the head of its first replica.
+        if item.leaving and sends[item.call_id] == 1:
             key = (last[item.call_id], item.box, item.life)
             told[key] = min(told.get(key, item.ended), item.ended)
     for run in ordered:
