--- a/packages/core/calicopath_core/fleet/feed.py
+++ b/packages/core/calicopath_core/fleet/feed.py
@@ -93,6 +93,10 @@
     def on_history_lost(self, kind: RecordKind, revision: int) -> None:
         """Note that changes were lost and everything is read anew."""
 
+    @abstractmethod
+    def on_listing_dropped(self, kind: RecordKind, held: int, listed: int) -> None:
+        """Note that a list was not taken in, as its revision is below the one held."""
+
 
 class KindFeed:
     """Follow one kind and hand on what comes; times are monotonic seconds.
@@ -173,6 +177,7 @@
         """Take every record in, unless newer ones are held."""
         self.must_list = False
         if self.revision is not None and listing.revision < self.revision:
+            self.observer.on_listing_dropped(self.kind, self.revision, listing.revision)
             return
         self.records = dict(listing.records)
         self.revision = listing.revision
--- a/packages/core/calicopath_core/fleet/replicas.py
+++ b/packages/core/calicopath_core/fleet/replicas.py
@@ -38,11 +38,18 @@
 class ReplicaTable:
     """Hold the replicas known, with the removals that are still doubted.
 
-    `leaving` are those that have said in answers that they leave, whatever their entries say.
+    `leaving` are those that have said in answers that they leave, whatever their entries say;
+    `on_draining` learns of each entry that says otherwise than before whether its replica drains.
     """
 
-    def __init__(self, *, leaving: LeavingReplicas | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        leaving: LeavingReplicas | None = None,
+        on_draining: Callable[[Replica], None] = lambda replica: None,
+    ) -> None:
         self.leaving = leaving
+        self.on_draining = on_draining
         if leaving is not None:
             leaving.listeners.append(self.changed)
         self.replicas: dict[str, Replica] = {}
@@ -82,6 +89,8 @@
         self.leaving_at.pop(replica.id, None)
         if known is not None and replica.born > known.born:
             self.end_life(replica.id)
+        elif known is not None and replica.draining != known.draining:
+            self.on_draining(replica)
         if known != replica:
             self.replicas[replica.id] = replica
             self.changed()
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -114,6 +114,18 @@
 SOURCE_CHANGED = Event(807, 'info', 'source changed', 'The store is heard another way now.')
 ZONE_TAKEN_OUT = Event(808, 'warning', 'zone taken out', 'Its replicas get no new work from here.')
 ZONE_GIVEN_BACK = Event(809, 'info', 'zone given back', 'Its replicas get new work again.')
+LISTING_DROPPED = Event(
+    810, 'warning', 'listing dropped', 'A list older than what is held was not taken in.'
+)
+STORE_ERA = Event(
+    811, 'warning', 'store era', 'The store counts its revisions anew: it is back from a copy.'
+)
+REPLICA_DRAINING = Event(
+    812, 'info', 'replica draining', 'Its entry says that it gets no new work.'
+)
+REPLICA_READY_AGAIN = Event(
+    813, 'warning', 'replica ready again', 'An entry that said draining says ready.'
+)
 OBJECT_BAD = Event(806, 'error', 'object bad', 'An object of the store could not be understood.')
 
 
--- a/packages/daemon/calicopathd/gateway/metrics.py
+++ b/packages/daemon/calicopathd/gateway/metrics.py
@@ -68,6 +68,9 @@
         self.objects_bad = self.counter(
             'objects_bad_total', 'Objects of the store that could not be understood, by kind.'
         )
+        self.listings_dropped = self.counter(
+            'listings_dropped_total', 'Lists of the store older than what is held, by kind.'
+        )
         self.store_calls = self.counter('store_calls_total', 'Calls to the store by cause.')
         self.state = Gauge(
             'calicopath_gateway_state', 'State of the box.', self.const, self.registry
--- a/packages/daemon/calicopathd/gateway/notices.py
+++ b/packages/daemon/calicopathd/gateway/notices.py
@@ -48,7 +48,7 @@
         on_backoff: Callable[[Replica], None],
     ) -> None:
         self.leaving = LeavingReplicas(clock=clock, observer=observer)
-        self.replicas = ReplicaTable(leaving=self.leaving)
+        self.replicas = ReplicaTable(leaving=self.leaving, on_draining=observer.on_draining)
         self.permits = PermitClient(clock=clock, own_address=own_address, holder=lender, send=send)
         self.limits = NamedLimits(clock=clock, observer=observer, on_changed=self.on_limit)
         self.limits.listeners.append(self.permits.on_limits_changed)
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -305,6 +305,20 @@
         """Note that everything is read anew."""
         events.emit(log, events.HISTORY_LOST, kind=kind.value, revision=revision)
 
+    def on_listing_dropped(self, kind: RecordKind, held: int, listed: int) -> None:
+        """Note a list that was not taken in."""
+        self.metrics.listings_dropped.inc({'kind': kind.value})
+        events.emit(log, events.LISTING_DROPPED, kind=kind.value, held=held, listed=listed)
+
+    def on_store_era(self, before: int, era: int) -> None:
+        """Note that the store is back from a copy."""
+        events.emit(log, events.STORE_ERA, before=before, era=era)
+
+    def on_draining(self, replica: Replica) -> None:
+        """Note that a replica's entry says otherwise than before whether it drains."""
+        event = events.REPLICA_DRAINING if replica.draining else events.REPLICA_READY_AGAIN
+        events.emit(log, event, replica=replica.id, service=replica.service)
+
     def on_bad_object(self, name: str, error: Exception) -> None:
         """Note an object that can't be understood."""
         self.metrics.objects_bad.inc({'kind': name.partition('/')[0]})
