--- a/testkit/gateway_store.py
+++ b/testkit/gateway_store.py
@@ -22,7 +22,7 @@
 
 
 WRITTEN_AGAIN = (RecordKind.DEPLOYMENT, RecordKind.REPLICA, RecordKind.EVACUATION)
-"""Kinds whose writers write them again when the store has lost them; boxes' own are not among them."""
+"""Kinds whose writers, operators and replicas, write again what the store has lost."""
 
 
 class StoreCopy(NamedTuple):
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -33,6 +33,10 @@
 MOST_IN_PAUSE = 2
 """What a replica may get from a box in a pause that it has asked for, as the users' pages say."""
 
+CALLS_A_BOX = 250
+"""Calls to the store that each box may make in a second: its part of the 2,000 reading calls that
+the users' store takes from eight."""
+
 OWN_WHOLE = frozenset({200})
 
 
@@ -202,6 +206,17 @@
     )
 
 
+def store_is_not_pressed(called_at: list[float], boxes: int) -> list[str]:
+    """Check that boxes never make more calls to the store in a second than it takes."""
+    most, begun = 0, 0
+    for number, at in enumerate(called_at):
+        while called_at[begun] <= at - 1.0:
+            begun += 1
+        most = max(most, number - begun + 1)
+    allowed = CALLS_A_BOX * boxes
+    return [f'{most} calls to the store in a second, {allowed} allowed'] if most > allowed else []
+
+
 def zones_out_get_nothing(
     runs: Iterable[Run],
     zones_out: list[ZoneOut],
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -9,6 +9,7 @@
 from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
+from calicopath_platform import names
 from calicopath_platform.tests.soak_replicas import soak_request
 from tools.soak import checks, deadly
 from tools.soak.callers import CallerConnection, Question, ask
@@ -87,6 +88,7 @@
             await asyncio.gather(*(self.step(step) for step in steps))
             self.ending = True
             problems += await self.all_serve('after the faults')
+            problems += await self.all_listed()
             await asyncio.gather(*callers)
             problems += self.judge(steps)
         finally:
@@ -167,6 +169,17 @@
                     await asyncio.sleep(0.1)
         return f'box {box} does not serve a {kind.value} {when}'
 
+    async def all_listed(self) -> list[str]:
+        """Check that the store holds every box's record, sooner or later."""
+        wanted = {f'box-{number}' for number in range(self.plan.boxes)}
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(RECOVERY_LIMIT_S):
+                while wanted - self.world.store.kinds.get(names.BOX_KIND, {}).keys():
+                    await asyncio.sleep(0.1)
+                return []
+        missing = sorted(wanted - self.world.store.kinds.get(names.BOX_KIND, {}).keys())
+        return [f'the store holds no record of {", ".join(missing)}']
+
     def judge(self, steps: list[Step]) -> list[str]:
         """Return everything that must not be."""
         world = self.world
@@ -175,6 +188,7 @@
             *checks.nothing_runs_twice(self.seen, world.runs),
             *checks.no_unknown_request_ran(self.seen, world.runs, self.open_ids),
             *checks.configuration_never_goes_back(self.seen),
+            *checks.store_is_not_pressed(world.store.called_at, self.plan.boxes),
             *deadly.nobody_else_is_blocked(self.seen),
             *deadly.blocked_stays_blocked(self.seen, world.runs),
             *checks.told_boxes_send_nothing(self.seen, world.runs, steps),
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -30,6 +30,7 @@
     REPLICA_TURNS_AWAY = 'replica-turns-away'
     DEADLY_REQUEST = 'deadly-request'
     REPLICA_LIMITS = 'replica-limits'
+    STORE_GOES_BACK = 'store-goes-back'
 
 
 class LinkMode(enum.Enum):
@@ -67,6 +68,7 @@
         FaultKind.REPLICA_TURNS_AWAY,
         FaultKind.DEADLY_REQUEST,
         FaultKind.REPLICA_LIMITS,
+        FaultKind.STORE_GOES_BACK,
     }
 )
 """What is drawn apart, so that what else a seed means stays as it was before these came."""
@@ -102,6 +104,11 @@
 LONGEST_LIMIT_S = 12.0
 """The mean time between two replicas that begin to name a limit, and for how long they do."""
 
+RESTORE_GAP_S = 5.0
+SHORTEST_COPY_S = 1.0
+LONGEST_COPY_S = 4.0
+"""The mean time between two returns of the store from a copy, and how old that is."""
+
 SERIES = 4
 """Changes of one kind that may come right after each other."""
 
@@ -147,6 +154,7 @@
     found += draw_words(seed, seconds=seconds, replicas=replicas)
     found += draw_deadly(seed, seconds=seconds)
     found += draw_limits(seed, seconds=seconds, replicas=replicas)
+    found += draw_restores(seed, seconds=seconds)
     return sorted(found, key=lambda step: step.at_s)
 
 
@@ -216,6 +224,18 @@
     return found
 
 
+def draw_restores(seed: int, *, seconds: float) -> list[Step]:
+    """Return when copies of the store are taken from which it comes back, and after how long."""
+    rng = random.Random(f'restores of {seed}')
+    found: list[Step] = []
+    at_s = rng.expovariate(1 / RESTORE_GAP_S)
+    while at_s < seconds:
+        for_s = round(rng.uniform(SHORTEST_COPY_S, LONGEST_COPY_S), 3)
+        found.append(Step(round(at_s, 3), FaultKind.STORE_GOES_BACK, 0, for_s, LinkMode.PASS))
+        at_s += for_s + rng.expovariate(1 / RESTORE_GAP_S)
+    return found
+
+
 def calm(steps: list[Step], begin_s: float, end_s: float, *, own: Step | None = None) -> bool:
     """Tell whether no fault but `own` touches a span."""
     return not any(
--- a/tools/soak/tests/checks_tests.py
+++ b/tools/soak/tests/checks_tests.py
@@ -223,3 +223,12 @@
         first = [(item.at_s, item.kind.value, item.target) for item in others[:3]]
         self.assertEqual(FIRST_OF_57, first)
         self.assertGreater(len(steps), len(others))
+
+
+class CallsToTheStore(testtools.TestCase):
+    def test_more_calls_in_any_second_than_the_store_takes_are_seen(self) -> None:
+        borne = [number / checks.CALLS_A_BOX for number in range(10 * checks.CALLS_A_BOX)]
+        self.assertEqual([], checks.store_is_not_pressed(borne, 1))
+        crowded = sorted([*borne, *(5.0 + number / 10_000 for number in range(50))])
+        self.assertEqual(1, len(checks.store_is_not_pressed(crowded, 1)))
+        self.assertEqual([], checks.store_is_not_pressed(crowded, 2))
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -45,6 +45,10 @@
 """How often a box is given other ports when somebody took one before it listened."""
 
 STATUS_DOWN = 503
+MOST_AWAY_S = 2.0
+MOST_AGAIN_S = 1.0
+"""How long a store is away that comes back from a copy, and until others write again."""
+
 LIMITS_PER_S = (0.0, 0.5, 1.0, 4.0)
 """What replicas name, in requests a second."""
 
@@ -229,8 +233,10 @@
                 self.store.lose_answers = True
                 await asyncio.sleep(step.for_s)
                 self.store.lose_answers = False
+            case FaultKind.STORE_GOES_BACK:
+                await self.restore_store(step)
             case FaultKind.STORE_FORGETS:
-                self.store.history_from = self.store.revision
+                self.store.forget_history()
             case (
                 FaultKind.REPLICA_CRASH
                 | FaultKind.REPLICA_DRAINS
@@ -253,6 +259,14 @@
                 self.version += 1
                 self.store.put(names.CONFIG_KIND, names.CONFIG_NAME, soak_config(self.version))
 
+    async def restore_store(self, step: Step) -> None:
+        """Have the store be away and come back from a copy as old as the step is long."""
+        copy = self.store.copy()
+        await asyncio.sleep(step.for_s)
+        rng = random.Random(step.at_s)
+        away_s, again_s = rng.uniform(0.1, MOST_AWAY_S), rng.uniform(0.0, MOST_AGAIN_S)
+        await self.store.go_back(copy, away_s, again_s)
+
     async def take_zone_out(self, zone: str, for_s: float) -> None:
         """Take a zone out for a while, unless it is out already."""
         if zone in self.zones_out_now:
