An entry that says ready again does not take draining back within a life

Callers would see requests sent to a replica that ends: after its return from a copy the store lists as ready what it has acknowledged as draining. Cause: the table took whatever entry came last, as long as its start was not earlier. The writer's own order decides now: a replica that drains ends; only a later life is called again. Line 813 names entries that would take it back.

--- a/packages/core/calicopath_core/fleet/replicas.py
+++ b/packages/core/calicopath_core/fleet/replicas.py
@@ -39,7 +39,8 @@
     """Hold the replicas known, with the removals that are still doubted.
 
     `leaving` are those that have said in answers that they leave, whatever their entries say;
-    `on_draining` learns of each entry that says otherwise than before whether its replica drains.
+    `on_draining` learns of each replica whose entry says that it drains, and of entries that take
+    it back. A replica does not take it back in the same life: such an entry is an older one.
     """
 
     def __init__(
@@ -91,6 +92,7 @@
             self.end_life(replica.id)
         elif known is not None and replica.draining != known.draining:
             self.on_draining(replica)
+            replica = replica._replace(draining=True)
         if known != replica:
             self.replicas[replica.id] = replica
             self.changed()
--- a/packages/core/calicopath_core/fleet/tests/replicas_tests.py
+++ b/packages/core/calicopath_core/fleet/tests/replicas_tests.py
@@ -71,3 +71,23 @@
         self.table.on_disrupted(1.0)
         self.table.remove('i-1', 1.1)
         self.assertNotIn('i-1', self.table.replicas)
+
+
+class Draining(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.heard: list[bool] = []
+        self.table = ReplicaTable(on_draining=lambda replica: self.heard.append(replica.draining))
+        self.table.replace([ONE._replace(born=5.0), TWO], 0.0)
+        self.table.put(ONE._replace(born=5.0, draining=True))
+
+    # A store that came back from a copy listed replicas as ready that had begun to drain.
+    def test_an_entry_that_says_ready_again_does_not_take_it_back(self) -> None:
+        self.table.put(ONE._replace(born=5.0))
+        self.table.replace([ONE._replace(born=5.0), TWO], 1.0)
+        self.assertEqual(['i-2'], [item.id for item in self.table.usable('s')])
+        self.assertEqual([True, False, False], self.heard)
+
+    def test_a_later_life_is_called_again(self) -> None:
+        self.table.put(ONE._replace(born=6.0))
+        self.assertEqual({'i-1', 'i-2'}, {item.id for item in self.table.usable('s')})
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -123,8 +123,8 @@
 REPLICA_DRAINING = Event(
     812, 'info', 'replica draining', 'Its entry says that it gets no new work.'
 )
-REPLICA_READY_AGAIN = Event(
-    813, 'warning', 'replica ready again', 'An entry that said draining says ready.'
+DRAINING_TAKEN_BACK = Event(
+    813, 'warning', 'draining taken back', 'An entry says ready again; the replica drains on.'
 )
 OBJECT_BAD = Event(806, 'error', 'object bad', 'An object of the store could not be understood.')
 
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -316,7 +316,7 @@
 
     def on_draining(self, replica: Replica) -> None:
         """Note that a replica's entry says otherwise than before whether it drains."""
-        event = events.REPLICA_DRAINING if replica.draining else events.REPLICA_READY_AGAIN
+        event = events.REPLICA_DRAINING if replica.draining else events.DRAINING_TAKEN_BACK
         events.emit(log, event, replica=replica.id, service=replica.service)
 
     def on_bad_object(self, name: str, error: Exception) -> None:
