Order what the store says by era and revision

Cause: revisions were taken for an order for ever. A store that comes back from a copy gives revisions out again, so its lists were dropped as old until its counter had passed the revision held, and the watch then went on from there: what was written under revisions given out before was never heard. Meanwhile list (200) and watch (410) followed each other without a pause.

Change: a position is (era, revision) of one answer, made in the adapter, ordered by era first; feeds, relays, subscriptions and their logs hold positions. A list of a later era is taken in at any revision; a watch that is answered in a later era has everything read anew, one of an earlier era is a failure; pages of two eras are no list; lost history that repeats is waited out like a failure.

--- a/packages/cli/calicopath_cli/commands/gateways.py
+++ b/packages/cli/calicopath_cli/commands/gateways.py
@@ -59,10 +59,15 @@
 
 def newest_zones(heard: list[dict[str, Any]]) -> frozenset[str]:
     """Return the failure domains taken out, as the box knows that has read the store last."""
-    newest = max(heard, key=lambda answer: int(answer['taken_out_revision']), default=None)
+    newest = max(heard, key=taken_out_at, default=None)
     return zones_of(newest) if newest is not None else frozenset()
 
 
+def taken_out_at(answer: dict[str, Any]) -> tuple[int, int]:
+    """Return up to where in the store a box knows what is taken out; eras count first."""
+    return (int(answer.get('taken_out_era', 0)), int(answer['taken_out_revision']))
+
+
 def zones_of(answer: dict[str, Any]) -> frozenset[str]:
     """Return the failure domains that a box holds for taken out."""
     return frozenset(item['failure_domain'] for item in answer['taken_out'])
--- a/packages/core/calicopath_core/fleet/feed.py
+++ b/packages/core/calicopath_core/fleet/feed.py
@@ -14,7 +14,8 @@
     from collections.abc import Iterable
 
     from calicopath_core.clock import Clock
-    from calicopath_core.fleet.store import Change, FleetStore, Record
+    from calicopath_core.fleet.positions import Position
+    from calicopath_core.fleet.store import Change, Changes, FleetStore, Record
 
 PROBE_S = 0.1
 """How long a watch waits while the store does not answer: a call that hangs is then noticed within
@@ -46,8 +47,8 @@
         """Take in every record of a kind."""
 
     @abstractmethod
-    def on_changes(self, kind: RecordKind, revision: int, changes: list[Change]) -> None:
-        """Take in the new state of records that changed up to a revision, each named once."""
+    def on_changes(self, kind: RecordKind, position: Position, changes: list[Change]) -> None:
+        """Take in the new state of records that changed up to a position, each named once."""
 
     @abstractmethod
     def on_disrupted(self) -> None:
@@ -90,12 +91,12 @@
         """Note that the store answers again."""
 
     @abstractmethod
-    def on_history_lost(self, kind: RecordKind, revision: int) -> None:
+    def on_history_lost(self, kind: RecordKind, held: Position) -> None:
         """Note that changes were lost and everything is read anew."""
 
     @abstractmethod
-    def on_listing_dropped(self, kind: RecordKind, held: int, listed: int) -> None:
-        """Note that a list was not taken in, as its revision is below the one held."""
+    def on_listing_dropped(self, kind: RecordKind, held: Position, listed: Position) -> None:
+        """Note that a list was not taken in, as its position is before the one held."""
 
 
 class KindFeed:
@@ -121,22 +122,23 @@
         self.observer = observer
         self.handler = handler
         self.mode = mode
-        self.revision: int | None = None
+        self.position: Position | None = None
         self.records: dict[str, Record] = {}
         self.contact_at: float | None = None
         self.failing_since: float | None = None
         self.steady_since = 0.0
         self.must_list = False
+        self.has_listed = False
         self.calls = 0
 
     @property
     def synced(self) -> bool:
         """Tell whether everything was read once, by this box or through others."""
-        return self.revision is not None or self.contact_at is not None
+        return self.position is not None or self.contact_at is not None
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
-        failures = 0
+        failures = losses = 0
         while True:
             if not self.mode.may_read(self.kind):
                 await asyncio.sleep(HELD_CHECK_S)
@@ -148,12 +150,13 @@
             try:
                 changed = await self.step()
                 failures = 0
+                losses = losses if self.has_listed else 0
                 await asyncio.sleep(GATHER_S[self.kind] if changed else 0.0)
             except HistoryLost:
                 # No entry lapses by that: what the list does not hold is gone.
-                self.observer.on_history_lost(self.kind, self.revision or 0)
                 self.must_list = True
-                await self.mode.wait_for_relays()
+                losses += 1
+                await self.outlast_loss(losses)
             except FleetStoreError as error:
                 self.on_failure(error)
                 failures += 1
@@ -162,36 +165,58 @@
     async def step(self) -> bool:
         """Make one call and hand on what it brings; tell whether that was a change."""
         self.calls += 1
-        if self.revision is None or self.must_list:
+        self.has_listed = self.position is None or self.must_list
+        if self.position is None or self.must_list:
             listing = await self.store.list(self.kind)
             self.on_contact()
             self.take_listing(listing)
             return False
+        since = self.position
         wait_s = PROBE_S if self.failing_since is not None else self.mode.wait_s(self.kind)
-        found = await self.store.watch(self.kind, self.revision, wait_s)
+        found = await self.store.watch(self.kind, since.revision, wait_s)
         self.on_contact()
-        self.take_changes(found.changes, found.revision)
+        self.take_watched(since, found)
         return bool(found.changes)
 
+    async def outlast_loss(self, losses: int) -> None:
+        """Wait before everything is read anew after so many losses without a change between."""
+        assert self.position is not None
+        self.observer.on_history_lost(self.kind, self.position)
+        if losses > 1:
+            await self.mode.wait_out(self.kind, losses - 1)
+        await self.mode.wait_for_relays()
+
+    def take_watched(self, since: Position, found: Changes) -> None:
+        """Take in what a watch from a position brought, if it is of the same era.
+
+        What was written in a later era under revisions up to that one is not among the changes.
+        """
+        if found.position.era < since.era:
+            raise FleetStoreError(f'an answer of era {found.position.era} after {since.era}')
+        if found.position.era > since.era:
+            self.must_list = True
+            return
+        self.take_changes(found.changes, found.position)
+
     def take_listing(self, listing: Listing) -> None:
         """Take every record in, unless newer ones are held."""
         self.must_list = False
-        if self.revision is not None and listing.revision < self.revision:
-            self.observer.on_listing_dropped(self.kind, self.revision, listing.revision)
+        if self.position is not None and listing.position < self.position:
+            self.observer.on_listing_dropped(self.kind, self.position, listing.position)
             return
         self.records = dict(listing.records)
-        self.revision = listing.revision
+        self.position = listing.position
         self.handler.on_listing(self.kind, listing)
 
-    def take_changes(self, changes: Iterable[Change], revision: int) -> None:
-        """Take changes in that lead to a revision, unless that is held already.
+    def take_changes(self, changes: Iterable[Change], position: Position) -> None:
+        """Take changes in that lead to a position, unless that is held already.
 
         Of several changes of one record the last counts: those before it may be older than what
         came through others meanwhile.
         """
-        if self.revision is not None and revision <= self.revision:
+        if self.position is not None and position <= self.position:
             return
-        self.revision = revision
+        self.position = position
         newest = {change.name: change for change in changes}
         newest = {name: item for name, item in newest.items() if self.is_news(item)}
         for change in newest.values():
@@ -200,7 +225,7 @@
             else:
                 self.records[change.name] = change.record
         if newest:
-            self.handler.on_changes(self.kind, revision, list(newest.values()))
+            self.handler.on_changes(self.kind, position, list(newest.values()))
 
     def is_news(self, change: Change) -> bool:
         """Tell whether a change is one in what boxes know of the record.
@@ -209,13 +234,15 @@
         """
         return change.record is None or change.record != self.records.get(change.name)
 
-    def take_update(self, since: int | None, revision: int, changes: list[Change]) -> None:
+    def take_update(
+        self, since: Position | None, position: Position, changes: list[Change]
+    ) -> None:
         """Take in what a relay has sent: changes after `since`, or every record if that is none."""
         if since is None:
             records = {change.name: change.record for change in changes if change.record}
-            self.take_listing(Listing(records, revision))
-        elif self.revision is not None and since <= self.revision:
-            self.take_changes(changes, revision)
+            self.take_listing(Listing(records, position))
+        elif self.position is not None and since <= self.position and since.era == position.era:
+            self.take_changes(changes, position)
 
     def contact(self) -> StoreContact:
         """Return how the store answers this box."""
--- a/packages/core/calicopath_core/fleet/publisher.py
+++ b/packages/core/calicopath_core/fleet/publisher.py
@@ -5,7 +5,8 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-from calicopath_core.fleet.relay_messages import NOTHING, RelayUpdate, encode_changes
+from calicopath_core.fleet.positions import NOTHING, Position
+from calicopath_core.fleet.relay_messages import RelayUpdate, encode_changes
 from calicopath_core.fleet.store import Change, RecordKind
 
 if TYPE_CHECKING:
@@ -25,30 +26,30 @@
 
 
 class Logged:
-    """Remember which records of a kind have changed, by revision."""
+    """Remember which records of a kind have changed, by position."""
 
     def __init__(self) -> None:
-        self.entries: deque[tuple[int, frozenset[str]]] = deque()
+        self.entries: deque[tuple[Position, frozenset[str]]] = deque()
         self.begins_at = NOTHING
 
-    def restart(self, revision: int) -> None:
+    def restart(self, position: Position) -> None:
         """Forget what changed before every record was read."""
         self.entries.clear()
-        self.begins_at = revision
+        self.begins_at = position
 
-    def add(self, revision: int, names: Iterable[str]) -> None:
+    def add(self, position: Position, names: Iterable[str]) -> None:
         """Note changed records."""
-        self.entries.append((revision, frozenset(names)))
+        self.entries.append((position, frozenset(names)))
         if len(self.entries) > LOG_ENTRIES:
             self.begins_at = self.entries.popleft()[0]
 
-    def names_since(self, revision: int) -> frozenset[str] | None:
-        """Return the records changed after a revision; nothing if that is not known any more."""
-        if self.begins_at == NOTHING or revision < self.begins_at:
+    def names_since(self, position: Position) -> frozenset[str] | None:
+        """Return the records changed after a position; nothing if that is not known any more."""
+        if self.begins_at == NOTHING or position < self.begins_at:
             return None
         names: frozenset[str] = frozenset()
         for at, changed in self.entries:
-            if at > revision:
+            if at > position:
                 names |= changed
         return names
 
@@ -58,7 +59,7 @@
 
     def __init__(self) -> None:
         self.heard_at = 0.0
-        self.revisions: dict[RecordKind, int] = {}
+        self.positions: dict[RecordKind, Position] = {}
 
 
 class Publisher:
@@ -76,21 +77,21 @@
         self.encoded: tuple[object, RelayUpdate] | None = None
         self.sent = 0
 
-    def on_listed(self, kind: RecordKind, revision: int) -> None:
+    def on_listed(self, kind: RecordKind, position: Position) -> None:
         """Note that every record of a kind was read anew."""
-        self.logs[kind].restart(revision)
+        self.logs[kind].restart(position)
         self.publish(kind)
 
-    def on_changed(self, kind: RecordKind, revision: int, names: Iterable[str]) -> None:
+    def on_changed(self, kind: RecordKind, position: Position, names: Iterable[str]) -> None:
         """Note changed records."""
-        self.logs[kind].add(revision, names)
+        self.logs[kind].add(position, names)
         self.publish(kind)
 
     def on_subscribe(self, message: Subscribe) -> None:
         """Renew a subscription and send what the box lacks."""
         subscriber = self.subscribers.setdefault(message.sender, Subscriber())
         subscriber.heard_at = self.clock.monotonic()
-        subscriber.revisions = dict(message.revisions)
+        subscriber.positions = dict(message.positions)
         for kind in self.feeds:
             self.bring_up(message.sender, subscriber, kind)
 
@@ -110,20 +111,20 @@
 
     def bring_up(self, address: str, subscriber: Subscriber, kind: RecordKind) -> None:
         """Send a subscriber the records of a kind that it lacks."""
-        held = subscriber.revisions.get(kind, NOTHING)
-        revision = self.feeds[kind].revision
-        if revision is None or held >= revision:
+        held = subscriber.positions.get(kind, NOTHING)
+        position = self.feeds[kind].position
+        if position is None or held >= position:
             return
-        self.send(address, self.update(kind, held, revision))
+        self.send(address, self.update(kind, held, position))
         self.sent += 1
-        subscriber.revisions[kind] = revision
+        subscriber.positions[kind] = position
 
-    def update(self, kind: RecordKind, held: int, revision: int) -> RelayUpdate:
-        """Return what a box lacks that holds a revision; alike for all that hold as much."""
+    def update(self, kind: RecordKind, held: Position, position: Position) -> RelayUpdate:
+        """Return what a box lacks that holds a position; alike for all that hold as much."""
         records = self.feeds[kind].records
         names = self.logs[kind].names_since(held)
         since = NOTHING if names is None else held
-        key = (kind, since, revision)
+        key = (kind, since, position)
         if self.encoded is not None and self.encoded[0] == key:
             return self.encoded[1]
         wanted = records if names is None else sorted(names)
@@ -132,7 +133,7 @@
             sender=self.own_address,
             kind=kind,
             since=since,
-            revision=revision,
+            position=position,
             body=encode_changes(changes),
         )
         self.encoded = (key, found)
--- a/packages/core/calicopath_core/fleet/relay_messages.py
+++ b/packages/core/calicopath_core/fleet/relay_messages.py
@@ -1,6 +1,6 @@
 """Define what boxes tell each other of the store's records, and encode records for that.
 
-A relay follows the store; boxes subscribe to relays. Revisions are the store's; ages are spans in
+A relay follows the store; boxes subscribe to relays. Positions are the store's; ages are spans in
 seconds, since boxes' clocks differ.
 """
 
@@ -15,19 +15,17 @@
 from calicopath_core.fleet.contact import StoreContact
 from calicopath_core.fleet.deployment import ClientLimits, Deployment, Route, ServiceSpec, Tenant
 from calicopath_core.fleet.evacuations import Evacuation
+from calicopath_core.fleet.positions import Position
 from calicopath_core.fleet.replicas import Replica
 from calicopath_core.fleet.store import Change, Record, RecordKind
 from calicopath_core.scheduling.election import BoxAddress
 
-NOTHING = -1
-"""The revision of a box that has read nothing."""
-
 
 class Subscribe(msgspec.Struct, frozen=True, tag='sb'):
-    """Ask a relay for what the store changes; renewed often. `revisions` is what the box holds."""
+    """Ask a relay for what the store changes; renewed often. `positions` is what the box holds."""
 
     sender: str
-    revisions: dict[RecordKind, int]
+    positions: dict[RecordKind, Position]
 
 
 class RelayBeat(msgspec.Struct, frozen=True, tag='rb'):
@@ -40,19 +38,19 @@
     direct: bool
     leaving: bool
     contact: StoreContact
-    revisions: dict[RecordKind, int]
+    positions: dict[RecordKind, Position]
 
 
 class RelayUpdate(msgspec.Struct, frozen=True, tag='ru'):
-    """Carry the newest state of records changed after `since`, or every record if that is -1.
+    """Carry the newest state of records changed after `since`, or every one if that is `NOTHING`.
 
     `body` holds names and records, compressed.
     """
 
     sender: str
     kind: RecordKind
-    since: int
-    revision: int
+    since: Position
+    position: Position
     body: bytes
 
 
--- a/packages/core/calicopath_core/fleet/store.py
+++ b/packages/core/calicopath_core/fleet/store.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from calicopath_core.crashes.keeping import KeptRequest
+    from calicopath_core.fleet.positions import Position
 
 Record = Deployment | Replica | BoxAddress | Evacuation
 
@@ -28,10 +29,10 @@
 
 
 class Listing(NamedTuple):
-    """Hold every record of a kind by name, and the store's revision."""
+    """Hold every record of a kind by name, and the store's position."""
 
     records: dict[str, Record]
-    revision: int
+    position: Position
 
 
 class Change(NamedTuple):
@@ -42,10 +43,10 @@
 
 
 class Changes(NamedTuple):
-    """Hold changes in order, and the revision to go on from."""
+    """Hold changes in order, and the position to go on from."""
 
     changes: tuple[Change, ...]
-    revision: int
+    position: Position
 
 
 class FleetStoreError(CalicopathError):
@@ -53,7 +54,7 @@
 
 
 class HistoryLost(FleetStoreError):
-    """Report that the store no longer knows what has changed since a revision."""
+    """Report that the store does not know what has changed since a revision."""
 
 
 class FleetStore(ABC):
--- a/packages/core/calicopath_core/fleet/subscription.py
+++ b/packages/core/calicopath_core/fleet/subscription.py
@@ -9,8 +9,8 @@
 
 from calicopath_core.fleet.feed import PROBE_S, FollowMode
 from calicopath_core.fleet.outages import RELAYS_FIRST_S, Outages
+from calicopath_core.fleet.positions import NOTHING, Position
 from calicopath_core.fleet.relay_messages import (
-    NOTHING,
     RelayBeat,
     RelayUpdate,
     Subscribe,
@@ -142,12 +142,9 @@
         self.boxes = list(boxes)
         self.choice.on_listed(self.boxes)
 
-    def revisions(self) -> dict[RecordKind, int]:
+    def positions(self) -> dict[RecordKind, Position]:
         """Return what this box holds."""
-        return {
-            kind: NOTHING if feed.revision is None else feed.revision
-            for kind, feed in self.feeds.items()
-        }
+        return {kind: feed.position or NOTHING for kind, feed in self.feeds.items()}
 
     def beat(self) -> RelayBeat:
         """Return what this box says of itself as a relay."""
@@ -156,12 +153,12 @@
             direct=not self.follows(),
             leaving=self.leaving,
             contact=self.feeds[RecordKind.REPLICA].contact(),
-            revisions=self.revisions(),
+            positions=self.positions(),
         )
 
     def subscribe(self, address: str) -> None:
         """Ask a relay for what this box lacks."""
-        self.send(address, Subscribe(sender=self.own.address, revisions=self.revisions()))
+        self.send(address, Subscribe(sender=self.own.address, positions=self.positions()))
 
     def on_subscribe(self, message: Subscribe) -> None:
         """Answer a box that wants to hear the store through this one."""
@@ -186,7 +183,7 @@
             self.on_bad(str(error))
             return
         since = None if update.since == NOTHING else update.since
-        self.feeds[update.kind].take_update(since, update.revision, changes)
+        self.feeds[update.kind].take_update(since, update.position, changes)
 
     def leave(self) -> None:
         """Tell subscribers to hear another relay."""
--- a/packages/core/calicopath_core/fleet/tests/relays_tests.py
+++ b/packages/core/calicopath_core/fleet/tests/relays_tests.py
@@ -7,6 +7,7 @@
 import testtools
 
 from calicopath_core.fleet.contact import StoreContact
+from calicopath_core.fleet.positions import Position
 from calicopath_core.fleet.publisher import LOG_ENTRIES, Logged
 from calicopath_core.fleet.relay_messages import RelayBeat, decode_changes, encode_changes
 from calicopath_core.fleet.relays import (
@@ -36,7 +37,7 @@
         'direct': True,
         'leaving': False,
         'contact': StoreContact(0.1),
-        'revisions': {},
+        'positions': {},
     }
     return RelayBeat(**(fields | changes))
 
@@ -114,25 +115,37 @@
         self.assertFalse(self.choice.store_fails_relays(0.1 + SILENT_S))
 
 
+def at(revision: int, era: int = 1) -> Position:
+    """Return a position."""
+    return Position(era, revision)
+
+
 class Log(testtools.TestCase):
+    def test_positions_of_an_earlier_era_are_not_known_whatever_their_revision(self) -> None:
+        log = Logged()
+        log.restart(at(10, era=2))
+        log.add(at(12, era=2), ['a'])
+        self.assertIsNone(log.names_since(at(11, era=1)))
+        self.assertIsNone(log.names_since(at(50, era=1)))
+
     def test_what_changed_after_a_revision_is_known_from_the_last_whole_reading_on(self) -> None:
         log = Logged()
-        self.assertIsNone(log.names_since(0))
-        log.restart(10)
-        log.add(12, ['a'])
-        log.add(15, ['b', 'a'])
-        self.assertEqual({'a', 'b'}, log.names_since(11))
-        self.assertEqual({'a', 'b'}, log.names_since(12))
-        self.assertEqual(set(), log.names_since(15))
-        self.assertIsNone(log.names_since(9))
+        self.assertIsNone(log.names_since(at(0)))
+        log.restart(at(10))
+        log.add(at(12), ['a'])
+        log.add(at(15), ['b', 'a'])
+        self.assertEqual({'a', 'b'}, log.names_since(at(11)))
+        self.assertEqual({'a', 'b'}, log.names_since(at(12)))
+        self.assertEqual(set(), log.names_since(at(15)))
+        self.assertIsNone(log.names_since(at(9)))
 
     def test_it_is_bounded(self) -> None:
         log = Logged()
-        log.restart(0)
+        log.restart(at(0))
         for number in range(1, LOG_ENTRIES + 3):
-            log.add(number, [f'r{number}'])
-        self.assertIsNone(log.names_since(1))
-        self.assertEqual(LOG_ENTRIES, len(log.names_since(2) or ()))
+            log.add(at(number), [f'r{number}'])
+        self.assertIsNone(log.names_since(at(1)))
+        self.assertEqual(LOG_ENTRIES, len(log.names_since(at(2)) or ()))
 
 
 class Encoding(testtools.TestCase):
--- /dev/null
+++ b/packages/core/calicopath_core/fleet/tests/restored_feed_tests.py
@@ -0,0 +1,131 @@
+"""Test what a feed makes of answers from several eras of the store."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from unittest import mock
+
+from calicopath_core.clock import LoopClock
+from calicopath_core.fleet.feed import FeedObserver, KindFeed
+from calicopath_core.fleet.positions import Position
+from calicopath_core.fleet.store import (
+    Change,
+    Changes,
+    FleetStore,
+    HistoryLost,
+    Listing,
+    RecordKind,
+)
+from testkit.cases import VirtualCase
+from testkit.gateway_world import replicas
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from calicopath_core.fleet.store import Record
+
+ONE, TWO = replicas()[:2]
+PAUSE_S = 0.5
+
+
+async def wait_out(kind: RecordKind, failures: int) -> None:
+    """Wait as a box does before it asks a store again that fails it."""
+    await asyncio.sleep(PAUSE_S)
+
+
+class Feeding(VirtualCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.store = mock.create_autospec(FleetStore, instance=True)
+        self.mode = mock.Mock(
+            may_read=lambda kind: True,
+            follows=lambda: False,
+            wait_s=lambda kind: 1.0,
+            wait_for_relays=mock.AsyncMock(),
+            wait_out=wait_out,
+        )
+        self.handler = mock.Mock()
+        self.feed = KindFeed(
+            store=self.store,
+            kind=RecordKind.REPLICA,
+            clock=LoopClock(),
+            observer=mock.create_autospec(FeedObserver, instance=True),
+            handler=self.handler,
+            mode=self.mode,
+        )
+
+    def follow(self, for_s: float) -> None:
+        """Have the feed follow its store for a while."""
+
+        async def scenario() -> None:
+            task = asyncio.create_task(self.feed.run())
+            await asyncio.sleep(for_s)
+            task.cancel()
+
+        self.run_virtual(scenario())
+
+    def listings(self, *found: Listing) -> None:
+        """Have the store answer lists so, the last one for ever."""
+        left = list(found)
+        self.store.list.side_effect = lambda kind: left.pop(0) if len(left) > 1 else left[0]
+
+    def watches(self, answer: Callable[[int], Changes]) -> None:
+        """Have the store answer watches so, by the revision watched from, after a moment."""
+
+        async def watch(kind: RecordKind, revision: int, wait_s: float) -> Changes:
+            await asyncio.sleep(0.01)
+            return answer(revision)
+
+        self.store.watch.side_effect = watch
+
+    def names(self) -> set[str]:
+        """Return the records that the feed holds."""
+        return set(self.feed.records)
+
+    def test_a_list_of_a_later_era_is_taken_in_at_any_revision(self) -> None:
+        self.feed.take_listing(listing(1, 50, ONE))
+        self.feed.take_listing(listing(2, 40, TWO))
+        self.assertEqual({TWO.id}, self.names())
+
+    def test_a_list_of_an_earlier_era_is_not(self) -> None:
+        self.feed.take_listing(listing(2, 40, TWO))
+        self.feed.take_listing(listing(1, 50, ONE))
+        self.assertEqual({TWO.id}, self.names())
+
+    def test_a_watch_answered_in_a_later_era_has_everything_read_anew(self) -> None:
+        self.listings(listing(1, 50, ONE), listing(2, 60, TWO))
+        self.watches(lambda revision: Changes((), Position(2, 60)))
+        self.follow(1.0)
+        self.assertEqual({TWO.id}, self.names())
+        self.assertEqual(2, self.store.list.call_count)
+
+    def test_a_watch_answered_in_an_earlier_era_is_a_failure_that_is_waited_out(self) -> None:
+        self.listings(listing(2, 40, ONE))
+        gone = (Change(ONE.id, None),)
+        self.watches(lambda revision: Changes(gone, Position(1, 70)))
+        self.follow(4 * PAUSE_S)
+        self.assertEqual({ONE.id}, self.names())
+        self.assertLess(self.store.watch.call_count, 6)
+
+    def test_an_update_that_begins_in_another_era_is_left_out(self) -> None:
+        self.feed.take_listing(listing(1, 50, ONE))
+        self.feed.take_update(Position(1, 50), Position(2, 60), [Change(ONE.id, None)])
+        self.assertEqual({ONE.id}, self.names())
+        self.feed.take_update(None, Position(2, 60), [Change(TWO.id, TWO)])
+        self.assertEqual({TWO.id}, self.names())
+
+    def test_history_that_is_lost_again_and_again_is_asked_for_with_pauses(self) -> None:
+        self.listings(listing(1, 50, ONE))
+
+        def lost(revision: int) -> Changes:
+            raise HistoryLost('servers')
+
+        self.watches(lost)
+        self.follow(10 * PAUSE_S)
+        self.assertLess(self.store.list.call_count, 14)
+
+
+def listing(era: int, revision: int, *records: Record) -> Listing:
+    """Return a list at some position."""
+    return Listing({item.id: item for item in records}, Position(era, revision))  # type: ignore[union-attr]
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -22,8 +22,8 @@
 from calicopath_core.fleet.deployment import DEFAULT_LIMITS, Deployment, DeploymentView
 from calicopath_core.fleet.evacuations import Evacuations
 from calicopath_core.fleet.feed import KindFeed
+from calicopath_core.fleet.positions import NOTHING, Position
 from calicopath_core.fleet.publisher import Publisher
-from calicopath_core.fleet.relay_messages import NOTHING
 from calicopath_core.fleet.store import RecordKind
 from calicopath_core.fleet.subscription import Subscription
 from calicopath_core.scheduling.baseline import AloneElection, RandomEngineBoard
@@ -254,9 +254,9 @@
         """Return the version of the configuration in force here, 0 for none."""
         return self.view.current.version if self.view.current is not None else 0
 
-    def held_revision(self, kind: RecordKind) -> int:
-        """Return the store's revision up to which this box knows a kind, -1 for none."""
-        return self.subscription.revisions().get(kind, NOTHING)
+    def held_position(self, kind: RecordKind) -> Position:
+        """Return the store's position up to which this box knows a kind."""
+        return self.subscription.positions().get(kind, NOTHING)
 
     def contact(self) -> StoreContact:
         """Return how the store answers this box, or the relay that it hears."""
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -21,6 +21,7 @@
     from calicopath_core.exchanges.messages import Exchange
     from calicopath_core.fleet.evacuations import Evacuation, HeldEvacuation
     from calicopath_core.fleet.notices import Bar
+    from calicopath_core.fleet.positions import Position
     from calicopath_core.fleet.replicas import Replica
     from calicopath_core.fleet.store import RecordKind
     from calicopath_core.scheduling.jobs import Job, Piece
@@ -301,14 +302,16 @@
         """Note that the store answers again."""
         events.emit(log, events.FEED_BACK, kind=kind.value, silent_s=round(silent_s, 3))
 
-    def on_history_lost(self, kind: RecordKind, revision: int) -> None:
+    def on_history_lost(self, kind: RecordKind, held: Position) -> None:
         """Note that everything is read anew."""
-        events.emit(log, events.HISTORY_LOST, kind=kind.value, revision=revision)
+        events.emit(log, events.HISTORY_LOST, kind=kind.value, held=str(held))
 
-    def on_listing_dropped(self, kind: RecordKind, held: int, listed: int) -> None:
+    def on_listing_dropped(self, kind: RecordKind, held: Position, listed: Position) -> None:
         """Note a list that was not taken in."""
         self.metrics.listings_dropped.inc({'kind': kind.value})
-        events.emit(log, events.LISTING_DROPPED, kind=kind.value, held=held, listed=listed)
+        events.emit(
+            log, events.LISTING_DROPPED, kind=kind.value, held=str(held), listed=str(listed)
+        )
 
     def on_store_era(self, before: int, era: int) -> None:
         """Note that the store is back from a copy."""
--- a/packages/daemon/calicopathd/gateway/peers.py
+++ b/packages/daemon/calicopathd/gateway/peers.py
@@ -9,8 +9,8 @@
 
 from calicopath_core.crashes.messages import CRASH_MESSAGES, CrashNews
 from calicopath_core.fleet.leaving_sharing import LEAVING_MESSAGES
+from calicopath_core.fleet.positions import NOTHING
 from calicopath_core.fleet.relay_messages import (
-    NOTHING,
     RELAY_MESSAGES,
     RelayBeat,
     RelayUpdate,
@@ -146,7 +146,7 @@
                 self.scheduler.on_ended(message)
             case Subscribe():
                 self.subscription.on_subscribe(message)
-                if NOTHING in message.revisions.values():
+                if NOTHING in message.positions.values():
                     # A box that starts serves as soon as it has heard everything.
                     self.crashes.send_whole(message.sender)
             case RelayBeat():
--- a/packages/daemon/calicopathd/gateway/records.py
+++ b/packages/daemon/calicopathd/gateway/records.py
@@ -17,6 +17,7 @@
     from calicopath_core.clock import Clock
     from calicopath_core.fleet.deployment import DeploymentView
     from calicopath_core.fleet.evacuations import Evacuations
+    from calicopath_core.fleet.positions import Position
     from calicopath_core.fleet.publisher import Publisher
     from calicopath_core.fleet.replicas import ReplicaTable
     from calicopath_core.fleet.store import Change, Listing
@@ -73,16 +74,16 @@
             for record in records.values():
                 if isinstance(record, Deployment):
                     self.on_deployment(record)
-        self.publisher.on_listed(kind, listing.revision)
+        self.publisher.on_listed(kind, listing.position)
 
-    def on_changes(self, kind: RecordKind, revision: int, changes: list[Change]) -> None:
+    def on_changes(self, kind: RecordKind, position: Position, changes: list[Change]) -> None:
         """Take records in together, and hand them on to boxes that hear the store through this."""
         with self.replicas.batch():
             for change in changes:
                 self.on_change(kind, change)
         if kind is RecordKind.BOX:
             self.on_boxes(self.clock.monotonic())
-        self.publisher.on_changed(kind, revision, [change.name for change in changes])
+        self.publisher.on_changed(kind, position, [change.name for change in changes])
 
     def on_change(self, kind: RecordKind, change: Change) -> None:
         """Take one record's change in."""
--- a/packages/daemon/calicopathd/gateway/state.py
+++ b/packages/daemon/calicopathd/gateway/state.py
@@ -40,7 +40,8 @@
     """Say what is in force at a box and since when, in seconds since 1970.
 
     `problem` says why the settings file as it stands is not in force there, if it is not;
-    `taken_out_revision` is the store's up to which the box knows what is taken out, -1 for none.
+    `taken_out_revision`, of the store's `taken_out_era`, is up to where the box knows what is taken
+    out, -1 for none.
     """
 
     box: str
@@ -53,6 +54,7 @@
     configuration_since: float
     taken_out: list[TakenOut]
     taken_out_revision: int
+    taken_out_era: int
 
 
 class ListedBox(msgspec.Struct, frozen=True):
@@ -113,6 +115,7 @@
     def in_force(self) -> InForce:
         """Return what is in force here."""
         state = self.settings_file.state
+        taken_out_at = self.box.held_position(RecordKind.EVACUATION)
         return InForce(
             box=self.box.own.name,
             failure_domain=self.box.own.zone,
@@ -123,7 +126,8 @@
             configuration=self.box.config_version(),
             configuration_since=self.box.config_since,
             taken_out=self.taken_out(),
-            taken_out_revision=self.box.held_revision(RecordKind.EVACUATION),
+            taken_out_revision=taken_out_at.revision,
+            taken_out_era=taken_out_at.era,
         )
 
     def taken_out(self) -> list[TakenOut]:
--- a/testkit/gateway_store.py
+++ b/testkit/gateway_store.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, NamedTuple
 
+from calicopath_core.fleet.positions import Position
 from calicopath_core.fleet.store import (
     Change,
     Changes,
@@ -63,6 +64,10 @@
         self.log.append((self.revision, kind, Change(name, record)))
         self.wake_watches()
 
+    def position(self) -> Position:
+        """Return up to where the store has come."""
+        return Position(self.era, self.revision)
+
     def wake_watches(self) -> None:
         """Have every waiting watch look again."""
         changed, self.changed = self.changed, asyncio.Event()
@@ -160,7 +165,7 @@
         if self.silent:
             await self.hang(0.0)
         self.check()
-        return Listing(dict(self.store.records[kind]), self.store.revision)
+        return Listing(dict(self.store.records[kind]), self.store.position())
 
     async def watch(self, kind: RecordKind, revision: int, wait_s: float) -> Changes:
         """Return what has changed."""
@@ -181,7 +186,7 @@
                 await self.hang(wait_s - (asyncio.get_running_loop().time() - began))
             if found or left_s <= 0:
                 self.check()
-                return Changes(tuple(found), self.store.revision)
+                return Changes(tuple(found), self.store.position())
             try:
                 async with asyncio.timeout(left_s):
                     await self.store.changed.wait()
