A box writes its record again when the list of boxes lacks it

Operators saw boxes that nobody listed any more after the store came back from a copy: no peer pings them, none sends them relayed records, and the fleet's budgets are split among fewer boxes than there are. Cause: a box wrote its record once in its life ('once is enough'), though a store may forget it.

Change: Registration (core) writes it until that has worked, then compares the list of boxes, which each box follows anyway, with the own life, and writes again: after a pause drawn over the number of boxes (200 a second), less and less often while the list goes on lacking it, never while the box leaves. Where the copy holds the record of an earlier life it is written again too.

--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -24,6 +24,7 @@
 from calicopath_core.fleet.feed import KindFeed
 from calicopath_core.fleet.positions import NOTHING, Position
 from calicopath_core.fleet.publisher import Publisher
+from calicopath_core.fleet.registration import Registration
 from calicopath_core.fleet.store import RecordKind
 from calicopath_core.fleet.subscription import Subscription
 from calicopath_core.scheduling.baseline import AloneElection, RandomEngineBoard
@@ -204,6 +205,15 @@
         self.feeds = {kind: self.new_feed(kind) for kind in settings.followed}
         self.subscription.feeds.update(self.feeds)
         self.publisher.feeds.update(self.feeds)
+        self.registration = Registration(
+            own=self.own,
+            store=store,
+            feed=self.feeds[RecordKind.BOX],
+            rng=self.rng,
+            is_leaving=lambda: self.leaving,
+            on_registered=self.on_registered,
+            on_failed=observer.on_register_failed,
+        )
         self.executor = ExchangeExecutor(context=self.new_context(exchanges))
 
     def new_context(self, exchanges: ReplicaCaller) -> ExchangeContext:
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -282,6 +282,10 @@
         """Note that this box hears the store through another relay, or by itself."""
         events.emit(log, events.SOURCE_CHANGED, relay=relay)
 
+    def on_register_failed(self, error: Exception) -> None:
+        """Note that the box's own record was not written."""
+        events.emit(log, events.REGISTER_FAILED, error=str(error))
+
     def on_relays_unread(self, error: Exception) -> None:
         """Note that it could not be read or written which boxes are relays."""
         events.emit(log, events.RELAYS_UNREAD, error=str(error))
--- a/packages/daemon/calicopathd/gateway/run.py
+++ b/packages/daemon/calicopathd/gateway/run.py
@@ -40,11 +40,6 @@
 """How long a stopping box waits for the store to take its record away: with `EXIT_MARGIN_S` it is
 gone before the kill. What is left over is overwritten when a box of that name starts."""
 
-REGISTER_PAUSE_S = 0.5
-LONGEST_REGISTER_PAUSE_S = 4.0
-"""How long it waits to write its record again; doubled each time, since a whole fleet may start
-while the store is away: 86 boxes twice a second would be 1,000 calls in 6 s."""
-
 
 class GatewayRunner:
     """Run one gateway box inside the current event loop."""
@@ -109,7 +104,7 @@
             'settings': self.follow_settings,
             'lag': self.box.measure_lag,
             'blocked requests': self.box.keeper.run,
-            'register': self.register,
+            'register': self.box.registration.run,
         }
         for feed in self.box.feeds.values():
             work[f'feed {feed.kind.value}'] = feed.run
@@ -185,21 +180,6 @@
             log_lines_dropped=self.log_writer.dropped,
         )
 
-    async def register(self) -> None:
-        """Write the box's own record, until that has worked."""
-        pause_s = REGISTER_PAUSE_S
-        while True:
-            try:
-                await self.box.store.register(self.box.own)
-            except FleetStoreError as error:
-                events.emit(log, events.REGISTER_FAILED, error=str(error))
-                await asyncio.sleep(pause_s)
-                pause_s = min(LONGEST_REGISTER_PAUSE_S, 2 * pause_s)
-                continue
-            self.box.on_registered()
-            # Once is enough: the record stays until the box withdraws it.
-            await asyncio.Event().wait()
-
     async def leave(self) -> None:
         """Stop without cutting a request: not ready, then no new ones, then idle."""
         grace_s = self.box.settings.stop_grace_s - EXIT_MARGIN_S
--- a/packages/daemon/calicopathd/gateway/tests/restored_store_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/restored_store_tests.py
@@ -166,6 +166,34 @@
         for count in (FEW, MANY):
             self.play(count, work)
 
+    def test_boxes_of_which_the_copy_holds_an_earlier_life_are_listed_again(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            copy = fleet.store.copy()
+            fleet.kill('box-1')
+            again = fleet.add('box-1', 'south')
+            await again.start()
+            await asyncio.sleep(2.0)
+            await fleet.store.go_back(copy, AWAY_S)
+            await asyncio.sleep(5.0)
+            listed = fleet.store.records[RecordKind.BOX]['box-1']
+            self.assertEqual(again.box.life, getattr(listed, 'life', ''))
+
+        for count in (FEW, MANY):
+            self.play(count, work)
+
+    def test_a_box_that_leaves_does_not_list_itself_again(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            copy = fleet.store.copy()
+            leaving = fleet.add('box-new', 'north')
+            await leaving.start()
+            await asyncio.sleep(2.0)
+            leaving.box.leave()
+            await fleet.store.go_back(copy, AWAY_S)
+            await asyncio.sleep(5.0)
+            self.assertNotIn('box-new', fleet.store.records[RecordKind.BOX])
+
+        self.play(FEW, work)
+
     def test_relays_that_the_copy_lacks_are_written_down_again(self) -> None:
         async def work(fleet: NoticeFleet) -> None:
             noted = fleet.store.relays
--- a/testkit/gateway.py
+++ b/testkit/gateway.py
@@ -51,6 +51,7 @@
             box.client.run,
             box.subscription.run,
             box.keeper.run,
+            box.registration.keep,
         ]
         work.extend(feed.run for feed in box.feeds.values())
         self.tasks = [asyncio.create_task(item()) for item in work]
