What boxes keep in the store is written again in each of its eras

After the store came back from a copy, boxes that start read relays of before, or none, and ask the store for everything; after a kill of all, requests that end replicas would be let through again. Cause: the first relay compared what it writes with what it had written last, not with what the store still holds.

Change: writes return the era of their answer; relays and blocked requests are due again when the era in which they were written is before the newest that the box knows of, one call each and era.

--- a/packages/core/calicopath_core/crashes/keeping.py
+++ b/packages/core/calicopath_core/crashes/keeping.py
@@ -1,8 +1,8 @@
 """Keep blocked requests in the platform's store, for a fleet whose boxes are all started anew.
 
 Boxes tell each other while any of them lives. The first of the relays, which read the store for
-others anyway, writes what is blocked when that changes, and reads it once in its life: a call a
-change and a call for each box that comes first.
+others anyway, writes what is blocked when that changes, and in each era of the store, and reads it
+once in its life: a call a change and a call for each box that comes first.
 """
 
 from __future__ import annotations
@@ -45,7 +45,9 @@
 class BlockedKeeper:
     """Read and write what is blocked while it is this box's turn.
 
-    `read` and `write` raise a `CalicopathError` if the store does not do it.
+    `read` and `write` raise a `CalicopathError` if the store does not do it. `write` returns the
+    store's era, `era` the newest one that the box knows of: what was written in an earlier one may
+    be lost.
     """
 
     def __init__(
@@ -56,7 +58,8 @@
         sharing: CrashSharing,
         is_due: Callable[[], bool],
         read: Callable[[], Awaitable[tuple[KeptRequest, ...]]],
-        write: Callable[[tuple[KeptRequest, ...]], Awaitable[None]],
+        write: Callable[[tuple[KeptRequest, ...]], Awaitable[int]],
+        era: Callable[[], int],
         on_failed: Callable[[Exception], None],
     ) -> None:
         self.clock = clock
@@ -65,9 +68,11 @@
         self.is_due = is_due
         self.read = read
         self.write = write
+        self.era = era
         self.on_failed = on_failed
         self.has_read = False
         self.written: frozenset[tuple[str, str]] = frozenset()
+        self.written_era = 0
 
     async def run(self) -> None:
         """Read once and write what changes, until cancelled."""
@@ -87,6 +92,7 @@
     async def step(self) -> None:
         """Do what is due."""
         if not self.has_read:
+            self.written_era = self.era()
             kept = await self.read()
             self.has_read = True
             self.written = frozenset((item.content, item.service) for item in kept)
@@ -94,8 +100,8 @@
             self.sharing.report(news)
             self.sharing.on_complete()
         blocked = frozenset((key.content, key.service) for key in self.ledger.blocked)
-        if blocked != self.written:
-            await self.write(self.kept())
+        if blocked != self.written or self.written_era < self.era():
+            self.written_era = await self.write(self.kept())
             self.written = blocked
 
     def evidence_of(self, kept: KeptRequest) -> Evidence:
--- a/packages/core/calicopath_core/fleet/store.py
+++ b/packages/core/calicopath_core/fleet/store.py
@@ -79,8 +79,8 @@
         """
 
     @abstractmethod
-    async def write_relays(self, relays: tuple[BoxAddress, ...]) -> None:
-        """Write down which boxes are relays; raise `FleetStoreError`.
+    async def write_relays(self, relays: tuple[BoxAddress, ...]) -> int:
+        """Write down which boxes are relays; return the store's era or raise `FleetStoreError`.
 
         Boxes that start ask them first; nothing safe rests on it.
         """
@@ -90,8 +90,11 @@
         """Return the requests that are kept as blocked; raise `FleetStoreError`."""
 
     @abstractmethod
-    async def write_blocked(self, kept: tuple[KeptRequest, ...]) -> None:
-        """Keep these requests as blocked, whatever was there; raise `FleetStoreError`."""
+    async def write_blocked(self, kept: tuple[KeptRequest, ...]) -> int:
+        """Keep these requests as blocked, whatever was there.
+
+        Return the store's era or raise `FleetStoreError`.
+        """
 
     @abstractmethod
     async def register(self, box: BoxAddress) -> None:
--- a/packages/core/calicopath_core/fleet/subscription.py
+++ b/packages/core/calicopath_core/fleet/subscription.py
@@ -93,6 +93,7 @@
         self.store = store
         self.on_unread = on_unread
         self.noted: tuple[BoxAddress, ...] | None = None
+        self.noted_era = NOTHING.era
         self.start = Start(
             own=own,
             store=store,
@@ -146,6 +147,10 @@
         """Return what this box holds."""
         return {kind: feed.position or NOTHING for kind, feed in self.feeds.items()}
 
+    def era(self) -> int:
+        """Return the store's newest era that this box knows of."""
+        return max(position.era for position in self.positions().values())
+
     def beat(self) -> RelayBeat:
         """Return what this box says of itself as a relay."""
         return RelayBeat(
@@ -198,15 +203,16 @@
                 self.send(box.address, self.beat())
 
     async def note_relays(self) -> None:
-        """Write down which boxes are relays when that has changed, if this is the first of them.
+        """Write down which boxes are relays, if this is the first of them.
 
-        A store that fails is asked again with the next round.
+        Once for each change and era; a store that fails is asked again with the next round.
         """
         relays = tuple(self.choice.relays)
-        if not self.choice.is_first or self.leaving or relays == self.noted:
+        is_noted = relays == self.noted and self.noted_era >= self.era()
+        if not self.choice.is_first or self.leaving or is_noted:
             return
         try:
-            await self.store.write_relays(relays)
+            self.noted_era = await self.store.write_relays(relays)
         except FleetStoreError as error:
             self.on_unread(error)
             return
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -148,6 +148,7 @@
             is_due=self.keeps_blocked,
             read=store.read_blocked,
             write=store.write_blocked,
+            era=lambda: self.subscription.era(),
             on_failed=observer.on_blocked_unkept,
         )
         self.crashes = CrashGuard(ledger=self.ledger, sharing=self.sharing)
--- a/packages/daemon/calicopathd/gateway/tests/restored_store_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/restored_store_tests.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from calicopath_core.crashes.messages import Evidence
 from calicopath_core.fleet.notices import Bar
 from calicopath_core.fleet.store import RecordKind
 from testkit.cases import VirtualCase
@@ -205,6 +206,23 @@
 
         self.play(MANY, work)
 
+    def test_blocked_requests_that_the_copy_lacks_are_kept_again(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            copy = fleet.store.copy()
+            ended = {f'r-{number}': (1.0 + number, 1.0 + number) for number in range(3)}
+            evidence = [Evidence('a.b', 'desk', ended, None)]
+            for box in fleet.boxes.values():
+                box.box.ledger.merge(evidence, 'test')
+            await asyncio.sleep(1.0)
+            self.assertEqual(['a.b'], [item.content for item in fleet.store.blocked])
+            await fleet.store.go_back(copy, AWAY_S)
+            self.assertEqual((), fleet.store.blocked)
+            await asyncio.sleep(5.0)
+            self.assertEqual(['a.b'], [item.content for item in fleet.store.blocked])
+
+        for count in (FEW, MANY):
+            self.play(count, work)
+
     def test_a_box_that_was_cut_off_meanwhile_follows_too(self) -> None:
         async def work(fleet: NoticeFleet) -> None:
             cut = fleet.boxes['box-1']
--- a/testkit/gateway_store.py
+++ b/testkit/gateway_store.py
@@ -201,12 +201,13 @@
         self.check()
         return self.store.relays
 
-    async def write_relays(self, relays: tuple[BoxAddress, ...]) -> None:
+    async def write_relays(self, relays: tuple[BoxAddress, ...]) -> int:
         """Write down which boxes are relays."""
         if self.silent:
             await self.hang(0.0)
         self.check()
         self.store.relays = relays
+        return self.store.era
 
     async def read_blocked(self) -> tuple[KeptRequest, ...]:
         """Return the requests that are kept as blocked."""
@@ -216,12 +217,13 @@
         self.check()
         return self.store.blocked
 
-    async def write_blocked(self, kept: tuple[KeptRequest, ...]) -> None:
+    async def write_blocked(self, kept: tuple[KeptRequest, ...]) -> int:
         """Keep requests as blocked."""
         if self.silent:
             await self.hang(0.0)
         self.check()
         self.store.blocked = kept
+        return self.store.era
 
     async def register(self, box: BoxAddress) -> None:
         """Write the box's record."""
