What was acknowledged goes on holding while a store that came back from a copy is brought up to date

Callers would see requests sent to replicas that had gone, and to zones taken out: the first list of a new era holds what was removed since the copy was taken and lacks what was made since, and was taken for the truth. Cause: a list says how things are only as far as the store is up to date.

Change: RestoredRecords stands between feeds and tables. On the first list of a new era, records that are known to be gone (replicas by start, boxes by life, zones by revision) are held back until they are written anew or have stood for longer than the entry of a dead replica does (four beats of its settings); boxes and zones taken out that the list lacks are kept for 10 s. Replicas that it lacks are doubted as after an outage. Line 814 gives both counts.

--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -126,6 +126,9 @@
 DRAINING_TAKEN_BACK = Event(
     813, 'warning', 'draining taken back', 'An entry says ready again; the replica drains on.'
 )
+KIND_RESTORED = Event(
+    814, 'warning', 'kind restored', 'A kind is read from a copy; what is known goes on holding.'
+)
 OBJECT_BAD = Event(806, 'error', 'object bad', 'An object of the store could not be understood.')
 
 
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -25,6 +25,7 @@
 from calicopath_core.fleet.positions import NOTHING, Position
 from calicopath_core.fleet.publisher import Publisher
 from calicopath_core.fleet.registration import Registration
+from calicopath_core.fleet.restoring import RestoredRecords
 from calicopath_core.fleet.store import RecordKind
 from calicopath_core.fleet.subscription import Subscription
 from calicopath_core.scheduling.baseline import AloneElection, RandomEngineBoard
@@ -187,6 +188,12 @@
             on_boxes=self.on_boxes,
             on_applied=self.on_applied,
         )
+        self.restored = RestoredRecords(
+            inner=self.records,
+            clock=self.clock,
+            lapse_s=settings.replica_lapse_s,
+            on_restored=observer.on_restored,
+        )
         self.subscription = Subscription(
             own=self.own,
             clock=self.clock,
@@ -249,7 +256,7 @@
             kind=kind,
             clock=self.clock,
             observer=self.observer,
-            handler=self.records,
+            handler=self.restored,
             mode=self.subscription,
         )
 
@@ -414,6 +421,7 @@
     def tick(self) -> None:
         """Do what is due by time."""
         now = self.clock.monotonic()
+        self.restored.expire()
         for name in self.replicas.expire(now):
             events.emit(log, events.REPLICA_DROPPED, replica=name, held_s=True)
         self.judge_groups(now)
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -317,6 +317,17 @@
             log, events.LISTING_DROPPED, kind=kind.value, held=str(held), listed=str(listed)
         )
 
+    def on_restored(self, kind: RecordKind, position: Position, kept: int, held_back: int) -> None:
+        """Note the first list of a new era of the store."""
+        events.emit(
+            log,
+            events.KIND_RESTORED,
+            kind=kind.value,
+            listed=str(position),
+            kept=kept,
+            held_back=held_back,
+        )
+
     def on_store_era(self, before: int, era: int) -> None:
         """Note that the store is back from a copy."""
         events.emit(log, events.STORE_ERA, before=before, era=era)
--- a/packages/daemon/calicopathd/gateway/settings.py
+++ b/packages/daemon/calicopathd/gateway/settings.py
@@ -21,6 +21,11 @@
 of a core at 74 boxes, and handing a configuration of 350 routes on to 18 boxes some 2 Mbit."""
 
 
+DEFAULT_BEAT_S = 1.2
+BEATS_TO_LAPSE = 4
+"""An entry goes after three beats of silence, and something in between."""
+
+
 class HostPort(NamedTuple):
     """Hold an address to listen on or to call."""
 
@@ -37,8 +42,8 @@
 
     `drain_s` is how long a replica that leaves goes on serving, `stop_grace_s` how long a box may
     take to stop before it is killed, `evacuate_s` how soon nothing more may reach a zone that is
-    taken out; there is none where operators do not take zones out. `warmup` says how far the rate
-    may be passed that a cold replica bears.
+    taken out; there is none where operators do not take zones out. A replica writes its entry each
+    `replica_beat_s`. `warmup` says how far the rate may be passed that a cold replica bears.
     """
 
     box: str
@@ -56,6 +61,7 @@
     link_mbps: float
     max_descriptors: int
     evacuate_s: float | None = None
+    replica_beat_s: float = DEFAULT_BEAT_S
     warmup: WarmupTerms = NO_ALLOWANCE
 
     @property
@@ -65,6 +71,11 @@
             return tuple(RecordKind)
         return tuple(kind for kind in RecordKind if kind is not RecordKind.EVACUATION)
 
+    @property
+    def replica_lapse_s(self) -> float:
+        """Return how long the entry of a replica stands that has ended."""
+        return BEATS_TO_LAPSE * self.replica_beat_s
+
     @property
     def max_callers(self) -> int:
         """Return how many connections of callers a box holds at once."""
--- a/packages/daemon/calicopathd/gateway/tests/restored_store_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/restored_store_tests.py
@@ -7,8 +7,11 @@
 
 from calicopath_core.crashes.messages import Evidence
 from calicopath_core.fleet.notices import Bar
+from calicopath_core.fleet.restoring import KEEP_S
 from calicopath_core.fleet.store import RecordKind
+from calicopathd.gateway.run import TICK_S
 from testkit.cases import VirtualCase
+from testkit.gateway import settings
 from testkit.gateway_world import deployment, replicas
 from testkit.notice_fleet import NoticeFleet
 
@@ -39,7 +42,9 @@
         async def scenario() -> NoticeFleet:
             fleet = NoticeFleet(count=count)
             await fleet.start()
+            ticking = asyncio.create_task(tick_often(fleet))
             await work(fleet)
+            ticking.cancel()
             await fleet.stop()
             return fleet
 
@@ -125,6 +130,51 @@
         for count in (FEW, MANY):
             self.play(count, work)
 
+    def test_a_zone_taken_out_since_the_copy_stays_out_until_it_is_written_again(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            copy = fleet.store.copy()
+            fleet.take_out('north')
+            await asyncio.sleep(DRAIN_S)
+            back = asyncio.create_task(fleet.store.go_back(copy, AWAY_S, again_s=4.0))
+            while not back.done():
+                await asyncio.sleep(0.1)
+                for box in fleet.boxes.values():
+                    self.assertEqual({'north'}, box.box.replicas.evacuated)
+            await asyncio.sleep(KEEP_S)
+            for box in fleet.boxes.values():
+                self.assertEqual({'north'}, box.box.replicas.evacuated)
+
+        for count in (FEW, MANY):
+            self.play(count, work)
+
+    def test_a_zone_that_nobody_takes_out_again_is_given_back(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            copy = fleet.store.copy()
+            fleet.take_out('north')
+            await asyncio.sleep(DRAIN_S)
+            await fleet.store.go_back(copy, AWAY_S, again_s=2 * KEEP_S)
+            fleet.give_back('north')
+            await asyncio.sleep(DRAIN_S)
+            for box in fleet.boxes.values():
+                self.assertEqual(frozenset(), box.box.replicas.evacuated)
+
+        for count in (FEW, MANY):
+            self.play(count, work)
+
+    def test_a_live_replica_that_the_copy_brings_back_is_called_again(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            copy = fleet.store.copy()
+            entry = fleet.withdraw('look-north')
+            await asyncio.sleep(DRAIN_S)
+            fleet.store.log = [item for item in fleet.store.log if item[2].name != entry.id]
+            await fleet.store.go_back(copy, AWAY_S)
+            await asyncio.sleep(settings('box-0', 'north').replica_lapse_s + APPLY_S)
+            for box in fleet.boxes.values():
+                self.assertIn(entry, box.box.replicas.usable('look'))
+
+        for count in (FEW, MANY):
+            self.play(count, work)
+
     def test_replicas_announced_since_the_copy_go_on_being_called(self) -> None:
         async def work(fleet: NoticeFleet) -> None:
             for name in ('desk-north', 'desk-south', 'desk-2', 'desk-3'):
@@ -243,6 +293,14 @@
             self.play(count, work)
 
 
+async def tick_often(fleet: NoticeFleet) -> None:
+    """Do at every box what is due by time, as the runner does."""
+    while True:
+        for box in fleet.boxes.values():
+            box.box.tick()
+        await asyncio.sleep(TICK_S)
+
+
 async def go_back(fleet: NoticeFleet, *, lost: int, away_s: float = AWAY_S) -> None:
     """Have the store go back by some configurations, which are not written again yet."""
     for version in range(2, 4):
