Boxes that have ended are withdrawn again where the store lists them again

Operators saw boxes listed that had left: the copy holds them, their processes are gone, and budgets are split among more boxes than there are for good. Cause: a box withdraws its record once, as it ends.

--- a/packages/core/calicopath_core/fleet/restoring.py
+++ b/packages/core/calicopath_core/fleet/restoring.py
@@ -157,6 +157,11 @@
             held.show(change.name, change.record, now)
         self.inner.on_changes(kind, position, changes)
 
+    def withdrawn_boxes(self) -> list[BoxAddress]:
+        """Return the boxes that have ended and that the store lists again."""
+        pending = self.kinds[RecordKind.BOX].pending.values()
+        return [item.record for item in pending if isinstance(item.record, BoxAddress)]
+
     def expire(self) -> None:
         """Believe what has stood for long enough, and forget what is long gone."""
         now = self.clock.monotonic()
--- a/packages/core/calicopath_core/fleet/subscription.py
+++ b/packages/core/calicopath_core/fleet/subscription.py
@@ -71,6 +71,7 @@
         store: FleetStore,
         on_unread: Callable[[FleetStoreError], None],
         rng: random.Random,
+        withdrawn: Callable[[], list[BoxAddress]],
     ) -> None:
         self.own = own
         self.clock = clock
@@ -92,6 +93,7 @@
         self.source: str | None = None
         self.store = store
         self.on_unread = on_unread
+        self.withdrawn = withdrawn
         self.noted: tuple[BoxAddress, ...] | None = None
         self.noted_era = NOTHING.era
         self.start = Start(
@@ -218,11 +220,25 @@
             return
         self.noted = relays
 
+    async def withdraw_ended(self) -> None:
+        """Remove the records of boxes that have ended, if this is the first of the relays.
+
+        A box that starts under such a name at the same moment finds its record missing.
+        """
+        if not self.choice.is_first or self.leaving:
+            return
+        for box in self.withdrawn():
+            try:
+                await self.store.withdraw(box)
+            except FleetStoreError as error:
+                self.on_unread(error)
+
     async def note_often(self) -> None:
-        """Keep what is written down of relays up to date until cancelled."""
+        """Keep up to date what the first of the relays writes, until cancelled."""
         while True:
             await asyncio.sleep(NOTE_S)
             await self.note_relays()
+            await self.withdraw_ended()
 
     async def run(self) -> None:
         """Start, then keep subscriptions, and this box's work as a relay, until cancelled."""
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -205,6 +205,7 @@
             store=store,
             on_unread=observer.on_relays_unread,
             rng=self.rng,
+            withdrawn=self.restored.withdrawn_boxes,
         )
         self.link.scheduler, self.link.client = self.scheduler, self.client
         self.link.subscription, self.link.crashes = self.subscription, self.sharing
--- a/packages/daemon/calicopathd/gateway/tests/restored_store_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/restored_store_tests.py
@@ -245,6 +245,22 @@
 
         self.play(FEW, work)
 
+    def test_a_box_that_has_left_is_not_listed_because_the_copy_holds_it(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            copy = fleet.store.copy()
+            gone = fleet.boxes['box-2']
+            fleet.kill('box-2')
+            await gone.store.withdraw(gone.box.own)
+            await asyncio.sleep(1.0)
+            await fleet.store.go_back(copy, AWAY_S)
+            await asyncio.sleep(APPLY_S)
+            self.assertNotIn('box-2', fleet.store.records[RecordKind.BOX])
+            for box in fleet.boxes.values():
+                self.assertEqual(len(fleet.boxes), box.box.election.boxes_sharing())
+
+        for count in (FEW, MANY):
+            self.play(count, work)
+
     def test_relays_that_the_copy_lacks_are_written_down_again(self) -> None:
         async def work(fleet: NoticeFleet) -> None:
             noted = fleet.store.relays
