Own interface: versions that a store which came back from a copy does not give out twice

What callers would see: an operator's change that is in force nowhere until the store's numbers have passed the ones held; and a request that must not run twice granted a second time, since its claim was lost with the copy, or since a write with a number given out again replaced another box's claims.

Cause: numbers of the store were taken for an order for ever, and for names of contents. Change: a version holds the era in which its object was written, in front of the store's number (store/versions.py, made in the adapter; the platform's stand-in stamps objects and compares both on a write). Views and gossip, which compare versions, then never revert and take what is written in the new era. Writers of claims join what the store has lost of a group to what it holds, and write that.

--- a/packages/clients/calicopath_clients/platform.py
+++ b/packages/clients/calicopath_clients/platform.py
@@ -8,6 +8,7 @@
 import aiohttp
 import msgspec
 
+from calicopath_core.store import versions
 from calicopath_core.store.base import (
     BoxList,
     BoxRecord,
@@ -81,10 +82,11 @@
         It is sent as a POST: a PUT counts as idempotent, and the HTTP library would repeat it by
         itself after a lost answer.
         """
+        expected = versions.split(expected_version)
         try:
             async with self.session.post(
                 self.object_url(key),
-                params={'expected': str(expected_version)},
+                params={'expected': str(expected.number), 'era': str(expected.era)},
                 data=msgspec.json.encode(value),
                 timeout=self.timeout,
             ) as response:
@@ -141,4 +143,5 @@
 
 def stored_object(data: dict[str, Any]) -> StoredObject:
     """Return an object from its JSON form."""
-    return StoredObject(data['key'], data['version'], data['value'])
+    written = versions.StoreVersion(data.get('era', 0), data['version'])
+    return StoredObject(data['key'], versions.join(written), data['value'])
--- a/packages/clients/calicopath_clients/tests/platform_tests.py
+++ b/packages/clients/calicopath_clients/tests/platform_tests.py
@@ -35,6 +35,22 @@
 
         asyncio.run(scenario())
 
+    def test_an_object_is_not_replaced_by_its_number_of_an_earlier_era(self) -> None:
+        async def scenario() -> None:
+            platform = PlatformStandIn()
+            async with served(platform.app()) as url, new_session() as session:
+                store = HttpObjectStore(url=url, session=session)
+                await session.post(f'{url}/admin/copy')
+                lost = await store.put('config/a', {'n': 1}, 0)
+                await session.post(f'{url}/admin/restore')
+                again = await store.put('config/a', {'n': 2}, 0)
+                self.assertGreater(again.version, lost.version)
+                with self.assertRaises(VersionConflict):
+                    await store.put('config/a', {'n': 3}, lost.version)
+                await store.put('config/a', {'n': 3}, again.version)
+
+        asyncio.run(scenario())
+
     def test_a_write_whose_answer_is_lost_is_unknown_and_took_effect(self) -> None:
         async def scenario() -> None:
             platform = PlatformStandIn()
--- a/packages/core/calicopath_core/claims/groups.py
+++ b/packages/core/calicopath_core/claims/groups.py
@@ -14,8 +14,10 @@
     Op,
     OpResult,
     ReleaseOp,
+    joined,
     raise_threshold,
 )
+from calicopath_core.store import versions
 from calicopath_core.store.base import (
     ABSENT,
     StoreUnavailable,
@@ -78,6 +80,8 @@
         self.written_bytes = 0
         self.waiting: deque[WaitingOp] = deque()
         self.version: int | None = None
+        self.known_version = ABSENT
+        self.must_write = False
         self.value = GroupValue(threshold_ms=0, claims={})
         self.task: asyncio.Task[None] | None = None
         self.next_write = 0.0
@@ -143,7 +147,7 @@
             # What looks taken may have been answered or released by another box since.
             await self.read()
             value, results = self.evaluate(batch)
-        if value == self.value:
+        if value == self.value and not self.must_write:
             return results
         self.written_bytes += self.shrink(value)
         for item in batch:
@@ -154,7 +158,8 @@
         # A write that met a conflict did not happen, and must not make the next one wait.
         self.next_write = asked + self.write_interval_s
         self.value = value
-        self.version = stored.version
+        self.version = self.known_version = stored.version
+        self.must_write = False
         return results
 
     def evaluate(self, batch: list[WaitingOp]) -> tuple[GroupValue, list[OpResult]]:
@@ -165,13 +170,25 @@
         return value, [item.op.apply(value) for item in batch]
 
     async def read(self) -> None:
-        """Read the group from the store."""
+        """Read the group from the store; what it has lost of it is written again."""
         stored = await self.store.get(self.key)
-        self.value = GroupValue(threshold_ms=0, claims={})
+        value = GroupValue(threshold_ms=0, claims={})
         self.version = ABSENT
         if stored is not None:
-            self.value = msgspec.convert(stored.value, GroupValue)
+            value = msgspec.convert(stored.value, GroupValue)
             self.version = stored.version
+        if self.went_back(self.version):
+            value = joined(value, self.value)
+            self.must_write = True
+        self.value = value
+        self.known_version = self.version
+
+    def went_back(self, version: int) -> bool:
+        """Tell whether the store came back from a copy since this box knew the group."""
+        if self.known_version == ABSENT:
+            return False
+        other_era = versions.split(version).era != versions.split(self.known_version).era
+        return other_era or version < self.known_version
 
     def finish(self, batch: list[WaitingOp], results: list[OpResult]) -> None:
         """Hand out results; a claim granted to somebody who has given up is undone."""
--- a/packages/core/calicopath_core/claims/operations.py
+++ b/packages/core/calicopath_core/claims/operations.py
@@ -120,6 +120,17 @@
 Op = ClaimOp | RecordOp | ReleaseOp | CloseOp
 
 
+def joined(found: GroupValue, known: GroupValue) -> GroupValue:
+    """Return a group in which everything counts as claimed that does in either of two."""
+    claims = {**known['claims'], **found['claims']}
+    for key, claim in known['claims'].items():
+        if claim['state'] == ClaimState.ANSWERED.value:
+            claims[key] = claim
+    value = GroupValue(threshold_ms=found['threshold_ms'], claims=claims)
+    raise_threshold(value, known['threshold_ms'])
+    return value
+
+
 def raise_threshold(value: GroupValue, threshold_ms: int) -> None:
     """Drop the claims up to a time and remember that they were there."""
     value['threshold_ms'] = max(value['threshold_ms'], threshold_ms)
--- a/packages/core/calicopath_core/claims/tests/claims_tests.py
+++ b/packages/core/calicopath_core/claims/tests/claims_tests.py
@@ -77,6 +77,43 @@
 
         self.run_virtual(scenario())
 
+    def test_a_claim_that_a_copy_of_the_store_lacks_is_not_granted_again(self) -> None:
+        async def scenario(others: int) -> None:
+            state = StoreState()
+            one, other = new_registry(state, 'a'), new_registry(state, 'b')
+            await one.claim(key(1), 'body', 1)
+            copy = state.copy()
+            granted = await one.claim(key(2), 'body', 1)
+            assert isinstance(granted, Granted)
+            state.go_back(copy)
+            for number in range(others):
+                # Versions are given out again, by writes that do not know of the lost claim.
+                await other.claim(key(10 + number), 'body', 1)
+            self.assertIsInstance(await one.claim(key(2), 'body', 1), Taken)
+            self.assertIsInstance(await other.claim(key(2), 'body', 1), Taken)
+            await one.record(granted, {'output': 'x'}, 1)
+            again = await other.claim(key(2), 'body', 1)
+            assert isinstance(again, Taken)
+            assert again.claim is not None
+            self.assertEqual({'output': 'x'}, again.claim.get('answer'))
+
+        for others in range(4):
+            self.run_virtual(scenario(others))
+
+    def test_a_write_does_not_replace_what_has_its_number_in_a_later_era(self) -> None:
+        async def scenario() -> None:
+            state = StoreState()
+            copy = state.copy()
+            one, other = new_registry(state, 'a'), new_registry(state, 'b')
+            await one.claim(key(1), 'body', 1)
+            state.go_back(copy)
+            self.assertIsInstance(await other.claim(key(2), 'body', 1), Granted)
+            await one.claim(key(3), 'body', 1)
+            self.assertIsInstance(await one.claim(key(2), 'body', 1), Taken)
+            self.assertEqual(3, len(group_value(state, key())['claims']))
+
+        self.run_virtual(scenario())
+
     def test_a_store_that_is_down_refuses_at_once(self) -> None:
         async def scenario() -> None:
             state = StoreState()
--- a/packages/core/calicopath_core/store/base.py
+++ b/packages/core/calicopath_core/store/base.py
@@ -15,7 +15,11 @@
 
 
 class StoredObject(NamedTuple):
-    """Hold an object as the store returns it; versions of a key only grow."""
+    """Hold an object as the store returns it.
+
+    Versions of a key only grow and are never given out again, as `store.versions` makes them. A
+    store that comes back from a copy may hold an earlier one.
+    """
 
     key: str
     version: int
--- a/packages/core/calicopath_core/store/tests/feed_tests.py
+++ b/packages/core/calicopath_core/store/tests/feed_tests.py
@@ -46,6 +46,28 @@
         await asyncio.gather(task, return_exceptions=True)
 
 
+class Restored(VirtualCase):
+    def test_a_change_after_the_store_went_back_is_in_force_and_none_before_reverts(self) -> None:
+        async def scenario(lost: int) -> None:
+            state = StoreState()
+            async with followed(state) as (view, _, _):
+                put(state, 1)
+                copy = state.copy()
+                for content in range(2, 2 + lost):
+                    put(state, content)
+                await asyncio.sleep(IN_FORCE_S)
+                before = view.entries[KEY]
+                state.go_back(copy)
+                await asyncio.sleep(2 * IN_FORCE_S)
+                self.assertEqual(before, view.entries[KEY])
+                put(state, 99)
+                await asyncio.sleep(IN_FORCE_S)
+                self.assertEqual({'n': 99}, view.entries[KEY].spec)
+
+        for lost in range(4):
+            self.run_virtual(scenario(lost))
+
+
 class Following(VirtualCase):
     def test_a_change_is_in_force_as_soon_as_its_event_comes(self) -> None:
         async def scenario() -> None:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -2,7 +2,8 @@
 
 Faults are set by `POST /admin/faults`: `down` refuses everything, `slow_s` delays each answer,
 `lose_answers` closes the connection after a write took effect, `silent_watches` stops sending
-events without ending the watch.
+events without ending the watch. `POST /admin/copy` takes a copy, `POST /admin/restore` has the
+platform come back from it: numbers are given out again, under an era one higher.
 """
 
 from __future__ import annotations
@@ -34,11 +35,13 @@
 
 
 class PlatformStandIn:
-    """Keep objects in memory, with one version sequence for all keys."""
+    """Keep objects in memory, with one version sequence for all keys in each era."""
 
     def __init__(self) -> None:
         self.objects: dict[str, dict[str, Any]] = {}
         self.version = 0
+        self.era = 0
+        self.copied: tuple[int, dict[str, dict[str, Any]]] = (0, {})
         self.boxes: dict[str, dict[str, Any]] = {}
         self.faults = Faults()
         self.counts: Counter[str] = Counter()
@@ -56,6 +59,8 @@
         app.router.add_delete('/admin/boxes/{name}', self.delete_box)
         app.router.add_post('/admin/faults', self.set_faults)
         app.router.add_get('/admin/counts', self.get_counts)
+        app.router.add_post('/admin/copy', self.take_copy)
+        app.router.add_post('/admin/restore', self.restore)
         return app
 
     async def fault(self, request: web.Request, kind: str) -> None:
@@ -91,11 +96,11 @@
         value = await read_json(request)
         await self.fault(request, 'write')
         held = self.objects.get(key)
-        version = held['version'] if held else 0
-        if version != int(request.query['expected']):
-            return json_response({'found': version}, 409)
+        found = (held['era'], held['version']) if held else (0, 0)
+        if found != (int(request.query.get('era', 0)), int(request.query['expected'])):
+            return json_response({'found': found}, 409)
         self.version += 1
-        stored = {'key': key, 'version': self.version, 'value': value}
+        stored = {'key': key, 'era': self.era, 'version': self.version, 'value': value}
         self.objects[key] = stored
         self.publish(stored)
         if self.faults.lose_answers > 0:
@@ -157,6 +162,19 @@
             self.end_watches()
         return json_response(vars(self.faults))
 
+    async def take_copy(self, request: web.Request) -> web.StreamResponse:
+        """Take a copy to come back from."""
+        self.copied = (self.version, dict(self.objects))
+        return json_response({'version': self.version})
+
+    async def restore(self, request: web.Request) -> web.StreamResponse:
+        """Come back from the copy taken last."""
+        version, objects = self.copied
+        self.version, self.objects = version, dict(objects)
+        self.era += 1
+        self.end_watches()
+        return json_response({'era': self.era})
+
     def end_watches(self) -> None:
         """Wake every watch so that it sees the platform down."""
         for queue in self.watchers:
--- a/testkit/fake_store.py
+++ b/testkit/fake_store.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Any
 
+from calicopath_core.store import versions
 from calicopath_core.store.base import (
     ABSENT,
     ObjectStore,
@@ -52,11 +53,15 @@
 
 
 class StoreState:
-    """Hold the objects, as one platform does for all boxes."""
+    """Hold the objects, as one platform does for all boxes.
+
+    `era` counts how often it came back from a copy; `sequence` goes back with it.
+    """
 
     def __init__(self) -> None:
         self.objects: dict[str, StoredObject] = {}
         self.sequence = 0
+        self.era = 0
         self.watchers: list[tuple[str, asyncio.Queue[StoredObject | None]]] = []
         self.counts: Counter[str] = Counter()
         self.down = False
@@ -67,13 +72,24 @@
         if (held.version if held else ABSENT) != expected:
             raise VersionConflict(f'{key} is not at version {expected}')
         self.sequence += 1
-        stored = StoredObject(key, self.sequence, value)
+        version = versions.join(versions.StoreVersion(self.era, self.sequence))
+        stored = StoredObject(key, version, value)
         self.objects[key] = stored
         for prefix, queue in self.watchers:
             if key.startswith(prefix):
                 queue.put_nowait(stored)
         return stored
 
+    def copy(self) -> tuple[int, dict[str, StoredObject]]:
+        """Return a copy to come back from."""
+        return self.sequence, dict(self.objects)
+
+    def go_back(self, copy: tuple[int, dict[str, StoredObject]]) -> None:
+        """Come back from a copy: what was written since is gone, numbers are given out again."""
+        self.sequence, self.objects = copy[0], dict(copy[1])
+        self.era += 1
+        self.end_watches()
+
     def end_watches(self) -> None:
         """End every watch, as an outage does."""
         for _, queue in self.watchers:
