A box that passes a refusal on knows what blocks the request

Cause: the box refused by its scheduler's word, which carries the reason and not the ends; 0.5 s later it became the scheduler itself, had counted two ends of three and placed the request.

Change: the scheduler sends what blocks a request to the box right ahead of the refusal; one message for each refusal of this kind.

Evidence: the new test fails without it (the box's ledger does not block the request as the refusal comes) and passes with it.

--- a/packages/core/calicopath_core/crashes/guard.py
+++ b/packages/core/calicopath_core/crashes/guard.py
@@ -43,6 +43,12 @@
         """Return how long a request is not sent on yet, nothing if it may be."""
         return self.ledger.blocked_s(content, services)
 
+    def tell(self, address: str, content: str, services: Iterable[str]) -> None:
+        """Tell a box what blocks a request."""
+        found = {key for service in services for key in keys_of(content, service).all}
+        keys = [key for key in self.ledger.blocked if key in found]
+        self.sharing.send(address, self.sharing.news_of(keys))
+
     async def on_failed(
         self,
         contents: Iterable[str],
--- a/packages/core/calicopath_core/scheduling/rejections.py
+++ b/packages/core/calicopath_core/scheduling/rejections.py
@@ -150,5 +150,7 @@
         wait_s = self.crashes.blocked_s(job.place.content, job.place.services)
         if wait_s is None:
             return True
+        # The box that passes this on may be the next to schedule, and must refuse it then too.
+        self.crashes.tell(job.place.reply_to, job.place.content, job.place.services)
         self.reject(job, 'crashes-replicas', wait_s)
         return False
--- a/packages/daemon/calicopathd/gateway/tests/crashing_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/crashing_tests.py
@@ -19,7 +19,8 @@
 
 from calicopath_core.crashes.messages import Evidence
 from calicopath_core.crashes.suspects import keys_of
-from calicopath_core.scheduling.messages import Prompt, PromptPart
+from calicopath_core.scheduling.election import PING_S
+from calicopath_core.scheduling.messages import Prompt, PromptPart, Rejected
 from testkit.crashing_fleet import CONTACT_S, MOST_LATE, POISON, CrashingCase, CrashingFleet
 
 
@@ -155,6 +156,34 @@
 
         self.play(work)
 
+    # A box passed a refusal on, took up scheduling and sent the request on, as it lacked an end.
+    def test_a_box_that_passes_a_refusal_on_knows_what_blocks_the_request(self) -> None:
+        async def work(fleet: CrashingFleet) -> None:
+            box, scheduler = fleet.boxes['box-2'].box, fleet.boxes['box-0'].box
+            self.assertEqual({scheduler.own.address}, fleet.schedulers())
+            await asyncio.sleep(PING_S / 4)
+            sink = fleet.ask('box-2', POISON)
+            await asyncio.sleep(0.0)
+            content = next(iter(box.client.asked.values())).place.content
+            ages = {f'gone-{number}@1': (1.0 + number, 9.0) for number in range(3)}
+            scheduler.ledger.merge(
+                [Evidence(keys_of(content, 'engine').own.content, 'engine', ages, None)], 'another'
+            )
+            known: list[float | None] = []
+            take_in = box.client.on_rejected
+
+            def on_rejected(message: Rejected) -> None:
+                known.append(box.ledger.blocked_s(content, ['engine']))
+                take_in(message)
+
+            box.client.on_rejected = on_rejected  # type: ignore[method-assign]
+            await fleet.settle()
+            self.assertEqual((503, 'crashes-replicas'), (sink.status, sink.reason))
+            self.assertNotIn(None, known)
+            self.assertEqual(1, len(known))
+
+        self.play(work)
+
     def test_what_was_placed_is_not_sent_if_its_box_knows_better(self) -> None:
         async def work(fleet: CrashingFleet) -> None:
             box = fleet.boxes['box-2'].box
