A replica at whose address another answers is called no more, by any box

Cause: a 421 to a call that names a replica was read as telling nothing, though it proves that this life is over; the same dead identifiers were placed again for every request, and each arrival took a repeat from the service's budget until it was empty.

Change: such an answer is a notice of its own (is_other); the word is kept beside that of replicas that leave, told to the hubs at once and healed by digests, and bars the life as gone, at choosers and at the gate. It is bound to the address: the same identifier announced elsewhere is called. Line 616, a counter, 'gone' with who told in calicopath replicas. Whether a replica has ended under a request sees it too.

--- a/packages/core/calicopath_core/crashes/fate.py
+++ b/packages/core/calicopath_core/crashes/fate.py
@@ -67,7 +67,7 @@
             known = self.replicas.replicas.get(self.replica.id)
             if self.replicas.leaves(known or self.replica):
                 return False
-            if known is None:
+            if known is None or self.replicas.has_ended(known):
                 return True
             await asyncio.sleep(LAPSE_CHECK_S)
         return False
--- a/packages/core/calicopath_core/fleet/gate.py
+++ b/packages/core/calicopath_core/fleet/gate.py
@@ -123,16 +123,24 @@
         return permitted or not self.limits.binds(replica)
 
     def on_notice(self, replica: Replica, notice: Notice) -> None:
-        """Keep what a replica's answer tells."""
+        """Keep what a replica's answer tells; another one's tells only that this one is gone."""
+        if notice.is_other:
+            self.note_ending(replica, replica.address)
+            return
         self.limits.on_notice(replica, notice)
-        if notice.leaving and self.leaving.note(replica.id, replica.born):
-            self.on_leaving(replica.id)
+        if notice.leaving:
+            self.note_ending(replica)
         if notice.backoff_s > 0:
             self.backoffs.note(replica, notice.backoff_s)
             self.on_backoff(replica)
         else:
             self.backoffs.on_accepted(replica)
 
+    def note_ending(self, replica: Replica, lost_address: str = '') -> None:
+        """Keep that a replica leaves, or that another has its address, and tell of it."""
+        if self.leaving.note(replica.id, replica.born, lost_address=lost_address):
+            self.on_leaving(replica.id)
+
     def expire(self) -> None:
         """Forget what is old."""
         self.backoffs.expire()
--- a/packages/core/calicopath_core/fleet/leaving.py
+++ b/packages/core/calicopath_core/fleet/leaving.py
@@ -1,7 +1,8 @@
-"""Hold which replicas have said in their answers that they leave.
+"""Hold which replicas have said in their answers that they leave, and whose lives are over.
 
 The word is of one life of a replica: a later life ends it, an entry in the store that still says
-`ready` does not, be it older or newer. A replica does not take it back.
+`ready` does not, be it older or newer. A replica does not take it back. A life is over once another
+replica answers at its address, which is given to no other before.
 """
 
 from __future__ import annotations
@@ -28,14 +29,20 @@
 """Words kept, 0.2 KB each: more than there are replicas at the size to design for (12,000)."""
 
 OWN = 'own'
+OVER_MARK = '!'
+"""Sets a life that is over apart from one that leaves, in digests."""
 
 
 class Word(NamedTuple):
-    """Hold which life of a replica leaves, when this was heard (monotonic seconds), from whom."""
+    """Hold which life of a replica leaves, when this was heard (monotonic seconds), from whom.
+
+    `lost_address` is the address at which another answers, empty for one that only leaves.
+    """
 
     born: float
     at: float
     source: str
+    lost_address: str = ''
 
 
 class LeavingReplicas:
@@ -48,30 +55,49 @@
         self.listeners: list[Callable[[], None]] = []
         self.cached_digest: str | None = None
 
-    def note(self, replica: str, born: float, age_s: float = 0.0, source: str = OWN) -> bool:
-        """Note that a life of a replica leaves; tell whether that is news."""
-        if not self.keep(replica, born, age_s, source):
+    def note(
+        self,
+        replica: str,
+        born: float,
+        age_s: float = 0.0,
+        source: str = OWN,
+        lost_address: str = '',
+    ) -> bool:
+        """Note that a life of a replica leaves, or is over; tell whether that is news."""
+        word = Word(born, self.clock.monotonic() - age_s, source, lost_address)
+        if not self.keep(replica, word):
             return False
         for listener in self.listeners:
             listener()
         return True
 
-    def keep(self, replica: str, born: float, age_s: float, source: str) -> bool:
+    def keep(self, replica: str, word: Word) -> bool:
         """Keep a word unless it is known; tell whether that is news."""
         known = self.words.get(replica)
-        if known is not None and known.born >= born:
+        if known is not None and (known.born, bool(known.lost_address)) >= (
+            word.born,
+            bool(word.lost_address),
+        ):
             return False
         if len(self.words) >= MAX_WORDS:
             self.forget(min(self.words, key=lambda name: self.words[name].at))
-        self.words[replica] = Word(born, self.clock.monotonic() - age_s, source)
+        self.words[replica] = word
         self.cached_digest = None
-        self.observer.on_leaving(replica, source)
+        tell = self.observer.on_over if word.lost_address else self.observer.on_leaving
+        tell(replica, word.source)
         return True
 
     def holds(self, replica: Replica) -> bool:
         """Tell whether a replica, in the life that its entry tells of, has said that it leaves."""
         word = self.words.get(replica.id)
-        return word is not None and replica.born <= word.born
+        return word is not None and not word.lost_address and replica.born <= word.born
+
+    def has_ended(self, replica: Replica) -> bool:
+        """Tell whether the life that a replica's entry tells of is over."""
+        word = self.words.get(replica.id)
+        if word is None or word.lost_address != replica.address:
+            return False
+        return replica.born <= word.born
 
     def expire(self, known: Container[str]) -> None:
         """Forget old words of replicas that are not known any more."""
@@ -91,10 +117,14 @@
         since = self.clock.monotonic() - SHARE_S
         return sorted(name for name, word in self.words.items() if word.at >= since)
 
+    def marked(self, replica: str) -> str:
+        """Return what stands for a word in digests."""
+        return replica + OVER_MARK if self.words[replica].lost_address else replica
+
     def digest(self) -> str:
         """Return what is alike at boxes that share the same; empty for nothing."""
         if self.cached_digest is None:
-            self.cached_digest = digest_of(self.shared())
+            self.cached_digest = digest_of(self.marked(name) for name in self.shared())
         return self.cached_digest
 
 
--- a/packages/core/calicopath_core/fleet/leaving_sharing.py
+++ b/packages/core/calicopath_core/fleet/leaving_sharing.py
@@ -21,11 +21,15 @@
 
 
 class LeavingWord(msgspec.Struct, frozen=True, array_like=True):
-    """Tell that a life of a replica leaves, and how many seconds ago that was heard."""
+    """Tell that a life of a replica leaves, and how many seconds ago that was heard.
+
+    `lost_address` is where another answers if the life is over.
+    """
 
     replica: str
     born: float
     age_s: float
+    lost_address: str = ''
 
 
 class LeavingNews(News, frozen=True, tag='lv'):
@@ -68,7 +72,10 @@
     def message(self, names: Iterable[str], *, whole: bool) -> LeavingNews:
         """Return the latest words of some replicas."""
         now, held = self.clock.monotonic(), self.leaving.words
-        words = [LeavingWord(name, held[name].born, now - held[name].at) for name in names]
+        words = [
+            LeavingWord(name, held[name].born, now - held[name].at, held[name].lost_address)
+            for name in names
+        ]
         words.sort(key=lambda word: word.age_s)
         return LeavingNews(
             sender=self.own_address, whole=whole, words=tuple(words[:MAX_WORDS_TOLD])
@@ -79,12 +86,19 @@
         return [
             word.replica
             for word in news.words
-            if self.leaving.note(word.replica, word.born, word.age_s, news.sender)
+            if self.leaving.note(
+                word.replica, word.born, word.age_s, news.sender, word.lost_address
+            )
         ]
 
     def lacks(self, news: LeavingNews) -> bool:
         """Tell whether this box shares a word that is not in another's news."""
-        return not {word.replica for word in news.words}.issuperset(self.leaving.shared())
+        told = {word.replica: word.lost_address for word in news.words}
+        held = self.leaving.words
+        return any(
+            name not in told or (held[name].lost_address and not told[name])
+            for name in self.leaving.shared()
+        )
 
 
 LEAVING_MESSAGES = (LeavingNews,)
--- a/packages/core/calicopath_core/fleet/notices.py
+++ b/packages/core/calicopath_core/fleet/notices.py
@@ -21,13 +21,15 @@
     One that is `leaving` wants no new work from anybody; `backoff_s` is for how many seconds it
     wants nothing from the box that it answered, 0 if it asks for none. `limit_per_s` is how many
     requests a second it takes from all boxes together, nothing if it names no limit; `ran` is false
-    for an answer that turns its call away.
+    for an answer that turns its call away. `is_other` says that another replica has answered at its
+    address: its life is over.
     """
 
     leaving: bool = False
     backoff_s: float = 0.0
     limit_per_s: float | None = None
     ran: bool = True
+    is_other: bool = False
 
 
 NOTHING_TOLD = Notice()
@@ -84,6 +86,10 @@
     def on_leaving(self, replica: str, source: str) -> None:
         """Note that a replica says that it leaves; `source` is `own` or the box that told."""
 
+    @abstractmethod
+    def on_over(self, replica: str, source: str) -> None:
+        """Note that another replica answers at a replica's address."""
+
     @abstractmethod
     def on_backoff(self, replica: Replica, backoff_s: float) -> None:
         """Note a replica that wants nothing from this box for a while."""
--- a/packages/core/calicopath_core/fleet/replicas.py
+++ b/packages/core/calicopath_core/fleet/replicas.py
@@ -110,7 +110,7 @@
         if replica_id not in self.replicas or replica_id in self.leaving_at:
             return
         until = self.doubted_until(now)
-        if until > now and not self.leaves(self.replicas[replica_id]):
+        if until > now and not self.is_ending(self.replicas[replica_id]):
             self.leaving_at[replica_id] = until
             return
         del self.replicas[replica_id]
@@ -165,10 +165,18 @@
         """Tell whether a replica has said that it leaves, in its entry or in an answer."""
         return replica.draining or (self.leaving is not None and self.leaving.holds(replica))
 
+    def has_ended(self, replica: Replica) -> bool:
+        """Tell whether another replica has answered at a replica's address."""
+        return self.leaving is not None and self.leaving.has_ended(replica)
+
+    def is_ending(self, replica: Replica) -> bool:
+        """Tell whether a replica is known to end, or to have ended, but for its entry."""
+        return self.leaves(replica) or self.has_ended(replica)
+
     def bar_of(self, replica: Replica) -> Bar | None:
         """Return why a replica gets no new work from any box, as far as this one knows."""
         found = self.replicas.get(replica.id)
-        if found is None or found.born > replica.born:
+        if found is None or found.born > replica.born or self.has_ended(found):
             return Bar.GONE
         if found.draining:
             return Bar.DRAINING
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -94,6 +94,10 @@
 )
 LIMIT_ENDED = Event(614, 'info', 'limit ended', 'A replica names no limit any more.')
 
+REPLICA_OVER = Event(
+    616, 'info', 'replica over', 'Another replica answers at its address; it is called no more.'
+)
+
 JOB_PLACED = Event(701, 'info', 'job placed', 'An engine was chosen for a request.')
 JOB_REJECTED = Event(702, 'warning', 'job rejected', 'A request will not be placed.')
 STAGE_CALLED = Event(703, 'info', 'stage called', "A call to a stage's replica is done.")
--- a/packages/daemon/calicopathd/gateway/barred.py
+++ b/packages/daemon/calicopathd/gateway/barred.py
@@ -69,8 +69,8 @@
     since_1970 = box.clock.wall() - box.clock.monotonic()
     since = until = 0.0
     source = STORE
-    if bar is Bar.LEAVING:
-        word = box.notices.leaving.words[replica.id]
+    word = box.notices.leaving.words.get(replica.id)
+    if word is not None and bar in (Bar.LEAVING, Bar.GONE):
         since, source = word.at + since_1970, word.source
     elif bar is Bar.BACKOFF:
         backoff = box.gate.backoffs.held[replica.id]
--- a/packages/daemon/calicopathd/gateway/metrics.py
+++ b/packages/daemon/calicopathd/gateway/metrics.py
@@ -35,6 +35,9 @@
         self.leaving = self.counter(
             'replicas_leaving_total', 'Replicas whose answers told this box that they leave.'
         )
+        self.over = self.counter(
+            'replicas_over_total', 'Replicas at whose addresses others have answered.'
+        )
         self.backoffs = self.counter(
             'replica_backoffs_total', 'Times that a replica wanted nothing from this box.'
         )
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -120,6 +120,11 @@
         self.metrics.leaving.inc({'source': 'own' if source == OWN else 'peer'})
         events.emit(log, events.REPLICA_LEAVING, replica=replica, source=source)
 
+    def on_over(self, replica: str, source: str) -> None:
+        """Note that another replica answers at a replica's address."""
+        self.metrics.over.inc({'source': 'own' if source == OWN else 'peer'})
+        events.emit(log, events.REPLICA_OVER, replica=replica, source=source)
+
     def on_backoff(self, replica: Replica, backoff_s: float) -> None:
         """Note a replica that wants nothing from this box for a while."""
         self.metrics.backoffs.inc({'service': replica.service})
--- /dev/null
+++ b/packages/daemon/calicopathd/gateway/tests/replaced_tests.py
@@ -0,0 +1,85 @@
+"""Test that replicas at whose addresses others answer are called no more."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from calicopath_core.fleet.notices import Bar
+from testkit.cases import VirtualCase
+from testkit.notice_fleet import NoticeFleet
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+MOST_CALLS = 8
+"""Calls that a life which is over may cost four boxes: two each are on their way as it shows."""
+
+GAP_S = 0.04
+
+
+class Replaced(VirtualCase):
+    def play(self, work: Callable[[NoticeFleet], Awaitable[None]]) -> NoticeFleet:
+        """Run boxes that the store does not answer, and do some work with them."""
+
+        async def scenario() -> NoticeFleet:
+            fleet = NoticeFleet()
+            await fleet.start()
+            fleet.silence_store()
+            await work(fleet)
+            await fleet.stop()
+            return fleet
+
+        return self.run_virtual(scenario())
+
+    def check(self, route: str, gap_s: float, *names: str) -> None:
+        """Check that all are served and that those replaced get a handful of calls each."""
+
+        async def work(fleet: NoticeFleet) -> None:
+            fleet.replace(*names)
+            sinks = await fleet.load(route, gap_s, for_s=6.0)
+            await fleet.settle()
+            self.assertEqual([], [sink.reason for sink in sinks if sink.status != 200])
+
+        fleet = self.play(work)
+        came = Counter(item.replica for item in fleet.notices.arrivals if item.notice.is_other)
+        self.assertTrue(came)
+        self.assertLessEqual(max(came.values()), MOST_CALLS)
+
+    # Each request was sent to the same dead replicas until the budget of repeats was empty.
+    def test_engines_cost_a_handful_of_calls_and_no_request(self) -> None:
+        self.check('letter', GAP_S, 'engine-2', 'engine-3', 'engine-4', 'engine-north')
+
+    def test_plain_services_too(self) -> None:
+        self.check('read', GAP_S, 'desk-north', 'desk-2')
+
+    def test_stages_too(self) -> None:
+        self.check('draft', 0.2, 'look-north', 'look-2')
+
+    def test_all_boxes_know_within_a_second(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            fleet.replace('engine-2')
+            box = fleet.boxes['box-3'].box
+            replica = box.replicas.replicas['engine-2']
+            box.gate.on_notice(replica, fleet.notices.said['engine-2'])
+            await asyncio.sleep(1.0)
+            bars = {item.box.gate.bar_of(replica) for item in fleet.boxes.values()}
+            self.assertEqual({Bar.GONE}, bars)
+
+        self.play(work)
+
+    def test_one_that_is_announced_at_another_address_is_called(self) -> None:
+        async def work(fleet: NoticeFleet) -> None:
+            fleet.store_answers()
+            box = fleet.boxes['box-0'].box
+            replica = box.replicas.replicas['engine-2']
+            fleet.replace('engine-2')
+            box.gate.on_notice(replica, fleet.notices.said['engine-2'])
+            await asyncio.sleep(3.0)
+            fleet.announce(replica._replace(address='engine-2:9'))
+            await asyncio.sleep(1.0)
+            for item in fleet.boxes.values():
+                self.assertIsNone(item.box.gate.bar_of(replica))
+
+        self.play(work)
--- a/testkit/gateway_callers.py
+++ b/testkit/gateway_callers.py
@@ -19,6 +19,7 @@
     from testkit.gateway_replicas import FakeReplicas, FakeStages
 
 STATUS_UNAVAILABLE = 503
+STATUS_MISDIRECTED = 421
 DECLINE_S = 0.01
 
 
@@ -125,6 +126,10 @@
             self.listener.on_notice(replica, notice)
             head = AnswerHead(STATUS_UNAVAILABLE, (), True, None)
             return FakeBody(head=head, body=b'')
+        if notice.is_other:
+            await asyncio.sleep(DECLINE_S)
+            self.listener.on_notice(replica, notice)
+            return FakeBody(head=AnswerHead(STATUS_MISDIRECTED, (), True, None), body=b'')
         answer = await self.replicas.send(outbound)
         self.listener.on_notice(replica, notice)
         return answer
@@ -151,6 +156,10 @@
             await asyncio.sleep(DECLINE_S)
             self.listener.on_notice(replica, notice)
             raise NotStarted(f'{replica.id} declined with {STATUS_UNAVAILABLE}')
+        if notice.is_other:
+            await asyncio.sleep(DECLINE_S)
+            self.listener.on_notice(replica, notice)
+            raise NotStarted(f'{replica.id} declined with {STATUS_MISDIRECTED}')
         results = await self.stages.run(replica, calls)
         self.listener.on_notice(replica, notice)
         return results
--- a/testkit/notice_fleet.py
+++ b/testkit/notice_fleet.py
@@ -54,6 +54,11 @@
         for name in names:
             self.notices.said[name] = Notice(leaving=True)
 
+    def replace(self, *names: str) -> None:
+        """Have other replicas answer at the addresses of some; the store learns nothing of it."""
+        for name in names:
+            self.notices.said[name] = Notice(ran=False, is_other=True)
+
     def pause(self, pause_s: float, *names: str) -> None:
         """Have replicas turn all away from now on, and ask for a pause."""
         for name in names:
--- a/tools/mutants/notices.py
+++ b/tools/mutants/notices.py
@@ -22,7 +22,7 @@
     Mutant(
         'the word is of one life',
         f'{CORE}/fleet/leaving.py',
-        'return word is not None and replica.born <= word.born',
+        'return word is not None and not word.lost_address and replica.born <= word.born',
         'return word is not None',
         f'{GATE}::Leaving',
     ),
