--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -20,14 +20,8 @@
 from calicopath_core.exchanges.context import ExchangeContext
 from calicopath_core.exchanges.executor import ExchangeExecutor
 from calicopath_core.fleet.deployment import DEFAULT_LIMITS, Deployment, DeploymentView
-from calicopath_core.fleet.evacuations import Evacuations
-from calicopath_core.fleet.feed import KindFeed
 from calicopath_core.fleet.positions import NOTHING, Position
-from calicopath_core.fleet.publisher import Publisher
-from calicopath_core.fleet.registration import Registration
-from calicopath_core.fleet.restoring import RestoredRecords
 from calicopath_core.fleet.store import RecordKind
-from calicopath_core.fleet.subscription import Subscription
 from calicopath_core.scheduling.baseline import AloneElection, RandomEngineBoard
 from calicopath_core.scheduling.client import SchedulerClient
 from calicopath_core.scheduling.election import BoxAddress, Election
@@ -35,9 +29,9 @@
 from calicopath_core.scheduling.messages import BackoffNews, Pong
 from calicopath_core.scheduling.scheduler import Scheduler
 from calicopathd import events
+from calicopathd.gateway.following import StoreFollowing
 from calicopathd.gateway.notices import BoxNotices
 from calicopathd.gateway.peers import PeerLink
-from calicopathd.gateway.records import RecordIntake
 
 if TYPE_CHECKING:
     import msgspec
@@ -107,12 +101,6 @@
         )
         self.replicas, self.gate = self.notices.replicas, self.notices.gate
         exchanges.listener = stages.listener = self.gate
-        self.evacuations = Evacuations(
-            wall=self.clock.wall,
-            on_taken_out=observer.on_zone_taken_out,
-            on_given_back=observer.on_zone_given_back,
-            on_changed=self.replicas.set_evacuated,
-        )
         self.own = BoxAddress(
             settings.box,
             str(settings.peer_listen),
@@ -176,53 +164,27 @@
             contact=self.contact,
             knows=lambda: self.view.current is not None,
         )
-        self.publisher = Publisher(
-            own_address=self.own.address, clock=self.clock, send=self.link.send
-        )
-        self.records = RecordIntake(
+        self.following = StoreFollowing(
+            own=self.own,
+            settings=settings,
+            store=store,
             clock=self.clock,
+            rng=self.rng,
+            observer=observer,
             view=self.view,
             replicas=self.replicas,
-            evacuations=self.evacuations,
-            publisher=self.publisher,
+            send=self.link.send,
             on_boxes=self.on_boxes,
             on_applied=self.on_applied,
+            is_leaving=lambda: self.leaving,
         )
-        self.restored = RestoredRecords(
-            inner=self.records,
-            clock=self.clock,
-            lapse_s=settings.replica_lapse_s,
-            on_restored=observer.on_restored,
-        )
-        self.subscription = Subscription(
-            own=self.own,
-            clock=self.clock,
-            send=self.link.send,
-            publisher=self.publisher,
-            on_disrupted=self.replicas.on_disrupted,
-            on_bad=observer.on_bad_message,
-            on_source=observer.on_source,
-            store=store,
-            on_unread=observer.on_relays_unread,
-            rng=self.rng,
-            withdrawn=self.restored.withdrawn_boxes,
-        )
+        self.evacuations, self.publisher = self.following.evacuations, self.following.publisher
+        self.records, self.feeds = self.following.records, self.following.feeds
+        self.subscription = self.following.subscription
         self.link.scheduler, self.link.client = self.scheduler, self.client
         self.link.subscription, self.link.crashes = self.subscription, self.sharing
         self.link.notices = self.notices
         self.sharing.listeners = self.unaware_boxes
-        self.feeds = {kind: self.new_feed(kind) for kind in settings.followed}
-        self.subscription.feeds.update(self.feeds)
-        self.publisher.feeds.update(self.feeds)
-        self.registration = Registration(
-            own=self.own,
-            store=store,
-            feed=self.feeds[RecordKind.BOX],
-            rng=self.rng,
-            is_leaving=lambda: self.leaving,
-            on_registered=self.on_registered,
-            on_failed=observer.on_register_failed,
-        )
         self.executor = ExchangeExecutor(context=self.new_context(exchanges))
 
     def new_context(self, exchanges: ReplicaCaller) -> ExchangeContext:
@@ -250,17 +212,6 @@
             zone=self.settings.failure_domain,
         )
 
-    def new_feed(self, kind: RecordKind) -> KindFeed:
-        """Return what follows one kind of records."""
-        return KindFeed(
-            store=self.store,
-            kind=kind,
-            clock=self.clock,
-            observer=self.observer,
-            handler=self.restored,
-            mode=self.subscription,
-        )
-
     def random_board(self, spec: EngineSpec) -> EngineBoard:
         """Return a board of the naive baseline."""
         return RandomEngineBoard(slots=spec.slots, kv_tokens=spec.kv_tokens, rng=self.rng)
@@ -337,10 +288,6 @@
             self.synced_at = now
         return now - self.synced_at >= KNOWN_WAIT_S
 
-    def on_registered(self) -> None:
-        """Note that this box's own record is in the store."""
-        self.subscription.start.registered = True
-
     def on_boxes(self, now: float) -> None:
         """Take in which boxes there are."""
         self.election.on_listed(self.records.boxes.values(), now)
@@ -422,7 +369,7 @@
     def tick(self) -> None:
         """Do what is due by time."""
         now = self.clock.monotonic()
-        self.restored.expire()
+        self.following.restored.expire()
         for name in self.replicas.expire(now):
             events.emit(log, events.REPLICA_DROPPED, replica=name, held_s=True)
         self.judge_groups(now)
--- /dev/null
+++ b/packages/daemon/calicopathd/gateway/following.py
@@ -0,0 +1,113 @@
+"""Assemble how one box follows the store's records, hands them on and keeps its own there."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from calicopath_core.fleet.evacuations import Evacuations
+from calicopath_core.fleet.feed import KindFeed
+from calicopath_core.fleet.publisher import Publisher
+from calicopath_core.fleet.registration import Registration
+from calicopath_core.fleet.restoring import RestoredRecords
+from calicopath_core.fleet.store import RecordKind
+from calicopath_core.fleet.subscription import Subscription
+from calicopathd.gateway.records import RecordIntake
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    import msgspec
+
+    from calicopath_core.clock import Clock
+    from calicopath_core.fleet.deployment import Deployment, DeploymentView
+    from calicopath_core.fleet.replicas import ReplicaTable
+    from calicopath_core.fleet.store import FleetStore
+    from calicopath_core.scheduling.election import BoxAddress
+    from calicopathd.gateway.observer import GatewayObserver
+    from calicopathd.gateway.settings import GatewaySettings
+
+
+class StoreFollowing:
+    """Hold what takes records in, from feeds to tables, and what other boxes hear of them.
+
+    `on_boxes` is told when boxes have changed, `on_applied` of a newer configuration in force.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: BoxAddress,
+        settings: GatewaySettings,
+        store: FleetStore,
+        clock: Clock,
+        rng: random.Random,
+        observer: GatewayObserver,
+        view: DeploymentView,
+        replicas: ReplicaTable,
+        send: Callable[[str, msgspec.Struct], None],
+        on_boxes: Callable[[float], None],
+        on_applied: Callable[[Deployment], None],
+        is_leaving: Callable[[], bool],
+    ) -> None:
+        self.evacuations = Evacuations(
+            wall=clock.wall,
+            on_taken_out=observer.on_zone_taken_out,
+            on_given_back=observer.on_zone_given_back,
+            on_changed=replicas.set_evacuated,
+        )
+        self.publisher = Publisher(own_address=own.address, clock=clock, send=send)
+        self.records = RecordIntake(
+            clock=clock,
+            view=view,
+            replicas=replicas,
+            evacuations=self.evacuations,
+            publisher=self.publisher,
+            on_boxes=on_boxes,
+            on_applied=on_applied,
+        )
+        self.restored = RestoredRecords(
+            inner=self.records,
+            clock=clock,
+            lapse_s=settings.replica_lapse_s,
+            on_restored=observer.on_restored,
+        )
+        self.subscription = Subscription(
+            own=own,
+            clock=clock,
+            send=send,
+            publisher=self.publisher,
+            on_disrupted=replicas.on_disrupted,
+            on_bad=observer.on_bad_message,
+            on_source=observer.on_source,
+            store=store,
+            on_unread=observer.on_relays_unread,
+            rng=rng,
+            withdrawn=self.restored.withdrawn_boxes,
+        )
+        self.feeds = {
+            kind: KindFeed(
+                store=store,
+                kind=kind,
+                clock=clock,
+                observer=observer,
+                handler=self.restored,
+                mode=self.subscription,
+            )
+            for kind in settings.followed
+        }
+        self.subscription.feeds.update(self.feeds)
+        self.publisher.feeds.update(self.feeds)
+        self.registration = Registration(
+            own=own,
+            store=store,
+            feed=self.feeds[RecordKind.BOX],
+            rng=rng,
+            is_leaving=is_leaving,
+            on_registered=self.on_registered,
+            on_failed=observer.on_register_failed,
+        )
+
+    def on_registered(self) -> None:
+        """Note that this box's own record is in the store."""
+        self.subscription.start.registered = True
--- a/packages/daemon/calicopathd/gateway/run.py
+++ b/packages/daemon/calicopathd/gateway/run.py
@@ -104,7 +104,7 @@
             'settings': self.follow_settings,
             'lag': self.box.measure_lag,
             'blocked requests': self.box.keeper.run,
-            'register': self.box.registration.run,
+            'register': self.box.following.registration.run,
         }
         for feed in self.box.feeds.values():
             work[f'feed {feed.kind.value}'] = feed.run
--- a/testkit/gateway.py
+++ b/testkit/gateway.py
@@ -44,14 +44,14 @@
         box = self.box
         if register:
             await box.store.register(box.own)
-            box.on_registered()
+            box.following.on_registered()
         work: list[Callable[[], Any]] = [
             box.link.run,
             box.scheduler.run,
             box.client.run,
             box.subscription.run,
             box.keeper.run,
-            box.registration.keep,
+            box.following.registration.keep,
         ]
         work.extend(feed.run for feed in box.feeds.values())
         self.tasks = [asyncio.create_task(item()) for item in work]
