A box looks once a second whether the list of boxes holds its record

Read while going over the change: with 0.2 s a box that has just written its record may write it again, where a relay's list comes 0.4 to 2.8 s later; at hundreds of starts that is two calls each for nothing. Others keep a box that a restored list lacks for 10 s, so that a second more costs nothing.

--- a/packages/core/calicopath_core/fleet/registration.py
+++ b/packages/core/calicopath_core/fleet/registration.py
@@ -24,9 +24,12 @@
 """How long a failed write is waited out; doubled each time, since a whole fleet may start while the
 store is away: 86 boxes twice a second would be 1,000 calls in 6 s."""
 
-LOOK_S = 0.2
+LOOK_S = 1.0
 LONGEST_LOOK_S = 4.0
-"""How often the list is looked at; less often while it goes on lacking the record."""
+"""How often the list is looked at, in which a record that was written shows a little later; less
+often while it goes on lacking the record."""
+
+LEAST_SPREAD_S = 0.2
 
 WRITES_PER_S = 200.0
 """How many boxes may write again in a second: half of what the smallest store takes."""
@@ -98,4 +101,4 @@
 
     def spread_s(self) -> float:
         """Return over what time boxes write again: any number of them may be missing."""
-        return LOOK_S + len(self.feed.records) / WRITES_PER_S
+        return LEAST_SPREAD_S + len(self.feed.records) / WRITES_PER_S
