--- a/packages/core/calicopath_core/claims/executors.py
+++ b/packages/core/calicopath_core/claims/executors.py
@@ -162,7 +162,7 @@
     over. Doing an operation twice gives the same result, since it carries its nonce.
     """
 
-    PATIENCE_S = 0.3
+    OWNER_TIMEOUT_S = 0.3
 
     def __init__(self, *, local: LocalExecutor, peers: ClaimPeers) -> None:
         self.local = local
@@ -175,7 +175,7 @@
         if address is None:
             return await self.local.execute(group, op, persistent=persistent)
         try:
-            async with asyncio.timeout(self.PATIENCE_S):
+            async with asyncio.timeout(self.OWNER_TIMEOUT_S):
                 return await self.peers.ask(address, group, op)
         except TimeoutError:
             self.passed_over += 1
--- a/packages/core/calicopath_core/exchanges/plain.py
+++ b/packages/core/calicopath_core/exchanges/plain.py
@@ -32,8 +32,8 @@
 MAX_SENDS = 4
 """Replicas that one request may be sent to, those counted that declined it."""
 
-PATIENCE = 8.0
-LEAST_PATIENCE_S = 0.25
+ATTEMPT_LATENCIES = 8.0
+LEAST_ATTEMPT_S = 0.25
 """How many times its usual time a replica may take over a request that another may run, and the
 least such time."""
 
@@ -182,7 +182,7 @@
     ticket.on_send(replica.id, begun)
     limit_s = ticket.deadline_at - begun
     if ticket.route.repeatable and ticket.runs + 1 < ticket.route.max_attempts:
-        limit_s = min(limit_s, max(LEAST_PATIENCE_S, PATIENCE * stats.latency_s))
+        limit_s = min(limit_s, max(LEAST_ATTEMPT_S, ATTEMPT_LATENCIES * stats.latency_s))
     try:
         async with asyncio.timeout(max(0.0, limit_s)):
             answer = await exchange_once(context, ticket, replica)
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from tools.soak.deadly import Repeat
 
-PATIENCE_S = 4.0
+CALLER_DEADLINE_S = 4.0
 GIVE_UP_S = 8.0
 """How long a caller waits for an answer in all: longer than boxes may take."""
 
@@ -107,7 +107,9 @@
         kind, call_id = deadly.kind_of(step), f'd-{next(self.numbers)}'
         staged = kind is RequestKind.DRAFT
         path, life = repeat.path + repeat.query, self.world.boxes[box].life
-        data = soak_request(path, call_id, staged=staged, patience_s=PATIENCE_S, body=repeat.body)
+        data = soak_request(
+            path, call_id, staged=staged, patience_s=CALLER_DEADLINE_S, body=repeat.body
+        )
         question = Question(call_id, kind, box, life, data, 0, repeat.path)
         connection = CallerConnection(address=self.world.boxes[box].frontend)
         await self.ask(connection, question)
@@ -133,7 +135,7 @@
         # What each asks is its own: what many ask is popular, which has tests of its own.
         path = f'/since-{since}/x' if since else f'/{kind.value}/{call_id}'
         staged = kind is RequestKind.DRAFT
-        data = soak_request(path, call_id, staged=staged, patience_s=PATIENCE_S)
+        data = soak_request(path, call_id, staged=staged, patience_s=CALLER_DEADLINE_S)
         return Question(call_id, kind, box, self.world.boxes[box].life, data, since)
 
     async def ask(self, connection: CallerConnection, question: Question) -> Seen:
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -260,7 +260,7 @@
                 self.store.put(names.CONFIG_KIND, names.CONFIG_NAME, soak_config(self.version))
 
     async def restore_store(self, step: Step) -> None:
-        """Have the store be away and come back from a copy as old as the step is long."""
+        """Have the store be away and come back in a new era, from a copy as old as the step."""
         copy = self.store.copy()
         await asyncio.sleep(step.for_s)
         rng = random.Random(step.at_s)
