Permits: drop the emptied queue of a replica when its last permit is used

The queue stayed in `granted`, and the next expiry raised IndexError on it, which ended and restarted the box's periodic task. The new test fails without the change.

--- a/packages/core/calicopath_core/permits/client.py
+++ b/packages/core/calicopath_core/permits/client.py
@@ -82,6 +82,8 @@
             self.granted.pop(replica, None)
             return False
         held.popleft()
+        if not held:
+            del self.granted[replica]
         return True
 
     def available_in_s(self, replica: str) -> float:
