Scheduler inbox, load shedding, refusals without an answer, paced hand-overs

- Requests wait in an inbox with their arrival time while the scheduler is behind; all other messages are handled when they arrive.
Decisions are made in slices of 10 ms, and the peer socket is read in slices of 5 ms: before, receiving never yielded to the event loop while messages were queued.
- Above a decision lag of 0.25 s, new requests are rejected as scheduler-busy, least urgent and newest first, at constant cost.
- Admitted jobs are acknowledged with an empty Progress.
A box refuses a request without an answer by itself after a quarter of the objective, at least 0.75 s, and withdraws the job.
A late Placed is withdrawn, too.
- Pongs tell whether their box acknowledges requests; boxes refuse nothing at schedulers of older builds.
- A lost Placed is sent again when the request is repeated.
- Hand-overs are limited to 20 jobs a tick, those with work begun first.
- Log events 715 to 719, metrics and gauges.

--- a/packages/core/calicopath_core/exchanges/streams.py
+++ b/packages/core/calicopath_core/exchanges/streams.py
@@ -20,6 +20,7 @@
 from calicopath_core.fleet.notices import Exclusion, ReplicaExcluded
 from calicopath_core.scheduling.client import PlacementRejected
 from calicopath_core.scheduling.messages import PhaseWork, PlaceJob, Prompt
+from calicopath_core.scheduling.shedding import BUSY_REASON
 
 if TYPE_CHECKING:
     from calicopath_core.exchanges.context import ExchangeContext, ExchangeState
@@ -135,7 +136,9 @@
         except PlacementRejected as error:
             raise self.refusal(error.reason, error.retry_after_s) from error
         except TimeoutError as error:
-            raise self.refusal('deadline-passed', None) from error
+            unanswered = self.context.scheduler.is_unanswered(job)
+            reason = BUSY_REASON if unanswered else 'deadline-passed'
+            raise self.refusal(reason, None) from error
 
     def refusal(self, reason: str, retry_after_s: float | None) -> RefusedExchange:
         """Return the refusal that ends the exchange, by whether the request may have run."""
--- a/packages/core/calicopath_core/scheduling/client.py
+++ b/packages/core/calicopath_core/scheduling/client.py
@@ -9,6 +9,7 @@
 
 from calicopath_core.exceptions import CalicopathError
 from calicopath_core.fleet.contact import STEADY
+from calicopath_core.scheduling.election import SILENCE_TIMEOUT_S
 from calicopath_core.scheduling.messages import (
     AdoptJob,
     HandedOver,
@@ -20,6 +21,7 @@
     RunStarted,
     StageResult,
 )
+from calicopath_core.scheduling.shedding import BUSY_REASON, busy_retry_after_s
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,6 +41,18 @@
 IDLE_CHECK_INTERVAL_S = 0.2
 """How often the client checks for a change of scheduler, with and without pending jobs."""
 
+NO_ANSWER_SHARE = 0.25
+"""Share of its objective that a request waits for an answer. A caller who is refused by then can
+still be served in time by another box."""
+
+MIN_NO_ANSWER_S = SILENCE_TIMEOUT_S + CHECK_INTERVAL_S
+"""Least time that a request waits for an answer. The requests of a scheduler that has crashed go to
+its successor within this time, and must not be refused before."""
+
+EARLY_RESEND_SHARE = 0.5
+"""Share of the time for an answer after which an unanswered request is sent again: a request or an
+acknowledgement that was lost must not lead to a refusal."""
+
 
 class PlacementRejected(CalicopathError):
     """Report that the scheduler rejected a job, with the reason and when to retry."""
@@ -50,16 +64,48 @@
 
 
 class PendingJob:
-    """Hold a job that was submitted to one or more schedulers, the latest one last."""
+    """Hold a job that was submitted to one or more schedulers, the latest one last.
+
+    `unanswered_since` is when the oldest request was sent that the current scheduler has not
+    answered, `None` if it has answered them all.
+    """
 
     def __init__(self, *, place: PlaceJob, now: float) -> None:
         self.place = place
         self.submitted_at = now
         self.resend_at = now + RESEND_INTERVAL_S
+        self.unanswered_since: float | None = now
+        self.no_answer_s = max(MIN_NO_ANSWER_S, NO_ANSWER_SHARE * place.objective_s)
         self.schedulers: list[str] = []
         self.results: dict[tuple[int, int], StageResult] = {}
         self.answer: asyncio.Future[Placed] = asyncio.get_running_loop().create_future()
 
+    def on_new_scheduler(self, now: float, *, acknowledges: bool) -> None:
+        """Wait for the answer of a scheduler that the job was submitted or handed to."""
+        self.unanswered_since = now
+        self.resend_at = now + self.resend_interval_s(acknowledges=acknowledges)
+
+    def on_resent(self, now: float, *, acknowledges: bool) -> None:
+        """Wait for the answer to a request that was sent again."""
+        if self.unanswered_since is None:
+            self.unanswered_since = now
+        self.resend_at = now + self.resend_interval_s(acknowledges=acknowledges)
+
+    def resend_interval_s(self, *, acknowledges: bool) -> float:
+        """Return how long to wait for an answer before the request is sent again."""
+        if not acknowledges:
+            return RESEND_INTERVAL_S
+        return min(RESEND_INTERVAL_S, EARLY_RESEND_SHARE * self.no_answer_s)
+
+    def on_heard(self, now: float) -> None:
+        """Record that the scheduler works on the job."""
+        self.unanswered_since = None
+        self.resend_at = now + RESEND_INTERVAL_S
+
+    def is_overdue(self, now: float) -> bool:
+        """Tell whether the scheduler has not answered in time."""
+        return self.unanswered_since is not None and now - self.unanswered_since >= self.no_answer_s
+
     def on_progress(self, message: Progress) -> None:
         """Record results and freed phases, to pass them to another scheduler if needed."""
         for item in message.results:
@@ -97,10 +143,19 @@
     return {name: left_s - spent_s for name, left_s in backoffs.items() if left_s > spent_s}
 
 
+def busy_refusal(asked: PendingJob, now: float) -> PlacementRejected:
+    """Return the error that refuses a job whose scheduler has not answered."""
+    place = asked.place_with_time_left(now, '')
+    return PlacementRejected(BUSY_REASON, retry_after_s=busy_retry_after_s(place))
+
+
 class SchedulerClient:
     """Submit this box's jobs to the current scheduler and track them until they end.
 
-    `on_scheduler` is called with the address of a new scheduler and the number of orphaned jobs.
+    `on_scheduler` is called with the address of a new scheduler and the number of orphaned jobs,
+    `on_unanswered` with a request that is refused because its scheduler did not answer, the
+    scheduler's address and the seconds waited, and `on_unwanted` with a placement for a job that is
+    over.
     """
 
     def __init__(
@@ -112,7 +167,13 @@
         on_scheduler: Callable[[str, int], None],
         contact: Callable[[], StoreContact] = lambda: STEADY,
         has_configuration: Callable[[], bool] = lambda: True,
+        on_unanswered: Callable[[PlaceJob, str, float], None] = lambda place, address, waited_s: (
+            None
+        ),
+        on_unwanted: Callable[[Placed], None] = lambda placed: None,
     ) -> None:
+        self.on_unanswered = on_unanswered
+        self.on_unwanted = on_unwanted
         self.clock = clock
         self.election = election
         self.send = send
@@ -139,6 +200,8 @@
             self.send(silent_scheduler, gone)
         self.send(self.scheduler_address, pending_job.request(now, silent_scheduler))
         pending_job.schedulers.append(self.scheduler_address)
+        acknowledges = self.election.acknowledges(self.scheduler_address)
+        pending_job.on_new_scheduler(now, acknowledges=acknowledges)
 
     def update_scheduler(self) -> None:
         """Determine the current scheduler, and report a change."""
@@ -156,9 +219,32 @@
         """Send requests again that got neither an answer nor progress for a while."""
         for asked in self.pending.values():
             if not asked.answer.done() and asked.schedulers and now >= asked.resend_at:
-                asked.resend_at = now + RESEND_INTERVAL_S
+                acknowledges = self.election.acknowledges(asked.schedulers[-1])
+                asked.on_resent(now, acknowledges=acknowledges)
                 self.send(asked.schedulers[-1], asked.request(now))
 
+    def refuse_unanswered(self, now: float) -> None:
+        """Refuse the requests that their schedulers have not answered in time.
+
+        Only this box sends a request to an engine, so the request has not run and never will. Its
+        exchange withdraws the job when it ends. A scheduler of a build that sends no
+        acknowledgements may well work on the job, so its requests are not refused.
+        """
+        for asked in self.pending.values():
+            if asked.answer.done() or not asked.is_overdue(now):
+                continue
+            if self.election.acknowledges(asked.schedulers[-1]):
+                asked.answer.set_exception(busy_refusal(asked, now))
+                waited_s = now - asked.submitted_at
+                self.on_unanswered(asked.place, asked.schedulers[-1], waited_s)
+
+    def is_unanswered(self, job: str) -> bool:
+        """Tell whether a job's scheduler, which acknowledges jobs, has not answered yet."""
+        asked = self.pending.get(job)
+        if asked is None or not asked.schedulers or asked.unanswered_since is None:
+            return False
+        return self.election.acknowledges(asked.schedulers[-1])
+
     def orphaned_jobs(self, now: float) -> list[PendingJob]:
         """Return the unanswered jobs whose scheduler has fallen silent."""
         return [
@@ -183,12 +269,13 @@
             self.update_scheduler()
             self.resubmit_orphaned()
             self.resend_requests(self.clock.monotonic())
+            self.refuse_unanswered(self.clock.monotonic())
 
     def on_progress(self, message: Progress) -> None:
         """Record a job's progress."""
         asked = self.pending.get(message.job)
         if asked is not None:
-            asked.resend_at = self.clock.monotonic() + RESEND_INTERVAL_S
+            asked.on_heard(self.clock.monotonic())
             asked.on_progress(message)
 
     def on_handed_over(self, message: HandedOver) -> None:
@@ -197,12 +284,21 @@
         if asked is None or asked.answer.done():
             return
         asked.schedulers.append(message.scheduler)
+        acknowledges = self.election.acknowledges(message.scheduler)
+        asked.on_new_scheduler(self.clock.monotonic(), acknowledges=acknowledges)
         self.resubmit_orphaned()
 
     def on_placed(self, message: Placed) -> None:
-        """Accept a scheduler's answer; later answers for the same job are ignored."""
+        """Accept a scheduler's answer; later answers for the same job are ignored.
+
+        A placement for a job that is over is withdrawn, so that its run is not counted at the
+        engine until the job's deadline.
+        """
         asked = self.pending.get(message.job)
         if asked is None:
+            own = self.election.own.name
+            self.send(message.scheduler, RunEnded(job=message.job, sender=own, failed=False))
+            self.on_unwanted(message)
             return
         if message.scheduler not in asked.schedulers:
             asked.schedulers.append(message.scheduler)
--- a/packages/core/calicopath_core/scheduling/election.py
+++ b/packages/core/calicopath_core/scheduling/election.py
@@ -81,6 +81,7 @@
 
     `unanswered_since` is the time of the first ping after the last answer, `None` if there is none.
     A `standby` candidate is pinged less often; `frequent_since` is when that last ended.
+    `acknowledges` says that the box, as scheduler, answers each request at once.
     """
 
     def __init__(self, *, box: BoxAddress, listed_at: float) -> None:
@@ -96,6 +97,7 @@
         self.has_configuration = True
         self.probation_until = 0.0
         self.contact = UNKNOWN
+        self.acknowledges = False
 
     def is_alive(self, now: float) -> bool:
         """Tell whether the box was heard recently, or is within its grace period."""
@@ -236,7 +238,9 @@
 
     def on_pong(self, pong: Pong, now: float) -> None:
         """Record a candidate's answer to a ping."""
-        self.on_presence(pong, now)
+        candidate = self.on_presence(pong, now)
+        if candidate is not None:
+            candidate.acknowledges = pong.acknowledges
 
     def on_presence(self, message: Presence, now: float) -> Candidate | None:
         """Record a message of a box; return its candidate, `None` if it is not listed."""
@@ -348,6 +352,14 @@
             item.box.address == address and item.is_alive(now) for item in self.candidates.values()
         )
 
+    def acknowledges(self, address: str) -> bool:
+        """Tell whether the box at an address has said that it answers each request at once."""
+        if address == self.own.address:
+            return True
+        return any(
+            item.box.address == address and item.acknowledges for item in self.candidates.values()
+        )
+
     def box_count(self) -> int:
         """Return the number of boxes that share the fleet's budgets: all that are listed.
 
--- a/packages/core/calicopath_core/scheduling/interfaces.py
+++ b/packages/core/calicopath_core/scheduling/interfaces.py
@@ -11,7 +11,7 @@
     from calicopath_core.backends.base import BackendError
     from calicopath_core.fleet.replicas import Replica
     from calicopath_core.scheduling.jobs import Job, Piece
-    from calicopath_core.scheduling.messages import StageResult
+    from calicopath_core.scheduling.messages import PlaceJob, StageResult
 
 
 class PieceCall(NamedTuple):
@@ -84,6 +84,22 @@
     def on_handed_over(self, job: Job, successor: str, results: int) -> None:
         """Record a job handed over to the next scheduler with that many results."""
 
+    @abstractmethod
+    def on_hand_over_began(self, successor: str, begun: int, waiting: int) -> None:
+        """Record that jobs wait to be handed over, `begun` of them with work done."""
+
+    @abstractmethod
+    def on_overload_started(self, lag_s: float, waiting: int) -> None:
+        """Record that requests are shed: the oldest has waited `lag_s` for its decision."""
+
+    @abstractmethod
+    def on_overload_ended(self, shed: int) -> None:
+        """Record the end of an overload in which that many requests were shed."""
+
+    @abstractmethod
+    def on_shed(self, place: PlaceJob, retry_after_s: float) -> None:
+        """Record a request that was rejected because the scheduler can't keep up."""
+
     @abstractmethod
     def on_report_failed(self, replica: Replica, error: Exception) -> None:
         """Record a replica that did not report its state."""
--- a/packages/core/calicopath_core/scheduling/jobs.py
+++ b/packages/core/calicopath_core/scheduling/jobs.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Container
 
-    from calicopath_core.scheduling.messages import PhaseWork, PlaceJob
+    from calicopath_core.scheduling.messages import PhaseWork, Placed, PlaceJob
 
 
 LARGE_RESULT_BYTES = 200_000
@@ -134,7 +134,7 @@
     event, `allowed_backlog_s` the backlog up to which the job may start, in seconds of work.
     `undispatched` counts for each phase the pieces that have not been put into a call. Jobs with
     `is_over_allowance` yield to jobs within their workspace's allowance. `effective_priority` is
-    the job's own priority or a more urgent one.
+    the job's own priority or a more urgent one. `placement` is the answer that was sent to the box.
     """
 
     def __init__(self, *, place: PlaceJob, now: float) -> None:
@@ -148,6 +148,7 @@
         }
         self.pieces: dict[int, list[Piece]] = {}
         self.placed_on: str | None = None
+        self.placement: Placed | None = None
         self.fetch_pending_since: float | None = None
         self.placed_at: float | None = None
         self.ended = False
--- a/packages/core/calicopath_core/scheduling/messages.py
+++ b/packages/core/calicopath_core/scheduling/messages.py
@@ -121,7 +121,8 @@
 class Progress(msgspec.Struct, frozen=True, tag='pr'):
     """Report new results of a job to its box, and the phases whose results were freed.
 
-    The box passes them to another scheduler if this one falls silent.
+    The box passes them to another scheduler if this one falls silent. Without results it only
+    acknowledges that the job was admitted.
     """
 
     job: str
@@ -218,8 +219,15 @@
     unanswered: bool = False
 
 
-class Pong(Presence, frozen=True, tag='yo'):
-    """Answer a ping with the sender's own state."""
+class Pong(Presence, frozen=True, tag='yo', omit_defaults=True):
+    """Answer a ping with the sender's own state.
+
+    `acknowledges` says that the sender, as scheduler, answers each request within the time that the
+    requesting box waits. Boxes of builds before this field do not. A box that schedules sends a
+    pong to every other box five times a second, so defaults are left out.
+    """
+
+    acknowledges: bool = msgspec.field(name='a', default=False)
 
 
 MESSAGES = (
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -173,6 +173,7 @@
         if self.is_idle:
             return
         now = self.clock.monotonic()
+        self.succession.tick()
         self.engine_pools.expire(now)
         self.rejections.reject_blocked()
         self.place_waiting_jobs()
@@ -209,7 +210,7 @@
         self.add_job(job)
         successor = self.succession.successor
         if successor is not None and place.silent_scheduler != successor:
-            self.succession.hand_over(job)
+            self.succession.hand_over_soon(job)
             return
         job.is_adopted = successor is not None
         pool = self.engine_pools.get(place.service)
@@ -256,7 +257,7 @@
         if job.ended or job.placed_on is not None:
             return
         if self.succession.successor is not None and not job.is_adopted:
-            self.succession.hand_over(job)
+            self.succession.hand_over_soon(job)
             return
         while ready := job.ready_phases():
             for number in ready:
@@ -339,6 +340,7 @@
             scheduler=self.own_address,
             permit=permit,
         )
+        job.placement = placed
         self.send(job.place.reply_to, placed)
 
     def reject(self, job: Job, reason: str, retry_after_s: float = DEFAULT_RETRY_AFTER_S) -> None:
--- a/packages/core/calicopath_core/scheduling/succession.py
+++ b/packages/core/calicopath_core/scheduling/succession.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -10,32 +11,98 @@
 from calicopath_core.scheduling.messages import AdoptJob, EngineLoads, HandedOver, LearnedEstimates
 
 if TYPE_CHECKING:
+    from calicopath_core.scheduling.messages import PlaceJob
     from calicopath_core.scheduling.scheduler import Scheduler
 
 
+HAND_OVERS_PER_TICK = 20
+"""Jobs handed over per tick of 50 ms. Adopting a job takes the successor up to 1 ms, so it spends
+at most two fifths of its time on adoptions and decides about new requests in the rest."""
+
+
 class Succession:
-    """Hand jobs over to the `successor`, which is `None` while this box schedules."""
+    """Hand jobs over to the `successor`, which is `None` while this box schedules.
+
+    Jobs beyond `HAND_OVERS_PER_TICK` wait in `begun` and `fresh`, with and without work done for
+    them, and are served here meanwhile.
+    """
 
     def __init__(self, *, scheduler: Scheduler) -> None:
         self.scheduler = scheduler
         self.successor: str | None = None
+        self.begun: OrderedDict[str, Job] = OrderedDict()
+        self.fresh: OrderedDict[str, Job] = OrderedDict()
+        self.left_this_tick = HAND_OVERS_PER_TICK
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of jobs that wait to be handed over."""
+        return len(self.begun) + len(self.fresh)
 
     def activate(self) -> None:
-        """Start scheduling."""
+        """Start scheduling, also the jobs that still wait to be handed over."""
         self.successor = None
         self.scheduler.engine_pools.on_activated(self.scheduler.clock.monotonic())
+        kept = [*self.begun.values(), *self.fresh.values()]
+        self.begun.clear()
+        self.fresh.clear()
+        for job in kept:
+            if self.scheduler.jobs.get(job.id) is job and job.placed_on is None:
+                self.keep(job)
+
+    def keep(self, job: Job) -> None:
+        """Continue a job that was not handed over; one that never started is decided about."""
+        if job.started:
+            self.scheduler.advance(job)
+            return
+        place = self.place_with_time_left(job, self.scheduler.clock.monotonic())
+        job.ended = True
+        self.scheduler.remove_job(job)
+        self.scheduler.on_place(place)
 
     def step_down(self, successor: str) -> None:
-        """Hand every job to the successor as soon as no call for the job is in progress.
+        """Hand every job to the successor, a bounded number per tick, those with work begun first.
 
-        A job that was handed to this scheduler stays: two boxes that each take the other for the
-        scheduler would send it back and forth.
+        A job with calls in progress is handed over once they have ended. A job that was handed to
+        this scheduler stays: two boxes that each take the other for the scheduler would send it
+        back and forth.
         """
         self.successor = successor
         self.send_estimates(successor)
-        for job in list(self.scheduler.jobs.values()):
-            if not job.is_adopted:
-                self.hand_over(job)
+        for job in self.scheduler.unplaced.values():
+            if not job.is_adopted and not job.open_calls:
+                self.enqueue(job)
+        if self.waiting > self.left_this_tick:
+            observer = self.scheduler.observer
+            observer.on_hand_over_began(successor, len(self.begun), self.waiting)
+        self.hand_over_some()
+
+    def tick(self) -> None:
+        """Hand over the next waiting jobs."""
+        self.left_this_tick = HAND_OVERS_PER_TICK
+        if self.successor is not None:
+            self.hand_over_some()
+
+    def hand_over_soon(self, job: Job) -> None:
+        """Hand a job over now or with one of the next ticks."""
+        if not job.open_calls and job.placed_on is None:
+            self.enqueue(job)
+            self.hand_over_some()
+
+    def enqueue(self, job: Job) -> None:
+        """Let a job wait to be handed over."""
+        if job.has_progress:
+            self.fresh.pop(job.id, None)
+            self.begun[job.id] = job
+        else:
+            self.fresh[job.id] = job
+
+    def hand_over_some(self) -> None:
+        """Hand over waiting jobs until the number of this tick is reached."""
+        while self.left_this_tick > 0 and (self.begun or self.fresh):
+            _, job = (self.begun or self.fresh).popitem(last=False)
+            if self.hand_over(job):
+                self.left_this_tick -= 1
 
     def send_estimates(self, successor: str) -> None:
         """Send the successor the load at the engines and the learned estimates."""
@@ -54,20 +121,29 @@
             )
             scheduler.send(successor, learned)
 
-    def hand_over(self, job: Job) -> None:
-        """Hand a job with its results to the successor, unless calls for it are in progress."""
+    def place_with_time_left(self, job: Job, now: float) -> PlaceJob:
+        """Return a job's placement request with the times and backoffs that are left."""
+        return msgspec.structs.replace(
+            job.place,
+            objective_s=job.objective_at - now,
+            deadline_s=job.deadline_at - now,
+            backoffs=self.scheduler.engine_pools.backoffs.of_box(job.place.reply_to, now),
+        )
+
+    def hand_over(self, job: Job) -> bool:
+        """Hand a job with its results to the successor; return whether it was handed over.
+
+        It is not if it has ended or is placed, or if calls for it are in progress.
+        """
         scheduler, successor = self.scheduler, self.successor
-        if job.open_calls or job.placed_on is not None or successor is None:
-            return
+        if job.ended or job.open_calls or job.placed_on is not None or successor is None:
+            return False
         now = scheduler.clock.monotonic()
         results = job.describe_results()
         place = msgspec.structs.replace(
-            job.place,
-            objective_s=job.objective_at - now,
-            deadline_s=job.deadline_at - now,
+            self.place_with_time_left(job, now),
             asked_before=True,
             is_over_allowance=job.is_over_allowance,
-            backoffs=scheduler.engine_pools.backoffs.of_box(job.place.reply_to, now),
         )
         waited_s = now - job.arrived_at
         scheduler.send(successor, AdoptJob(place=place, results=results, waited_s=waited_s))
@@ -75,6 +151,7 @@
         scheduler.observer.on_handed_over(job, successor, len(results))
         job.ended = True
         scheduler.remove_job(job)
+        return True
 
     def on_adopt(self, message: AdoptJob) -> None:
         """Continue a job that another scheduler has started."""
--- a/packages/core/calicopath_core/scheduling/tests/succession_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/succession_tests.py
@@ -10,8 +10,10 @@
 from calicopath_core.scheduling.admission import MAX_BIAS
 from calicopath_core.scheduling.estimates import DEFAULT_FIRST_EVENT_S
 from calicopath_core.scheduling.interfaces import StageCaller
-from calicopath_core.scheduling.messages import LearnedEstimates
+from calicopath_core.scheduling.messages import AdoptJob, LearnedEstimates
 from calicopath_core.scheduling.scheduler import Scheduler
+from calicopath_core.scheduling.succession import HAND_OVERS_PER_TICK
+from calicopath_core.scheduling.tests.work import job, phase, result
 from testkit.cases import VirtualCase
 from testkit.ledgers import new_guard
 from testkit.virtual import VirtualClock
@@ -86,3 +88,43 @@
             self.assertGreaterEqual(after.engine_times.expected_s(SIZE), 0.0)
 
         self.run_virtual(scenario())
+
+    def test_a_bounded_number_goes_with_each_tick_and_work_begun_goes_first(self) -> None:
+        """Guards against a hand-over that keeps the next scheduler from deciding."""
+
+        async def scenario() -> None:
+            sent: list[msgspec.Struct] = []
+            before = self.scheduler(sent)
+            for number in range(30):
+                before.add_job(job(f'fresh-{number}', phase()))
+            for number in range(10):
+                begun = job(f'begun-{number}', phase())
+                begun.results[0][0] = result(f'r{number}')
+                before.add_job(begun)
+            counts = []
+            before.succession.step_down('next:7')
+            while before.succession.waiting:
+                counts.append(sum(isinstance(message, AdoptJob) for message in sent))
+                before.tick()
+            names = [message.place.job for message in sent if isinstance(message, AdoptJob)]
+            self.assertEqual([HAND_OVERS_PER_TICK], counts)
+            self.assertEqual({'begun'}, {name.split('-')[0] for name in names[:10]})
+            self.assertEqual(40, len(set(names)))
+            self.assertEqual({}, before.jobs)
+
+        self.run_virtual(scenario())
+
+    def test_a_job_that_ended_while_it_waited_is_not_handed_over(self) -> None:
+        async def scenario() -> None:
+            sent: list[msgspec.Struct] = []
+            before = self.scheduler(sent)
+            jobs = [job(f'j{number}', phase()) for number in range(HAND_OVERS_PER_TICK + 2)]
+            for item in jobs:
+                before.add_job(item)
+            before.succession.step_down('next:7')
+            before.end(jobs[-1])
+            before.tick()
+            names = [message.place.job for message in sent if isinstance(message, AdoptJob)]
+            self.assertEqual([item.id for item in jobs[:-1]], names)
+
+        self.run_virtual(scenario())
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -182,6 +182,33 @@
 GROUP_CHANGED = Event(
     710, 'info', 'group changed', 'This box has moved to another scheduling group.'
 )
+SCHEDULER_OVERLOADED = Event(
+    715,
+    'warning',
+    'scheduler overloaded',
+    'This box, as scheduler, decides too late; it rejects the least urgent new requests.',
+)
+SCHEDULER_RECOVERED = Event(
+    716, 'info', 'scheduler recovered', 'This box, as scheduler, decides about all requests again.'
+)
+JOB_UNANSWERED = Event(
+    717,
+    'warning',
+    'job unanswered',
+    'The scheduler did not answer in time; the request is refused without being run.',
+)
+HAND_OVER_BEGAN = Event(
+    718,
+    'info',
+    'hand-over began',
+    'Many jobs are handed to the next scheduler; a bounded number goes with each tick.',
+)
+PLACEMENT_UNWANTED = Event(
+    719,
+    'info',
+    'placement unwanted',
+    'An engine was chosen for a request that is over; the choice is withdrawn.',
+)
 DEPLOYMENT_APPLIED = Event(
     801, 'info', 'deployment applied', 'A newer version of the deployment is in force.'
 )
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -26,6 +26,7 @@
 from calicopath_core.scheduling.client import SchedulerClient
 from calicopath_core.scheduling.election import BoxAddress, Election
 from calicopath_core.scheduling.groups import GroupPolicy
+from calicopath_core.scheduling.inbox import Inbox
 from calicopath_core.scheduling.messages import BackoffNotice, Pong
 from calicopath_core.scheduling.scheduler import Scheduler
 from calicopathd import events
@@ -164,6 +165,12 @@
             on_scheduler=self.on_scheduler_changed,
             contact=self.contact,
             has_configuration=lambda: self.view.current is not None,
+            on_unanswered=observer.on_unanswered,
+            on_unwanted=observer.on_unwanted,
+        )
+        # A sender may have noticed before this box that the previous scheduler is silent.
+        self.inbox = Inbox(
+            scheduler=self.scheduler, clock=self.clock, before_slice=self.client.update_scheduler
         )
         self.store_follower = StoreFollower(
             own=self.own,
@@ -186,6 +193,7 @@
         self.records, self.feeds = self.store_follower.records, self.store_follower.feeds
         self.subscription = self.store_follower.subscription
         self.link.scheduler, self.link.client = self.scheduler, self.client
+        self.link.inbox = self.inbox
         self.link.subscription, self.link.crash_sharing = self.subscription, self.sharing
         self.link.notices = self.notices
         self.sharing.waiting_boxes = self.unaware_boxes
--- a/packages/daemon/calicopathd/gateway/metrics.py
+++ b/packages/daemon/calicopathd/gateway/metrics.py
@@ -62,6 +62,15 @@
         self.stage_seconds = self.histogram('stage_call_seconds', 'Time of a stage call.')
         self.jobs_placed = self.counter('jobs_placed_total', 'Jobs that this box has placed.')
         self.jobs_rejected = self.counter('jobs_rejected_total', 'Jobs not placed, by reason.')
+        self.jobs_shed = self.counter(
+            'jobs_shed_total', 'Requests that this box, as scheduler, was too busy to decide about.'
+        )
+        self.jobs_unanswered = self.counter(
+            'jobs_unanswered_total', 'Requests refused because their scheduler did not answer.'
+        )
+        self.placements_unwanted = self.counter(
+            'placements_unwanted_total', 'Placements received for requests that were over.'
+        )
         self.scheduler_changes = self.counter(
             'scheduler_changes_total', 'Times that another box was taken for the scheduler.'
         )
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -25,6 +25,7 @@
     from calicopath_core.fleet.replicas import Replica
     from calicopath_core.fleet.store import RecordKind
     from calicopath_core.scheduling.jobs import Job, Piece
+    from calicopath_core.scheduling.messages import Placed, PlaceJob
     from calicopathd.gateway.metrics import GatewayMetrics
 
 log = structlog.get_logger(__name__)
@@ -250,6 +251,49 @@
             results=results,
         )
 
+    def on_hand_over_began(self, successor: str, begun: int, waiting: int) -> None:
+        """Log that more jobs wait to be handed over than fit into one tick."""
+        events.emit(
+            log, events.HAND_OVER_BEGAN, scheduler=successor, jobs=waiting, with_results=begun
+        )
+
+    def on_overload_started(self, lag_s: float, waiting: int) -> None:
+        """Log that this box, as scheduler, sheds requests."""
+        events.emit(
+            log, events.SCHEDULER_OVERLOADED, lag_ms=round(lag_s * 1000), jobs_undecided=waiting
+        )
+
+    def on_overload_ended(self, shed: int) -> None:
+        """Log that this box, as scheduler, sheds no more requests."""
+        events.emit(log, events.SCHEDULER_RECOVERED, jobs_shed=shed)
+
+    def on_shed(self, place: PlaceJob, retry_after_s: float) -> None:
+        """Count a shed request; its own box logs the refusal, and logging here costs time."""
+        self.metrics.jobs_shed.inc({'priority': str(place.priority)})
+
+    def on_unanswered(self, place: PlaceJob, scheduler: str, waited_s: float) -> None:
+        """Log and count a request that is refused because its scheduler did not answer."""
+        self.metrics.jobs_unanswered.inc({})
+        events.emit(
+            log,
+            events.JOB_UNANSWERED,
+            request=place.call_id,
+            job=place.job,
+            scheduler=scheduler,
+            waited_ms=round(waited_s * 1000),
+        )
+
+    def on_unwanted(self, placed: Placed) -> None:
+        """Log and count a placement for a request that is over."""
+        self.metrics.placements_unwanted.inc({})
+        events.emit(
+            log,
+            events.PLACEMENT_UNWANTED,
+            job=placed.job,
+            replica=placed.replica,
+            scheduler=placed.scheduler,
+        )
+
     def on_report_failed(self, replica: Replica, error: Exception) -> None:
         """Log that a replica did not report its free space."""
         events.emit(log, events.REPORT_FAILED, replica=replica.id, error=repr(error))
--- a/packages/daemon/calicopathd/gateway/peers.py
+++ b/packages/daemon/calicopathd/gateway/peers.py
@@ -47,6 +47,7 @@
     from calicopath_core.membership.transport import PeerTransport
     from calicopath_core.scheduling.client import SchedulerClient
     from calicopath_core.scheduling.election import Election
+    from calicopath_core.scheduling.inbox import Inbox
     from calicopath_core.scheduling.scheduler import Scheduler
     from calicopathd.gateway.notices import BoxNotices
 
@@ -82,6 +83,7 @@
         )
         self.scheduler: Scheduler | None = None
         self.client: SchedulerClient | None = None
+        self.inbox: Inbox | None = None
         self.subscription: Subscription | None = None
         self.crash_sharing: CrashSharing | None = None
         self.notices: BoxNotices | None = None
@@ -109,6 +111,7 @@
         """Dispatch a message to the component that handles its type."""
         assert self.scheduler is not None
         assert self.client is not None
+        assert self.inbox is not None
         assert self.subscription is not None
         assert self.crash_sharing is not None
         assert self.notices is not None
@@ -122,12 +125,8 @@
                 self.notices.on_presence(message)
             case Pong():
                 self.election.on_pong(message, self.clock.monotonic())
-            case PlaceJob():
-                # The sender may have noticed before this box that the previous scheduler is silent.
-                self.client.update_scheduler()
-                self.scheduler.on_place(message)
-            case AdoptJob():
-                self.scheduler.succession.on_adopt(message)
+            case PlaceJob() | AdoptJob():
+                self.inbox.on_request(message)
             case EngineLoads():
                 self.scheduler.succession.on_engine_loads(message)
             case LearnedEstimates():
@@ -143,6 +142,7 @@
             case RunStarted():
                 self.scheduler.on_started(message)
             case RunEnded():
+                self.inbox.on_withdrawn(message.job)
                 self.scheduler.on_ended(message)
             case Subscribe():
                 self.subscription.on_subscribe(message)
@@ -165,7 +165,7 @@
         assert self.crash_sharing is not None
         assert self.notices is not None
         own = self.election.own
-        return kind(
+        found = kind(
             box=own.name,
             address=own.address,
             config_version=self.config_version(),
@@ -177,6 +177,7 @@
             replicas=self.notices.leaving_sharing.digest(),
             limits=self.notices.limit_sharing.digest(),
         )
+        return msgspec.structs.replace(found, acknowledges=True) if kind is Pong else found
 
     def ping_all(self) -> None:
         """Ping every scheduler candidate, on a new connection if it has stopped answering."""
--- a/packages/daemon/calicopathd/peers/zmq_transport.py
+++ b/packages/daemon/calicopathd/peers/zmq_transport.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
@@ -34,6 +35,10 @@
 """An incoming connection is closed after 15 s without an acknowledgement from the peer's kernel.
 The peer has opened a new connection by then, and the old one would hold its descriptor for good."""
 
+RECEIVE_SLICE_S = 0.005
+"""Time for which received messages are handled before other tasks run. Receiving does not wait
+while messages are queued, so nothing else would run in a burst of messages."""
+
 LINGER_MS = 0
 """Closing does not wait for unsent messages, which a dead peer would never receive."""
 
@@ -84,8 +89,13 @@
 
     async def run(self) -> None:
         """Receive messages and pass them to the handler until cancelled."""
+        loop = asyncio.get_running_loop()
+        slice_ends_at = loop.time() + RECEIVE_SLICE_S
         while True:
             self.handler(await self.receive_socket.recv())
+            if loop.time() >= slice_ends_at:
+                await asyncio.sleep(0)
+                slice_ends_at = loop.time() + RECEIVE_SLICE_S
 
     def send(self, address: str, data: bytes) -> None:
         """Send without blocking; if the queue is full, drop the message and count it."""
--- a/testkit/replay/watching.py
+++ b/testkit/replay/watching.py
@@ -6,12 +6,14 @@
 from typing import TYPE_CHECKING, Any
 
 from calicopath_core.scheduling.interfaces import SchedulerObserver
+from calicopath_core.scheduling.shedding import BUSY_REASON
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from calicopath_core.fleet.replicas import Replica
     from calicopath_core.scheduling.jobs import Job, Piece
+    from calicopath_core.scheduling.messages import PlaceJob
 
 
 class CountingObserver(SchedulerObserver):
@@ -35,6 +37,19 @@
     def on_handed_over(self, job: Job, successor: str, results: int) -> None:
         """Do nothing."""
 
+    def on_hand_over_began(self, successor: str, begun: int, waiting: int) -> None:
+        """Do nothing."""
+
+    def on_overload_started(self, lag_s: float, waiting: int) -> None:
+        """Do nothing."""
+
+    def on_overload_ended(self, shed: int) -> None:
+        """Do nothing."""
+
+    def on_shed(self, place: PlaceJob, retry_after_s: float) -> None:
+        """Count a rejection."""
+        self.rejected[BUSY_REASON] = self.rejected.get(BUSY_REASON, 0) + 1
+
     def on_report_failed(self, replica: Replica, error: Exception) -> None:
         """Do nothing."""
 
