--- a/packages/core/calicopath_core/scheduling/jobs.py
+++ b/packages/core/calicopath_core/scheduling/jobs.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Container, Iterable
 
-    from calicopath_core.scheduling.messages import PhaseWork, PlaceJob
+    from calicopath_core.scheduling.messages import PhaseWork, Placed, PlaceJob
     from calicopath_core.scheduling.pacing import PacingClass
 
 Item = TypeVar('Item')
@@ -164,7 +164,8 @@
     `undispatched` counts for each phase the pieces that have not been put into a call. Jobs with
     `is_over_allowance` yield to jobs within their workspace's allowance. `effective_priority` is
     the job's own priority or a more urgent one. `pacing_class` says what pacing holds the job back
-    by, `None` until pacing has looked at the job.
+    by, `None` until pacing has looked at the job. `placement` is the answer that was sent to the
+    box.
 
     Structures that are derived from jobs register in `changed_in`, and find a job there after each
     change that concerns them: to its results, calls and pieces that have not been dispatched.
@@ -182,6 +183,7 @@
         }
         self.pieces: dict[int, list[Piece]] = {}
         self.placed_on: str | None = None
+        self.placement: Placed | None = None
         self.placed_at: float | None = None
         self.ended = False
         self.expected_stages_s = 0.0
