Scheduler: keep waiting groups and the engine queue in order

A dispatch ranked all waiting groups, and each placement sorted all jobs that wait for an engine. Both are now kept in lanes: jobs of one priority and one time between start and objective, sorted by objective. Late jobs are the front of a lane, so slack is still counted from now; a dispatch merges the lanes as far as it takes groups. Groups move only when their job changes or a result becomes old. Pacing leaves out whole lanes.

The time from a call to the first event is rounded to 20 ms for that order. A call skips at most 64 groups that do not fit.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -1,7 +1,8 @@
 """Compare the scheduler with variants that simplify its mechanisms, on named load patterns.
 
 `python -m bench.replay` prints a table of medians and ranges over seeds; `--cost` prints the
-processor time per decision by the number of boxes; `--picture FILE` draws the worth as an SVG.
+processor time per job by the number of boxes, and per decision by the number of waiting jobs;
+`--picture FILE` draws the worth as an SVG.
 """
 
 from __future__ import annotations
@@ -12,10 +13,12 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, NamedTuple
 
+from testkit.replay.crowd import measure_cpu_ms, measure_decisions
 from testkit.replay.fleet import USUAL_BOXES, fleet_of, shifted_fleet
 from testkit.replay.load import PATTERNS
 from testkit.replay.plain import VARIANTS
 from testkit.replay.world import replay
+from testkit.virtual import run_virtual
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,7 +26,13 @@
     from testkit.replay.outcomes import Figures
 
 SEEDS = (1, 2, 3)
-COST_BOXES = (30, 110, 195, 333)
+COST_BOXES = (30, 86, 110, 195, 333)
+COST_WAITING_JOBS = (50, 500, 5000)
+DECISION_BOXES = 86
+"""Boxes of the fleet on which single decisions are timed; at 85 boxes, a scheduler stopped deciding
+in a burst."""
+
+DECISION_REPEATS = 25
 BAR_WIDTH, BAR_HEIGHT, LABEL_WIDTH = 400, 14, 220
 COLOURS = ('#20639b', '#3caea3', '#f6d55c', '#ed553b')
 
@@ -110,6 +119,24 @@
     return '\n'.join(lines)
 
 
+def decision_table(boxes: int) -> str:
+    """Return a Markdown table of the processor time per decision by waiting jobs."""
+    measured = {
+        waiting: run_virtual(
+            measure_decisions(fleet_of(boxes), waiting, DECISION_REPEATS, measure_cpu_ms)
+        )
+        for waiting in COST_WAITING_JOBS
+    }
+    kinds = list(measured[COST_WAITING_JOBS[0]])
+    lines = [
+        f'| waiting jobs, {boxes} boxes | {" | ".join(f"{kind}, ms" for kind in kinds)} |',
+        f'|{" --- |" * (len(kinds) + 1)}',
+    ]
+    for waiting, times in measured.items():
+        lines.append(f'| {waiting} | {" | ".join(f"{times[kind]:.3f}" for kind in kinds)} |')
+    return '\n'.join(lines)
+
+
 def draw_bars(results: dict[RunSpec, Figures], patterns: list[str], variants: list[str]) -> str:
     """Return an SVG bar chart of the median worth, with a group of bars per pattern."""
     parts = []
@@ -158,6 +185,8 @@
             RunSpec('burst-all', 'ours', seed, boxes) for boxes in COST_BOXES for seed in SEEDS
         ]
         print(cost_table(run_all(specs, options.workers)))
+        print()
+        print(decision_table(DECISION_BOXES))
         return
     patterns = options.patterns.split(',')
     names = [item.name for item in VARIANTS]
--- a/packages/core/calicopath_core/scheduling/estimates.py
+++ b/packages/core/calicopath_core/scheduling/estimates.py
@@ -13,6 +13,11 @@
 """Observations are capped at this value, so that one engine that hangs does not decide."""
 
 
+def size_class_of(prompt_tokens: int) -> int:
+    """Return the size class of a prompt; prompts of one class share an estimate."""
+    return prompt_tokens.bit_length()
+
+
 class MeanDuration:
     """Estimate the mean of a duration in seconds by exponential smoothing."""
 
@@ -36,12 +41,12 @@
 
     def learn(self, prompt_tokens: int, took_s: float) -> None:
         """Add an observation for a prompt of some length."""
-        size_class = prompt_tokens.bit_length()
+        size_class = size_class_of(prompt_tokens)
         self.means.setdefault(size_class, MeanDuration(prior_s=DEFAULT_FIRST_EVENT_S)).learn(took_s)
 
     def expected_s(self, prompt_tokens: int) -> float:
         """Return the estimated time to the first event for a prompt of some length."""
-        mean = self.means.get(prompt_tokens.bit_length())
+        mean = self.means.get(size_class_of(prompt_tokens))
         return DEFAULT_FIRST_EVENT_S if mean is None else mean.mean_s
 
     def snapshot(self) -> dict[int, float]:
--- a/packages/core/calicopath_core/scheduling/jobs.py
+++ b/packages/core/calicopath_core/scheduling/jobs.py
@@ -254,15 +254,20 @@
             default=0.0,
         )
 
-    def oldest_result_s(self, now: float) -> float:
-        """Return the age of the oldest result that is still needed."""
-        ages = [
-            now - item.created_at
+    def oldest_result_at(self) -> float | None:
+        """Return when the oldest result that is still needed was made, `None` without one."""
+        times = [
+            item.created_at
             for made in self.results.values()
             for item in made
             if item is not None and not item.freed
         ]
-        return max(ages, default=0.0)
+        return min(times, default=None)
+
+    def oldest_result_s(self, now: float) -> float:
+        """Return the age of the oldest result that is still needed."""
+        made_at = self.oldest_result_at()
+        return 0.0 if made_at is None else now - made_at
 
     @property
     def id(self) -> str:
--- a/packages/core/calicopath_core/scheduling/rejections.py
+++ b/packages/core/calicopath_core/scheduling/rejections.py
@@ -126,13 +126,13 @@
         if not any(self.permits.rate_of(item.replica) for item in self.engines_waited_for()):
             return
         ahead: Counter[str] = Counter()
-        for job in self.engine_queue.ordered(now):
+        for job in list(self.engine_queue.ordered(now)):
             if self.check_limits(job, ahead[job.place.service], now):
                 ahead[job.place.service] += 1
 
     def engines_waited_for(self) -> Iterator[Engine]:
         """Yield the engines of the services that jobs with finished stages wait for."""
-        for service in {job.place.service for job in self.engine_queue.jobs.values()}:
+        for service in self.engine_queue.services():
             yield from self.engine_pools[service].engines.values()
 
     def reject_blocked(self) -> None:
--- a/packages/core/calicopath_core/scheduling/release.py
+++ b/packages/core/calicopath_core/scheduling/release.py
@@ -94,6 +94,7 @@
                 self.free_soon(kept)
                 freed.append(number)
         if freed:
+            job.mark_changed()
             self.job_controller.report_progress(job, (), tuple(freed))
 
     def free_soon(self, results: list[Result]) -> None:
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -56,6 +56,9 @@
 10 Gbit/s take under 10 ms. Keeping results longer takes space from their producers: 0.15 s lowered
 the mean score of days with faults by 0.015."""
 
+PLACEMENTS_PER_LOOK = 4
+"""Jobs that are taken from the engine queue at a time; seldom more find an engine at once."""
+
 DEFAULT_RETRY_AFTER_S = 0.5
 """Retry delay of a rejected job when no estimate is available."""
 
@@ -102,7 +105,10 @@
         self.backlog = Backlog(observer=observer)
         self.expiry_times = DueTimes()
         self.fetch_times = DueTimes()
-        self.engine_queue = EngineQueue(first_event_s=self.first_event_s)
+        self.engine_queue = EngineQueue(
+            first_event_s=self.first_event_s,
+            on_inconsistent=lambda count: observer.on_counts_rebuilt('engine queue', count),
+        )
         self.work_available = asyncio.Event()
         self.engine_pools = EnginePools(
             salt=own_address, warmup=warmup, pool_factory=pool_factory, permits=self.permits
@@ -294,13 +300,20 @@
 
     def place_waiting_jobs(self) -> None:
         """Place waiting jobs, until the engines of their services are full."""
-        full: set[str] = set()
-        for job in self.engine_queue.ordered(self.clock.monotonic()):
-            if job.place.service in full:
-                continue
-            self.place_engine(job)
-            if job.id in self.engine_queue.jobs and not self.has_engine_restrictions(job):
-                full.add(job.place.service)
+        for service in self.engine_queue.services():
+            self.place_jobs_of(service, self.clock.monotonic())
+
+    def place_jobs_of(self, service: str, now: float) -> None:
+        """Place the waiting jobs of a service until its engines are full."""
+        passed = 0
+        while jobs := self.engine_queue.first(now, service, passed, PLACEMENTS_PER_LOOK):
+            for job in jobs:
+                self.place_engine(job)
+                if job.id not in self.engine_queue.jobs:
+                    continue
+                if not self.has_engine_restrictions(job):
+                    return
+                passed += 1
 
     def has_engine_restrictions(self, job: Job) -> bool:
         """Tell whether other jobs may use engines that are closed to this one."""
--- a/packages/core/calicopath_core/scheduling/stage_calls.py
+++ b/packages/core/calicopath_core/scheduling/stage_calls.py
@@ -102,6 +102,7 @@
                 runs_alone=lambda job: self.crashes.is_suspect(job.place.content, service),
                 backoff_left_s=self.backoff_left_s,
                 permits=self.permits,
+                on_inconsistent=lambda count: self.observer.on_counts_rebuilt(service, count),
             )
         queue.spec = spec
 
--- a/packages/core/calicopath_core/scheduling/stages.py
+++ b/packages/core/calicopath_core/scheduling/stages.py
@@ -7,13 +7,14 @@
 from calicopath_core.permits.issuer import PermitIssuer, UnlimitedIssuer
 from calicopath_core.scheduling.jobs import LARGE_RESULT_BYTES
 from calicopath_core.scheduling.placing import (
+    NO_PREFERENCE,
     DomainPreference,
     failure_domain_waits,
     may_run_in,
     preference_of,
 )
 from calicopath_core.scheduling.stage_replicas import OVERDUE_FACTOR, Booking, StageReplica
-from calicopath_core.scheduling.waiting import WaitingPieces, update_ranking
+from calicopath_core.scheduling.waiting import WaitingPieces
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Container, Iterable, Iterator
@@ -22,7 +23,7 @@
     from calicopath_core.fleet.replicas import Replica
     from calicopath_core.scheduling.jobs import Job, Piece
     from calicopath_core.scheduling.pacing import PacingClass
-    from calicopath_core.scheduling.waiting import PieceGroup, RankedGroup
+    from calicopath_core.scheduling.waiting import PieceGroup, ReadyGroups
 
 MAX_BATCH_DELAY_S = 0.03
 """How long an incomplete batch waits when only one replica is free. The mean score is the same from
@@ -46,6 +47,10 @@
 """How long a replica that had no space for a result gets no calls, whatever free space it reports:
 its reports are some 100 ms old."""
 
+MAX_SKIPPED_GROUPS = 64
+"""Groups that a call may skip because they don't fit, several times the jobs that share a call. A
+replica without space for any of them would otherwise be compared with all that wait."""
+
 TYPICAL_FILL_RATIO = 0.75
 """Expected fill ratio of a call under load; the daily mean is between 0.6 and 0.9."""
 
@@ -62,7 +67,8 @@
 
     A job for which `runs_alone` is true shares no call with other jobs: replicas crashed during its
     request, and jobs that shared a call with the cause would be blocked too. `backoff_left_s`
-    returns for how many seconds a replica still refuses calls from this box.
+    returns for how many seconds a replica still refuses calls from this box. `on_inconsistent` is
+    told of an order of what waits that had to be rebuilt.
     """
 
     def __init__(
@@ -73,6 +79,7 @@
         runs_alone: Callable[[Job], bool] = lambda job: False,
         backoff_left_s: Callable[[Replica], float] = lambda replica: 0.0,
         permits: PermitIssuer | None = None,
+        on_inconsistent: Callable[[int], None] = lambda count: None,
     ) -> None:
         self.permits = permits or UnlimitedIssuer()
         self.service = service
@@ -81,7 +88,7 @@
         self.backoff_left_s = backoff_left_s
         self.replicas: dict[str, StageReplica] = {}
         self.known_replicas: dict[str, StageReplica] = {}
-        self.waiting = WaitingPieces()
+        self.waiting = WaitingPieces(on_inconsistent=on_inconsistent)
 
     def set_replicas(self, usable: Iterable[Replica], alive: Container[str] = ()) -> None:
         """Set the replicas that may be called; calls in progress on others run to their end.
@@ -133,20 +140,11 @@
         return 2 * quick_replicas * self.spec.batch
 
     def batches(self, now: float, held: Container[PacingClass] = ()) -> Iterator[StageBatch]:
-        """Yield the calls to make now; classes of jobs in `held` keep waiting.
-
-        The waiting groups are ranked once for all calls, not for each call.
-        """
-        if not self.waiting or not self.free_replicas(now):
-            return
-        ranked = self.waiting.ready(held, now)
-        preferences = {item.number: preference_of(item.group.first, now) for item in ranked}
-        while ranked and (free := self.free_replicas(now)):
-            batch = self.choose_batch(free, ranked, preferences, now)
+        """Yield the calls to make now; classes of jobs in `held` keep waiting."""
+        while self.waiting and (free := self.free_replicas(now)):
+            batch = self.choose_batch(free, self.waiting.ready(held, now), now)
             if batch is None:
                 return
-            for item in update_ranking(ranked, batch.pieces, now):
-                preferences[item.number] = preference_of(item.group.first, now)
             yield batch
 
     def next_batch(self, now: float, held: Container[PacingClass] = ()) -> StageBatch | None:
@@ -154,40 +152,53 @@
         return next(self.batches(now, held), None)
 
     def choose_batch(
-        self,
-        free: list[StageReplica],
-        ranked: list[RankedGroup],
-        preferences: dict[int, DomainPreference],
-        now: float,
+        self, free: list[StageReplica], ready: ReadyGroups, now: float
     ) -> StageBatch | None:
         """Return a call to the first free replica that suits waiting groups, or `None`."""
-        prefers_domain = self.is_lightly_loaded() and any(
-            preferences[item.number].failure_domain for item in ranked
-        )
+        preferences = self.preferences(ready, now)
         waits = (
             failure_domain_waits(self.available_replicas(), self.spec, self.permits, now)
-            if prefers_domain
+            if preferences
             else {}
         )
         for target in free:
-            failure_domain = target.replica.failure_domain
-            eligible = [
-                item.group
-                for item in ranked
-                if may_run_in(preferences[item.number], failure_domain, waits)
-            ]
-            if not eligible:
-                continue
-            count = sum(len(group.pieces) for group in eligible)
-            if count < self.spec.batch and self.fill_wait_s(len(free)) > longest_wait_s(
-                eligible, now
-            ):
+            eligible: Iterable[PieceGroup] = ready
+            if preferences:
+                failure_domain = target.replica.failure_domain
+                eligible = [
+                    group
+                    for group in ready
+                    if may_run_in(
+                        preferences.get(group.number, NO_PREFERENCE), failure_domain, waits
+                    )
+                ]
+            if self.is_worth_waiting(eligible, len(free), now):
                 continue
             pieces = self.fitting_pieces(eligible, target, now)
             if pieces:
                 return self.start_batch(target, pieces, now)
         return None
 
+    def preferences(self, ready: ReadyGroups, now: float) -> dict[int, DomainPreference]:
+        """Return the preferences of the groups that have one, none while the backlog is large.
+
+        The groups are then no more than a call of each replica takes.
+        """
+        if not self.is_lightly_loaded():
+            return {}
+        found = {group.number: preference_of(group.first, now) for group in ready}
+        return {number: item for number, item in found.items() if item.failure_domain is not None}
+
+    def is_worth_waiting(self, groups: Iterable[PieceGroup], free: int, now: float) -> bool:
+        """Tell whether groups do not fill a call and have not waited for more long enough."""
+        count, waiting_since = 0, now
+        for group in groups:
+            count += len(group.pieces)
+            waiting_since = min(waiting_since, group.waiting_since)
+            if count >= self.spec.batch:
+                return False
+        return self.fill_wait_s(free) > now - waiting_since
+
     def is_lightly_loaded(self) -> bool:
         """Tell whether the backlog is small enough to respect preferred failure domains."""
         return len(self.waiting) <= BUSY_CALLS_PER_REPLICA * self.spec.batch * len(
@@ -200,7 +211,7 @@
         return MAX_BATCH_DELAY_S * (1 - (free - 1) / usable)
 
     def fitting_pieces(
-        self, groups: list[PieceGroup], target: StageReplica, now: float
+        self, groups: Iterable[PieceGroup], target: StageReplica, now: float
     ) -> list[Piece]:
         """Return the pieces, in order, that fit into one call to a replica.
 
@@ -208,9 +219,13 @@
         """
         free_bytes = target.free_result_bytes(self.spec, now)
         found: list[Piece] = []
+        skipped = 0
         for group in groups:
+            if skipped > MAX_SKIPPED_GROUPS:
+                break
             alone = self.runs_alone(group.first.job)
             if alone and found:
+                skipped += 1
                 continue
             size = group.result_bytes
             pieces = group.pieces
@@ -224,8 +239,10 @@
                 and size >= LARGE_RESULT_BYTES
                 and len(pieces) <= self.spec.batch
             ):
+                skipped += 1
                 continue
             taken = pieces[: max(0, free_slots)]
+            skipped += not taken
             found.extend(taken)
             free_bytes -= size * len(taken)
             if len(found) == self.spec.batch or (alone and found):
@@ -323,11 +340,6 @@
         return self.spec.call_s + self.spec.piece_s * pieces
 
 
-def longest_wait_s(groups: list[PieceGroup], now: float) -> float:
-    """Return how long the oldest of some groups has waited, in seconds."""
-    return now - min(group.waiting_since for group in groups)
-
-
 def jobs_of(batch: StageBatch) -> list[Job]:
     """Return the distinct jobs whose pieces are in a call."""
     return list({piece.job.id: piece.job for piece in batch.pieces}.values())
--- /dev/null
+++ b/packages/core/calicopath_core/scheduling/tests/cost_tests.py
@@ -0,0 +1,34 @@
+"""Test that a decision costs the same however many jobs wait.
+
+When the cost grew with the backlog, the scheduler stopped deciding in a burst: each arrival made
+each later decision slower, and stages were idle while jobs waited.
+"""
+
+from __future__ import annotations
+
+import testtools
+
+from testkit.replay.crowd import count_calls, measure_decisions
+from testkit.replay.fleet import fleet_of
+from testkit.virtual import run_virtual
+
+BOXES = 12
+"""Boxes of a fleet for which 50 waiting jobs are already more than its stages take at once."""
+
+MAX_RATIO = 1.2
+"""The costs may differ by a fifth, as they must by the design page: sorted structures grow by the
+logarithm."""
+
+REPEATS = 7
+
+
+class Cost(testtools.TestCase):
+    def test_a_decision_costs_the_same_with_50_and_with_5000_waiting_jobs(self) -> None:
+        few, many = (
+            run_virtual(measure_decisions(fleet_of(BOXES), waiting, REPEATS, count_calls))
+            for waiting in (50, 5000)
+        )
+        self.assertEqual({'arrival', 'dispatch', 'rejection', 'hand-over', 'placement'}, set(few))
+        for kind, calls in many.items():
+            self.assertLessEqual(calls, MAX_RATIO * few[kind], kind)
+            self.assertLessEqual(few[kind], MAX_RATIO * calls, kind)
--- a/packages/core/calicopath_core/scheduling/waiting.py
+++ b/packages/core/calicopath_core/scheduling/waiting.py
@@ -8,38 +8,59 @@
 
 from __future__ import annotations
 
-import bisect
 from typing import TYPE_CHECKING, NamedTuple
 
+from calicopath_core.scheduling.due_times import DueTimes
+from calicopath_core.scheduling.jobs import ChangedJobs
+from calicopath_core.scheduling.lanes import (
+    ALLOWED_TIER,
+    FIRST_TIER,
+    LATE_TIER,
+    OVER_ALLOWANCE_TIER,
+    SLACK_STEP_S,
+    LaneKey,
+    Lanes,
+    Position,
+    Rank,
+)
+
 if TYPE_CHECKING:
-    from collections.abc import Container, Iterable
+    from collections.abc import Callable, Container, Iterable, Iterator
 
     from calicopath_core.scheduling.jobs import Job, Piece
     from calicopath_core.scheduling.pacing import PacingClass
 
-SLACK_STEP_S = 0.4
-"""Step to which slack is rounded, about one call; jobs in the same step go by priority."""
-
 OLD_RESULT_AGE_S = 1.2
 """Age of a result from which its readers go first: the users' results expire after 4 s, and the
 stages that follow take about half of that."""
 
+LEAD_STEP_S = 0.02
+"""Step to which the time from a piece's call to the first event is rounded, so that pieces share
+lanes. It is a twentieth of a slack step; the time itself is an estimate that moves as much within a
+second."""
+
 
-class Rank(NamedTuple):
-    """Sort key of a group; the smallest is served first."""
+class WaitingClass(NamedTuple):
+    """Hold what the groups of a lane have in common.
+
+    They are held back together, and must be called `lead_steps` times `LEAD_STEP_S` before their
+    objective.
+    """
 
-    tier: int
-    slack_step: int
-    priority: int
-    order_at: float
+    held_by: PacingClass | None
+    lead_steps: int
 
 
 class PieceGroup:
-    """Hold the waiting pieces of one phase of a job, the first of them since `waiting_since`."""
+    """Hold the waiting pieces of one phase of a job, the first of them since `waiting_since`.
 
-    def __init__(self, *, job: Job, phase: int, waiting_since: float) -> None:
+    `number` tells groups apart, in the order in which they began to wait.
+    """
+
+    def __init__(self, *, job: Job, phase: int, number: int, waiting_since: float) -> None:
         self.job = job
         self.phase = phase
+        self.number = number
         self.waiting_since = waiting_since
         self.pieces: list[Piece] = []
 
@@ -54,79 +75,121 @@
         return self.job.place.phases[self.phase].result_bytes
 
 
+class ReadyGroups:
+    """Hold the groups that may be dispatched, in order; they are ranked as far as they are read."""
+
+    def __init__(self, ranked: Iterator[PieceGroup]) -> None:
+        self.ranked = ranked
+        self.found: list[PieceGroup] = []
+
+    def __iter__(self) -> Iterator[PieceGroup]:
+        yield from self.found
+        for group in self.ranked:
+            self.found.append(group)
+            yield group
+
+
 class WaitingPieces:
-    """Hold the pieces that wait for one service, grouped by job and phase."""
+    """Hold the pieces that wait for one service, grouped by job and phase and kept in order.
+
+    A group changes its place only when its job changes or a result of the job becomes old.
+    `on_inconsistent` is told of an order that had to be rebuilt, with the number of groups.
+    """
 
-    def __init__(self) -> None:
-        self.groups: dict[tuple[str, int], PieceGroup] = {}
+    def __init__(self, *, on_inconsistent: Callable[[int], None] = lambda count: None) -> None:
+        self.groups: dict[str, dict[int, PieceGroup]] = {}
         self.count = 0
+        self.last_number = 0
+        self.changed = ChangedJobs()
+        self.old_times = DueTimes()
+        self.lanes: Lanes[PieceGroup] = Lanes(on_inconsistent=on_inconsistent)
 
     def __len__(self) -> int:
         return self.count
 
     def add(self, piece: Piece, now: float) -> None:
         """Add a piece to the group of its job and phase."""
-        key = (piece.job.id, piece.phase)
-        group = self.groups.get(key)
+        job = piece.job
+        groups = self.groups.get(job.id)
+        if groups is None:
+            groups = self.groups[job.id] = {}
+            job.changed_in.append(self.changed)
+        group = groups.get(piece.phase)
         if group is None:
-            group = self.groups[key] = PieceGroup(
-                job=piece.job, phase=piece.phase, waiting_since=now
+            self.last_number += 1
+            group = groups[piece.phase] = PieceGroup(
+                job=job, phase=piece.phase, number=self.last_number, waiting_since=now
             )
         group.pieces.append(piece)
         self.count += 1
+        self.changed.jobs[job.id] = job
 
     def remove(self, pieces: Iterable[Piece]) -> None:
         """Remove pieces, such as those put into a call."""
         for piece in pieces:
-            key = (piece.job.id, piece.phase)
-            group = self.groups[key]
+            job = piece.job
+            groups = self.groups[job.id]
+            group = groups[piece.phase]
             group.pieces.remove(piece)
             self.count -= 1
             if not group.pieces:
-                del self.groups[key]
+                del groups[piece.phase]
+                self.lanes.drop(group.number)
+            if not groups:
+                del self.groups[job.id]
+                job.changed_in.remove(self.changed)
+                self.changed.jobs.pop(job.id, None)
+                self.old_times.drop(job.id)
 
     def drop_stale(self, job: Job) -> None:
         """Drop the pieces of a job that has ended or recomputes them."""
-        for phase in range(len(job.place.phases)):
-            group = self.groups.get((job.id, phase))
-            if group is not None:
-                self.remove([piece for piece in group.pieces if piece.is_stale])
+        for group in list(self.groups.get(job.id, {}).values()):
+            self.remove([piece for piece in group.pieces if piece.is_stale])
 
-    def ready(self, held: Container[PacingClass], now: float) -> list[RankedGroup]:
+    def ready(self, held: Container[PacingClass], now: float) -> ReadyGroups:
         """Return the groups that may be dispatched now, in order, without the classes in `held`."""
-        found = [
-            RankedGroup(rank(group.first, now), number, group)
-            for number, group in enumerate(self.groups.values())
-            if group.job.held_by not in held and not group.first.is_early()
-        ]
-        found.sort()
-        return found
-
-
-class RankedGroup(NamedTuple):
-    """Hold a waiting group with its sort key; `number` breaks ties in queue order."""
-
-    rank: Rank
-    number: int
-    group: PieceGroup
-
-
-def update_ranking(
-    ranked: list[RankedGroup], dispatched: Iterable[Piece], now: float
-) -> list[RankedGroup]:
-    """Update a ranking after pieces were dispatched, and return their groups that still wait.
-
-    `ranked` is changed in place.
-    """
-    changed_keys = {(piece.job.id, piece.phase) for piece in dispatched}
-    changed = []
-    for item in [one for one in ranked if (one.group.job.id, one.group.phase) in changed_keys]:
-        ranked.remove(item)
-        if item.group.pieces:
-            reranked = RankedGroup(rank(item.group.first, now), item.number, item.group)
-            bisect.insort(ranked, reranked)
-            changed.append(reranked)
-    return changed
+        self.refresh(now)
+        ranked = self.lanes.ordered(now, lambda key: key.shared.held_by not in held, lead_s)
+        return ReadyGroups(ranked)
+
+    def refresh(self, now: float) -> None:
+        """Move the groups of the jobs that have changed, or whose results have become old."""
+        for job in self.changed.pop_all():
+            self.place(job, now)
+        for name in self.old_times.pop_before(now):
+            self.place(next(iter(self.groups[name].values())).job, now)
+
+    def place(self, job: Job, now: float) -> None:
+        """Put the groups of a job where they belong."""
+        made_at = job.oldest_result_at()
+        old_at = None if made_at is None else made_at + OLD_RESULT_AGE_S
+        is_old = old_at is not None and old_at < now
+        if old_at is None or is_old:
+            self.old_times.drop(job.id)
+        else:
+            self.old_times.set(job.id, old_at)
+        for group in self.groups[job.id].values():
+            if group.first.is_early():
+                self.lanes.drop(group.number)
+            else:
+                self.lanes.put(group.number, group, position_of(group, is_old=is_old))
+
+
+def position_of(group: PieceGroup, *, is_old: bool) -> Position:
+    """Return where a group waits, by the rules of `rank`."""
+    job = group.job
+    if is_old or job.resumed or group.first.has_siblings_in_progress:
+        return Position(LaneKey(FIRST_TIER, 0, WaitingClass(job.held_by, 0)), job.arrived_at)
+    tier = OVER_ALLOWANCE_TIER if job.is_over_allowance else ALLOWED_TIER
+    lead_steps = round(job.critical_path_s.get(group.phase, 0.0) / LEAD_STEP_S)
+    waiting_class = WaitingClass(job.held_by, lead_steps)
+    return Position(LaneKey(tier, job.effective_priority, waiting_class), job.objective_at)
+
+
+def lead_s(key: LaneKey) -> float:
+    """Return how long before their objective the groups of a lane must be called."""
+    steps: int = key.shared.lead_steps
+    return steps * LEAD_STEP_S
 
 
 def rank(piece: Piece, now: float) -> Rank:
@@ -146,15 +209,15 @@
     """
     job = piece.job
     if piece.has_siblings_in_progress or job.oldest_result_s(now) > OLD_RESULT_AGE_S:
-        return Rank(0, 0, 0, job.arrived_at)
+        return Rank(FIRST_TIER, 0, 0, job.arrived_at)
     return rank_job(job, piece.slack_s(now))
 
 
 def rank_job(job: Job, slack_s: float) -> Rank:
     """Return the sort key of a job with `slack_s` left before it misses its objective."""
     if job.resumed:
-        return Rank(0, 0, 0, job.arrived_at)
+        return Rank(FIRST_TIER, 0, 0, job.arrived_at)
     if slack_s < 0:
-        return Rank(3, 0, job.effective_priority, job.objective_at)
-    tier = 2 if job.is_over_allowance else 1
+        return Rank(LATE_TIER, 0, job.effective_priority, job.objective_at)
+    tier = OVER_ALLOWANCE_TIER if job.is_over_allowance else ALLOWED_TIER
     return Rank(tier, int(slack_s / SLACK_STEP_S), job.effective_priority, job.objective_at)
