--- a/bench/replay.py
+++ b/bench/replay.py
@@ -1,7 +1,8 @@
 """Compare the scheduler with variants that simplify its mechanisms, on named load patterns.
 
 `python -m bench.replay` prints a table of medians and ranges over seeds; `--cost` prints the
-processor time per decision by the number of boxes; `--picture FILE` draws the worth as an SVG.
+processor time per decision by the number of boxes; `--picture FILE` draws the worth as an SVG. With
+`--share`, decisions take time, and the table shows what the scheduler was too busy for.
 """
 
 from __future__ import annotations
@@ -12,9 +13,11 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, NamedTuple
 
+from calicopath_core.scheduling.shedding import BUSY_REASON
 from testkit.replay.fleet import USUAL_BOXES, fleet_of, shifted_fleet
-from testkit.replay.load import PATTERNS
+from testkit.replay.load import LENGTH_S, PATTERNS
 from testkit.replay.plain import VARIANTS
+from testkit.replay.processor import MeasuredCost
 from testkit.replay.world import replay
 
 if TYPE_CHECKING:
@@ -29,13 +32,17 @@
 
 
 class RunSpec(NamedTuple):
-    """Identify one replay; `shifted` selects the fleet of the shifted work over `boxes`."""
+    """Identify one replay; `shifted` selects the fleet of the shifted work over `boxes`.
+
+    With a `share`, decisions take the measured processor time on that share of a core.
+    """
 
     pattern: str
     variant: str
     seed: int
     boxes: int
     shifted: bool = False
+    share: float | None = None
 
 
 class Column(NamedTuple):
@@ -55,13 +62,24 @@
     Column('read again, 1,000 tokens', lambda item: item.reread_tokens / 1000, '.0f'),
     Column('between zones, MB', lambda item: item.cross_domain_bytes / 1e6, '.0f'),
 )
+SHARE_COLUMNS = (
+    Column('shed', lambda item: float(item.rejected.get(BUSY_REASON, 0)), '.0f'),
+    Column('refused by boxes', lambda item: float(item.unanswered), '.0f'),
+    Column('undecided', lambda item: float(item.undecided), '.0f'),
+    Column('fewest stage calls a second', lambda item: float(fewest_calls(item)), '.0f'),
+)
+
+
+def fewest_calls(figures: Figures) -> int:
+    """Return the fewest stage calls in a second, without the first and the last one."""
+    return min(figures.calls_by_second[1 : int(LENGTH_S)], default=0)
 
 
 def execute_run(spec: RunSpec) -> Figures:
     """Run one replay in this process."""
     variant = next(item for item in VARIANTS if item.name == spec.variant)
     fleet = shifted_fleet() if spec.shifted else fleet_of(spec.boxes)
-    return replay(spec.pattern, spec.seed, variant, fleet)
+    return replay(spec.pattern, spec.seed, variant, fleet, spec.share, MeasuredCost())
 
 
 def run_all(specs: list[RunSpec], workers: int) -> dict[RunSpec, Figures]:
@@ -84,7 +102,9 @@
     results: dict[RunSpec, Figures], patterns: list[str], variants: list[str]
 ) -> str:
     """Return the comparison as a Markdown table."""
-    names = ['pattern', 'variant', *(column.name for column in COLUMNS)]
+    has_share = any(spec.share is not None for spec in results)
+    columns = (*COLUMNS, *SHARE_COLUMNS) if has_share else COLUMNS
+    names = ['pattern', 'variant', *(column.name for column in columns)]
     lines = [f'| {" | ".join(names)} |', f'|{" --- |" * len(names)}']
     for pattern in patterns:
         for variant in variants:
@@ -93,7 +113,7 @@
                 for spec, figures in results.items()
                 if (spec.pattern, spec.variant) == (pattern, variant)
             ]
-            cells = [format_cell(column, runs) for column in COLUMNS]
+            cells = [format_cell(column, runs) for column in columns]
             lines.append(f'| {pattern} | {variant} | {" | ".join(cells)} |')
     return '\n'.join(lines)
 
@@ -144,6 +164,7 @@
     parser.add_argument('--variants', default='ours', help='names, separated by commas, or all')
     parser.add_argument('--shifted', action='store_true', help='use the fleet of the shifted work')
     parser.add_argument('--boxes', type=int, default=USUAL_BOXES)
+    parser.add_argument('--share', type=float, help="share of a core of the scheduler's box")
     parser.add_argument('--workers', type=int, default=2)
     parser.add_argument('--cost', action='store_true', help='measure only the cost of a decision')
     parser.add_argument('--picture', type=Path, help='SVG file for a chart of the worth')
@@ -163,7 +184,7 @@
     names = [item.name for item in VARIANTS]
     variants = names if options.variants == 'all' else options.variants.split(',')
     specs = [
-        RunSpec(pattern, variant, seed, options.boxes, options.shifted)
+        RunSpec(pattern, variant, seed, options.boxes, options.shifted, options.share)
         for pattern in patterns
         for variant in variants
         for seed in SEEDS
--- a/testkit/replay/outcomes.py
+++ b/testkit/replay/outcomes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -35,7 +36,10 @@
     """Hold the figures of one replay; shares are earned worth divided by possible worth.
 
     Bytes and tokens are totals. `others` are the shares by kind of the workspaces that do not
-    flood, `max_cold_starts` is the most runs that one cold engine got within a second.
+    flood, `max_cold_starts` is the most runs that one cold engine got within a second. `undecided`
+    requests reached their deadline without an answer, `unanswered` ones were refused by their own
+    boxes, `rejected` are the scheduler's rejections by reason, and `calls_by_second` the stage
+    calls begun in each second.
     """
 
     worth: float
@@ -51,6 +55,10 @@
     rejected_for_space: int
     max_cold_starts: int
     cost_ms: float
+    undecided: int = 0
+    unanswered: int = 0
+    rejected: dict[str, int] = {}
+    calls_by_second: tuple[int, ...] = ()
 
 
 def worth_share(outcomes: list[Outcome]) -> float:
@@ -86,3 +94,9 @@
         for start in starts
     ]
     return min((worth_share(window) for window in windows if window), default=1.0)
+
+
+def count_by_second(times: list[float]) -> tuple[int, ...]:
+    """Return how many of some times lie in each second."""
+    counts = Counter(int(at) for at in times)
+    return tuple(counts[second] for second in range(max(counts, default=-1) + 1))
--- a/testkit/replay/stages.py
+++ b/testkit/replay/stages.py
@@ -52,13 +52,18 @@
         self.result_numbers = itertools.count(1)
         self.replica_states: dict[str, ReplicaState] = {}
         self.results: dict[str, StoredResult] = {}
-        self.calls = 0
+        self.called_at: list[float] = []
         self.pieces = 0
         self.rejected_for_space = 0
         self.missing_inputs = 0
         self.work_s = 0.0
         self.cross_domain_bytes = 0
 
+    @property
+    def calls(self) -> int:
+        """Return the number of calls."""
+        return len(self.called_at)
+
     def state_of(self, name: str) -> ReplicaState:
         """Return a replica's state."""
         return self.replica_states.setdefault(name, ReplicaState())
@@ -88,8 +93,8 @@
     ) -> list[PieceResult]:
         """Fetch the inputs, spend the time of the work, and store the results that fit."""
         spec = self.specs[replica.service]
-        self.calls += 1
         now = asyncio.get_running_loop().time()
+        self.called_at.append(now)
         self.expire(now)
         free = self.free_bytes(replica, spec)
         reasons: list[str] = []
--- a/testkit/replay/world.py
+++ b/testkit/replay/world.py
@@ -10,6 +10,7 @@
 from calicopath_core.fleet.deployment import Deployment, ServiceSpec
 from calicopath_core.fleet.replicas import ReplicaTable
 from calicopath_core.scheduling.client import PendingJob
+from calicopath_core.scheduling.inbox import Inbox, call_on_loop
 from calicopath_core.scheduling.messages import (
     AdoptJob,
     Placed,
@@ -19,7 +20,8 @@
     RunEnded,
 )
 from calicopath_core.scheduling.messages import RunStarted as Started
-from calicopath_core.scheduling.scheduler import Scheduler
+from calicopath_core.scheduling.scheduler import TICK_INTERVAL_S, Scheduler
+from calicopath_core.scheduling.shedding import BUSY_REASON, busy_retry_after_s
 from calicopath_core.scheduling.starts import WarmupTerms
 from testkit.ledgers import new_guard
 from testkit.replay import outcomes as counting
@@ -28,6 +30,13 @@
 from testkit.replay.fleet import ENGINE, Fleet, fleet_of
 from testkit.replay.load import FLOODING_WORKSPACE, PATTERNS, Arrival, Fault, LoadGenerator, Pattern
 from testkit.replay.outcomes import Figures, Outcome
+from testkit.replay.processor import (
+    CostMeter,
+    CountedCost,
+    Processor,
+    ProcessorClock,
+    QueuedResults,
+)
 from testkit.replay.stages import ReplayStages
 from testkit.replay.watching import CountingObserver, Stopwatch
 from testkit.virtual import VirtualClock, run_virtual
@@ -37,7 +46,7 @@
 
     import msgspec
 
-    from calicopath_core.scheduling.interfaces import PieceCall
+    from calicopath_core.scheduling.interfaces import PieceCall, StageCaller
 
 
 NETWORK_S = 0.002
@@ -63,6 +72,8 @@
 TIMED_METHODS = ('on_place', 'on_started', 'on_ended', 'tick', 'advance')
 TIMED_STAGE_METHODS = ('dispatch', 'on_freed', 'on_result')
 TIMED_RELEASE_METHODS = ('report_results', 'free_read', 'on_fetched')
+TIMED_SUCCESSION_METHODS = ('on_adopt',)
+TIMED_INBOX_METHODS = ('on_request', 'end_slice')
 
 
 class Variant(NamedTuple):
@@ -73,9 +84,28 @@
 
 
 class World:
-    """Run one replay."""
-
-    def __init__(self, *, fleet: Fleet, pattern: Pattern, seed: int, variant: Variant) -> None:
+    """Run one replay.
+
+    With a `share`, decisions take time on a box with that share of a core, as `meter` tells it, and
+    boxes refuse requests without an answer; without one they take no time.
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        pattern: Pattern,
+        seed: int,
+        variant: Variant,
+        share: float | None = None,
+        meter: CostMeter | None = None,
+    ) -> None:
+        self.share = share
+        self.meter = meter or CountedCost()
+        self.processor: Processor | None = None
+        self.inbox: Inbox | None = None
+        self.undecided = 0
+        self.unanswered = 0
         self.fleet = fleet
         self.pattern = pattern
         self.rng = random.Random(seed + 1)
@@ -117,10 +147,16 @@
                 and not self.stages.state_of(replica.id).is_dead
             ):
                 self.table.put(replica)
+        clock = self.clock
+        caller: StageCaller = self.stages
+        processor = self.processor = self.new_processor()
+        if processor is not None:
+            clock = ProcessorClock(processor=processor)
+            caller = QueuedResults(stages=self.stages, processor=processor)
         found = Scheduler(
-            clock=self.clock,
+            clock=clock,
             replicas=self.table,
-            caller=self.stages,
+            caller=caller,
             send=self.send,
             observer=self.observer,
             own_address=f'scheduler-{self.scheduler_restarts}',
@@ -130,12 +166,29 @@
         )
         found.on_deployment(self.deployment())
         self.variant.apply(found)
-        self.stopwatch.wrap(found, TIMED_METHODS)
-        self.stopwatch.wrap(found.stages, TIMED_STAGE_METHODS)
-        self.stopwatch.wrap(found.stages.release, TIMED_RELEASE_METHODS)
-        self.scheduler_task = asyncio.create_task(found.run())
+        call_soon = call_on_loop if processor is None else processor.submit
+        self.inbox = Inbox(scheduler=found, clock=clock, call_soon=call_soon)
+        watch = self.stopwatch if processor is None else processor
+        watch.wrap(found, TIMED_METHODS)
+        watch.wrap(found.stages, TIMED_STAGE_METHODS)
+        watch.wrap(found.stages.release, TIMED_RELEASE_METHODS)
+        watch.wrap(found.succession, TIMED_SUCCESSION_METHODS)
+        watch.wrap(self.inbox, TIMED_INBOX_METHODS)
+        work = found.run() if processor is None else self.run_ticks(found, processor)
+        self.scheduler_task = asyncio.create_task(work)
         return found
 
+    def new_processor(self) -> Processor | None:
+        """Return the processor of the scheduler's box, `None` if decisions take no time."""
+        return None if self.share is None else Processor(share=self.share, meter=self.meter)
+
+    async def run_ticks(self, scheduler: Scheduler, processor: Processor) -> None:
+        """Run the scheduler's periodic work when its box has time for it."""
+        while True:
+            await asyncio.sleep(TICK_INTERVAL_S)
+            await processor.turn()
+            scheduler.tick()
+
     def deployment(self) -> Deployment:
         """Return a deployment with the services of the fleet."""
         stages = [
@@ -152,7 +205,11 @@
 
     def send(self, address: str, message: msgspec.Struct) -> None:
         """Deliver a scheduler's message to the box after the network latency."""
-        asyncio.get_running_loop().call_later(NETWORK_S, self.on_message, message)
+        if self.share is None and is_acknowledgement(message):
+            # Without refusals by boxes it changes nothing, but the order of events at equal times.
+            return
+        delay_s = NETWORK_S + (self.processor.delay_s() if self.processor is not None else 0.0)
+        asyncio.get_running_loop().call_later(delay_s, self.on_message, message)
 
     def on_message(self, message: msgspec.Struct) -> None:
         """Process a scheduler's message."""
@@ -160,6 +217,7 @@
         if pending is None:
             return
         if isinstance(message, Progress):
+            pending.on_heard(self.clock.monotonic())
             pending.on_progress(message)
         elif isinstance(message, Placed | Rejected) and not pending.answer.done():
             pending.answer.set_result(message)  # type: ignore[arg-type]
@@ -168,20 +226,26 @@
         """Deliver a box's message to the current scheduler after the network latency."""
 
         def arrive() -> None:
-            scheduler = self.scheduler
-            if scheduler is None:
-                return
-            if isinstance(message, PlaceJob):
-                scheduler.on_place(message)
-            elif isinstance(message, Started):
-                scheduler.on_started(message)
-            elif isinstance(message, RunEnded):
-                scheduler.on_ended(message)
-            elif isinstance(message, AdoptJob):
-                scheduler.succession.on_adopt(message)
+            if self.processor is None:
+                self.handle(message)
+            else:
+                self.processor.submit(lambda: self.handle(message))
 
         asyncio.get_running_loop().call_later(NETWORK_S, arrive)
 
+    def handle(self, message: msgspec.Struct) -> None:
+        """Handle a message at the scheduler's box."""
+        scheduler, inbox = self.scheduler, self.inbox
+        if scheduler is None or inbox is None:
+            return
+        if isinstance(message, PlaceJob | AdoptJob):
+            inbox.on_request(message)
+        elif isinstance(message, Started):
+            scheduler.on_started(message)
+        elif isinstance(message, RunEnded):
+            inbox.on_withdrawn(message.job)
+            scheduler.on_ended(message)
+
     async def run(self) -> Figures:
         """Replay the pattern and return its figures."""
         self.scheduler = self.new_scheduler()
@@ -270,6 +334,7 @@
             async with asyncio.timeout(left_s):
                 answer: Any = await self.wait_answer(pending, scheduler_restarts)
         except TimeoutError:
+            self.undecided += pending.unanswered_since is not None
             self.end_job(name)
             return left_s
         if answer is None or isinstance(answer, Rejected):
@@ -283,8 +348,18 @@
             await asyncio.wait({pending.answer}, timeout=0.05)
             if self.clock.monotonic() < self.down_until:
                 return None
+            if self.share is not None and pending.is_overdue(self.clock.monotonic()):
+                self.unanswered += not pending.answer.done()
+                return self.answer_or_refusal(pending)
         return pending.answer.result()
 
+    def answer_or_refusal(self, pending: PendingJob) -> Any:
+        """Return the answer to a job, or the refusal by its own box if there is none."""
+        if pending.answer.done():
+            return pending.answer.result()
+        place = pending.place_with_time_left(self.clock.monotonic(), '')
+        return Rejected(place.job, BUSY_REASON, busy_retry_after_s(place))
+
     def place_request(self, arrival: Arrival, name: str, left_s: float) -> PlaceJob:
         """Return the request that asks the scheduler to place the job."""
         kind = arrival.kind
@@ -348,6 +423,10 @@
         self.pending_jobs.pop(name, None)
         self.send_to_scheduler(RunEnded(job=name, sender='box', failed=False))
 
+    def cost_s(self) -> float:
+        """Return the processor time of the scheduler in seconds, as measured or as charged."""
+        return self.stopwatch.cpu_s if self.processor is None else self.processor.charged_s
+
     def figures(self) -> Figures:
         """Return the figures of the replay."""
         jobs = max(1, len(self.pending_jobs) + len(self.outcomes))
@@ -366,23 +445,39 @@
             calls=self.stages.calls,
             rejected_for_space=self.stages.rejected_for_space,
             max_cold_starts=max(map(max_within_a_second, self.cold_starts.values()), default=0),
-            cost_ms=1000 * self.stopwatch.cpu_s / jobs,
+            cost_ms=1000 * self.cost_s() / jobs,
+            undecided=self.undecided,
+            unanswered=self.unanswered,
+            rejected=dict(self.observer.rejected),
+            calls_by_second=counting.count_by_second(self.stages.called_at),
         )
 
 
+def is_acknowledgement(message: msgspec.Struct) -> bool:
+    """Tell whether a message only acknowledges that a job was admitted."""
+    return isinstance(message, Progress) and not message.results and not message.freed
+
+
 def max_within_a_second(times: list[float]) -> int:
     """Return the largest number of sorted times that lie within one second."""
     return max(bisect.bisect_left(times, at + 1.0) - n for n, at in enumerate(times))
 
 
 def replay(
-    pattern: str, seed: int, variant: Variant | None = None, fleet: Fleet | None = None
+    pattern: str,
+    seed: int,
+    variant: Variant | None = None,
+    fleet: Fleet | None = None,
+    share: float | None = None,
+    meter: CostMeter | None = None,
 ) -> Figures:
-    """Replay a pattern of load and return its figures."""
+    """Replay a pattern of load and return its figures; `share` and `meter` are those of `World`."""
     world = World(
         fleet=fleet or fleet_of(),
         pattern=PATTERNS[pattern],
         seed=seed,
         variant=variant or Variant('ours'),
+        share=share,
+        meter=meter,
     )
     return run_virtual(world.run())
