--- a/packages/core/calicopath_core/scheduling/succession.py
+++ b/packages/core/calicopath_core/scheduling/succession.py
@@ -43,12 +43,21 @@
         """Start scheduling, also the jobs that still wait to be handed over."""
         self.successor = None
         self.scheduler.engine_pools.on_activated(self.scheduler.clock.monotonic())
-        kept = [*self.begun.values(), *self.fresh.values()]
-        self.begun.clear()
-        self.fresh.clear()
-        for job in kept:
+        self.keep_some()
+
+    def keep_some(self) -> None:
+        """Continue jobs that were not handed over, until the number of this tick is reached."""
+        while (job := self.next_waiting()) is not None:
             if self.scheduler.jobs.get(job.id) is job and job.placed_on is None:
                 self.keep(job)
+                self.left_this_tick -= 1
+
+    def next_waiting(self) -> Job | None:
+        """Remove and return the next waiting job, `None` if there is none for this tick."""
+        waiting = self.begun or self.fresh
+        if not waiting or self.left_this_tick <= 0:
+            return None
+        return waiting.popitem(last=False)[1]
 
     def keep(self, job: Job) -> None:
         """Continue a job that was not handed over; one that never started is decided about."""
@@ -78,10 +87,12 @@
         self.hand_over_some()
 
     def tick(self) -> None:
-        """Hand over the next waiting jobs."""
+        """Hand over the next waiting jobs, or continue them if this box schedules again."""
         self.left_this_tick = HAND_OVERS_PER_TICK
         if self.successor is not None:
             self.hand_over_some()
+        else:
+            self.keep_some()
 
     def hand_over_soon(self, job: Job) -> None:
         """Hand a job over now or with one of the next ticks."""
@@ -99,8 +110,7 @@
 
     def hand_over_some(self) -> None:
         """Hand over waiting jobs until the number of this tick is reached."""
-        while self.left_this_tick > 0 and (self.begun or self.fresh):
-            _, job = (self.begun or self.fresh).popitem(last=False)
+        while (job := self.next_waiting()) is not None:
             if self.hand_over(job):
                 self.left_this_tick -= 1
 
--- a/packages/daemon/calicopathd/gateway/tests/overload_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/overload_tests.py
@@ -299,6 +299,7 @@
             await asyncio.sleep(NETWORK_S)
             self.assertGreater(scheduler.succession.waiting, 0)
             scheduler.succession.activate()
+            await asyncio.sleep(1.0)
             self.assertEqual(0, scheduler.succession.waiting)
             await fleet.settle()
             self.assertEqual([ALL_EVENTS] * len(sinks), [sink.event_ids for sink in sinks])
