--- a/packages/daemon/calicopathd/gateway/tests/overload_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/overload_tests.py
@@ -21,6 +21,7 @@
 
 ALL_EVENTS = list(range(1, EVENTS + 1))
 NETWORK_S = 0.01
+BURST, DECISION_S = 100, 0.02
 
 
 def now() -> float:
@@ -65,6 +66,35 @@
 
         self.run_virtual(scenario())
 
+    def test_a_scheduler_that_works_off_a_burst_keeps_its_role(self) -> None:
+        """Guards against pongs that wait behind seconds of decisions, so that the role moves."""
+
+        async def scenario() -> None:
+            fleet = await self.started()
+            scheduler = fleet.boxes['box-0'].box.scheduler
+            decide = scheduler.on_place
+            loop: Any = asyncio.get_running_loop()
+
+            def decide_slowly(place: PlaceJob) -> None:
+                loop.virtual_selector.now += DECISION_S
+                decide(place)
+
+            scheduler.on_place = decide_slowly  # type: ignore[method-assign]
+            sinks = [self.serve(fleet, n, f'box-{n % 4}') for n in range(BURST)]
+            roles: set[str] = set()
+            while not all(task.done() for task in fleet.request_tasks):
+                await asyncio.sleep(0.02)
+                roles |= fleet.schedulers()
+            self.assertEqual({'box-0:7'}, roles)
+            served = sum(sink.event_ids == ALL_EVENTS for sink in sinks)
+            refused = sum(sink.reason == BUSY_REASON for sink in sinks)
+            self.assertEqual(BURST, served + refused)
+            self.assertGreater(served, 0)
+            self.assertGreater(refused, 0)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
     def test_what_a_box_refused_is_never_sent_to_an_engine(self) -> None:
         """Guards against a refusal as not run of a request that a late placement then runs."""
 
