Scheduler client: refuse a request at once if no answer can reach it before its deadline

Callers who return 9 ms before their deadline got no decision: messages to the scheduler and back take longer.

--- a/packages/core/calicopath_core/scheduling/client.py
+++ b/packages/core/calicopath_core/scheduling/client.py
@@ -54,6 +54,11 @@
 acknowledgement that was lost must not lead to a refusal."""
 
 
+MIN_TIME_LEFT_S = 0.02
+"""Least time before its deadline with which a request is submitted. Messages to the scheduler and
+back and an engine's first token take longer, so the request would end without a decision."""
+
+
 class PlacementRejected(CalicopathError):
     """Report that the scheduler rejected a job, with the reason and when to retry."""
 
@@ -143,6 +148,12 @@
     return {name: left_s - spent_s for name, left_s in backoffs.items() if left_s > spent_s}
 
 
+def check_time_left(place: PlaceJob) -> None:
+    """Raise `PlacementRejected` if no answer can come before a request's deadline."""
+    if place.deadline_s < MIN_TIME_LEFT_S:
+        raise PlacementRejected('hopeless', retry_after_s=busy_retry_after_s(place))
+
+
 def busy_refusal(asked: PendingJob, now: float) -> PlacementRejected:
     """Return the error that refuses a job whose scheduler has not answered."""
     place = asked.place_with_time_left(now, '')
@@ -185,6 +196,7 @@
 
     async def place(self, place: PlaceJob) -> Placed:
         """Submit a job and return its placement; raise `PlacementRejected` if it is rejected."""
+        check_time_left(place)
         now = self.clock.monotonic()
         pending_job = PendingJob(place=place, now=now)
         self.pending[place.job] = pending_job
--- a/packages/core/calicopath_core/scheduling/tests/client_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/client_tests.py
@@ -115,6 +115,19 @@
 
         self.run_virtual(scenario())
 
+    def test_a_request_that_no_answer_can_reach_is_refused_at_once(self) -> None:
+        """Guards against callers who return 9 ms before their deadline and get no decision."""
+
+        async def scenario() -> None:
+            box = await self.started()
+            took_s, answer = await box.place(deadline_s=0.009)
+            assert isinstance(answer, PlacementRejected)
+            self.assertEqual(('hopeless', 0.0), (answer.reason, took_s))
+            self.assertEqual([], box.messages(PlaceJob, FIRST))
+            box.stop()
+
+        self.run_virtual(scenario())
+
     def test_a_patient_request_waits_for_a_quarter_of_its_objective(self) -> None:
         async def scenario() -> None:
             box = await self.started()
--- a/testkit/replay/world.py
+++ b/testkit/replay/world.py
@@ -9,7 +9,7 @@
 
 from calicopath_core.fleet.deployment import Deployment, ServiceSpec
 from calicopath_core.fleet.replicas import ReplicaTable
-from calicopath_core.scheduling.client import PendingJob
+from calicopath_core.scheduling.client import PendingJob, PlacementRejected, check_time_left
 from calicopath_core.scheduling.inbox import Inbox, call_on_loop
 from calicopath_core.scheduling.messages import (
     AdoptJob,
@@ -327,6 +327,10 @@
         for index, phase in enumerate(arrival.phases):
             self.sizes[name, index] = phase.result_bytes
         place = self.place_request(arrival, name, left_s)
+        try:
+            check_time_left(place)
+        except PlacementRejected as error:
+            return error.retry_after_s
         pending = self.pending_jobs[name] = PendingJob(place=place, now=self.clock.monotonic())
         scheduler_restarts = self.scheduler_restarts
         self.send_to_scheduler(place)
