Replay: two fleets that compete for capacity, engine speeds, and clustered demand

Six patterns with 16 workspaces and requests in clusters. Existing patterns draw the same requests. Left out: plain requests, slow moments, and the 0.3 of a piece's work of the chained kinds, which the replay cannot express.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -12,8 +12,8 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, NamedTuple
 
-from testkit.replay.fleet import USUAL_BOXES, fleet_of, shifted_fleet
-from testkit.replay.load import PATTERNS
+from testkit.replay.fleet import FLEETS, USUAL_BOXES, fleet_of
+from testkit.replay.load import CLUSTERED_PATTERNS, PATTERNS
 from testkit.replay.plain import VARIANTS
 from testkit.replay.world import replay
 
@@ -23,19 +23,20 @@
     from testkit.replay.outcomes import Figures
 
 SEEDS = (1, 2, 3)
+COMPETING_FLEETS = ('contended', 'uneven')
 COST_BOXES = (30, 110, 195, 333)
 BAR_WIDTH, BAR_HEIGHT, LABEL_WIDTH = 400, 14, 220
 COLOURS = ('#20639b', '#3caea3', '#f6d55c', '#ed553b')
 
 
 class RunSpec(NamedTuple):
-    """Identify one replay; `shifted` selects the fleet of the shifted work over `boxes`."""
+    """Identify one replay; `boxes` is the size of the usual fleet, others have their own."""
 
     pattern: str
     variant: str
     seed: int
     boxes: int
-    shifted: bool = False
+    fleet: str = 'usual'
 
 
 class Column(NamedTuple):
@@ -60,7 +61,7 @@
 def execute_run(spec: RunSpec) -> Figures:
     """Run one replay in this process."""
     variant = next(item for item in VARIANTS if item.name == spec.variant)
-    fleet = shifted_fleet() if spec.shifted else fleet_of(spec.boxes)
+    fleet = fleet_of(spec.boxes) if spec.fleet == 'usual' else FLEETS[spec.fleet]()
     return replay(spec.pattern, spec.seed, variant, fleet)
 
 
@@ -140,9 +141,20 @@
 def parse_flags() -> argparse.Namespace:
     """Parse the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--patterns', default=','.join(PATTERNS), help='names, separated by commas')
+    parser.add_argument(
+        '--patterns',
+        help='names, separated by commas; by default those of the fleet: '
+        + ', '.join([*PATTERNS, *CLUSTERED_PATTERNS]),
+    )
     parser.add_argument('--variants', default='ours', help='names, separated by commas, or all')
-    parser.add_argument('--shifted', action='store_true', help='use the fleet of the shifted work')
+    parser.add_argument('--fleet', choices=FLEETS, default='usual')
+    parser.add_argument(
+        '--shifted',
+        action='store_const',
+        const='shifted',
+        dest='fleet',
+        help='use the fleet of the shifted work, as --fleet shifted',
+    )
     parser.add_argument('--boxes', type=int, default=USUAL_BOXES)
     parser.add_argument('--workers', type=int, default=2)
     parser.add_argument('--cost', action='store_true', help='measure only the cost of a decision')
@@ -159,11 +171,12 @@
         ]
         print(cost_table(run_all(specs, options.workers)))
         return
-    patterns = options.patterns.split(',')
+    usual_patterns = CLUSTERED_PATTERNS if options.fleet in COMPETING_FLEETS else PATTERNS
+    patterns = options.patterns.split(',') if options.patterns else list(usual_patterns)
     names = [item.name for item in VARIANTS]
     variants = names if options.variants == 'all' else options.variants.split(',')
     specs = [
-        RunSpec(pattern, variant, seed, options.boxes, options.shifted)
+        RunSpec(pattern, variant, seed, options.boxes, options.fleet)
         for pattern in patterns
         for variant in variants
         for seed in SEEDS
--- a/testkit/replay/load.py
+++ b/testkit/replay/load.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import math
 import random
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from calicopath_core.scheduling.messages import Prompt, PromptPart
-from testkit.replay.fleet import KINDS, MIDDLE, URGENT, Fleet, JobKind, phases_of
+from testkit.replay.fleet import KINDS, MIDDLE, PATIENT, URGENT, Fleet, JobKind, phases_of
 
 if TYPE_CHECKING:
     from calicopath_core.scheduling.messages import PhaseWork
@@ -15,6 +16,11 @@
 FAULT_AT_S, FAULT_S = 8.0, 6.0
 FLOOD_S = 10.0
 WORKSPACES = 19
+FEW_WORKSPACES = 16
+CLUSTER_SIZES = (2, 3, 4)
+CLUSTER_S = 0.1
+"""Time within which the requests of a cluster arrive."""
+
 FLOODING_WORKSPACE = 'workspace-1'
 
 
@@ -49,7 +55,8 @@
 
     `burst_factor` multiplies the rate of `burst_kinds` for `FAULT_S`, `flood_factor` that of one
     workspace for `FLOOD_S`. For `FAULT_S`, `hot_session_share` of each kind's requests belong to
-    one session and `moved_caller_share` of all requests come from the first failure domain.
+    one session and `moved_caller_share` of all requests come from the first failure domain. With
+    `clustered`, a workspace sends `CLUSTER_SIZES` requests within `CLUSTER_S`; rates stay the same.
     """
 
     name: str
@@ -60,6 +67,14 @@
     hot_session_share: float = 0.0
     moved_caller_share: float = 0.0
     faults: tuple[Fault, ...] = ()
+    workspaces: int = WORKSPACES
+    clustered: bool = False
+    burst_s: float = FAULT_S
+
+
+def clustered_pattern(name: str, **fields: Any) -> Pattern:
+    """Return a pattern with `FEW_WORKSPACES` and with requests in clusters."""
+    return Pattern(name, workspaces=FEW_WORKSPACES, clustered=True, **fields)
 
 
 PATTERNS = {
@@ -89,6 +104,23 @@
         Pattern('zone-moved', moved_caller_share=0.4),
     )
 }
+CLUSTERED_PATTERNS = {
+    item.name: item
+    for item in (
+        clustered_pattern('clusters'),
+        clustered_pattern('clusters-flood', flood_factor=7.5),
+        clustered_pattern('clusters-urgent', burst_factor=2.8, burst_kinds=(URGENT.name,)),
+        clustered_pattern('clusters-middle', burst_factor=2.8, burst_kinds=(MIDDLE.name,)),
+        clustered_pattern('clusters-patient', burst_factor=2.8, burst_kinds=(PATIENT.name,)),
+        clustered_pattern(
+            'clusters-all',
+            burst_factor=1.9,
+            burst_kinds=tuple(kind.name for kind in KINDS),
+            burst_s=4.0,
+        ),
+    )
+}
+"""Patterns of demand for the fleets whose callers compete for capacity."""
 
 
 def workspace_weight(number: int) -> float:
@@ -103,8 +135,9 @@
         self.fleet = fleet
         self.pattern = pattern
         self.rng = random.Random(seed)
-        self.names = [f'workspace-{number}' for number in range(WORKSPACES)]
-        self.weights = [workspace_weight(number) for number in range(WORKSPACES)]
+        self.swing_phase = random.Random(seed).random()
+        self.names = [f'workspace-{number}' for number in range(pattern.workspaces)]
+        self.weights = [workspace_weight(number) for number in range(pattern.workspaces)]
         self.count = 0
 
     def arrivals(self) -> list[Arrival]:
@@ -119,25 +152,40 @@
         found = []
         at = 0.0
         rate = kind.rate_per_s * self.fleet.scale * self.pattern.load_factor
-        most = rate * max(1.0, self.pattern.burst_factor)
+        most = rate * self.max_rate_factor() / self.mean_cluster_size()
         while (at := at + self.rng.expovariate(most)) < LENGTH_S:
             if self.rng.random() < self.rate_factor(kind, at) / self.max_rate_factor():
                 workspace = self.rng.choices(self.names, self.weights)[0]
-                found.append(self.arrival(at, kind, workspace))
+                found.extend(self.cluster(at, kind, workspace))
         return found
 
+    def cluster(self, at: float, kind: JobKind, workspace: str) -> list[Arrival]:
+        """Return the requests that a workspace sends together, one without clusters."""
+        if not self.pattern.clustered:
+            return [self.arrival(at, kind, workspace)]
+        return [
+            self.arrival(at + CLUSTER_S * self.rng.random(), kind, workspace)
+            for _ in range(self.rng.choice(CLUSTER_SIZES))
+        ]
+
+    def mean_cluster_size(self) -> float:
+        """Return the mean number of requests that a workspace sends together."""
+        return sum(CLUSTER_SIZES) / len(CLUSTER_SIZES) if self.pattern.clustered else 1.0
+
     def max_rate_factor(self) -> float:
-        """Return the largest factor by which a rate is multiplied."""
-        return max(1.0, self.pattern.burst_factor)
+        """Return an upper bound of the factor by which a rate is multiplied."""
+        return max(1.0, self.pattern.burst_factor) * (1 + self.fleet.swing)
 
     def rate_factor(self, kind: JobKind, at: float) -> float:
         """Return the factor of a kind's rate at some time."""
-        is_in_window = FAULT_AT_S <= at < FAULT_AT_S + FAULT_S
-        return (
+        is_in_window = FAULT_AT_S <= at < FAULT_AT_S + self.pattern.burst_s
+        burst = (
             self.pattern.burst_factor
             if is_in_window and kind.name in self.pattern.burst_kinds
             else 1.0
         )
+        turn = at / self.fleet.swing_period_s + self.swing_phase
+        return burst * (1 + self.fleet.swing * math.sin(2 * math.pi * turn))
 
     def flood_arrivals(self) -> list[Arrival]:
         """Return the requests of the flooding workspace beyond its usual load."""
@@ -147,8 +195,10 @@
             rate = kind.rate_per_s * self.fleet.scale * self.pattern.load_factor * share
             extra = rate * (self.pattern.flood_factor - 1)
             at = FAULT_AT_S
-            while (at := at + self.rng.expovariate(extra)) < FAULT_AT_S + FLOOD_S:
-                found.append(self.arrival(at, kind, FLOODING_WORKSPACE))
+            while (
+                at := at + self.rng.expovariate(extra / self.mean_cluster_size())
+            ) < FAULT_AT_S + FLOOD_S:
+                found.extend(self.cluster(at, kind, FLOODING_WORKSPACE))
         return found
 
     def arrival(self, at: float, kind: JobKind, workspace: str) -> Arrival:
@@ -156,7 +206,9 @@
         self.count += 1
         rng = self.rng
         has_large = rng.random() < kind.large_share
-        large = min(kind.large_pieces, 1 + int(rng.expovariate(0.6))) if has_large else 0
+        large = (
+            min(kind.large_pieces, 1 + int(rng.expovariate(kind.large_decay))) if has_large else 0
+        )
         checks = max(1, min(25, round(rng.gauss(10, 4))))
         session = rng.randrange(max(1, round(kind.sessions * self.fleet.scale)))
         is_in_window = FAULT_AT_S <= at < FAULT_AT_S + FAULT_S
--- a/testkit/replay/world.py
+++ b/testkit/replay/world.py
@@ -26,7 +26,15 @@
 from testkit.replay.engines import REREAD_WINDOW_S, ReplayEngine
 from testkit.replay.faults import disturb_replicas, evacuate_failure_domain
 from testkit.replay.fleet import ENGINE, Fleet, fleet_of
-from testkit.replay.load import FLOODING_WORKSPACE, PATTERNS, Arrival, Fault, LoadGenerator, Pattern
+from testkit.replay.load import (
+    CLUSTERED_PATTERNS,
+    FLOODING_WORKSPACE,
+    PATTERNS,
+    Arrival,
+    Fault,
+    LoadGenerator,
+    Pattern,
+)
 from testkit.replay.outcomes import Figures, Outcome
 from testkit.replay.stages import ReplayStages
 from testkit.replay.watching import CountingObserver, Stopwatch
@@ -86,9 +94,8 @@
         self.sizes: dict[tuple[str, int], int] = {}
         self.stages = ReplayStages(specs=fleet.stage_specs, size_of=self.size_of)
         self.engines = {
-            item.id: ReplayEngine(spec=fleet.engine_spec)
-            for item in fleet.replicas()
-            if item.service == ENGINE
+            item.id: ReplayEngine(spec=fleet.engine_spec, speed=fleet.engine_speed_of(number))
+            for number, item in enumerate(fleet.engine_replicas())
         }
         self.failure_domains = {item.id: item.failure_domain for item in fleet.replicas()}
         self.observer = CountingObserver()
@@ -381,7 +388,7 @@
     """Replay a pattern of load and return its figures."""
     world = World(
         fleet=fleet or fleet_of(),
-        pattern=PATTERNS[pattern],
+        pattern={**PATTERNS, **CLUSTERED_PATTERNS}[pattern],
         seed=seed,
         variant=variant or Variant('ours'),
     )
