--- a/bench/replay.py
+++ b/bench/replay.py
@@ -16,8 +16,8 @@
 
 from calicopath_core.scheduling.shedding import BUSY_REASON
 from testkit.replay.crowd import measure_cpu_ms, measure_decisions
-from testkit.replay.fleet import USUAL_BOXES, fleet_of, shifted_fleet
-from testkit.replay.load import LENGTH_S, PATTERNS
+from testkit.replay.fleet import FLEETS, USUAL_BOXES, fleet_of
+from testkit.replay.load import CLUSTERED_PATTERNS, LENGTH_S, PATTERNS
 from testkit.replay.plain import VARIANTS
 from testkit.replay.processor import MeasuredCost
 from testkit.replay.world import replay
@@ -29,6 +29,7 @@
     from testkit.replay.outcomes import Figures
 
 SEEDS = (1, 2, 3)
+COMPETING_FLEETS = ('contended', 'uneven')
 COST_BOXES = (30, 86, 110, 195, 333)
 COST_WAITING_JOBS = (50, 500, 5000)
 DECISION_BOXES = 86
@@ -41,7 +42,7 @@
 
 
 class RunSpec(NamedTuple):
-    """Identify one replay; `shifted` selects the fleet of the shifted work over `boxes`.
+    """Identify one replay; `boxes` is the size of the usual fleet, others have their own.
 
     With a `share`, decisions take the measured processor time on that share of a core.
     """
@@ -50,7 +51,7 @@
     variant: str
     seed: int
     boxes: int
-    shifted: bool = False
+    fleet: str = 'usual'
     share: float | None = None
 
 
@@ -87,7 +88,7 @@
 def execute_run(spec: RunSpec) -> Figures:
     """Run one replay in this process."""
     variant = next(item for item in VARIANTS if item.name == spec.variant)
-    fleet = shifted_fleet() if spec.shifted else fleet_of(spec.boxes)
+    fleet = fleet_of(spec.boxes) if spec.fleet == 'usual' else FLEETS[spec.fleet]()
     return replay(spec.pattern, spec.seed, variant, fleet, spec.share, MeasuredCost())
 
 
@@ -187,9 +188,20 @@
 def parse_flags() -> argparse.Namespace:
     """Parse the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--patterns', default=','.join(PATTERNS), help='names, separated by commas')
+    parser.add_argument(
+        '--patterns',
+        help='names, separated by commas; by default those of the fleet: '
+        + ', '.join([*PATTERNS, *CLUSTERED_PATTERNS]),
+    )
     parser.add_argument('--variants', default='ours', help='names, separated by commas, or all')
-    parser.add_argument('--shifted', action='store_true', help='use the fleet of the shifted work')
+    parser.add_argument('--fleet', choices=FLEETS, default='usual')
+    parser.add_argument(
+        '--shifted',
+        action='store_const',
+        const='shifted',
+        dest='fleet',
+        help='use the fleet of the shifted work, as --fleet shifted',
+    )
     parser.add_argument('--boxes', type=int, default=USUAL_BOXES)
     parser.add_argument('--share', type=float, help="share of a core of the scheduler's box")
     parser.add_argument('--workers', type=int, default=2)
@@ -209,11 +221,12 @@
         print()
         print(decision_table(DECISION_BOXES))
         return
-    patterns = options.patterns.split(',')
+    usual_patterns = CLUSTERED_PATTERNS if options.fleet in COMPETING_FLEETS else PATTERNS
+    patterns = options.patterns.split(',') if options.patterns else list(usual_patterns)
     names = [item.name for item in VARIANTS]
     variants = names if options.variants == 'all' else options.variants.split(',')
     specs = [
-        RunSpec(pattern, variant, seed, options.boxes, options.shifted, options.share)
+        RunSpec(pattern, variant, seed, options.boxes, options.fleet, options.share)
         for pattern in patterns
         for variant in variants
         for seed in SEEDS
