Shed admitted requests before their boxes give up, also beside new ones

New requests that keep coming kept admitted ones from being shed, so their boxes refused them later by themselves. The replay gives the next scheduler the whole time for an answer, as boxes do.

--- a/packages/core/calicopath_core/scheduling/shedding.py
+++ b/packages/core/calicopath_core/scheduling/shedding.py
@@ -166,13 +166,11 @@
         """
         ahead = len(self.begun) + len(self.admitted)
         may_wait = max(MIN_WAITING, len(self.decided_at))
-        if self.new:
-            if self.new.age_s(now) > LAG_LIMIT_S and ahead + len(self.new) > may_wait:
-                return self.new.pop_least_urgent()
-            return None
+        if self.new.age_s(now) > LAG_LIMIT_S and ahead + len(self.new) > may_wait:
+            return self.new.pop_least_urgent()
         admitted_may_wait = may_wait * ADMITTED_LAG_LIMIT_S / LAG_LIMIT_S
         if self.admitted.age_s(now) > ADMITTED_LAG_LIMIT_S and ahead > admitted_may_wait:
-            return self.admitted.pop_least_urgent()
+            return (self.new or self.admitted).pop_least_urgent()
         return None
 
 
--- a/packages/core/calicopath_core/scheduling/tests/shedding_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/shedding_tests.py
@@ -91,6 +91,16 @@
         self.assertNotIn('new', {name.split('-')[0] for name in shed(queue, late)})
         self.assertLess(len(queue), 20)
 
+    def test_new_requests_do_not_keep_admitted_ones_waiting_until_their_boxes_refuse(self) -> None:
+        queue = SheddingQueue()
+        for number in range(20):
+            queue.add(place(f'asked-{number}', asked_before=True), 0.0)
+        late = ADMITTED_LAG_LIMIT_S + 0.01
+        queue.add(place('new-0'), late)
+        found = shed(queue, late)
+        self.assertEqual('new-0', found[0])
+        self.assertEqual({'asked'}, {name.split('-')[0] for name in found[1:]})
+
     def test_jobs_with_work_begun_come_first_and_are_never_shed(self) -> None:
         queue = SheddingQueue()
         queue.add(place('new'), 0.0)
--- a/testkit/replay/world.py
+++ b/testkit/replay/world.py
@@ -295,6 +295,7 @@
             now = self.clock.monotonic()
             for pending in waiting:
                 pending.schedulers.append(self.scheduler.own_address)
+                pending.on_new_scheduler(now, acknowledges=True)
                 self.send_to_scheduler(pending.request(now, silent_scheduler='gone'))
 
     async def run_caller(self, arrival: Arrival) -> None:
