Scheduler: less work in a dispatch, and backoffs looked up by box

A stage whose waiting groups do not fill a call, and have not waited long enough, decides nothing else. The failure domain that a group waits for is kept until its job changes.

--- a/packages/core/calicopath_core/scheduling/backlog.py
+++ b/packages/core/calicopath_core/scheduling/backlog.py
@@ -82,6 +82,7 @@
         self.classes: dict[JobClass, ClassCounts] = {}
         self.unstarted: dict[PacingClass, int] = {}
         self.by_producer: dict[str, set[str]] = {}
+        self.by_box: dict[str, dict[str, Job]] = {}
         self.late_times = DueTimes()
         self.hopeless_times = DueTimes()
         self.changed = ChangedJobs()
@@ -100,6 +101,7 @@
         self.last_number += 1
         entry = Entry(job=job, number=self.last_number, counted=self.count(job))
         self.entries[job.id] = entry
+        self.by_box.setdefault(job.place.reply_to, {})[job.id] = job
         if job.pacing_class is None:
             self.unclassified[job.id] = job
         self.apply(entry, 1)
@@ -112,6 +114,10 @@
         if entry is None:
             return
         entry.job.changed_in.remove(self.changed)
+        jobs = self.by_box[entry.job.place.reply_to]
+        del jobs[job.id]
+        if not jobs:
+            del self.by_box[entry.job.place.reply_to]
         self.changed.jobs.pop(job.id, None)
         self.unclassified.pop(job.id, None)
         self.late_times.drop(job.id)
@@ -185,6 +191,10 @@
         self.refresh()
         return self.in_order(self.hopeless_times.pop_before(now))
 
+    def jobs_of_boxes(self, boxes: Iterable[str]) -> list[Job]:
+        """Return the jobs that some boxes have sent."""
+        return [job for box in boxes for job in self.by_box.get(box, {}).values()]
+
     def jobs_with_lost_results(self, alive: Iterable[str]) -> list[Job]:
         """Return the jobs with results at replicas that are gone."""
         self.refresh()
--- a/packages/core/calicopath_core/scheduling/engine_pools.py
+++ b/packages/core/calicopath_core/scheduling/engine_pools.py
@@ -14,6 +14,7 @@
 
     from calicopath_core.fleet.deployment import EngineSpec, ServiceSpec
     from calicopath_core.fleet.replicas import Replica, ReplicaTable
+    from calicopath_core.scheduling.jobs import Job
     from calicopath_core.scheduling.starts import WarmupTerms
 
 
@@ -72,6 +73,10 @@
             pool.expire_lost_runs(now)
         self.backoffs.expire(now)
 
+    def restrict(self, job: Job) -> bool:
+        """Tell whether other jobs may use engines that are closed to this one."""
+        return bool(job.place.exclude) or job.place.reply_to in self.backoffs.by_box
+
     def loads(self) -> dict[str, float]:
         """Return the work that waits at each engine, in seconds by replica."""
         return {name: load_s for pool in self.values() for name, load_s in pool.loads().items()}
--- a/packages/core/calicopath_core/scheduling/placing.py
+++ b/packages/core/calicopath_core/scheduling/placing.py
@@ -31,15 +31,12 @@
     slack_s: float
 
 
-NO_PREFERENCE = DomainPreference(None, 0.0)
-
-
-def preference_of(piece: Piece, now: float) -> DomainPreference:
-    """Return the preference of a piece, which is that of its group."""
+def preferred_failure_domain(piece: Piece) -> str | None:
+    """Return the failure domain that a piece waits for, `None` if little is moved to others."""
     failure_domain = piece.preferred_failure_domain
     if failure_domain is None or piece.job.resumed or piece.transfer_bytes() < MIN_PREFERENCE_BYTES:
-        return NO_PREFERENCE
-    return DomainPreference(failure_domain, piece.slack_s(now))
+        return None
+    return failure_domain
 
 
 def may_run_in(
--- a/packages/core/calicopath_core/scheduling/rejections.py
+++ b/packages/core/calicopath_core/scheduling/rejections.py
@@ -78,9 +78,8 @@
 
     def reject_backing_off(self, now: float) -> None:
         """Reject jobs whose engines back off their box for too long."""
-        if self.engine_pools.backoffs.by_box:
-            for job in list(self.unplaced.values()):
-                self.check_backoffs(job, now)
+        for job in self.backlog.jobs_of_boxes(self.engine_pools.backoffs.by_box):
+            self.check_backoffs(job, now)
 
     def check_backoffs(self, job: Job, now: float) -> bool:
         """Tell whether some engine accepts a job from its box in time, and reject it if not.
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -8,6 +8,7 @@
 from calicopath_core.permits.issuer import PermitIssuer, UnlimitedIssuer
 from calicopath_core.scheduling.admission import Admission
 from calicopath_core.scheduling.backlog import Backlog
+from calicopath_core.scheduling.critical_path import critical_paths
 from calicopath_core.scheduling.due_times import DueTimes
 from calicopath_core.scheduling.engine_pools import EnginePools
 from calicopath_core.scheduling.engine_queue import EngineQueue
@@ -187,16 +188,12 @@
         self.rejections.reject_blocked()
         self.place_waiting_jobs()
         self.rejections.check_waiting_jobs(now)
-        self.free_fetched(now)
+        for name in self.fetch_times.pop_until(now):
+            self.stages.release.free_soon(self.jobs[name].all_results())
         for name in self.expiry_times.pop_before(now):
             self.end(self.jobs[name])
         self.stages.tick(now)
 
-    def free_fetched(self, now: float) -> None:
-        """Free the results that engines have had time to fetch."""
-        for name in self.fetch_times.pop_until(now):
-            self.stages.release.free_soon(self.jobs[name].all_results())
-
     def on_backoffs(self, message: BackoffNotice) -> None:
         """Record which engines back off a box, and recheck its waiting jobs."""
         now = self.clock.monotonic()
@@ -239,26 +236,11 @@
 
     def begin(self, job: Job) -> None:
         """Start an admitted or adopted job."""
-        job.critical_path_s = self.critical_paths(job)
+        first_event_s = self.first_event_s(job)
+        job.critical_path_s = critical_paths(job.place.phases, self.stages.queues, first_event_s)
         self.backlog.add(job)
         self.advance(job)
 
-    def critical_paths(self, job: Job) -> dict[int, float]:
-        """Return for each phase the expected seconds from its call to the engine's first event."""
-        paths: dict[int, float] = {}
-        first_event_s = self.engine_times.expected_s(job.place.prompt.tokens_in)
-        for number in reversed(range(len(job.place.phases))):
-            phase = job.place.phases[number]
-            queue = self.stages.queues.get(phase.service)
-            own_s = queue.typical_call_s() if queue is not None and phase.pieces else 0.0
-            readers = [
-                paths.get(reader, 0.0)
-                for reader, other in enumerate(job.place.phases)
-                if number in other.needs
-            ]
-            paths[number] = own_s + max(readers, default=first_event_s)
-        return paths
-
     def advance(self, job: Job) -> None:
         """Start the phases that are ready, and place the job once all its stages are done."""
         if job.ended or job.placed_on is not None:
@@ -311,14 +293,10 @@
                 self.place_engine(job)
                 if job.id not in self.engine_queue.jobs:
                     continue
-                if not self.has_engine_restrictions(job):
+                if not self.engine_pools.restrict(job):
                     return
                 passed += 1
 
-    def has_engine_restrictions(self, job: Job) -> bool:
-        """Tell whether other jobs may use engines that are closed to this one."""
-        return bool(job.place.exclude) or job.place.reply_to in self.engine_pools.backoffs.by_box
-
     def reject_unserved(self, job: Job) -> None:
         """Reject a job that no engine can serve."""
         now = self.clock.monotonic()
--- a/packages/core/calicopath_core/scheduling/stages.py
+++ b/packages/core/calicopath_core/scheduling/stages.py
@@ -6,13 +6,7 @@
 
 from calicopath_core.permits.issuer import PermitIssuer, UnlimitedIssuer
 from calicopath_core.scheduling.jobs import LARGE_RESULT_BYTES
-from calicopath_core.scheduling.placing import (
-    NO_PREFERENCE,
-    DomainPreference,
-    failure_domain_waits,
-    may_run_in,
-    preference_of,
-)
+from calicopath_core.scheduling.placing import failure_domain_waits, may_run_in
 from calicopath_core.scheduling.stage_replicas import OVERDUE_FACTOR, Booking, StageReplica
 from calicopath_core.scheduling.waiting import WaitingPieces
 
@@ -125,11 +119,14 @@
         """Return the replicas that can take a call now, those with most space first."""
         found = [
             item
-            for item in self.available_replicas()
+            for item in self.replicas.values()
             if item.open_calls < self.spec.concurrency
             and item.unavailable_until <= now
+            and self.backoff_left_s(item.replica) <= 0
             and self.permits.available_in_s(item.replica) <= 0
         ]
+        if not found:
+            return found
         if len(self.waiting) <= self.max_quick_backlog(now):
             found = [item for item in found if not item.is_slow(now)]
         return sorted(found, key=lambda item: -item.free_result_bytes(self.spec, now))
@@ -155,40 +152,32 @@
         self, free: list[StageReplica], ready: ReadyGroups, now: float
     ) -> StageBatch | None:
         """Return a call to the first free replica that suits waiting groups, or `None`."""
-        preferences = self.preferences(ready, now)
+        if self.is_worth_waiting(ready, len(free), now):
+            return None  # Neither is any part of the groups worth a call.
+        # A lightly loaded stage has no more groups than a call of each replica takes.
+        prefers_domain = self.is_lightly_loaded() and ready.has_preference()
         waits = (
             failure_domain_waits(self.available_replicas(), self.spec, self.permits, now)
-            if preferences
+            if prefers_domain
             else {}
         )
         for target in free:
             eligible: Iterable[PieceGroup] = ready
-            if preferences:
+            if prefers_domain:
                 failure_domain = target.replica.failure_domain
                 eligible = [
                     group
                     for group in ready
-                    if may_run_in(
-                        preferences.get(group.number, NO_PREFERENCE), failure_domain, waits
-                    )
+                    if group.failure_domain is None
+                    or may_run_in(group.preference(now), failure_domain, waits)
                 ]
-            if self.is_worth_waiting(eligible, len(free), now):
-                continue
+                if self.is_worth_waiting(eligible, len(free), now):
+                    continue
             pieces = self.fitting_pieces(eligible, target, now)
             if pieces:
                 return self.start_batch(target, pieces, now)
         return None
 
-    def preferences(self, ready: ReadyGroups, now: float) -> dict[int, DomainPreference]:
-        """Return the preferences of the groups that have one, none while the backlog is large.
-
-        The groups are then no more than a call of each replica takes.
-        """
-        if not self.is_lightly_loaded():
-            return {}
-        found = {group.number: preference_of(group.first, now) for group in ready}
-        return {number: item for number, item in found.items() if item.failure_domain is not None}
-
     def is_worth_waiting(self, groups: Iterable[PieceGroup], free: int, now: float) -> bool:
         """Tell whether groups do not fill a call and have not waited for more long enough."""
         count, waiting_since = 0, now
--- a/packages/core/calicopath_core/scheduling/waiting.py
+++ b/packages/core/calicopath_core/scheduling/waiting.py
@@ -23,6 +23,7 @@
     Position,
     Rank,
 )
+from calicopath_core.scheduling.placing import DomainPreference, preferred_failure_domain
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Container, Iterable, Iterator
@@ -54,7 +55,8 @@
 class PieceGroup:
     """Hold the waiting pieces of one phase of a job, the first of them since `waiting_since`.
 
-    `number` tells groups apart, in the order in which they began to wait.
+    `number` tells groups apart, in the order in which they began to wait. `failure_domain` is where
+    the pieces should run, if anywhere; it is known from the last change of the job.
     """
 
     def __init__(self, *, job: Job, phase: int, number: int, waiting_since: float) -> None:
@@ -63,6 +65,7 @@
         self.number = number
         self.waiting_since = waiting_since
         self.pieces: list[Piece] = []
+        self.failure_domain: str | None = None
 
     @property
     def first(self) -> Piece:
@@ -74,6 +77,10 @@
         """Return the expected size of each piece's result."""
         return self.job.place.phases[self.phase].result_bytes
 
+    def preference(self, now: float) -> DomainPreference:
+        """Return the preference of the pieces, which have a failure domain."""
+        return DomainPreference(self.failure_domain, self.first.slack_s(now))
+
 
 class ReadyGroups:
     """Hold the groups that may be dispatched, in order; they are ranked as far as they are read."""
@@ -88,6 +95,10 @@
             self.found.append(group)
             yield group
 
+    def has_preference(self) -> bool:
+        """Tell whether some group prefers a failure domain."""
+        return any(group.failure_domain is not None for group in self)
+
 
 class WaitingPieces:
     """Hold the pieces that wait for one service, grouped by job and phase and kept in order.
@@ -169,6 +180,7 @@
         else:
             self.old_times.set(job.id, old_at)
         for group in self.groups[job.id].values():
+            group.failure_domain = preferred_failure_domain(group.first)
             if group.first.is_early():
                 self.lanes.drop(group.number)
             else:
