--- a/packages/core/calicopath_core/scheduling/stages.py
+++ b/packages/core/calicopath_core/scheduling/stages.py
@@ -138,8 +138,11 @@
 
     def batches(self, now: float, held: Container[PacingClass] = ()) -> Iterator[StageBatch]:
         """Yield the calls to make now; classes of jobs in `held` keep waiting."""
+        if not self.waiting or not self.free_replicas(now):
+            return
+        available = self.available_replicas()
         while self.waiting and (free := self.free_replicas(now)):
-            batch = self.choose_batch(free, self.waiting.ready(held, now), now)
+            batch = self.choose_batch(free, available, self.waiting.ready(held, now), now)
             if batch is None:
                 return
             yield batch
@@ -149,21 +152,26 @@
         return next(self.batches(now, held), None)
 
     def choose_batch(
-        self, free: list[StageReplica], ready: ReadyGroups, now: float
+        self,
+        free: list[StageReplica],
+        available: list[StageReplica],
+        ready: ReadyGroups,
+        now: float,
     ) -> StageBatch | None:
-        """Return a call to the first free replica that suits waiting groups, or `None`."""
-        if self.is_worth_waiting(ready, len(free), now):
+        """Return a call to the first free replica that suits waiting groups, or `None`.
+
+        The `available` replicas are those that do not back off this box, free or not.
+        """
+        fill_wait_s = self.fill_wait_s(len(free), len(available))
+        if self.is_worth_waiting(ready, fill_wait_s, now):
             return None  # Neither is any part of the groups worth a call.
         # A lightly loaded stage has no more groups than a call of each replica takes.
-        prefers_domain = self.is_lightly_loaded() and ready.has_preference()
-        waits = (
-            failure_domain_waits(self.available_replicas(), self.spec, self.permits, now)
-            if prefers_domain
-            else {}
-        )
+        preferred = ready.preferred() if self.is_lightly_loaded(len(available)) else set()
+        hosts = [item for item in available if item.replica.failure_domain in preferred]
+        waits = failure_domain_waits(hosts, self.spec, self.permits, now)
         for target in free:
             eligible: Iterable[PieceGroup] = ready
-            if prefers_domain:
+            if preferred:
                 failure_domain = target.replica.failure_domain
                 eligible = [
                     group
@@ -171,33 +179,32 @@
                     if group.failure_domain is None
                     or may_run_in(group.preference(now), failure_domain, waits)
                 ]
-                if self.is_worth_waiting(eligible, len(free), now):
+                if self.is_worth_waiting(eligible, fill_wait_s, now):
                     continue
             pieces = self.fitting_pieces(eligible, target, now)
             if pieces:
                 return self.start_batch(target, pieces, now)
         return None
 
-    def is_worth_waiting(self, groups: Iterable[PieceGroup], free: int, now: float) -> bool:
-        """Tell whether groups do not fill a call and have not waited for more long enough."""
+    def is_worth_waiting(
+        self, groups: Iterable[PieceGroup], fill_wait_s: float, now: float
+    ) -> bool:
+        """Tell whether groups do not fill a call, and the oldest may still wait for others."""
         count, waiting_since = 0, now
         for group in groups:
             count += len(group.pieces)
             waiting_since = min(waiting_since, group.waiting_since)
             if count >= self.spec.batch:
                 return False
-        return self.fill_wait_s(free) > now - waiting_since
+        return fill_wait_s > now - waiting_since
 
-    def is_lightly_loaded(self) -> bool:
+    def is_lightly_loaded(self, available: int) -> bool:
         """Tell whether the backlog is small enough to respect preferred failure domains."""
-        return len(self.waiting) <= BUSY_CALLS_PER_REPLICA * self.spec.batch * len(
-            self.available_replicas()
-        )
+        return len(self.waiting) <= BUSY_CALLS_PER_REPLICA * self.spec.batch * available
 
-    def fill_wait_s(self, free: int) -> float:
+    def fill_wait_s(self, free: int, available: int) -> float:
         """Return how long an incomplete batch may wait: longer, the fewer replicas are free."""
-        usable = max(1, len(self.available_replicas()))
-        return MAX_BATCH_DELAY_S * (1 - (free - 1) / usable)
+        return MAX_BATCH_DELAY_S * (1 - (free - 1) / max(1, available))
 
     def fitting_pieces(
         self, groups: Iterable[PieceGroup], target: StageReplica, now: float
--- a/packages/core/calicopath_core/scheduling/tests/waiting_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/waiting_tests.py
@@ -167,7 +167,8 @@
         for number in range(4 * MAX_SKIPPED_GROUPS):
             wait(target, job(f'j{number}', phase(size=LARGE)))
         ready = target.waiting.ready(set(), 1.0)
-        self.assertIsNone(target.choose_batch(target.free_replicas(1.0), ready, 1.0))
+        replicas = target.available_replicas()
+        self.assertIsNone(target.choose_batch(replicas, replicas, ready, 1.0))
         self.assertLessEqual(len(ready.found), MAX_SKIPPED_GROUPS + 2)
 
 
--- a/packages/core/calicopath_core/scheduling/waiting.py
+++ b/packages/core/calicopath_core/scheduling/waiting.py
@@ -95,9 +95,9 @@
             self.found.append(group)
             yield group
 
-    def has_preference(self) -> bool:
-        """Tell whether some group prefers a failure domain."""
-        return any(group.failure_domain is not None for group in self)
+    def preferred(self) -> set[str]:
+        """Return the failure domains that groups prefer; this reads all groups."""
+        return {group.failure_domain for group in self if group.failure_domain is not None}
 
 
 class WaitingPieces:
