Tests: results that become old, freed results, and present estimates

A scratch copy with one line broken at a time showed that two rules of the structures were not tested: groups whose results become old while nothing else changes, and jobs that the present estimate makes infeasible. Both have tests now, and random events pass more time.

--- a/packages/core/calicopath_core/scheduling/tests/waiting_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/waiting_tests.py
@@ -14,12 +14,16 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from calicopath_core.fleet.replicas import ReplicaTable
 from calicopath_core.scheduling.engine_queue import EngineQueue
+from calicopath_core.scheduling.jobs import ChangedJobs
 from calicopath_core.scheduling.lanes import LaneKey, Lanes, Position
 from calicopath_core.scheduling.pacing import PacingClass, precedence
+from calicopath_core.scheduling.release import ResultRelease
 from calicopath_core.scheduling.stages import MAX_SKIPPED_GROUPS
 from calicopath_core.scheduling.tests.work import job, phase, prompt, queue, replica, result, wait
-from calicopath_core.scheduling.waiting import PieceGroup, WaitingPieces, rank
+from calicopath_core.scheduling.waiting import OLD_RESULT_AGE_S, PieceGroup, WaitingPieces, rank
+from testkit.virtual import VirtualClock
 
 if TYPE_CHECKING:
     from calicopath_core.scheduling.jobs import Job
@@ -55,7 +59,7 @@
         if event == 'arrive':
             self.arrive(rng)
         elif event == 'pass time':
-            self.now += rng.randrange(8) * STEP_S
+            self.now += rng.randrange(24) * STEP_S
         elif self.jobs:
             getattr(self, event.replace(' ', '_'))(rng.choice(self.jobs), rng)
 
@@ -145,6 +149,17 @@
                 self.assertEqual(world.expected(held), found)
         world.on_inconsistent.assert_not_called()
 
+    def test_a_job_whose_results_become_old_goes_first(self) -> None:
+        """Guard against results that expire while nothing but time changes."""
+        waiting = WaitingPieces()
+        reader = job('reader', phase(), phase(needs=(0,)), objective_s=9.0)
+        reader.results[0][0] = result('h', created_at=0.0)
+        hurried = job('hurried', phase(), objective_s=4.0)
+        for piece in (reader.pieces[1][0], hurried.pieces[0][0]):
+            waiting.add(piece, 0.0)
+        for now, first in ((1.0, 'hurried'), (OLD_RESULT_AGE_S + 0.1, 'reader')):
+            self.assertEqual(first, next(iter(waiting.ready(set(), now))).job.id)
+
     def test_an_order_that_lost_an_item_is_rebuilt_and_reported(self) -> None:
         """Guard against a scheduler that stops, or never serves a group, after a defect."""
         reported: list[int] = []
@@ -159,6 +174,24 @@
         self.assertEqual(['c', 'a'], list(found))
 
 
+class Freeing(testtools.TestCase):
+    def test_a_job_whose_results_are_freed_is_marked(self) -> None:
+        """Guard against a job that goes first for good on account of results freed long ago."""
+        item = job('one', phase(), phase(needs=(0,)), phase(needs=(1,)))
+        item.results[0][0], item.results[1][0] = result('h'), result('i')
+        changed = ChangedJobs()
+        item.changed_in.append(changed)
+        release = ResultRelease(
+            clock=VirtualClock(),
+            replicas=ReplicaTable(),
+            job_controller=mock.Mock(),
+            queues={},
+            freeing=mock.Mock(),
+        )
+        release.free_read(item, fetched=False)
+        self.assertEqual([item], changed.pop_all())
+
+
 class Skipping(testtools.TestCase):
     def test_a_replica_without_space_is_not_compared_with_all_that_waits(self) -> None:
         """Guard against a dispatch that looks at the whole backlog when nothing fits."""
@@ -193,7 +226,7 @@
             elif event == 'take':
                 estimates[rng.choice((3, 10)).bit_length()] = rng.randrange(16) * STEP_S
             else:
-                now += rng.randrange(6) * STEP_S
+                now += rng.randrange(24) * STEP_S
             expected = sorted(jobs, key=lambda item: target.rank(item, now))
             self.assertEqual(expected, list(target.ordered(now)))
             self.assertEqual({item.place.service for item in jobs}, target.services())
@@ -220,6 +253,16 @@
             prompt=prompt(('own', rng.choice((3, 10)))),
         )
 
+    def test_a_job_is_infeasible_by_the_present_estimate(self) -> None:
+        """Guard against jobs kept until their deadline although no engine can answer by then."""
+        estimate_s = 0.5
+        target = EngineQueue(first_event_s=lambda item: estimate_s)
+        item = job('one', deadline_s=2.0)
+        target.add(item)
+        self.assertEqual([], target.infeasible(1.25))
+        estimate_s = 1.0
+        self.assertEqual([item], target.infeasible(1.25))
+
     @settings(max_examples=150, deadline=None, derandomize=True)
     @given(EVENT_LIST)
     def test_their_order_and_their_deadlines_equal_a_plain_look(
