Scheduler: decide at arrival who is in time, who returns and who waits as late

Where a deployment has several workspaces and routes with stages and objectives, a new job that its stages would finish late yields to those that are in time. A job that is late by a whole call, and that can be in time on its return with capacity that arrivals leave free, is refused with that time and a reservation. Who returns as told goes first among its priority and is not refused again for lack of capacity. Open reservations go to the successor in LearnedEstimates. Events 720 to 724 and two counters show it.

Fleets with has_routes list routes and workspaces; the earlier fleets stay without, so that their tests compare the same mechanisms as before.

--- a/packages/core/calicopath_core/scheduling/interfaces.py
+++ b/packages/core/calicopath_core/scheduling/interfaces.py
@@ -81,6 +81,22 @@
     def on_rejected(self, job: Job, reason: str, retry_after_s: float) -> None:
         """Record a rejected job."""
 
+    @abstractmethod
+    def on_reservation_made(self, job: Job, return_in_s: float, expected_s: float) -> None:
+        """Record a job that is refused because it would take `expected_s`, and when it returns."""
+
+    @abstractmethod
+    def on_reservation_used(self, job: Job, *, kept: bool) -> None:
+        """Record whether a job whose caller returned as told is served in time."""
+
+    @abstractmethod
+    def on_reservations_expired(self, count: int) -> None:
+        """Record reservations whose callers did not return."""
+
+    @abstractmethod
+    def on_beyond_capacity(self, job: Job, expected_s: float) -> None:
+        """Record a job that is expected to be late and waits behind those that are in time."""
+
     @abstractmethod
     def on_handed_over(self, job: Job, successor: str, results: int) -> None:
         """Record a job handed over to the next scheduler with that many results."""
--- a/packages/core/calicopath_core/scheduling/jobs.py
+++ b/packages/core/calicopath_core/scheduling/jobs.py
@@ -162,9 +162,11 @@
     `critical_path_s` holds for each phase the expected seconds from its call to the engine's first
     event.
     `undispatched` counts for each phase the pieces that have not been put into a call. Jobs with
-    `is_over_allowance` yield to jobs within their workspace's allowance. `effective_priority` is
-    the job's own priority or a more urgent one. `pacing_class` says what pacing holds the job back
-    by, `None` until pacing has looked at the job.
+    `is_over_allowance` yield to the others: they exceed their workspace's allowance, or the stages
+    were expected at their arrival to finish them late. `effective_priority` is the job's own
+    priority or a more urgent one. `is_returning` says that the caller was refused and came back as
+    told. `pacing_class` says what pacing holds the job back by, `None` until pacing has looked at
+    the job.
 
     Structures that are derived from jobs register in `changed_in`, and find a job there after each
     change that concerns them: to its results, calls and pieces that have not been dispatched.
@@ -189,6 +191,7 @@
         self.is_adopted = False
         self.is_over_allowance = place.is_over_allowance
         self.effective_priority = place.priority
+        self.is_returning = False
         self.tries = 0
         self.critical_path_s: dict[int, float] = {}
         self.failure_domains: dict[int, str] = {}
--- a/packages/core/calicopath_core/scheduling/messages.py
+++ b/packages/core/calicopath_core/scheduling/messages.py
@@ -12,6 +12,7 @@
 from calicopath_core.fleet.contact import StoreContact
 from calicopath_core.scheduling.fairness import UsualRate
 from calicopath_core.scheduling.groups import GroupCount
+from calicopath_core.scheduling.reservations import OpenReservation
 
 ROUTE_PRIORITIES = 10
 """Number of route priorities within each priority of a workspace; 0 is the most urgent."""
@@ -148,12 +149,14 @@
 
     `usual_rates` is the usual load of workspaces, `bias` the correction factor of stage
     estimates, and `first_events_s` the time of engines to a first event by prompt size.
+    `reservations` are those that callers have not used yet.
     """
 
     sender: str
     usual_rates: tuple[UsualRate, ...] = msgspec.field(name='taken')
     bias: float
     first_events_s: dict[int, float]
+    reservations: tuple[OpenReservation, ...] = ()
 
 
 class Rejected(msgspec.Struct, frozen=True, tag='no'):
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -22,6 +22,7 @@
     Rejected,
 )
 from calicopath_core.scheduling.rejections import NO_ENGINE_RETRY_S, Rejections
+from calicopath_core.scheduling.returning import ReturningCallers
 from calicopath_core.scheduling.stage_calls import MAX_PIECE_TRIES, StageCalls
 from calicopath_core.scheduling.starts import NO_OVERAGE, WarmupTerms
 from calicopath_core.scheduling.succession import Succession
@@ -131,6 +132,9 @@
             first_event_s=self.first_event_s,
             reject=self.reject,
         )
+        self.returning = ReturningCallers(
+            queues=self.stages.queues, observer=observer, reject=self.reject
+        )
         self.succession = Succession(scheduler=self)
         replicas.listeners.append(self.on_replicas)
 
@@ -140,6 +144,7 @@
             if service.stage is not None:
                 self.stages.set_spec(name, service.stage)
             self.engine_pools.set_spec(service)
+        self.returning.on_deployment(deployment)
         self.on_replicas()
 
     def on_replicas(self) -> None:
@@ -181,6 +186,7 @@
         self.rejections.reject_blocked()
         self.place_waiting_jobs()
         self.rejections.check_waiting_jobs(now)
+        self.returning.expire(now)
         self.free_fetched(now)
         for name in self.expiry_times.pop_before(now):
             self.end(self.jobs[name])
@@ -217,10 +223,11 @@
         if not pool.has_engine_for(job):
             self.reject_unserved(job)
             return
+        self.returning.claim(job, now)
         if not self.rejections.admits(job, now):
             return
         job.effective_priority = self.evenness.effective_rank(place.priority)
-        if not place.resumed and not place.asked_before:
+        if not place.resumed and not place.asked_before and not job.is_returning:
             job.is_over_allowance = self.allowances.charge(
                 place.workspace, self.stages.replica_time_s(place), now
             )
@@ -229,7 +236,8 @@
         if not verdict.admitted:
             self.reject(job, 'overloaded', verdict.retry_after_s)
             return
-        self.begin(job)
+        if self.returning.admits(job, self.backlog, first_event_s, now):
+            self.begin(job)
 
     def begin(self, job: Job) -> None:
         """Start an admitted or adopted job."""
@@ -332,6 +340,7 @@
         job.placed_at = now
         self.admission.learn(job, now - job.arrived_at)
         in_time = now + self.first_event_s(job) <= job.objective_at
+        self.returning.on_placed(job, in_time=in_time)
         self.evenness.learn(job.place.priority, in_time=in_time)
         inputs = tuple(result.handle for result in job.final_results())
         self.observer.on_placed(job, choice.engine.replica, choice.cost_s, now - job.arrived_at)
@@ -348,6 +357,7 @@
     def reject(self, job: Job, reason: str, retry_after_s: float = DEFAULT_RETRY_AFTER_S) -> None:
         """Notify the box that a job is not placed, and end the job."""
         self.observer.on_rejected(job, reason, retry_after_s)
+        self.returning.on_rejected(job)
         self.evenness.learn(job.place.priority, in_time=False)
         rejected = Rejected(job=job.id, reason=reason, retry_after_s=retry_after_s)
         self.send(job.place.reply_to, rejected)
--- a/packages/core/calicopath_core/scheduling/succession.py
+++ b/packages/core/calicopath_core/scheduling/succession.py
@@ -51,6 +51,7 @@
                 usual_rates=usual_rates,
                 bias=scheduler.admission.bias,
                 first_events_s=scheduler.engine_times.snapshot(),
+                reservations=scheduler.returning.reservations.snapshot(scheduler.clock.monotonic()),
             )
             scheduler.send(successor, learned)
 
@@ -119,6 +120,7 @@
         """Take over another scheduler's estimates, unless this one has enough of its own."""
         scheduler = self.scheduler
         now = scheduler.clock.monotonic()
+        scheduler.returning.reservations.restore(message.reservations, now)
         if not scheduler.allowances.restore(message.usual_rates, now):
             return
         scheduler.admission.set_bias(message.bias)
--- a/packages/core/calicopath_core/scheduling/waiting.py
+++ b/packages/core/calicopath_core/scheduling/waiting.py
@@ -157,4 +157,6 @@
     if slack_s < 0:
         return Rank(3, 0, job.effective_priority, job.objective_at)
     tier = 2 if job.is_over_allowance else 1
-    return Rank(tier, int(slack_s / SLACK_STEP_S), job.effective_priority, job.objective_at)
+    # Who returns as told goes before new jobs, whose objectives end after any job's arrival.
+    order_at = job.arrived_at if job.is_returning else job.objective_at
+    return Rank(tier, int(slack_s / SLACK_STEP_S), job.effective_priority, order_at)
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -188,6 +188,27 @@
     'counts rebuilt',
     "The scheduler's counts of waiting jobs were inconsistent; it counts them anew.",
 )
+RESERVATION_MADE = Event(
+    720,
+    'info',
+    'reservation made',
+    'A request is refused because its stages would finish it late; capacity is reserved for it.',
+)
+RESERVATION_KEPT = Event(
+    721, 'info', 'reservation kept', 'A caller returned as told and its request is in time.'
+)
+RESERVATION_MISSED = Event(
+    722, 'warning', 'reservation missed', 'A caller returned as told, but is late or refused.'
+)
+RESERVATIONS_EXPIRED = Event(
+    723, 'info', 'reservations expired', 'Callers did not return; their capacity is free again.'
+)
+JOB_BEYOND_CAPACITY = Event(
+    724,
+    'info',
+    'job beyond capacity',
+    'A request that its stages would finish late waits behind those that are in time.',
+)
 DEPLOYMENT_APPLIED = Event(
     801, 'info', 'deployment applied', 'A newer version of the deployment is in force.'
 )
--- a/packages/daemon/calicopathd/gateway/metrics.py
+++ b/packages/daemon/calicopathd/gateway/metrics.py
@@ -62,6 +62,12 @@
         self.stage_seconds = self.histogram('stage_call_seconds', 'Time of a stage call.')
         self.jobs_placed = self.counter('jobs_placed_total', 'Jobs that this box has placed.')
         self.jobs_rejected = self.counter('jobs_rejected_total', 'Jobs not placed, by reason.')
+        self.reservations = self.counter(
+            'reservations_total', 'Reservations for callers who return, by what became of them.'
+        )
+        self.jobs_beyond_capacity = self.counter(
+            'jobs_beyond_capacity_total', 'Jobs admitted that their stages would finish late.'
+        )
         self.scheduler_changes = self.counter(
             'scheduler_changes_total', 'Times that another box was taken for the scheduler.'
         )
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -239,6 +239,51 @@
             retry_after_ms=round(retry_after_s * 1000),
         )
 
+    def on_reservation_made(self, job: Job, return_in_s: float, expected_s: float) -> None:
+        """Log and count a job that is refused and for which capacity is reserved."""
+        self.metrics.reservations.inc({'state': 'made'})
+        events.emit(
+            log,
+            events.RESERVATION_MADE,
+            request=job.place.call_id,
+            job=job.id,
+            content=job.place.content,
+            priority=job.place.priority,
+            expected_ms=round(expected_s * 1000),
+            objective_ms=round(job.place.objective_s * 1000),
+            return_in_ms=round(return_in_s * 1000),
+        )
+
+    def on_reservation_used(self, job: Job, *, kept: bool) -> None:
+        """Log and count a job whose caller returned as told, by whether it is in time."""
+        self.metrics.reservations.inc({'state': 'kept' if kept else 'missed'})
+        events.emit(
+            log,
+            events.RESERVATION_KEPT if kept else events.RESERVATION_MISSED,
+            request=job.place.call_id,
+            job=job.id,
+            content=job.place.content,
+            priority=job.place.priority,
+        )
+
+    def on_reservations_expired(self, count: int) -> None:
+        """Log and count reservations whose callers did not return."""
+        self.metrics.reservations.add({'state': 'expired'}, count)
+        events.emit(log, events.RESERVATIONS_EXPIRED, reservations=count)
+
+    def on_beyond_capacity(self, job: Job, expected_s: float) -> None:
+        """Log and count a job that waits behind those that are in time."""
+        self.metrics.jobs_beyond_capacity.inc({})
+        events.emit(
+            log,
+            events.JOB_BEYOND_CAPACITY,
+            request=job.place.call_id,
+            job=job.id,
+            priority=job.place.priority,
+            expected_ms=round(expected_s * 1000),
+            objective_ms=round(job.place.objective_s * 1000),
+        )
+
     def on_handed_over(self, job: Job, successor: str, results: int) -> None:
         """Log that a job was handed over to the next scheduler."""
         events.emit(
--- a/testkit/replay/fleet.py
+++ b/testkit/replay/fleet.py
@@ -63,7 +63,8 @@
     """Describe the numbers of boxes, failure domains and replicas, and the specs of replicas.
 
     Every `slow_every`th engine takes `engine_slowdown` times as long (0: none). Rates of requests
-    vary by `swing`, a share of the rate, with a period of `swing_period_s`.
+    vary by `swing`, a share of the rate, with a period of `swing_period_s`. With `has_routes`, the
+    deployment lists routes and workspaces, which some mechanisms need to take effect.
     """
 
     boxes: int
@@ -80,6 +81,7 @@
     engine_slowdown: float = 1.0
     swing: float = 0.0
     swing_period_s: float = 1.0
+    has_routes: bool = False
 
     @property
     def failure_domain_names(self) -> list[str]:
@@ -259,6 +261,7 @@
         engine_speed=EngineSpeed(1 / 92_100, 0.00303),
         slow_every=3,
         engine_slowdown=1.3,
+        has_routes=True,
         swing=0.55,
         swing_period_s=17.0,
     )
@@ -346,6 +349,7 @@
         engine_speed=EngineSpeed(1 / 50_700, 0.00595),
         slow_every=3,
         engine_slowdown=1.3,
+        has_routes=True,
         swing=0.27,
         swing_period_s=11.0,
     )
--- a/testkit/replay/plain.py
+++ b/testkit/replay/plain.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from calicopath_core.scheduling.admission import Admission, AdmissionDecision
+from calicopath_core.scheduling.arrivals import ArrivalRates
 from calicopath_core.scheduling.evenness import Evenness
 from calicopath_core.scheduling.fairness import Allowances
+from calicopath_core.scheduling.overload import OverloadAdmission
 from calicopath_core.scheduling.pacing import Pacing, PacingClass, full_batch_rate
 from testkit.replay.world import Variant
 
@@ -104,6 +106,52 @@
         pool.start_limit = None
 
 
+def without_overload_rule(scheduler: Scheduler) -> None:
+    """Admit every job that can finish before its deadline, in the order of its slack."""
+    scheduler.returning.is_enabled = False
+
+
+class NoReturning(OverloadAdmission):
+    """Never send a caller away for a while."""
+
+    def reserve(self, *details: Any, **named: Any) -> float | None:
+        """Reserve nothing."""
+        return None
+
+
+def with_late_only(scheduler: Scheduler) -> None:
+    """Admit jobs that will be late behind the others, without refusing any."""
+    returning = scheduler.returning
+    returning.decisions = NoReturning(
+        reservations=returning.reservations, arrivals=returning.arrivals
+    )
+
+
+class NoArrivals(ArrivalRates):
+    """Reserve capacity as if no new requests would arrive."""
+
+    def up_to(self, service: str, priority: int, now: float) -> float:
+        """Return no arrivals."""
+        return 0.0
+
+
+class ReturnAlways(OverloadAdmission):
+    """Send away every job that is not surely in time."""
+
+    def is_surely_late(self, *details: Any) -> bool:
+        """Return that the job is late."""
+        return True
+
+
+def with_return_always(scheduler: Scheduler) -> None:
+    """Send away whoever can be served later, also when new requests need the capacity."""
+    returning = scheduler.returning
+    returning.arrivals = NoArrivals()
+    returning.decisions = ReturnAlways(
+        reservations=returning.reservations, arrivals=returning.arrivals
+    )
+
+
 OURS = Variant('ours')
 VARIANTS = (
     OURS,
@@ -113,4 +161,7 @@
     Variant('no door', without_admission),
     Variant('ranks alone', with_strict_ranks),
     Variant('no start bound', without_start_limit),
+    Variant('no overload rule', without_overload_rule),
+    Variant('late only', with_late_only),
+    Variant('return always', with_return_always),
 )
--- a/testkit/replay/watching.py
+++ b/testkit/replay/watching.py
@@ -15,10 +15,11 @@
 
 
 class CountingObserver(SchedulerObserver):
-    """Count rejections by reason."""
+    """Count rejections by reason, and reservations by what became of them."""
 
     def __init__(self) -> None:
         self.rejected: dict[str, int] = {}
+        self.reservations: dict[str, int] = {}
 
     def on_stage_call(
         self, service: str, replica: str, pieces: list[Piece], took_s: float, outcome: str
@@ -32,6 +33,26 @@
         """Count a rejection."""
         self.rejected[reason] = self.rejected.get(reason, 0) + 1
 
+    def on_reservation_made(self, job: Job, return_in_s: float, expected_s: float) -> None:
+        """Count a reservation."""
+        self.count_reservations('made', 1)
+
+    def on_reservation_used(self, job: Job, *, kept: bool) -> None:
+        """Count a returned caller by whether it is in time."""
+        self.count_reservations('kept' if kept else 'missed', 1)
+
+    def on_reservations_expired(self, count: int) -> None:
+        """Count expired reservations."""
+        self.count_reservations('expired', count)
+
+    def on_beyond_capacity(self, job: Job, expected_s: float) -> None:
+        """Count a job that waits behind those that are in time."""
+        self.count_reservations('late', 1)
+
+    def count_reservations(self, state: str, count: int) -> None:
+        """Add to the reservations of a state."""
+        self.reservations[state] = self.reservations.get(state, 0) + count
+
     def on_handed_over(self, job: Job, successor: str, results: int) -> None:
         """Do nothing."""
 
