Scheduler: hand open reservations over once, and use none after it has expired

A scheduler that stepped down kept a copy of the reservations that it had handed over, and reported them as expired. An idle scheduler drops expired reservations only with its next tick, so that a caller could use one long after its time.

--- a/packages/core/calicopath_core/scheduling/reservations.py
+++ b/packages/core/calicopath_core/scheduling/reservations.py
@@ -91,7 +91,7 @@
         Two callers may send requests with the same fingerprint; each uses one reservation.
         """
         waiting = self.by_content.get(content)
-        if not waiting or now < waiting[0].due_at - MAX_EARLY_S:
+        if not waiting or not -MAX_EARLY_S <= now - waiting[0].due_at <= RETENTION_S:
             return None
         reservation = waiting[0]
         self.drop(reservation)
@@ -138,6 +138,15 @@
             for item in waiting
         )
 
+    def pop_all(self, now: float) -> tuple[OpenReservation, ...]:
+        """Remove and return the open reservations, for the next scheduler."""
+        found = self.snapshot(now)
+        self.by_content.clear()
+        self.by_step.clear()
+        self.pieces.clear()
+        self.count = 0
+        return found
+
     def restore(self, items: Iterable[OpenReservation], now: float) -> None:
         """Add the reservations of another scheduler, as far as they are within the bounds."""
         for item in items:
--- a/packages/core/calicopath_core/scheduling/succession.py
+++ b/packages/core/calicopath_core/scheduling/succession.py
@@ -51,7 +51,7 @@
                 usual_rates=usual_rates,
                 bias=scheduler.admission.bias,
                 first_events_s=scheduler.engine_times.snapshot(),
-                reservations=scheduler.returning.reservations.snapshot(scheduler.clock.monotonic()),
+                reservations=scheduler.returning.reservations.pop_all(scheduler.clock.monotonic()),
             )
             scheduler.send(successor, learned)
 
--- a/packages/core/calicopath_core/scheduling/tests/reservations_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/reservations_tests.py
@@ -57,6 +57,11 @@
         self.assertIsNone(self.ledger.claim('a', 1.0 + RETENTION_S + 2 * STEP_S))
         self.assertEqual((0, {}, {}), (self.ledger.count, self.ledger.pieces, self.ledger.by_step))
 
+    def test_who_returns_too_late_is_new(self) -> None:
+        """An idle scheduler drops expired reservations only with its next tick."""
+        self.make('a')
+        self.assertIsNone(self.ledger.claim('a', 1.0 + RETENTION_S + 0.01))
+
     def test_it_is_bounded_in_time_and_entries(self) -> None:
         """A wrong estimate or a flood of refusals must not fill the scheduler's memory."""
         self.assertFalse(self.make('far', MAX_AHEAD_S + 0.1))
--- a/packages/core/calicopath_core/scheduling/tests/returning_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/returning_tests.py
@@ -222,6 +222,7 @@
             self.sent.clear()
             before.succession.step_down('next:7')
             (learned,) = [item for item in self.sent if isinstance(item, LearnedEstimates)]
+            self.assertEqual(0, before.returning.reservations.count)
             after = self.scheduler()
             after.succession.on_learned(
                 msgspec.json.decode(msgspec.json.encode(learned), type=LearnedEstimates)
