Overload admission: wait as late only while arrivals exceed a stage

Tests that expected late jobs without such arrivals now expect admission; one more test has arrivals that exceed the stage.

--- a/packages/core/calicopath_core/scheduling/overload.py
+++ b/packages/core/calicopath_core/scheduling/overload.py
@@ -47,7 +47,7 @@
 class Verdict(enum.Enum):
     """Say what happens to a job."""
 
-    IN_TIME = 'in-time'
+    ADMIT = 'admit'
     RETURN = 'return'
     LATE = 'late'
 
@@ -96,7 +96,7 @@
     def decide(
         self, job: NewJob, stages: Mapping[str, StageCapacity], now: float
     ) -> OverloadDecision:
-        """Return whether a job is in time, returns at a time with reserved capacity, or is late."""
+        """Return whether a job is admitted, returns at a reserved time, or waits as late."""
         chain = chain_of(job, stages, {})
         waits = {
             phase.service: self.wait_s(job, phase.service, stages, now) for phase in job.phases
@@ -105,13 +105,30 @@
         slack_s = job.objective_s - chain.total_s
         margin_s = WAIT_MARGIN_SHARE * slack_s
         if expected_s <= job.objective_s - margin_s:
-            return OverloadDecision(Verdict.IN_TIME, expected_s)
+            return OverloadDecision(Verdict.ADMIT, expected_s)
         may_return = job.may_return and slack_s > 0 and self.is_surely_late(job, expected_s, stages)
         if may_return and self.helps_others(job, now):
             return_in_s = self.reserve(job, stages, chain, slack_s, now)
             if return_in_s is not None:
                 return OverloadDecision(Verdict.RETURN, expected_s, return_in_s)
-        return OverloadDecision(Verdict.LATE, expected_s)
+        if self.exceeds_capacity(job, stages, now):
+            return OverloadDecision(Verdict.LATE, expected_s)
+        return OverloadDecision(Verdict.ADMIT, expected_s)
+
+    def exceeds_capacity(
+        self, job: NewJob, stages: Mapping[str, StageCapacity], now: float
+    ) -> bool:
+        """Tell whether a stage of a job gets more work than it can do.
+
+        Otherwise the backlog is about to shrink, and the order by slack serves more jobs in time:
+        urgent jobs with little slack would yield to others after a cluster of requests.
+        """
+        return any(
+            self.arrivals.up_to(phase.service, job.priority, now)
+            > stages[phase.service].pieces_per_s
+            for phase in job.phases
+            if phase.pieces and phase.service in stages
+        )
 
     def is_surely_late(
         self, job: NewJob, expected_s: float, stages: Mapping[str, StageCapacity]
--- a/packages/core/calicopath_core/scheduling/tests/returning_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/returning_tests.py
@@ -167,6 +167,8 @@
         async def scenario() -> None:
             scheduler = self.scheduler()
             await self.overload(scheduler, count=BACKLOG + 15)
+            for _ in range(BACKLOG):
+                scheduler.returning.arrivals.add(self.place('new'), scheduler.clock.monotonic())
             scheduler.on_place(self.place('late'))
             self.assertTrue(scheduler.jobs['late'].is_over_allowance)
             self.observer.on_beyond_capacity.assert_called_once()
