--- a/packages/core/calicopath_core/scheduling/client.py
+++ b/packages/core/calicopath_core/scheduling/client.py
@@ -9,6 +9,7 @@
 
 from calicopath_core.exceptions import CalicopathError
 from calicopath_core.fleet.contact import STEADY
+from calicopath_core.scheduling.admission import FIRST_TOKEN_LATENCY_S
 from calicopath_core.scheduling.election import SILENCE_TIMEOUT_S
 from calicopath_core.scheduling.messages import (
     AdoptJob,
@@ -54,11 +55,6 @@
 acknowledgement that was lost must not lead to a refusal."""
 
 
-MIN_TIME_LEFT_S = 0.02
-"""Least time before its deadline with which a request is submitted. Messages to the scheduler and
-back and an engine's first token take longer, so the request would end without a decision."""
-
-
 class PlacementRejected(CalicopathError):
     """Report that the scheduler rejected a job, with the reason and when to retry."""
 
@@ -149,8 +145,11 @@
 
 
 def check_time_left(place: PlaceJob) -> None:
-    """Raise `PlacementRejected` if no answer can come before a request's deadline."""
-    if place.deadline_s < MIN_TIME_LEFT_S:
+    """Raise `PlacementRejected` if a request has less time left than an engine's first event takes.
+
+    The scheduler would refuse it as well, but perhaps after its deadline.
+    """
+    if place.deadline_s < FIRST_TOKEN_LATENCY_S and not place.resumed:
         raise PlacementRejected('hopeless', retry_after_s=busy_retry_after_s(place))
 
 
--- a/packages/core/calicopath_core/scheduling/engine_queue.py
+++ b/packages/core/calicopath_core/scheduling/engine_queue.py
@@ -128,4 +128,4 @@
     if job.resumed:
         return Position(LaneKey(FIRST_TIER, 0, need_of(job)), job.arrived_at)
     tier = OVER_ALLOWANCE_TIER if job.is_over_allowance else ALLOWED_TIER
-    return Position(LaneKey(tier, job.effective_priority, need_of(job)), job.objective_at)
+    return Position(LaneKey(tier, job.order_priority, need_of(job)), job.objective_at)
--- a/packages/core/calicopath_core/scheduling/waiting.py
+++ b/packages/core/calicopath_core/scheduling/waiting.py
@@ -195,7 +195,7 @@
     tier = OVER_ALLOWANCE_TIER if job.is_over_allowance else ALLOWED_TIER
     lead_steps = round(job.critical_path_s.get(group.phase, 0.0) / LEAD_STEP_S)
     waiting_class = WaitingClass(job.held_by, lead_steps)
-    return Position(LaneKey(tier, job.effective_priority, waiting_class), job.objective_at)
+    return Position(LaneKey(tier, job.order_priority, waiting_class), job.objective_at)
 
 
 def lead_s(key: LaneKey) -> float:
@@ -230,6 +230,6 @@
     if job.resumed:
         return Rank(FIRST_TIER, 0, 0, job.arrived_at)
     if slack_s < 0:
-        return Rank(LATE_TIER, 0, job.effective_priority, job.objective_at)
+        return Rank(LATE_TIER, 0, job.order_priority, job.objective_at)
     tier = OVER_ALLOWANCE_TIER if job.is_over_allowance else ALLOWED_TIER
-    return Rank(tier, int(slack_s / SLACK_STEP_S), job.effective_priority, job.objective_at)
+    return Rank(tier, int(slack_s / SLACK_STEP_S), job.order_priority, job.objective_at)
--- a/packages/daemon/calicopathd/gateway/metrics.py
+++ b/packages/daemon/calicopathd/gateway/metrics.py
@@ -71,6 +71,12 @@
         self.placements_unwanted = self.counter(
             'placements_unwanted_total', 'Placements received for requests that were over.'
         )
+        self.reservations = self.counter(
+            'reservations_total', 'Reservations for callers who return, by what became of them.'
+        )
+        self.jobs_beyond_capacity = self.counter(
+            'jobs_beyond_capacity_total', 'Jobs admitted that their stages would finish late.'
+        )
         self.scheduler_changes = self.counter(
             'scheduler_changes_total', 'Times that another box was taken for the scheduler.'
         )
