--- a/packages/core/calicopath_core/scheduling/tests/overload_replay_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/overload_replay_tests.py
@@ -26,7 +26,7 @@
 )
 """Half of the contended fleet, with constant rates besides the burst."""
 
-SEEDS = (1, 2)
+SEEDS = (1, 2, 3)
 PIECES = {RANK: 6, CHECK: 10}
 
 
