--- a/bench/replay.py
+++ b/bench/replay.py
@@ -14,7 +14,8 @@
 
 from testkit.replay.fleet import FLEETS, USUAL_BOXES, fleet_of
 from testkit.replay.load import CLUSTERED_PATTERNS, PATTERNS
-from testkit.replay.plain import VARIANTS
+from testkit.replay.plain import VARIANTS as PLAIN_VARIANTS
+from testkit.replay.shares import SHARE_VARIANTS
 from testkit.replay.world import replay
 
 if TYPE_CHECKING:
@@ -24,6 +25,7 @@
 
 SEEDS = (1, 2, 3)
 COMPETING_FLEETS = ('contended', 'uneven')
+VARIANTS = (*PLAIN_VARIANTS, *SHARE_VARIANTS)
 COST_BOXES = (30, 110, 195, 333)
 BAR_WIDTH, BAR_HEIGHT, LABEL_WIDTH = 400, 14, 220
 COLOURS = ('#20639b', '#3caea3', '#f6d55c', '#ed553b')
@@ -52,6 +54,8 @@
     Column('worst 2 s', lambda item: item.worst_window, '.3f'),
     Column('least urgent kind, others', lambda item: item.others['patient'], '.3f'),
     Column('least workspace', lambda item: min(item.by_workspace.values()), '.3f'),
+    Column('others', lambda item: item.all_others, '.3f'),
+    Column('largest workspace', lambda item: item.by_workspace['workspace-0'], '.3f'),
     Column('refused', lambda item: float(item.refused), '.0f'),
     Column('read again, 1,000 tokens', lambda item: item.reread_tokens / 1000, '.0f'),
     Column('between zones, MB', lambda item: item.cross_domain_bytes / 1e6, '.0f'),
--- a/packages/core/calicopath_core/scheduling/fairness.py
+++ b/packages/core/calicopath_core/scheduling/fairness.py
@@ -10,7 +10,8 @@
 from __future__ import annotations
 
 import math
-from typing import NamedTuple
+
+from calicopath_core.scheduling.shares import ShareRule, UsualRate, WorkspaceShare
 
 RECENT_WINDOW_S = 3.0
 """Averaging window of the fleet's recent rate: a few calls of a stage."""
@@ -65,14 +66,7 @@
         self.updated_at = 0.0
 
 
-class UsualRate(NamedTuple):
-    """Report a workspace's usual rate, in seconds of work per second, to the next scheduler."""
-
-    workspace: str
-    rate: float
-
-
-class Allowances:
+class Allowances(ShareRule):
     """Track the usual rate of every workspace and decide which requests exceed its allowance."""
 
     def __init__(self) -> None:
@@ -113,6 +107,11 @@
         growth = recent / others if others > 0 else 1.0
         return ALLOWANCE_FACTOR * max(1.0, growth) * max(own, MIN_USUAL_SHARE * fleet)
 
+    def share_of(self, workspace: str, now: float) -> WorkspaceShare:
+        """Return the recent rate of a workspace and its allowed rate."""
+        usage = self.workspaces[workspace]
+        return WorkspaceShare(usage.recent.value_at(now), self.allowed_rate(usage, now))
+
     def observed_share(self, now: float) -> float:
         """Return the share of the usual window that this scheduler has observed."""
         seen_s = now - (self.started_at if self.started_at is not None else now)
--- a/packages/core/calicopath_core/scheduling/interfaces.py
+++ b/packages/core/calicopath_core/scheduling/interfaces.py
@@ -12,6 +12,7 @@
     from calicopath_core.fleet.replicas import Replica
     from calicopath_core.scheduling.jobs import Job, Piece
     from calicopath_core.scheduling.messages import StageResult
+    from calicopath_core.scheduling.shares import WorkspaceShare
 
 
 class PieceCall(NamedTuple):
@@ -92,6 +93,22 @@
     def on_free_failed(self, address: str, count: int, error: BackendError) -> None:
         """Record results that could not be freed; they expire by themselves."""
 
+    @abstractmethod
+    def on_charged(self, is_over: bool) -> None:
+        """Record a request charged to its workspace, and whether it is over the share."""
+
+    @abstractmethod
+    def on_over_share(self, workspace: str, share: WorkspaceShare) -> None:
+        """Record a workspace whose requests exceed its share from now on."""
+
+    @abstractmethod
+    def on_within_share(self, workspace: str, lasted_s: float, requests: int) -> None:
+        """Record a workspace that is within its share again, after `requests` beyond it."""
+
+    @abstractmethod
+    def on_shares_restored(self, sender: str, workspaces: int) -> None:
+        """Record the usual rates of workspaces that came from another scheduler."""
+
 
 class JobController(ABC):
     """Manage the jobs that stage calls belong to; `unplaced` holds those without an engine."""
--- a/packages/core/calicopath_core/scheduling/messages.py
+++ b/packages/core/calicopath_core/scheduling/messages.py
@@ -10,8 +10,8 @@
 
 # msgspec evaluates the annotations at run time, so these imports can't be type-checking only.
 from calicopath_core.fleet.contact import StoreContact
-from calicopath_core.scheduling.fairness import UsualRate
 from calicopath_core.scheduling.groups import GroupCount
+from calicopath_core.scheduling.shares import UsualRate
 
 ROUTE_PRIORITIES = 10
 """Number of route priorities within each priority of a workspace; 0 is the most urgent."""
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -20,6 +20,7 @@
     Rejected,
 )
 from calicopath_core.scheduling.rejections import NO_ENGINE_RETRY_S, Rejections
+from calicopath_core.scheduling.shares import ShareMonitor
 from calicopath_core.scheduling.stage_calls import MAX_PIECE_TRIES, StageCalls
 from calicopath_core.scheduling.starts import NO_OVERAGE, WarmupTerms
 from calicopath_core.scheduling.succession import Succession
@@ -92,7 +93,7 @@
         self.select_replicas = select_replicas
         self.crashes = crashes
         self.admission = Admission()
-        self.allowances = Allowances()
+        self.shares = ShareMonitor(rule=Allowances(), observer=observer)
         self.evenness = Evenness()
         self.engine_times = EngineTimes()
         self.jobs: dict[str, Job] = {}
@@ -178,6 +179,7 @@
         self.place_waiting_jobs()
         self.rejections.check_waiting_jobs(now)
         self.free_fetched(now)
+        self.shares.check(now)
         for job in list(self.jobs.values()):
             if now > job.deadline_at + JOB_RETENTION_S:
                 self.end(job)
@@ -223,7 +225,7 @@
             return
         job.effective_priority = self.evenness.effective_rank(place.priority)
         if not place.resumed and not place.asked_before:
-            job.is_over_allowance = self.allowances.charge(
+            job.is_over_allowance = self.shares.charge(
                 place.workspace, self.stages.replica_time_s(place), now
             )
         first_event_s = pool.min_first_event_s(job, now)
--- a/packages/core/calicopath_core/scheduling/succession.py
+++ b/packages/core/calicopath_core/scheduling/succession.py
@@ -44,7 +44,7 @@
         if loads:
             message = EngineLoads(sender=scheduler.own_address, loads=loads)
             scheduler.send(successor, message)
-        usual_rates = scheduler.allowances.usual_rates(scheduler.clock.monotonic())
+        usual_rates = scheduler.shares.rule.usual_rates(scheduler.clock.monotonic())
         if usual_rates:
             learned = LearnedEstimates(
                 sender=scheduler.own_address,
@@ -120,7 +120,8 @@
         """Take over another scheduler's estimates, unless this one has enough of its own."""
         scheduler = self.scheduler
         now = scheduler.clock.monotonic()
-        if not scheduler.allowances.restore(message.usual_rates, now):
+        if not scheduler.shares.rule.restore(message.usual_rates, now):
             return
+        scheduler.observer.on_shares_restored(message.sender, len(message.usual_rates))
         scheduler.admission.set_bias(message.bias)
         scheduler.engine_times.restore(message.first_events_s)
--- a/packages/core/calicopath_core/scheduling/tests/succession_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/succession_tests.py
@@ -42,7 +42,7 @@
         for _ in range(200):
             scheduler.engine_times.learn(SIZE, SEEN_S)
         scheduler.admission.set_bias(1.4)
-        scheduler.allowances.charge('w', 1.0, scheduler.clock.monotonic())
+        scheduler.shares.rule.charge('w', 1.0, scheduler.clock.monotonic())
 
     def test_the_next_goes_by_what_was_learned(self) -> None:
         async def scenario() -> None:
@@ -55,7 +55,9 @@
             after.succession.on_learned(learned)
             self.assertAlmostEqual(SEEN_S, after.engine_times.expected_s(SIZE), delta=0.01)
             self.assertEqual(1.4, after.admission.bias)
-            self.assertIn('w', after.allowances.workspaces)
+            (rate,) = after.shares.rule.usual_rates(after.clock.monotonic())
+            self.assertEqual('w', rate.workspace)
+            after.observer.on_shares_restored.assert_called_once_with('own:7', 1)  # type: ignore[attr-defined]
 
         self.run_virtual(scenario())
 
@@ -64,7 +66,7 @@
             sent: list[msgspec.Struct] = []
             before, after = self.scheduler(sent), self.scheduler([])
             self.add_estimates(before)
-            after.allowances.charge('w', 1.0, 0.0)
+            after.shares.rule.charge('w', 1.0, 0.0)
             await asyncio.sleep(20.0)
             before.succession.step_down('next:7')
             for message in sent:
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -182,6 +182,16 @@
 GROUP_CHANGED = Event(
     710, 'info', 'group changed', 'This box has moved to another scheduling group.'
 )
+SHARE_EXCEEDED = Event(
+    725,
+    'warning',
+    'share exceeded',
+    'A workspace asks for more than its share; what is beyond it waits behind the others.',
+)
+SHARE_KEPT = Event(726, 'info', 'share kept', 'A workspace is within its share again.')
+SHARES_RESTORED = Event(
+    727, 'info', 'shares restored', 'The previous scheduler sent the usual rates of workspaces.'
+)
 DEPLOYMENT_APPLIED = Event(
     801, 'info', 'deployment applied', 'A newer version of the deployment is in force.'
 )
--- a/packages/daemon/calicopathd/gateway/metrics.py
+++ b/packages/daemon/calicopathd/gateway/metrics.py
@@ -62,6 +62,9 @@
         self.stage_seconds = self.histogram('stage_call_seconds', 'Time of a stage call.')
         self.jobs_placed = self.counter('jobs_placed_total', 'Jobs that this box has placed.')
         self.jobs_rejected = self.counter('jobs_rejected_total', 'Jobs not placed, by reason.')
+        self.requests_charged = self.counter(
+            'requests_charged_total', 'Requests charged to shares of workspaces, by result.'
+        )
         self.scheduler_changes = self.counter(
             'scheduler_changes_total', 'Times that another box was taken for the scheduler.'
         )
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -25,6 +25,7 @@
     from calicopath_core.fleet.replicas import Replica
     from calicopath_core.fleet.store import RecordKind
     from calicopath_core.scheduling.jobs import Job, Piece
+    from calicopath_core.scheduling.shares import WorkspaceShare
     from calicopathd.gateway.metrics import GatewayMetrics
 
 log = structlog.get_logger(__name__)
@@ -258,6 +259,34 @@
         """Log that results at a replica could not be freed."""
         events.emit(log, events.FREE_FAILED, maker=address, results=count, error=str(error))
 
+    def on_charged(self, is_over: bool) -> None:
+        """Count a request charged to the share of its workspace."""
+        self.metrics.requests_charged.inc({'share': 'over' if is_over else 'within'})
+
+    def on_over_share(self, workspace: str, share: WorkspaceShare) -> None:
+        """Log a workspace that exceeds its share, with figures in stage seconds per second."""
+        events.emit(
+            log,
+            events.SHARE_EXCEEDED,
+            tenant=workspace,
+            used=round(share.used, 3),
+            share=round(share.allowed, 3),
+        )
+
+    def on_within_share(self, workspace: str, lasted_s: float, requests: int) -> None:
+        """Log a workspace that is within its share again, and its requests beyond the share."""
+        events.emit(
+            log,
+            events.SHARE_KEPT,
+            tenant=workspace,
+            lasted_ms=round(lasted_s * 1000),
+            requests=requests,
+        )
+
+    def on_shares_restored(self, sender: str, workspaces: int) -> None:
+        """Log that the usual rates of workspaces came from the previous scheduler."""
+        events.emit(log, events.SHARES_RESTORED, scheduler=sender, tenants=workspaces)
+
     def on_scheduler_changed(self, address: str, asked_again: int) -> None:
         """Log and count a change of the scheduler; `asked_again` jobs were sent to it again."""
         self.metrics.scheduler_changes.inc({})
--- a/packages/daemon/calicopathd/gateway/run.py
+++ b/packages/daemon/calicopathd/gateway/run.py
@@ -167,6 +167,7 @@
             requests_suspected=len(box.ledger.suspects),
             boxes_listed=box.election.box_count(),
             jobs=len(box.scheduler.jobs),
+            tenants_over_share=len(box.scheduler.shares.over),
             groups=box.election.groups,
             loop_lag_seconds=box.group_policy.lag.value_s,
             suspended_seconds=box.clock.suspended_s,
--- a/testkit/replay/outcomes.py
+++ b/testkit/replay/outcomes.py
@@ -35,7 +35,8 @@
     """Hold the figures of one replay; shares are earned worth divided by possible worth.
 
     Bytes and tokens are totals. `others` are the shares by kind of the workspaces that do not
-    flood, `max_cold_starts` is the most runs that one cold engine got within a second.
+    flood, `all_others` that of all their kinds together, `max_cold_starts` is the most runs that
+    one cold engine got within a second.
     """
 
     worth: float
@@ -51,6 +52,7 @@
     rejected_for_space: int
     max_cold_starts: int
     cost_ms: float
+    all_others: float = 0.0
 
 
 def worth_share(outcomes: list[Outcome]) -> float:
--- a/testkit/replay/plain.py
+++ b/testkit/replay/plain.py
@@ -69,7 +69,7 @@
 
 def without_allowances(scheduler: Scheduler) -> None:
     """Never treat a workspace as over its allowance."""
-    scheduler.allowances = NoAllowances()
+    scheduler.shares.rule = NoAllowances()
 
 
 def without_pacing(scheduler: Scheduler) -> None:
--- a/testkit/replay/watching.py
+++ b/testkit/replay/watching.py
@@ -12,6 +12,7 @@
 
     from calicopath_core.fleet.replicas import Replica
     from calicopath_core.scheduling.jobs import Job, Piece
+    from calicopath_core.scheduling.shares import WorkspaceShare
 
 
 class CountingObserver(SchedulerObserver):
@@ -41,6 +42,18 @@
     def on_free_failed(self, address: str, count: int, error: Exception) -> None:
         """Do nothing."""
 
+    def on_charged(self, is_over: bool) -> None:
+        """Do nothing."""
+
+    def on_over_share(self, workspace: str, share: WorkspaceShare) -> None:
+        """Do nothing."""
+
+    def on_within_share(self, workspace: str, lasted_s: float, requests: int) -> None:
+        """Do nothing."""
+
+    def on_shares_restored(self, sender: str, workspaces: int) -> None:
+        """Do nothing."""
+
 
 class Stopwatch:
     """Add up the processor time of a scheduler's methods, counting nested calls once."""
--- a/testkit/replay/world.py
+++ b/testkit/replay/world.py
@@ -358,14 +358,13 @@
     def figures(self) -> Figures:
         """Return the figures of the replay."""
         jobs = max(1, len(self.pending_jobs) + len(self.outcomes))
+        others = [item for item in self.outcomes if item.arrival.workspace != FLOODING_WORKSPACE]
         return Figures(
             worth=counting.worth_share(self.outcomes),
             worst_window=counting.min_window_share(self.outcomes),
             by_kind=counting.worth_by_kind(self.outcomes),
             by_workspace=counting.worth_by_workspace(self.outcomes),
-            others=counting.worth_by_kind(
-                [item for item in self.outcomes if item.arrival.workspace != FLOODING_WORKSPACE]
-            ),
+            others=counting.worth_by_kind(others),
             refused=sum(item.refusals for item in self.outcomes),
             reread_tokens=self.reread_tokens,
             cross_domain_bytes=self.stages.cross_domain_bytes,
@@ -374,6 +373,7 @@
             rejected_for_space=self.stages.rejected_for_space,
             max_cold_starts=max(map(max_within_a_second, self.cold_starts.values()), default=0),
             cost_ms=1000 * self.stopwatch.cpu_s / jobs,
+            all_others=counting.worth_share(others),
         )
 
 
