--- a/bench/replay.py
+++ b/bench/replay.py
@@ -18,8 +18,9 @@
 from testkit.replay.crowd import measure_cpu_ms, measure_decisions
 from testkit.replay.fleet import FLEETS, USUAL_BOXES, fleet_of
 from testkit.replay.load import CLUSTERED_PATTERNS, LENGTH_S, PATTERNS
-from testkit.replay.plain import VARIANTS
+from testkit.replay.plain import VARIANTS as PLAIN_VARIANTS
 from testkit.replay.processor import MeasuredCost
+from testkit.replay.shares import SHARE_VARIANTS
 from testkit.replay.world import replay
 from testkit.virtual import run_virtual
 
@@ -30,6 +31,7 @@
 
 SEEDS = (1, 2, 3)
 COMPETING_FLEETS = ('contended', 'uneven')
+VARIANTS = (*PLAIN_VARIANTS, *SHARE_VARIANTS)
 COST_BOXES = (30, 86, 110, 195, 333)
 COST_WAITING_JOBS = (50, 500, 5000)
 DECISION_BOXES = 86
@@ -68,6 +70,8 @@
     Column('worst 2 s', lambda item: item.worst_window, '.3f'),
     Column('least urgent kind, others', lambda item: item.others['patient'], '.3f'),
     Column('least workspace', lambda item: min(item.by_workspace.values()), '.3f'),
+    Column('others', lambda item: item.all_others, '.3f'),
+    Column('largest workspace', lambda item: item.by_workspace['workspace-0'], '.3f'),
     Column('refused', lambda item: float(item.refused), '.0f'),
     Column('read again, 1,000 tokens', lambda item: item.reread_tokens / 1000, '.0f'),
     Column('between zones, MB', lambda item: item.cross_domain_bytes / 1e6, '.0f'),
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -24,6 +24,7 @@
 )
 from calicopath_core.scheduling.rejections import NO_ENGINE_RETRY_S, Rejections
 from calicopath_core.scheduling.returning import ReturningCallers
+from calicopath_core.scheduling.shares import ShareMonitor
 from calicopath_core.scheduling.stage_calls import MAX_PIECE_TRIES, StageCalls
 from calicopath_core.scheduling.starts import NO_OVERAGE, WarmupTerms
 from calicopath_core.scheduling.succession import Succession
@@ -99,7 +100,7 @@
         self.select_replicas = select_replicas
         self.crashes = crashes
         self.admission = Admission()
-        self.allowances = Allowances()
+        self.shares = ShareMonitor(rule=Allowances(), observer=observer)
         self.evenness = Evenness()
         self.engine_times = EngineTimes()
         self.jobs: dict[str, Job] = {}
@@ -195,6 +196,7 @@
         self.place_waiting_jobs()
         self.rejections.check_waiting_jobs(now)
         self.returning.expire(now)
+        self.shares.check(now)
         for name in self.fetch_times.pop_until(now):
             self.stages.release.free_soon(self.jobs[name].all_results())
         for name in self.expiry_times.pop_before(now):
@@ -232,7 +234,7 @@
             return
         job.effective_priority = self.evenness.effective_rank(place.priority)
         if not place.resumed and not place.asked_before and not job.is_returning:
-            job.is_over_allowance = self.allowances.charge(
+            job.is_over_allowance = self.shares.charge(
                 place.workspace, self.stages.replica_time_s(place), now
             )
         first_event_s = pool.min_first_event_s(job, now)
--- a/packages/core/calicopath_core/scheduling/succession.py
+++ b/packages/core/calicopath_core/scheduling/succession.py
@@ -121,7 +121,7 @@
         if loads:
             message = EngineLoads(sender=scheduler.own_address, loads=loads)
             scheduler.send(successor, message)
-        usual_rates = scheduler.allowances.usual_rates(scheduler.clock.monotonic())
+        usual_rates = scheduler.shares.rule.usual_rates(scheduler.clock.monotonic())
         if usual_rates:
             learned = LearnedEstimates(
                 sender=scheduler.own_address,
@@ -208,7 +208,8 @@
         scheduler = self.scheduler
         now = scheduler.clock.monotonic()
         scheduler.returning.reservations.restore(message.reservations, now)
-        if not scheduler.allowances.restore(message.usual_rates, now):
+        if not scheduler.shares.rule.restore(message.usual_rates, now):
             return
+        scheduler.observer.on_shares_restored(message.sender, len(message.usual_rates))
         scheduler.admission.set_bias(message.bias)
         scheduler.engine_times.restore(message.first_events_s)
--- a/packages/core/calicopath_core/scheduling/tests/returning_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/returning_tests.py
@@ -196,7 +196,7 @@
         async def scenario() -> None:
             scheduler = self.scheduler()
             await self.overload(scheduler)
-            scheduler.allowances.charge = mock.Mock(return_value=True)  # type: ignore[method-assign]
+            scheduler.shares.charge = mock.Mock(return_value=True)  # type: ignore[method-assign]
             scheduler.on_place(self.place('flood'))
             self.observer.on_reservation_made.assert_not_called()
 
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -236,6 +236,16 @@
     'job beyond capacity',
     'A request that its stages would finish late waits behind those that are in time.',
 )
+SHARE_EXCEEDED = Event(
+    725,
+    'warning',
+    'share exceeded',
+    'A workspace asks for more than its share; what is beyond it waits behind the others.',
+)
+SHARE_KEPT = Event(726, 'info', 'share kept', 'A workspace is within its share again.')
+SHARES_RESTORED = Event(
+    727, 'info', 'shares restored', 'The previous scheduler sent the usual rates of workspaces.'
+)
 DEPLOYMENT_APPLIED = Event(
     801, 'info', 'deployment applied', 'A newer version of the deployment is in force.'
 )
--- a/packages/daemon/calicopathd/gateway/metrics.py
+++ b/packages/daemon/calicopathd/gateway/metrics.py
@@ -77,6 +77,9 @@
         self.jobs_beyond_capacity = self.counter(
             'jobs_beyond_capacity_total', 'Jobs admitted that their stages would finish late.'
         )
+        self.requests_charged = self.counter(
+            'requests_charged_total', 'Requests charged to shares of workspaces, by result.'
+        )
         self.scheduler_changes = self.counter(
             'scheduler_changes_total', 'Times that another box was taken for the scheduler.'
         )
--- a/packages/daemon/calicopathd/gateway/run.py
+++ b/packages/daemon/calicopathd/gateway/run.py
@@ -170,6 +170,7 @@
             jobs_undecided=len(box.inbox.queue),
             jobs_to_hand_over=box.scheduler.succession.waiting,
             decision_lag_seconds=box.inbox.lag_s(),
+            tenants_over_share=len(box.scheduler.shares.over),
             groups=box.election.groups,
             loop_lag_seconds=box.group_policy.lag.value_s,
             suspended_seconds=box.clock.suspended_s,
--- a/testkit/replay/outcomes.py
+++ b/testkit/replay/outcomes.py
@@ -49,10 +49,10 @@
 
     `in_time` is the share of requests answered in time, at the first attempt or on a retry after an
     early refusal. Bytes and tokens are totals. `others` are the shares by kind of the workspaces
-    that do not flood, `max_cold_starts` is the most runs that one cold engine got within a second.
-    `undecided` requests reached their deadline without an answer, `unanswered` ones were refused by
-    their own boxes, `rejected` are the scheduler's rejections by reason, and `calls_by_second` the
-    stage calls begun in each second.
+    that do not flood, `all_others` that of all their kinds together, `max_cold_starts` is the most
+    runs that one cold engine got within a second. `undecided` requests reached their deadline
+    without an answer, `unanswered` ones were refused by their own boxes, `rejected` are the
+    scheduler's rejections by reason, and `calls_by_second` the stage calls begun in each second.
     """
 
     worth: float
@@ -73,6 +73,7 @@
     rejected: dict[str, int] = {}
     calls_by_second: tuple[int, ...] = ()
     in_time: float = 0.0
+    all_others: float = 0.0
 
 
 def worth_share(outcomes: list[Outcome]) -> float:
