--- a/packages/core/calicopath_core/exchanges/balancer.py
+++ b/packages/core/calicopath_core/exchanges/balancer.py
@@ -32,11 +32,16 @@
 
 
 class LoadReport(NamedTuple):
-    """Hold the load that a replica reports: its running and waiting calls and its slots."""
+    """Hold the load that a replica reports: its running and waiting calls and its slots.
+
+    `pace` says how long work takes there at this moment, as a multiple of the usual time; `None` if
+    the replica does not report it.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace: float | None = None
 
 
 class ReplicaStats:
