Balance plain calls by the pace that replicas report

A replica in a slow moment costs as much more as its report says, weighted by the report's age. The part of a call's duration that is due to a slow moment is left out of the latency. A report of the usual pace makes no replica more attractive.

--- a/packages/core/calicopath_core/exchanges/balancer.py
+++ b/packages/core/calicopath_core/exchanges/balancer.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from calicopath_core.exchanges.cold import ColdReplicaLimiter
+from calicopath_core.fleet.pace import PaceEstimates
 
 if TYPE_CHECKING:
     import random
@@ -100,7 +101,9 @@
         failure_domain: str,
         rng: random.Random,
         cold_rate_of: Callable[[str], float | None] = lambda service: None,
+        pace: PaceEstimates | None = None,
     ) -> None:
+        self.pace = pace or PaceEstimates()
         self.replicas = replicas
         self.gate = gate
         self.failure_domain = failure_domain
@@ -114,6 +117,7 @@
         for name in list(self.stats):
             if name not in self.replicas.replicas:
                 del self.stats[name]
+        self.pace.keep_only(self.replicas.replicas)
         self.cold_limiter.drop_removed(self.replicas.replicas)
 
     def stats_of(self, replica: Replica) -> ReplicaStats:
@@ -123,6 +127,20 @@
             found = self.stats[replica.id] = ReplicaStats()
         return found
 
+    def on_report(self, replica: Replica, report: LoadReport, now: float) -> None:
+        """Record a replica's reported load, and its pace if it reports one."""
+        self.stats_of(replica).on_report(report, now)
+        if report.pace is not None:
+            self.pace.on_report(replica.id, report.pace, now)
+
+    def on_success(self, replica: Replica, took_s: float, now: float) -> None:
+        """Record an answer that came in time.
+
+        The part of its duration that is due to a slow moment is left out of the latency, so that
+        the next calls are not kept from a replica whose slow moment has ended.
+        """
+        self.stats_of(replica).on_success(took_s / self.pace.momentary(replica.id, now))
+
     def choose(self, service: str, excluded: set[str], now: float) -> Replica | None:
         """Return the replica with the lowest expected cost, or `None` if none may be called.
 
@@ -159,6 +177,7 @@
         utilization = 0.25 * stats.estimated_calls(now) / slots
         return (
             stats.latency_s
+            * self.pace.momentary(replica.id, now)
             * (1 + queueing + utilization + FAILURE_COST_FACTOR * stats.failure_rate)
             + distance_s
         )
--- a/packages/core/calicopath_core/exchanges/plain.py
+++ b/packages/core/calicopath_core/exchanges/plain.py
@@ -227,7 +227,7 @@
     if answer.head.status >= STATUS_SERVER_ERROR:
         stats.on_failure(now)
     else:
-        stats.on_success(now - started_at)
+        context.balancer.on_success(replica, now - started_at, now)
     return answer
 
 
@@ -249,9 +249,7 @@
     answer = await context.replica_client.send(outbound)
     try:
         if answer.head.load is not None:
-            context.balancer.stats_of(replica).on_report(
-                answer.head.load, context.clock.monotonic()
-            )
+            context.balancer.on_report(replica, answer.head.load, context.clock.monotonic())
         body = await read_all(answer)
     finally:
         answer.close()
