--- a/bench/replay.py
+++ b/bench/replay.py
@@ -23,7 +23,7 @@
     from testkit.replay.outcomes import Figures
 
 SEEDS = (1, 2, 3)
-COMPETING_FLEETS = ('contended', 'uneven')
+COMPETING_FLEETS = ('contended', 'contended-moments', 'uneven')
 COST_BOXES = (30, 110, 195, 333)
 BAR_WIDTH, BAR_HEIGHT, LABEL_WIDTH = 400, 14, 220
 COLOURS = ('#20639b', '#3caea3', '#f6d55c', '#ed553b')
--- a/packages/core/calicopath_core/exchanges/streams.py
+++ b/packages/core/calicopath_core/exchanges/streams.py
@@ -60,6 +60,7 @@
         self.splitter.last_event_id = state.exchange.last_event_id
         self.head_sent = False
         self.first_event_received = False
+        self.reported_pace: float | None = None
 
     async def serve(self) -> None:
         """Place and run the stream until it is complete or can't be resumed."""
@@ -70,6 +71,7 @@
         """Place the request once and run it there; return whether the exchange is over."""
         job = self.context.new_job_id()
         failed = turned_away = False
+        self.reported_pace = None
         try:
             placed = await self.place(job)
             replica = self.context.replicas.replicas.get(placed.replica)
@@ -100,7 +102,9 @@
             self.check_retry_allowed(error)
             return False
         finally:
-            self.context.scheduler.report_ended(job, failed=failed, turned_away=turned_away)
+            self.context.scheduler.report_ended(
+                job, failed=failed, turned_away=turned_away, pace=self.reported_pace
+            )
 
     async def take_permit(self, placed: Placed, replica: Replica) -> None:
         """Use the permit granted with a placement; request one if the scheduler knew of no limit.
@@ -186,6 +190,7 @@
         state.on_send(replica.id, self.context.clock.monotonic())
         self.first_event_received = False
         answer = await self.send(placed, replica)
+        self.reported_pace = answer.head.load.pace if answer.head.load is not None else None
         try:
             if answer.head.declined:
                 text = f'{replica.id} declined with {answer.head.status}'
@@ -255,7 +260,9 @@
                 continue
             if not self.first_event_received:
                 self.first_event_received = True
-                self.context.scheduler.report_started(job)
+                self.context.scheduler.report_started(job, self.reported_pace)
+                # By the end of the stream the report would be out of date.
+                self.reported_pace = None
                 timeout_s = EVENT_GAP_TIMEOUT_S if self.state.route.repeatable else self.left_s()
             await self.forward(answer, events)
         if self.splitter.buffer:
--- a/packages/core/calicopath_core/fleet/pace.py
+++ b/packages/core/calicopath_core/fleet/pace.py
@@ -48,7 +48,7 @@
 """Lasting deviations up to this are taken for noise. Replicas that are as fast as configured are
 then chosen exactly as without the estimate."""
 
-SLOW_FROM, RECOVERED_BELOW = 1.25, 1.1
+SLOW_FROM, RECOVERED_BELOW = 1.2, 1.1
 """Lasting factors at which a replica is reported as slow, and as recovered."""
 
 MIN_SAMPLES_TO_REPORT = 10.0
@@ -151,6 +151,19 @@
         excess = min(MAX_PACE, self.reported / self.usual_report) - 1
         return 1 + max(0.0, excess) * weight
 
+    def delay_s(self, work_s: float, now: float) -> float:
+        """Return the seconds by which work that begins now is delayed by a reported slow moment.
+
+        A moment that still holds ends on average after half the time that it may last. Longer work
+        is not slowed down after that.
+        """
+        left_s = REPORT_TTL_S - max(0.0, now - self.reported_at)
+        if left_s <= 0:
+            return 0.0
+        ratio = min(MAX_PACE, max(1.0, self.reported / self.usual_report))
+        within_s = left_s / 2 * (1 - 1 / ratio)
+        return left_s / REPORT_TTL_S * min(work_s * (ratio - 1), within_s)
+
     def fade(self, now: float) -> float:
         """Return the factor on the weight of observations for the time since the last one."""
         return math.exp(-max(0.0, now - self.observed_at) / EVIDENCE_TTL_S)
@@ -164,15 +177,20 @@
         factor = (prior_s + fade * self.took_s) / (prior_s + fade * self.expected_s)
         return min(MAX_PACE, max(MIN_PACE, factor))
 
-    def factor(self, now: float) -> float:
-        """Return the lasting factor times that of the present moment."""
+    def steady_factor(self, now: float) -> float:
+        """Return the lasting factor, 1.0 within the dead band."""
         if now >= self.steady_until:
             lasting = self.lasting(now)
             self.steady = 1.0 if abs(lasting - 1) <= DEAD_BAND else lasting
             self.steady_until = now + STEADY_TTL_S
+        return self.steady
+
+    def factor(self, now: float) -> float:
+        """Return the lasting factor times that of the present moment."""
+        steady = self.steady_factor(now)
         if now - self.reported_at >= REPORT_TTL_S:
-            return self.steady
-        return min(MAX_PACE, self.steady * self.momentary(now))
+            return steady
+        return min(MAX_PACE, steady * self.momentary(now))
 
     def on_observed(self, took_s: float, expected_s: float, now: float) -> None:
         """Add an observation, of which the part due to the present moment is left out."""
@@ -225,6 +243,22 @@
         item = self.paces.get(replica_id)
         return 1.0 if item is None else item.factor(now)
 
+    def duration_s(self, replica_id: str, work_s: float, now: float) -> float:
+        """Return the expected duration of new work that takes `work_s` at a usual replica.
+
+        Unlike `factor`, it takes into account that slow moments end while long work runs.
+        """
+        item = self.paces.get(replica_id)
+        if item is None:
+            return work_s
+        lasting_s = work_s * item.steady_factor(now)
+        return lasting_s + item.delay_s(lasting_s, now)
+
+    def lasting(self, replica_id: str, now: float) -> float:
+        """Return the part of the factor that comes from observations, without the dead band."""
+        item = self.paces.get(replica_id)
+        return 1.0 if item is None else item.lasting(now)
+
     def momentary(self, replica_id: str, now: float) -> float:
         """Return the part of the factor that comes from reports, at least 1.0."""
         item = self.paces.get(replica_id)
--- a/packages/core/calicopath_core/fleet/tests/pace_tests.py
+++ b/packages/core/calicopath_core/fleet/tests/pace_tests.py
@@ -60,6 +60,14 @@
         self.assertAlmostEqual(1.75, found[1], delta=0.02)
         self.assertEqual([1.0, 1.0], found[2:])
 
+    def test_long_work_is_delayed_only_while_a_slow_moment_lasts(self) -> None:
+        """Guards against moving long queues away from an engine for a moment that ends sooner."""
+        self.target.on_report('r', 2.5, 0.0)
+        short_s, long_s = (self.target.duration_s('r', work_s, 0.0) for work_s in (0.02, 2.0))
+        self.assertAlmostEqual(0.05, short_s, delta=0.001)
+        self.assertAlmostEqual(2.0 + REPORT_TTL_S / 2 * 0.6, long_s, delta=0.001)
+        self.assertEqual(2.0, self.target.duration_s('r', 2.0, REPORT_TTL_S))
+
     def test_a_report_of_the_usual_pace_ends_a_slow_moment_and_draws_nobody(self) -> None:
         """Guards against herding: a replica that has just reported 100 must not look better than
         those that have not answered lately."""
@@ -158,6 +166,8 @@
             self.assertTrue(MIN_PACE <= target.factor('r', now) <= MAX_PACE)
             self.assertTrue(1.0 <= target.momentary('r', now) <= MAX_PACE)
             self.assertTrue(math.isfinite(target.recent('r', now)))
+            longest_s = MAX_PACE * 1.0 + REPORT_TTL_S
+            self.assertTrue(MIN_PACE <= target.duration_s('r', 1.0, now) <= longest_s)
 
     def test_replicas_that_are_gone_are_forgotten(self) -> None:
         """Guards against state that grows with every replica that ever existed."""
--- a/packages/core/calicopath_core/scheduling/client.py
+++ b/packages/core/calicopath_core/scheduling/client.py
@@ -216,16 +216,21 @@
             error = PlacementRejected(message.reason, retry_after_s=message.retry_after_s)
             asked.answer.set_exception(error)
 
-    def report_started(self, job: str) -> None:
-        """Report that the engine has read a job's prompt."""
-        self.notify_schedulers(job, RunStarted(job=job, sender=self.election.own.name))
+    def report_started(self, job: str, pace: float | None = None) -> None:
+        """Report that the engine has read a job's prompt, and the pace that it reported."""
+        own = self.election.own.name
+        self.notify_schedulers(job, RunStarted(job=job, sender=own, pace=pace))
+
+    def report_ended(
+        self, job: str, *, failed: bool, turned_away: bool = False, pace: float | None = None
+    ) -> None:
+        """Report that a job is over, and stop tracking it.
 
-    def report_ended(self, job: str, *, failed: bool, turned_away: bool = False) -> None:
-        """Report that a job is over, and stop tracking it."""
+        `pace` is what the engine reported in an answer that had no event.
+        """
         own = self.election.own.name
-        self.notify_schedulers(
-            job, RunEnded(job=job, sender=own, failed=failed, turned_away=turned_away)
-        )
+        ended = RunEnded(job=job, sender=own, failed=failed, turned_away=turned_away, pace=pace)
+        self.notify_schedulers(job, ended)
         asked = self.pending.pop(job, None)
         if asked is not None and not asked.answer.done():
             asked.answer.cancel()
--- a/packages/core/calicopath_core/scheduling/engine_pools.py
+++ b/packages/core/calicopath_core/scheduling/engine_pools.py
@@ -4,9 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+from calicopath_core.fleet.pace import PaceEstimates
 from calicopath_core.permits.issuer import PermitIssuer, UnlimitedIssuer
 from calicopath_core.scheduling.backoffs import FleetBackoffs
 from calicopath_core.scheduling.engines import EnginePool
+from calicopath_core.scheduling.prompt_speed import MAX_SERVICES
 from calicopath_core.scheduling.starts import start_limit_of
 
 if TYPE_CHECKING:
@@ -27,8 +29,10 @@
         warmup: WarmupTerms,
         pool_factory: Callable[[EngineSpec], EnginePool] | None = None,
         permits: PermitIssuer | None = None,
+        pace: PaceEstimates | None = None,
     ) -> None:
         super().__init__()
+        self.pace = pace or PaceEstimates()
         self.permits = permits or UnlimitedIssuer()
         self.salt = salt
         self.warmup = warmup
@@ -43,6 +47,7 @@
             salt=self.salt,
             backoffs=self.backoffs,
             permits=self.permits,
+            pace=self.pace,
         )
 
     def set_spec(self, service: ServiceSpec) -> None:
@@ -81,3 +86,14 @@
         for pool in self.values():
             for replica_id, load_s in loads.items():
                 pool.on_foreign_load(sender, replica_id, load_s, now)
+
+    def prompt_speeds(self) -> dict[str, float]:
+        """Return the learned seconds per prompt token of at most `MAX_SERVICES` services."""
+        speeds = {name: pool.prompt_speed.learned_s_per_token for name, pool in self.items()}
+        return dict(list(speeds.items())[:MAX_SERVICES])
+
+    def restore_prompt_speeds(self, speeds: dict[str, float]) -> None:
+        """Take over the seconds per prompt token that another scheduler has learned."""
+        for name, pool in self.items():
+            if name in speeds:
+                pool.prompt_speed.restore(speeds[name])
--- a/packages/core/calicopath_core/scheduling/engines.py
+++ b/packages/core/calicopath_core/scheduling/engines.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import statistics
 import zlib
 from collections import OrderedDict
 from typing import TYPE_CHECKING, NamedTuple
 
+from calicopath_core.fleet.pace import PaceEstimates
 from calicopath_core.permits.issuer import PermitIssuer, UnlimitedIssuer
 from calicopath_core.scheduling.backoffs import FleetBackoffs
+from calicopath_core.scheduling.prompt_speed import PromptSpeed
 from calicopath_core.scheduling.starts import START_WINDOW_S, RecentStarts
 
 if TYPE_CHECKING:
@@ -18,9 +21,6 @@
     from calicopath_core.scheduling.messages import Prompt
     from calicopath_core.scheduling.starts import StartLimit
 
-PREFILL_S_PER_TOKEN = 1 / 32_400
-"""Time to read one prompt token; engines read 32 to 38 tokens per ms."""
-
 DECODE_S_PER_TOKEN = 0.00005
 """Delay that one generated token adds to the other runs on the engine. A decoding step grows by 4
 us per run and by 9 us per thousand tokens that the run holds. Charging each token its share of the
@@ -55,6 +55,12 @@
 """How long an engine that failed a run is ejected; the base time doubles with each failure in a
 row."""
 
+MIN_TOKENS_TO_OBSERVE = 500
+"""Shortest prompt from which an engine's own speed is learned: with less to read, the delays of the
+network and of busy boxes are most of the time."""
+
+MEDIAN_PACE_TTL_S = 1.0
+
 LOST_RUN_TIMEOUT_S = 30.0
 """A run without any report for this long is dropped; longer than any deadline of the users."""
 
@@ -68,11 +74,13 @@
     """Hold the load that a run puts on its engine; `prefill_s` counts until the first event.
 
     The run is dropped at `expires_at`, in monotonic seconds, if its end is never reported.
+    `tokens_alone` is how many tokens the engine reads for it, 0 if it has others to read first.
     """
 
     prefill_s: float
     decode_s: float
     expires_at: float
+    tokens_alone: int = 0
 
 
 class CachedPart(NamedTuple):
@@ -138,6 +146,10 @@
             return True
         return self.recent_starts.count(now) < (limit.cold if self.replica.cold else limit.warm)
 
+    def has_unread_prompts(self) -> bool:
+        """Tell whether a run here has not reported its first event."""
+        return any(run.prefill_s > 0 for run in self.runs.values())
+
     def uncached_tokens(self, prompt: PromptKeys) -> int:
         """Return how many prompt tokens the engine would have to read after the cached prefix."""
         cached_tokens = 0
@@ -188,9 +200,14 @@
         salt: str = '',
         backoffs: FleetBackoffs | None = None,
         permits: PermitIssuer | None = None,
+        pace: PaceEstimates | None = None,
     ) -> None:
         self.permits = permits or UnlimitedIssuer()
         self.backoffs = backoffs or FleetBackoffs()
+        self.pace = pace or PaceEstimates()
+        self.prompt_speed = PromptSpeed()
+        self.last_median_pace = 1.0
+        self.median_pace_until = 0.0
         self.slots = slots
         self.salt = salt
         self.start_limit: StartLimit | None = None
@@ -264,7 +281,7 @@
         latency_budget_s = (job.objective_at - now) * LATENCY_BUDGET_SHARE
         costs = []
         for engine in candidates:
-            first_event_s = self.first_event_s(engine, prompt)
+            first_event_s = self.first_event_s(engine, prompt, now)
             locality_cost_s = self.locality_cost_s(engine, prompt, inputs, cached_keys, now)
             if first_event_s > latency_budget_s:
                 locality_cost_s = OVER_BUDGET_PENALTY_S + OVER_BUDGET_COST_WEIGHT * locality_cost_s
@@ -305,15 +322,16 @@
         healthy = [item for item in self.engines.values() if item.ejected_until <= now]
         box = job.place.reply_to
         times = (
-            self.first_event_s(engine, prompt)
+            self.first_event_s(engine, prompt, now)
             + self.backoffs.remaining_s(box, engine.replica.id, now)
             for engine in healthy
         )
         return min(times, default=0.0)
 
-    def first_event_s(self, engine: Engine, prompt: PromptKeys) -> float:
+    def first_event_s(self, engine: Engine, prompt: PromptKeys, now: float) -> float:
         """Return the seconds of work before a prompt's first event on an engine."""
-        return engine.load_s + engine.uncached_tokens(prompt) * PREFILL_S_PER_TOKEN
+        prefill_s = engine.uncached_tokens(prompt) * self.prompt_speed.s_per_token
+        return self.pace.duration_s(engine.replica.id, engine.load_s + prefill_s, now)
 
     def locality_cost_s(
         self,
@@ -347,9 +365,12 @@
     def start_run(self, choice: EngineChoice, job: Job, now: float) -> None:
         """Record a job's run on the chosen engine."""
         engine, prompt = choice.engine, prompt_keys(job.place.prompt)
-        prefill_s = engine.uncached_tokens(prompt) * PREFILL_S_PER_TOKEN
+        tokens = engine.uncached_tokens(prompt)
+        prefill_s = tokens * self.prompt_speed.s_per_token
         decode_s = job.place.prompt.tokens_out * DECODE_S_PER_TOKEN
-        engine.add_run(job.id, Run(prefill_s, decode_s, now + LOST_RUN_TIMEOUT_S))
+        reads_alone = not (engine.replica.cold or engine.has_unread_prompts())
+        tokens_alone = tokens if reads_alone else 0
+        engine.add_run(job.id, Run(prefill_s, decode_s, now + LOST_RUN_TIMEOUT_S, tokens_alone))
         engine.recent_starts.add(now)
         self.backoffs.on_placed(engine.replica.id, now)
         engine.record_cached(prompt, self.kv_tokens, now)
@@ -362,7 +383,31 @@
         if engine is None or run is None:
             return
         engine.failures = 0
-        engine.add_run(job_id, run._replace(prefill_s=0.0))
+        if run.tokens_alone:
+            self.learn_speed(replica_id, run.tokens_alone, now - placed_at, now)
+        engine.add_run(job_id, run._replace(prefill_s=0.0, tokens_alone=0))
+
+    def learn_speed(self, replica_id: str, tokens: int, took_s: float, now: float) -> None:
+        """Learn from the time to a first event whose engine had nothing else to read.
+
+        The speed of the service is that of the median engine. Without this reference, the service
+        and all its engines could drift in opposite directions.
+        """
+        speed = self.prompt_speed
+        pace = self.pace.lasting(replica_id, now) * self.pace.momentary(replica_id, now)
+        speed.learn(tokens * pace / self.median_pace(now), took_s)
+        if tokens >= MIN_TOKENS_TO_OBSERVE and speed.is_settled:
+            reading_s = max(0.0, took_s - speed.base_s)
+            expected_s = tokens * speed.learned_s_per_token
+            self.pace.on_observed(replica_id, reading_s, expected_s, now)
+
+    def median_pace(self, now: float) -> float:
+        """Return the median of the engines' lasting factors, computed at most once a second."""
+        if now >= self.median_pace_until:
+            self.median_pace_until = now + MEDIAN_PACE_TTL_S
+            paces = [self.pace.lasting(name, now) for name in self.engines]
+            self.last_median_pace = statistics.median(paces) if paces else 1.0
+        return self.last_median_pace
 
     def on_run_turned_away(self, replica_id: str, job_id: str, now: float) -> None:
         """Remove a run that its engine turned away, and avoid the engine for a while."""
--- a/packages/core/calicopath_core/scheduling/interfaces.py
+++ b/packages/core/calicopath_core/scheduling/interfaces.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from calicopath_core.backends.base import BackendError
+    from calicopath_core.fleet.pace import PaceEstimates
     from calicopath_core.fleet.replicas import Replica
     from calicopath_core.scheduling.jobs import Job, Piece
     from calicopath_core.scheduling.messages import StageResult
@@ -48,7 +49,9 @@
 
 
 class StageCaller(ReplicaProber):
-    """Make calls to the replicas of stages."""
+    """Make calls to the replicas of stages; `pace` is told the pace that their answers report."""
+
+    pace: PaceEstimates | None = None
 
     @abstractmethod
     async def run(self, replica: Replica, calls: list[PieceCall]) -> list[PieceResult]:
--- a/packages/core/calicopath_core/scheduling/messages.py
+++ b/packages/core/calicopath_core/scheduling/messages.py
@@ -148,12 +148,14 @@
 
     `usual_rates` is the usual load of workspaces, `bias` the correction factor of stage
     estimates, and `first_events_s` the time of engines to a first event by prompt size.
+    `prompt_speeds` is the time of a service's engines per prompt token, in seconds by service.
     """
 
     sender: str
     usual_rates: tuple[UsualRate, ...] = msgspec.field(name='taken')
     bias: float
     first_events_s: dict[int, float]
+    prompt_speeds: dict[str, float] = {}
 
 
 class Rejected(msgspec.Struct, frozen=True, tag='no'):
@@ -165,22 +167,30 @@
 
 
 class RunStarted(msgspec.Struct, frozen=True, tag='st'):
-    """Tell the scheduler that the engine sent its first event, so it has read the prompt."""
+    """Tell the scheduler that the engine sent its first event, so it has read the prompt.
+
+    `pace` is the factor on durations that the engine reported in the head of this answer, `None` if
+    it reported none.
+    """
 
     job: str
     sender: str
+    pace: float | None = None
 
 
 class RunEnded(msgspec.Struct, frozen=True, tag='en'):
     """Tell the scheduler that a job is over.
 
-    `failed` says that the engine was at fault, `turned_away` that it declined the job.
+    `failed` says that the engine was at fault, `turned_away` that it declined the job. `pace` is
+    the factor on durations that the engine reported in the head of an answer without any event, of
+    which no `RunStarted` tells.
     """
 
     job: str
     sender: str
     failed: bool
     turned_away: bool = False
+    pace: float | None = None
 
 
 class BackoffNotice(msgspec.Struct, frozen=True, tag='bo'):
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from calicopath_core.fleet.pace import PaceEstimates
 from calicopath_core.permits.issuer import PermitIssuer, UnlimitedIssuer
 from calicopath_core.scheduling.admission import Admission
 from calicopath_core.scheduling.engine_pools import EnginePools
@@ -82,7 +83,9 @@
         backoff_left_s: Callable[[Replica], float] = lambda replica: 0.0,
         support_backoff_left_s: Callable[[Replica], float] = lambda replica: 0.0,
         permits: PermitIssuer | None = None,
+        pace: PaceEstimates | None = None,
     ) -> None:
+        self.pace = pace or PaceEstimates()
         self.permits = permits or UnlimitedIssuer()
         self.clock = clock
         self.replicas = replicas
@@ -100,7 +103,11 @@
         self.engine_queue = EngineQueue(first_event_s=self.first_event_s)
         self.work_available = asyncio.Event()
         self.engine_pools = EnginePools(
-            salt=own_address, warmup=warmup, pool_factory=pool_factory, permits=self.permits
+            salt=own_address,
+            warmup=warmup,
+            pool_factory=pool_factory,
+            permits=self.permits,
+            pace=self.pace,
         )
         self.stages = StageCalls(
             clock=clock,
@@ -113,6 +120,7 @@
             backoff_left_s=backoff_left_s,
             support_backoff_left_s=support_backoff_left_s,
             permits=self.permits,
+            pace=self.pace,
         )
         self.rejections = Rejections(
             unplaced=self.unplaced,
@@ -138,6 +146,7 @@
 
     def on_replicas(self) -> None:
         """Update stages, engines and waiting jobs after the replica table changed."""
+        self.pace.keep_only(self.replicas.replicas)
         self.stages.on_replicas()
         self.engine_pools.set_replicas(self.replicas, self.select_replicas)
         self.recompute_lost()
@@ -355,6 +364,7 @@
         if job is None or job.placed_on is None:
             return
         now = self.clock.monotonic()
+        self.on_reported_pace(job.placed_on, message.pace, now)
         placed_at = now
         if job.placed_at is not None:
             placed_at = job.placed_at
@@ -362,6 +372,11 @@
         self.engine_pools[job.place.service].on_run_started(job.placed_on, job.id, placed_at, now)
         self.stages.release.free_soon(job.all_results())
 
+    def on_reported_pace(self, replica_id: str, pace: float | None, now: float) -> None:
+        """Record the pace that an engine has reported to the job's box, if it has."""
+        if pace is not None:
+            self.pace.on_report(replica_id, pace, now)
+
     def on_ended(self, message: RunEnded) -> None:
         """Record that a job is over, and place waiting jobs."""
         job = self.jobs.get(message.job)
@@ -369,6 +384,7 @@
             return
         if job.placed_on is not None:
             now = self.clock.monotonic()
+            self.on_reported_pace(job.placed_on, message.pace, now)
             pool = self.engine_pools[job.place.service]
             if message.turned_away:
                 pool.on_run_turned_away(job.placed_on, job.id, now)
--- a/packages/core/calicopath_core/scheduling/stage_calls.py
+++ b/packages/core/calicopath_core/scheduling/stage_calls.py
@@ -8,6 +8,7 @@
 from calicopath_core.backends.base import BackendError, ConnectionBroken, NotStarted
 from calicopath_core.crashes.probes import ReplicaCrashProbe
 from calicopath_core.fleet.notices import ReplicaExcluded
+from calicopath_core.fleet.pace import PaceEstimates
 from calicopath_core.permits.issuer import PermitIssuer, UnlimitedIssuer
 from calicopath_core.scheduling.freeing import ResultFreeing
 from calicopath_core.scheduling.interfaces import PieceCall, PieceResult
@@ -60,7 +61,9 @@
         backoff_left_s: Callable[[Replica], float] = lambda replica: 0.0,
         support_backoff_left_s: Callable[[Replica], float] = lambda replica: 0.0,
         permits: PermitIssuer | None = None,
+        pace: PaceEstimates | None = None,
     ) -> None:
+        self.pace = pace or PaceEstimates()
         self.permits = permits or UnlimitedIssuer()
         self.backoff_left_s = backoff_left_s
         self.clock = clock
@@ -102,6 +105,7 @@
                 runs_alone=lambda job: self.crashes.is_suspect(job.place.content, service),
                 backoff_left_s=self.backoff_left_s,
                 permits=self.permits,
+                pace=self.pace,
             )
         queue.spec = spec
 
--- a/packages/core/calicopath_core/scheduling/stage_replicas.py
+++ b/packages/core/calicopath_core/scheduling/stage_replicas.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from calicopath_core.fleet.pace import RECENT_TTL_S, PaceEstimates
+
 if TYPE_CHECKING:
     from calicopath_core.fleet.deployment import StageSpec
     from calicopath_core.fleet.replicas import Replica
@@ -15,7 +17,6 @@
 """How long space booked by other schedulers is assumed to be taken: results of a crashed scheduler
 expire within 4 s, those of one that leaves are freed within two calls."""
 
-SLOWNESS_SMOOTHING = 0.5
 SLOW_FACTOR = 1.8
 """Ratio of actual to expected duration above which a replica is slow, and is used only when the
 others can't keep up: at 2, waiting for another replica's call to end is as fast."""
@@ -23,7 +24,7 @@
 OVERDUE_FACTOR = 1.3
 """Ratio of elapsed to expected time above which the end of a call is no longer waited for."""
 
-SLOWNESS_EXPIRY_S = 3.0
+SLOWNESS_EXPIRY_S = RECENT_TTL_S
 """How long after its last call a replica counts as slow; then it is tried again."""
 
 
@@ -41,8 +42,9 @@
     scheduler's results, and `other_bytes` that booked by other schedulers.
     """
 
-    def __init__(self, *, replica: Replica) -> None:
+    def __init__(self, *, replica: Replica, pace: PaceEstimates | None = None) -> None:
         self.replica = replica
+        self.pace = pace or PaceEstimates()
         self.open_calls = 0
         self.bookings: dict[str, Booking] = {}
         self.booked_bytes = 0
@@ -55,13 +57,10 @@
         self.other_until = 0.0
         self.free_at = 0.0
         self.due_at = 0.0
-        self.slowness = 1.0
-        self.slowness_measured_at = 0.0
 
     def record_duration(self, took_s: float, expected_s: float, now: float) -> None:
-        """Update the slowness from a call's actual and expected duration."""
-        self.slowness += SLOWNESS_SMOOTHING * (took_s / expected_s - self.slowness)
-        self.slowness_measured_at = now
+        """Update the pace from a call's actual duration and that of a replica of usual pace."""
+        self.pace.on_observed(self.replica.id, took_s, expected_s, now)
 
     def busy_for_s(self, now: float) -> float:
         """Return the seconds until the call in progress should end; 0 without one."""
@@ -72,8 +71,13 @@
         return self.open_calls > 0 and now > self.due_at
 
     def is_slow(self, now: float) -> bool:
-        """Tell whether recent calls took much longer than expected."""
-        return self.slowness > SLOW_FACTOR and now - self.slowness_measured_at < SLOWNESS_EXPIRY_S
+        """Tell whether recent calls took, or work takes now, much longer than expected."""
+        name = self.replica.id
+        return max(self.pace.recent(name, now), self.pace.factor(name, now)) > SLOW_FACTOR
+
+    def duration_s(self, work_s: float, now: float) -> float:
+        """Return the expected duration of a call that takes `work_s` at a usual replica."""
+        return self.pace.duration_s(self.replica.id, work_s, now)
 
     def free_result_bytes(self, spec: StageSpec, now: float) -> float:
         """Return the estimated free bytes for results; 0 for a while after there was no space."""
--- a/packages/core/calicopath_core/scheduling/stages.py
+++ b/packages/core/calicopath_core/scheduling/stages.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from calicopath_core.fleet.pace import PaceEstimates
 from calicopath_core.permits.issuer import PermitIssuer, UnlimitedIssuer
 from calicopath_core.scheduling.jobs import LARGE_RESULT_BYTES
 from calicopath_core.scheduling.placing import (
@@ -72,7 +73,9 @@
         runs_alone: Callable[[Job], bool] = lambda job: False,
         backoff_left_s: Callable[[Replica], float] = lambda replica: 0.0,
         permits: PermitIssuer | None = None,
+        pace: PaceEstimates | None = None,
     ) -> None:
+        self.pace = pace or PaceEstimates()
         self.permits = permits or UnlimitedIssuer()
         self.service = service
         self.spec = spec
@@ -94,7 +97,7 @@
         }
         for name, replica in listed.items():
             target = self.known_replicas.get(name) or self.replicas.get(name)
-            target = target or StageReplica(replica=replica)
+            target = target or StageReplica(replica=replica, pace=self.pace)
             target.replica = replica
             self.known_replicas[name] = target
         self.replicas = {name: self.known_replicas[name] for name in listed}
@@ -114,7 +117,7 @@
         return [item for item in self.replicas.values() if self.backoff_left_s(item.replica) <= 0]
 
     def free_replicas(self, now: float) -> list[StageReplica]:
-        """Return the replicas that can take a call now, those with most space first."""
+        """Return the replicas that can take a call now: the fastest, then those with most space."""
         found = [
             item
             for item in self.available_replicas()
@@ -124,7 +127,13 @@
         ]
         if len(self.waiting) <= self.max_quick_backlog(now):
             found = [item for item in found if not item.is_slow(now)]
-        return sorted(found, key=lambda item: -item.free_result_bytes(self.spec, now))
+        return sorted(
+            found,
+            key=lambda item: (
+                item.duration_s(self.spec.call_s, now),
+                -item.free_result_bytes(self.spec, now),
+            ),
+        )
 
     def max_quick_backlog(self, now: float) -> int:
         """Return how many pieces two calls to each replica that is not slow would take."""
@@ -239,8 +248,9 @@
             piece.set_dispatched(True)
             piece.job.failure_domains.setdefault(piece.phase, target.replica.failure_domain)
         target.open_calls += 1
-        target.free_at = now + self.expected_call_s(len(pieces))
-        target.due_at = now + OVERDUE_FACTOR * self.expected_call_s(len(pieces))
+        expected_s = target.duration_s(self.expected_call_s(len(pieces)), now)
+        target.free_at = now + expected_s
+        target.due_at = now + OVERDUE_FACTOR * expected_s
         target.reserved_bytes += sum(piece.result_bytes for piece in pieces)
         return StageBatch(target, pieces)
 
--- a/packages/core/calicopath_core/scheduling/succession.py
+++ b/packages/core/calicopath_core/scheduling/succession.py
@@ -51,6 +51,7 @@
                 usual_rates=usual_rates,
                 bias=scheduler.admission.bias,
                 first_events_s=scheduler.engine_times.snapshot(),
+                prompt_speeds=scheduler.engine_pools.prompt_speeds(),
             )
             scheduler.send(successor, learned)
 
@@ -124,3 +125,4 @@
             return
         scheduler.admission.set_bias(message.bias)
         scheduler.engine_times.restore(message.first_events_s)
+        scheduler.engine_pools.restore_prompt_speeds(message.prompt_speeds)
--- a/packages/core/calicopath_core/scheduling/tests/engines_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/engines_tests.py
@@ -6,6 +6,7 @@
 
 import testtools
 
+from calicopath_core.fleet.pace import REPORT_TTL_S, PaceEstimates
 from calicopath_core.scheduling.engines import (
     BASE_EJECTION_S,
     PREFIX_CACHE_TTL_S,
@@ -13,6 +14,7 @@
     EngineChoice,
     EnginePool,
 )
+from calicopath_core.scheduling.prompt_speed import PREFILL_S_PER_TOKEN
 from calicopath_core.scheduling.tests.work import job, phase, prompt, replica, result
 
 
@@ -103,3 +105,89 @@
             self.pool.on_run_ended('e2', f'j{number}', failed=False, now=0.0)
         kept = [engine.cached_tokens for engine in self.pool.engines.values()]
         self.assertLessEqual(max(kept), 10_000)
+
+
+class Speeds(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.pace = PaceEstimates()
+        self.pool = EnginePool(slots=64, kv_tokens=100_000, pace=self.pace)
+        self.pool.set_replicas([replica(name, 'a', 'engine') for name in ('e0', 'e1', 'e2')])
+
+    def run_alone(self, name: str, number: int, tokens: int, took_s: float) -> None:
+        """Run a prompt alone on an engine and report its first event after `took_s`."""
+        now = number * 0.25
+        item = job(f'{name}-{number}', prompt=prompt((f'{name}-{number}', tokens)))
+        self.pool.start_run(EngineChoice(self.pool.engines[name], 0.0), item, now)
+        self.pool.on_run_started(name, item.id, now, now + took_s)
+        self.pool.on_run_ended(name, item.id, failed=False, now=now + took_s)
+
+    def run_prompts(self, tokens_per_ms: float, slowdowns: dict[str, float]) -> None:
+        """Run prompts of many lengths on every engine; `slowdowns` are by engine."""
+        for number in range(250):
+            for name in self.pool.engines:
+                tokens = 200 + (number * 337) % 5000
+                slowdown = slowdowns.get(name, 1.0)
+                self.run_alone(
+                    name, number, tokens, 0.05 + slowdown * tokens / tokens_per_ms / 1000
+                )
+
+    def test_the_speed_of_the_service_and_of_a_slower_engine_are_told_apart(self) -> None:
+        """Guards against one slow engine that makes all look slow, or is not told from them."""
+        self.run_prompts(92.1, {'e1': 1.3})
+        self.assertAlmostEqual(1.0, self.pool.prompt_speed.s_per_token * 92_100, delta=0.1)
+        factors = [self.pace.factor(name, 62.5) for name in ('e0', 'e1', 'e2')]
+        self.assertEqual([1.0, 1.0], [factors[0], factors[2]])
+        self.assertAlmostEqual(1.3, factors[1], delta=0.1)
+
+    def test_engines_as_fast_as_the_constant_are_chosen_as_before(self) -> None:
+        """Guards against changes in deployments for which the constant was measured."""
+        self.run_prompts(32.4, {})
+        self.assertEqual(PREFILL_S_PER_TOKEN, self.pool.prompt_speed.s_per_token)
+        self.assertEqual({1.0}, {self.pace.factor(name, 62.5) for name in self.pool.engines})
+
+    def test_waiting_behind_other_prompts_is_not_taken_for_slow_reading(self) -> None:
+        """Guards against learning from runs that wait, by which engines look slow under load."""
+        for number in range(100):
+            for part in range(4):
+                item = job(f'j{number}-{part}', prompt=prompt((f'p{number}-{part}', 3000)))
+                choice = EngineChoice(self.pool.engines['e0'], 0.0)
+                self.pool.start_run(choice, item, float(number))
+            for part in range(4):
+                began, first_at = float(number), number + 0.1 * (part + 1) + 0.07 - 0.1 + 0.0926
+                self.pool.on_run_started('e0', f'j{number}-{part}', began, first_at)
+                self.pool.on_run_ended('e0', f'j{number}-{part}', failed=False, now=first_at)
+        self.assertLess(self.pool.prompt_speed.samples, 101)
+        self.assertEqual(PREFILL_S_PER_TOKEN, self.pool.prompt_speed.s_per_token)
+        self.assertEqual(1.0, self.pace.factor('e0', 100.0))
+
+    def test_a_slower_engine_gets_work_in_proportion(self) -> None:
+        """Guards against equal shares, by which the slower engine's callers wait longer."""
+        for number in range(200):
+            self.pace.on_observed('e1', 0.13, 0.1, number * 0.01)
+        placed = dict.fromkeys(self.pool.engines, 0)
+        for number in range(180):
+            item = job(f'j{number}', prompt=prompt((f'p{number}', 1000)), objective_s=100.0)
+            choice = self.pool.choose(item, 2.0)
+            assert choice is not None
+            self.pool.start_run(choice, item, 2.0)
+            placed[choice.engine.replica.id] += 1
+        self.assertAlmostEqual(1.27, placed['e0'] / placed['e1'], delta=0.08)
+        self.assertAlmostEqual(placed['e0'], placed['e2'], delta=2)
+
+    def test_an_engine_in_a_slow_moment_gets_new_work_only_while_it_lasts(self) -> None:
+        """Guards against placing prompts on engines that say that work takes long just now."""
+        self.pace.on_report('e0', 2.5, 0.0)
+        self.pace.on_report('e1', 2.5, 0.0)
+        chosen = [self.choose(f'j{number}', 0.0) for number in range(2)]
+        self.assertEqual(['e2', 'e2'], chosen)
+        later = {self.choose(f'k{number}', REPORT_TTL_S) for number in range(4)}
+        self.assertEqual({'e0', 'e1'}, later)
+
+    def choose(self, name: str, now: float) -> str:
+        """Place a job with a short prompt and return its engine."""
+        item = job(name, prompt=prompt((name, 2000)))
+        choice = self.pool.choose(item, now)
+        assert choice is not None
+        self.pool.start_run(choice, item, now)
+        return choice.engine.replica.id
--- a/packages/core/calicopath_core/scheduling/tests/stages_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/stages_tests.py
@@ -8,6 +8,7 @@
 
 import testtools
 
+from calicopath_core.fleet.pace import REPORT_TTL_S
 from calicopath_core.scheduling import waiting
 from calicopath_core.scheduling.stage_calls import StageCalls
 from calicopath_core.scheduling.stage_replicas import SLOWNESS_EXPIRY_S
@@ -284,6 +285,45 @@
         self.assertIsNone(target.next_batch(LATER))
         self.assertIsNotNone(target.next_batch(SLOWNESS_EXPIRY_S))
 
+    def test_the_fastest_free_replica_gets_the_next_call(self) -> None:
+        """Guards against calls to a lastingly slower replica while others are free."""
+        target = queue(replica('slow'), replica('quick'))
+        for number in range(60):
+            target.replicas['slow'].record_duration(0.39, 0.3, number * 0.01)
+            target.replicas['quick'].record_duration(0.31, 0.3, number * 0.01)
+        wait(target, job('one', phase(count=4)), now=1.0)
+        batch = target.next_batch(1.0)
+        assert batch is not None
+        self.assertEqual('quick', batch.target.replica.id)
+        busy = target.replicas['quick'].busy_for_s(1.0)
+        self.assertAlmostEqual(target.expected_call_s(4), busy)
+        wait(target, job('two', phase(count=4)), now=1.0)
+        batch = target.next_batch(1.0)
+        assert batch is not None
+        self.assertEqual('slow', batch.target.replica.id)
+        self.assertAlmostEqual(1.27, target.replicas['slow'].busy_for_s(1.0) / busy, delta=0.04)
+
+    def test_replicas_as_fast_as_configured_are_chosen_by_their_space(self) -> None:
+        """Guards against choices by noise in durations, which would overrule the space."""
+        target = queue(replica('full'), replica('empty'))
+        for number in range(60):
+            target.replicas['full'].record_duration(0.28, 0.3, number * 0.01)
+            target.replicas['empty'].record_duration(0.32, 0.3, number * 0.01)
+        target.book_result('full', 'handle', 1000, 1.0)
+        wait(target, job('one', phase(count=4)), now=1.0)
+        batch = target.next_batch(1.0)
+        assert batch is not None
+        self.assertEqual('empty', batch.target.replica.id)
+
+    def test_a_replica_in_a_slow_moment_is_used_only_when_the_others_cannot_keep_up(self) -> None:
+        """Guards against a call to a replica whose last answer said that work takes long there."""
+        target = queue(replica('slow'), replica('quick'))
+        target.pace.on_report('slow', 2.5, LATER)
+        target.replicas['quick'].open_calls = 1
+        wait(target, job('one', phase(count=2)))
+        self.assertIsNone(target.next_batch(LATER))
+        self.assertIsNotNone(target.next_batch(LATER + REPORT_TTL_S))
+
     def test_a_replica_that_fails_is_left_alone_longer_each_time(self) -> None:
         target = queue(replica('r'))
         pauses = []
--- a/packages/core/calicopath_core/scheduling/tests/succession_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/succession_tests.py
@@ -3,23 +3,35 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
 from unittest import mock
 
+import msgspec
+
+from calicopath_core.fleet.deployment import Deployment, EngineSpec, ServiceSpec
 from calicopath_core.fleet.replicas import ReplicaTable
 from calicopath_core.scheduling.admission import MAX_BIAS
 from calicopath_core.scheduling.estimates import DEFAULT_FIRST_EVENT_S
 from calicopath_core.scheduling.interfaces import StageCaller
-from calicopath_core.scheduling.messages import LearnedEstimates
+from calicopath_core.scheduling.messages import LearnedEstimates, RunEnded, RunStarted
 from calicopath_core.scheduling.scheduler import Scheduler
 from testkit.cases import VirtualCase
 from testkit.ledgers import new_guard
 from testkit.virtual import VirtualClock
 
-if TYPE_CHECKING:
-    import msgspec
-
 SIZE = 9000
+
+
+def deployment_with_engines(name: str) -> Deployment:
+    """Return a deployment with one service of engines."""
+    return Deployment(
+        version=1,
+        routes=(),
+        services=(ServiceSpec(name, '', 100, None, EngineSpec(8, 100_000)),),
+        workspaces=(),
+        limits=None,  # type: ignore[arg-type]
+    )
+
+
 SEEN_S = 0.1
 
 
@@ -75,6 +87,46 @@
 
         self.run_virtual(scenario())
 
+    def test_the_next_goes_by_the_learned_prompt_speeds(self) -> None:
+        """Guards against relearning the speed of engines after each change of the scheduler, and
+        against passing on how fast single replicas are, which may have changed."""
+
+        async def scenario() -> None:
+            sent: list[msgspec.Struct] = []
+            before, after = self.scheduler(sent), self.scheduler([])
+            for scheduler in (before, after):
+                scheduler.on_deployment(deployment_with_engines('engine'))
+            speed = before.engine_pools['engine'].prompt_speed
+            for number in range(300):
+                tokens = 100 + (number * 337) % 5000
+                speed.learn(tokens, 0.05 + tokens / 92_100)
+            before.pace.on_observed('e1', 0.2, 0.1, 0.0)
+            self.add_estimates(before)
+            await asyncio.sleep(20.0)
+            before.succession.step_down('next:7')
+            (learned,) = [message for message in sent if isinstance(message, LearnedEstimates)]
+            after.succession.on_learned(learned)
+            self.assertEqual(
+                speed.s_per_token, after.engine_pools['engine'].prompt_speed.s_per_token
+            )
+            self.assertEqual({}, after.pace.paces)
+
+        self.run_virtual(scenario())
+
+    def test_messages_of_another_build_have_no_pace_and_no_speeds(self) -> None:
+        """Guards against a field without a default, by which boxes of two builds misunderstand
+        each other during a roll-out."""
+        for message in (
+            RunStarted(job='j', sender='b'),
+            RunEnded(job='j', sender='b', failed=False),
+            LearnedEstimates(sender='b', usual_rates=(), bias=1.0, first_events_s={}),
+        ):
+            fields = msgspec.to_builtins(message)
+            fields.pop('pace', None)
+            fields.pop('prompt_speeds', None)
+            self.assertEqual(message, msgspec.convert(fields, type(message), strict=False))
+            self.assertIn(type(message).__struct_fields__[-1], ('pace', 'prompt_speeds'))
+
     def test_implausible_estimates_are_clamped(self) -> None:
         async def scenario() -> None:
             after = self.scheduler([])
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -182,6 +182,12 @@
 GROUP_CHANGED = Event(
     710, 'info', 'group changed', 'This box has moved to another scheduling group.'
 )
+REPLICA_SLOW = Event(
+    730, 'info', 'replica slow', 'Work on the replica lastingly takes longer; it gets less.'
+)
+REPLICA_RECOVERED = Event(
+    731, 'info', 'replica recovered', 'The replica is about as fast as the others again.'
+)
 DEPLOYMENT_APPLIED = Event(
     801, 'info', 'deployment applied', 'A newer version of the deployment is in force.'
 )
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -20,6 +20,7 @@
 from calicopath_core.exchanges.context import ExchangeContext
 from calicopath_core.exchanges.executor import ExchangeExecutor
 from calicopath_core.fleet.deployment import DEFAULT_LIMITS, Deployment, DeploymentView
+from calicopath_core.fleet.pace import PaceEstimates
 from calicopath_core.fleet.positions import NO_POSITION, Position
 from calicopath_core.fleet.store import RecordKind
 from calicopath_core.scheduling.baseline import RandomEnginePool, StandaloneElection
@@ -102,6 +103,7 @@
         )
         self.replicas, self.gate = self.notices.replicas, self.notices.gate
         replica_client.interceptor = stage_caller.interceptor = self.gate
+        self.pace = stage_caller.pace = PaceEstimates(observer=observer)
         self.own = BoxAddress(
             settings.box,
             str(settings.peer_listen),
@@ -156,6 +158,7 @@
             permits=self.notices.limit_issuer,
             warmup=settings.warmup,
             pool_factory=self.random_engine_pool if standalone else None,
+            pace=self.pace,
         )
         self.client = SchedulerClient(
             clock=self.clock,
@@ -204,6 +207,7 @@
                 failure_domain=self.settings.failure_domain,
                 rng=self.rng,
                 cold_rate_of=self.cold_rate_of,
+                pace=self.pace,
             ),
             retry_budgets=RetryBudgets(terms=self.settings.retry_budget),
             election=self.election,
--- a/packages/daemon/calicopathd/gateway/metrics.py
+++ b/packages/daemon/calicopathd/gateway/metrics.py
@@ -51,6 +51,12 @@
         self.bad_notices = self.counter(
             'notices_bad_total', 'Answers that ask for a pause which can not be read.'
         )
+        self.bad_load_reports = self.counter(
+            'load_reports_bad_total', 'Answers whose load report has an invalid figure, by service.'
+        )
+        self.replica_pace_changes = self.counter(
+            'replica_pace_changes_total', 'Replicas that became lastingly slow, or recovered.'
+        )
         self.calls_held_back = self.counter(
             'calls_held_back_total', 'Calls not sent as their replica must not get them, by bar.'
         )
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -10,6 +10,7 @@
 from calicopath_core.fleet.feed import FeedObserver
 from calicopath_core.fleet.leaving import OWN
 from calicopath_core.fleet.notices import NoticeObserver
+from calicopath_core.fleet.pace import PaceObserver
 from calicopath_core.permits.issuer import PermitObserver
 from calicopath_core.scheduling.interfaces import SchedulerObserver
 from calicopathd import events
@@ -31,7 +32,13 @@
 
 
 class GatewayObserver(
-    ExchangeObserver, FeedObserver, NoticeObserver, PermitObserver, SchedulerObserver, CrashLog
+    ExchangeObserver,
+    FeedObserver,
+    NoticeObserver,
+    PaceObserver,
+    PermitObserver,
+    SchedulerObserver,
+    CrashLog,
 ):
     """Write a log line for each event and update the metrics."""
 
@@ -150,6 +157,22 @@
         """Count a response whose backoff header can't be parsed."""
         self.metrics.bad_notices.inc({'service': service})
 
+    def on_bad_load(self, service: str) -> None:
+        """Count a load report with an invalid figure."""
+        self.metrics.bad_load_reports.inc({'service': service})
+
+    def on_replica_slow(self, replica_id: str, factor: float) -> None:
+        """Log and count a replica that has become slower than others of its service."""
+        self.metrics.replica_pace_changes.inc({'to': 'slow'})
+        percent = round(factor * 100)
+        events.emit(log, events.REPLICA_SLOW, replica=replica_id, pace_percent=percent)
+
+    def on_replica_recovered(self, replica_id: str, slow_for_s: float) -> None:
+        """Log and count a replica that is as fast as the others of its service again."""
+        self.metrics.replica_pace_changes.inc({'to': 'usual'})
+        slow_for_ms = round(slow_for_s * 1000)
+        events.emit(log, events.REPLICA_RECOVERED, replica=replica_id, slow_for_ms=slow_for_ms)
+
     def on_limit(self, replica: str, service: str, per_s: float, source: str) -> None:
         """Log and count a limit that a replica advertised, in requests per second."""
         self.metrics.limits_advertised.inc({'service': service})
--- a/testkit/gateway_replicas.py
+++ b/testkit/gateway_replicas.py
@@ -16,6 +16,7 @@
 from calicopath_core.scheduling.interfaces import PieceCall, PieceResult, StageCaller, StageReport
 
 if TYPE_CHECKING:
+    from calicopath_core.exchanges.balancer import LoadReport
     from calicopath_core.exchanges.messages import Headers, OutboundRequest
     from calicopath_core.fleet.replicas import Replica
 from testkit.gateway_world import EVENT_GAP_S, EVENTS, RESULT_BYTES, STAGE
@@ -116,7 +117,8 @@
         self.break_after = break_after
         self.sent = 0
         self.closed = False
-        self.head = AnswerHead(status, (('X-Replica', outbound.replica.id),), False, None)
+        load = engine.loads.get(outbound.replica.id)
+        self.head = AnswerHead(status, (('X-Replica', outbound.replica.id),), False, load)
 
     async def read(self) -> bytes | None:
         """Return the next event."""
@@ -166,13 +168,17 @@
 
 
 class FakeReplicas(ReplicaClient):
-    """Fake engines and plain services; `faults` lists the faults of a replica, call by call."""
+    """Fake engines and plain services; `faults` lists the faults of a replica, call by call.
+
+    `loads` holds the load that a replica reports.
+    """
 
     def __init__(self) -> None:
         self.sent: list[OutboundRequest] = []
         self.faults: dict[str, list[str]] = {}
         self.runs: dict[str, int] = {}
         self.running: set[str] = set()
+        self.loads: dict[str, LoadReport] = {}
 
     async def send(self, outbound: OutboundRequest) -> ReplicaAnswer:
         """Respond with the replica's next fault, if any."""
@@ -184,7 +190,8 @@
             raise NotStarted('refused')
         call_id = outbound.exchange.call_id
         if fault == 'declined':
-            return FakeBody(head=AnswerHead(503, (), True, None), body=b'')
+            load = self.loads.get(outbound.replica.id)
+            return FakeBody(head=AnswerHead(503, (), True, load), body=b'')
         self.runs[call_id] = self.runs.get(call_id, 0) + 1
         if fault == 'reset':
             raise MayHaveRun('reset')
@@ -198,7 +205,8 @@
             self.running.add(call_id)
             after = int(fault.partition(':')[2]) if fault.startswith('break') else None
             return FakeStream(engine=self, outbound=outbound, status=200, break_after=after)
-        return FakeBody(head=AnswerHead(200, (), False, None), body=call_id.encode())
+        load = self.loads.get(outbound.replica.id)
+        return FakeBody(head=AnswerHead(200, (), False, load), body=call_id.encode())
 
     async def probe(self, replica: Replica, watch_s: float) -> ProbeResult:
         """Return `OPEN`: the faults here break connections, the replicas keep running."""
--- a/testkit/replay/fleet.py
+++ b/testkit/replay/fleet.py
@@ -7,7 +7,7 @@
 from calicopath_core.fleet.deployment import EngineSpec, StageSpec, WarmupSpec
 from calicopath_core.fleet.replicas import Replica
 from calicopath_core.scheduling.messages import PhaseWork
-from testkit.replay.engines import USUAL_SPEED, EngineSpeed
+from testkit.replay.engines import USUAL_SPEED, EngineSpeed, SlowMoments
 
 ENGINE = 'engine'
 RETRIEVE, RANK, CHECK = 'retrieve', 'rank', 'check'
@@ -63,7 +63,8 @@
     """Describe the numbers of boxes, failure domains and replicas, and the specs of replicas.
 
     Every `slow_every`th engine takes `engine_slowdown` times as long (0: none). Rates of requests
-    vary by `swing`, a share of the rate, with a period of `swing_period_s`.
+    vary by `swing`, a share of the rate, with a period of `swing_period_s`. Engines with
+    `slow_moments` report their pace.
     """
 
     boxes: int
@@ -80,6 +81,7 @@
     engine_slowdown: float = 1.0
     swing: float = 0.0
     swing_period_s: float = 1.0
+    slow_moments: SlowMoments | None = None
 
     @property
     def failure_domain_names(self) -> list[str]:
@@ -351,11 +353,17 @@
     )
 
 
+def contended_moments_fleet() -> Fleet:
+    """Return the contended fleet with engines that share their machines with other work."""
+    return contended_fleet()._replace(slow_moments=SlowMoments())
+
+
 FLEETS = {
     'usual': fleet_of,
     'shifted': shifted_fleet,
     'hurried': hurried_fleet,
     'contended': contended_fleet,
+    'contended-moments': contended_moments_fleet,
     'uneven': uneven_fleet,
 }
 
--- a/testkit/replay/plain.py
+++ b/testkit/replay/plain.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from calicopath_core.scheduling.admission import Admission, AdmissionDecision
 from calicopath_core.scheduling.evenness import Evenness
@@ -106,6 +106,17 @@
         pool.start_limit = None
 
 
+def without_pace(scheduler: Scheduler) -> None:
+    """Take all engines for equally fast at all times, with the prompt speed of the constant."""
+    scheduler.pace.on_report = ignore_pace  # type: ignore[method-assign]
+    for pool in scheduler.engine_pools.values():
+        pool.learn_speed = ignore_pace  # type: ignore[method-assign]
+
+
+def ignore_pace(*values: Any, **named: Any) -> None:
+    """Ignore a report or an observation."""
+
+
 OURS = Variant('ours')
 VARIANTS = (
     OURS,
@@ -115,4 +126,5 @@
     Variant('no door', without_admission),
     Variant('ranks alone', with_strict_ranks),
     Variant('no start bound', without_start_limit),
+    Variant('no pace', without_pace),
 )
--- a/testkit/replay/world.py
+++ b/testkit/replay/world.py
@@ -46,6 +46,7 @@
     import msgspec
 
     from calicopath_core.scheduling.interfaces import PieceCall
+    from testkit.replay.engines import SlowMoments
 
 
 NETWORK_S = 0.002
@@ -68,6 +69,9 @@
 RETRY_SHARE = 1 / 3
 """Callers wait for the requested delay, but at most this share of their remaining time."""
 
+SLOW_MOMENTS_UNTIL_S = 60.0
+"""Until when slow moments are drawn; longer than a replay."""
+
 TIMED_METHODS = ('on_place', 'on_started', 'on_ended', 'tick', 'advance')
 TIMED_STAGE_METHODS = ('dispatch', 'on_freed', 'on_result')
 TIMED_RELEASE_METHODS = ('report_results', 'free_read', 'on_fetched')
@@ -97,6 +101,8 @@
             item.id: ReplayEngine(spec=fleet.engine_spec, speed=fleet.engine_speed_of(number))
             for number, item in enumerate(fleet.engine_replicas())
         }
+        if fleet.slow_moments is not None:
+            self.draw_slow_moments(fleet.slow_moments, seed)
         self.failure_domains = {item.id: item.failure_domain for item in fleet.replicas()}
         self.observer = CountingObserver()
         self.stopwatch = Stopwatch()
@@ -112,6 +118,13 @@
         self.used_work_s = 0.0
         self.outcomes: list[Outcome] = []
 
+    def draw_slow_moments(self, moments: SlowMoments, seed: int) -> None:
+        """Draw when each engine is slow; the moments are the same for all variants."""
+        rng = random.Random(seed + 2)
+        for engine in self.engines.values():
+            engine.moments = moments
+            engine.moment_starts = moments.draw(rng, SLOW_MOMENTS_UNTIL_S)
+
     def size_of(self, call: PieceCall) -> int:
         """Return the size of a piece's result in bytes."""
         return self.sizes[call.call_id, call.phase]
@@ -330,7 +343,8 @@
         first_at, _ = engine.prefill(arrival.prompt, now)
         engine.running += 1
         await asyncio.sleep(first_at - now)
-        self.send_to_scheduler(Started(job=name, sender='box'))
+        pace = engine.pace(first_at) if engine.moment_starts else None
+        self.send_to_scheduler(Started(job=name, sender='box', pace=pace))
         decode_s = engine.decode_s(arrival.prompt.tokens_out)
         asyncio.get_running_loop().call_later(decode_s, self.end_run, engine, name)
         return 0.0
