--- a/packages/core/calicopath_core/scheduling/prompt_speed.py
+++ b/packages/core/calicopath_core/scheduling/prompt_speed.py
@@ -25,10 +25,6 @@
 SAMPLE_WEIGHT = 0.99
 """Factor on the weight of earlier observations for each new one: about 100 count."""
 
-PRIOR_SAMPLES = 5.0
-PRIOR_TOKENS = 2000.0
-"""Weight and prompt length of the observations that stand for the constants at the start."""
-
 SLOPE_PRIOR_TOKENS = 1500.0
 SLOPE_PRIOR_SAMPLES = 3.0
 """Weight of the prior time per token, as that many prompts that deviate by so many tokens from the
@@ -39,7 +35,10 @@
 """Observations are capped at this multiple of the expectation, and at its inverse, so that engines
 that hang or fail do not decide."""
 
-MIN_SAMPLES_TO_USE = 20.0
+MAX_FIRST_SAMPLE_S = 1.0
+"""Cap of the first observation, for which there is no expectation yet."""
+
+MIN_SAMPLES_TO_USE = 40.0
 """Weight of observations from which the learned time per token is used."""
 
 SETTLED_SAMPLES = 50.0
@@ -53,18 +52,18 @@
 class PromptSpeed:
     """Estimate the seconds that the engines of one service take to read a prompt token.
 
-    The sums over observations have fading weights; `x` is in tokens and `y` in seconds.
+    The sums over observations have fading weights, `samples` in total; `x` is in tokens and `y` in
+    seconds. The constants have no part in the sums: prompts of one length that takes longer or
+    shorter than the constants say would give a slope between the two, even a negative one.
     """
 
     def __init__(self) -> None:
         self.prior_s_per_token = PREFILL_S_PER_TOKEN
         self.samples = 0.0
-        prior_y = FIRST_EVENT_BASE_S + PRIOR_TOKENS * PREFILL_S_PER_TOKEN
-        self.weight = PRIOR_SAMPLES
-        self.sum_x = PRIOR_SAMPLES * PRIOR_TOKENS
-        self.sum_y = PRIOR_SAMPLES * prior_y
-        self.sum_xx = PRIOR_SAMPLES * PRIOR_TOKENS**2
-        self.sum_xy = PRIOR_SAMPLES * PRIOR_TOKENS * prior_y
+        self.sum_x = 0.0
+        self.sum_y = 0.0
+        self.sum_xx = 0.0
+        self.sum_xy = 0.0
         self.learned_s_per_token = PREFILL_S_PER_TOKEN
         self.base_s = FIRST_EVENT_BASE_S
         self.s_per_token = PREFILL_S_PER_TOKEN
@@ -76,19 +75,22 @@
 
     def learn(self, tokens: float, took_s: float) -> None:
         """Add the time to the first event of a prompt that was read alone."""
-        expected_s = self.base_s + tokens * self.learned_s_per_token
-        capped_s = min(expected_s * MAX_SAMPLE_RATIO, max(expected_s / MAX_SAMPLE_RATIO, took_s))
+        capped_s = self.capped(tokens, took_s) if self.samples else min(took_s, MAX_FIRST_SAMPLE_S)
         self.samples = self.samples * SAMPLE_WEIGHT + 1
-        self.weight = self.weight * SAMPLE_WEIGHT + 1
         self.sum_x = self.sum_x * SAMPLE_WEIGHT + tokens
         self.sum_y = self.sum_y * SAMPLE_WEIGHT + capped_s
         self.sum_xx = self.sum_xx * SAMPLE_WEIGHT + tokens * tokens
         self.sum_xy = self.sum_xy * SAMPLE_WEIGHT + tokens * capped_s
         self.fit()
 
+    def capped(self, tokens: float, took_s: float) -> float:
+        """Return an observed time within `MAX_SAMPLE_RATIO` of the expectation."""
+        expected_s = self.base_s + tokens * self.learned_s_per_token
+        return min(expected_s * MAX_SAMPLE_RATIO, max(expected_s / MAX_SAMPLE_RATIO, took_s))
+
     def fit(self) -> None:
         """Fit the time per token and the constant part to the observations."""
-        mean_x, mean_y = self.sum_x / self.weight, self.sum_y / self.weight
+        mean_x, mean_y = self.sum_x / self.samples, self.sum_y / self.samples
         variation = max(0.0, self.sum_xx - mean_x * self.sum_x)
         covariation = self.sum_xy - mean_x * self.sum_y
         prior = SLOPE_PRIOR_SAMPLES * SLOPE_PRIOR_TOKENS**2
--- a/packages/core/calicopath_core/scheduling/tests/prompt_speed_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/prompt_speed_tests.py
@@ -48,15 +48,16 @@
     def test_few_observations_change_nothing(self) -> None:
         """Guards against estimates from the first few runs, which are also the coldest."""
         target = PromptSpeed()
-        learn(target, PREFILL_S_PER_TOKEN / 3, count=15)
+        learn(target, PREFILL_S_PER_TOKEN / 3, count=30)
         self.assertEqual(PREFILL_S_PER_TOKEN, target.s_per_token)
 
     def test_prompts_of_one_length_keep_the_constant(self) -> None:
         """Guards against reading a speed from observations that cannot show it: with one length,
         a slow network looks like slow reading."""
-        target = PromptSpeed()
-        learn(target, PREFILL_S_PER_TOKEN, base_s=0.5, tokens=(2000, 2000))
-        self.assertEqual(PREFILL_S_PER_TOKEN, target.s_per_token)
+        for length in (100, 500, 2000, 9000):
+            target = PromptSpeed()
+            learn(target, PREFILL_S_PER_TOKEN, base_s=0.5, tokens=(length, length))
+            self.assertEqual(PREFILL_S_PER_TOKEN, target.s_per_token)
 
     def test_runs_that_hang_do_not_decide(self) -> None:
         """Guards against an engine that hangs for seconds now and then and makes all look slow."""
@@ -85,7 +86,7 @@
         learn(before, 1 / 92_100)
         after.restore(before.learned_s_per_token)
         self.assertEqual(before.s_per_token, after.s_per_token)
-        learn(after, 1 / 92_100, count=20)
+        learn(after, 1 / 92_100, count=50)
         self.assertAlmostEqual(1.0, after.s_per_token * 92_100, delta=0.15)
 
     def test_an_implausible_estimate_is_bounded_or_ignored(self) -> None:
