--- a/bench/replay.py
+++ b/bench/replay.py
@@ -30,7 +30,7 @@
     from testkit.replay.outcomes import Figures
 
 SEEDS = (1, 2, 3)
-COMPETING_FLEETS = ('contended', 'uneven')
+COMPETING_FLEETS = ('contended', 'contended-moments', 'uneven')
 VARIANTS = (*PLAIN_VARIANTS, *SHARE_VARIANTS)
 COST_BOXES = (30, 86, 110, 195, 333)
 COST_WAITING_JOBS = (50, 500, 5000)
--- a/packages/core/calicopath_core/scheduling/succession.py
+++ b/packages/core/calicopath_core/scheduling/succession.py
@@ -129,6 +129,7 @@
                 bias=scheduler.admission.bias,
                 first_events_s=scheduler.engine_times.snapshot(),
                 reservations=scheduler.returning.reservations.pop_all(scheduler.clock.monotonic()),
+                prompt_speeds=scheduler.engine_pools.prompt_speeds(),
             )
             scheduler.send(successor, learned)
 
@@ -213,3 +214,4 @@
         scheduler.observer.on_shares_restored(message.sender, len(message.usual_rates))
         scheduler.admission.set_bias(message.bias)
         scheduler.engine_times.restore(message.first_events_s)
+        scheduler.engine_pools.restore_prompt_speeds(message.prompt_speeds)
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -246,6 +246,12 @@
 SHARES_RESTORED = Event(
     727, 'info', 'shares restored', 'The previous scheduler sent the usual rates of workspaces.'
 )
+REPLICA_SLOW = Event(
+    730, 'info', 'replica slow', 'Work on the replica lastingly takes longer; it gets less.'
+)
+REPLICA_RECOVERED = Event(
+    731, 'info', 'replica recovered', 'The replica is about as fast as the others again.'
+)
 DEPLOYMENT_APPLIED = Event(
     801, 'info', 'deployment applied', 'A newer version of the deployment is in force.'
 )
--- a/testkit/replay/fleet.py
+++ b/testkit/replay/fleet.py
@@ -7,7 +7,7 @@
 from calicopath_core.fleet.deployment import EngineSpec, StageSpec, WarmupSpec
 from calicopath_core.fleet.replicas import Replica
 from calicopath_core.scheduling.messages import PhaseWork
-from testkit.replay.engines import USUAL_SPEED, EngineSpeed
+from testkit.replay.engines import USUAL_SPEED, EngineSpeed, SlowMoments
 
 ENGINE = 'engine'
 RETRIEVE, RANK, CHECK = 'retrieve', 'rank', 'check'
@@ -64,7 +64,8 @@
 
     Every `slow_every`th engine takes `engine_slowdown` times as long (0: none). Rates of requests
     vary by `swing`, a share of the rate, with a period of `swing_period_s`. With `has_routes`, the
-    deployment lists routes and workspaces, which some mechanisms need to take effect.
+    deployment lists routes and workspaces, which some mechanisms need to take effect. Engines with
+    `slow_moments` report their pace.
     """
 
     boxes: int
@@ -82,6 +83,7 @@
     swing: float = 0.0
     swing_period_s: float = 1.0
     has_routes: bool = False
+    slow_moments: SlowMoments | None = None
 
     @property
     def failure_domain_names(self) -> list[str]:
@@ -355,11 +357,17 @@
     )
 
 
+def contended_moments_fleet() -> Fleet:
+    """Return the contended fleet with engines that share their machines with other work."""
+    return contended_fleet()._replace(slow_moments=SlowMoments())
+
+
 FLEETS = {
     'usual': fleet_of,
     'shifted': shifted_fleet,
     'hurried': hurried_fleet,
     'contended': contended_fleet,
+    'contended-moments': contended_moments_fleet,
     'uneven': uneven_fleet,
 }
 
--- a/testkit/replay/plain.py
+++ b/testkit/replay/plain.py
@@ -152,6 +152,17 @@
     )
 
 
+def without_pace(scheduler: Scheduler) -> None:
+    """Take all engines for equally fast at all times, with the prompt speed of the constant."""
+    scheduler.pace.on_report = ignore_pace  # type: ignore[method-assign]
+    for pool in scheduler.engine_pools.values():
+        pool.learn_speed = ignore_pace  # type: ignore[method-assign]
+
+
+def ignore_pace(*values: Any, **named: Any) -> None:
+    """Ignore a report or an observation."""
+
+
 OURS = Variant('ours')
 VARIANTS = (
     OURS,
@@ -164,4 +175,5 @@
     Variant('no overload rule', without_overload_rule),
     Variant('late only', with_late_only),
     Variant('return always', with_return_always),
+    Variant('no pace', without_pace),
 )
