--- a/packages/core/calicopath_core/scheduling/prompt_speed.py
+++ b/packages/core/calicopath_core/scheduling/prompt_speed.py
@@ -22,8 +22,10 @@
 """Learned times per token within this ratio of `PREFILL_S_PER_TOKEN` are replaced by it: engines
 within the range for which it was chosen are then chosen exactly as before."""
 
-SAMPLE_WEIGHT = 0.99
-"""Factor on the weight of earlier observations for each new one: about 100 count."""
+SAMPLE_WEIGHT = 0.995
+"""Factor on the weight of earlier observations for each new one: about 200 count. Observations are
+noisy, since the scheduler takes some parts of prompts for unread that engines have cached: with
+100, the time per token was 0.69 of the true one in a replay with 9 engines."""
 
 SLOPE_PRIOR_TOKENS = 1500.0
 SLOPE_PRIOR_SAMPLES = 3.0
@@ -35,8 +37,10 @@
 """Observations are capped at this multiple of the expectation, and at its inverse, so that engines
 that hang or fail do not decide."""
 
-MAX_FIRST_SAMPLE_S = 1.0
-"""Cap of the first observation, for which there is no expectation yet."""
+MAX_FIRST_SAMPLE_S = 0.3
+"""Cap of the first observation, for which there is no expectation yet; about 7,500 tokens by the
+constants. With 1 s, a first run that hangs leaves the time per token at half of the true one for
+400 observations."""
 
 MIN_SAMPLES_TO_USE = 40.0
 """Weight of observations from which the learned time per token is used."""
