CLI: what schedulers have waiting, rejected and shared out

`calicopath scheduler` queries the new resource /scheduler of each box: jobs without an engine by rank, pieces in no call by service, decision lag, jobs to hand over, rejections by reason, and the share of each workspace. Late jobs that have not started add no pieces to the scheduler's counts; they show among the ready pieces only.

--- a/packages/cli/calicopath_cli/__main__.py
+++ b/packages/cli/calicopath_cli/__main__.py
@@ -12,7 +12,7 @@
 
 from calicopath_cli.commands import apply as apply_command
 from calicopath_cli.commands import audit as audit_command
-from calicopath_cli.commands import blocked, endpoints, gateways, objects, replicas
+from calicopath_cli.commands import blocked, endpoints, gateways, objects, replicas, scheduler
 from calicopath_cli.commands import check as check_command
 from calicopath_cli.commands import status as status_command
 from calicopath_cli.exceptions import (
@@ -60,6 +60,10 @@
     'Show the requests that the boxes that run the HTTP gateway block because replicas crashed '
     'during them; with --release, unblock one.'
 )
+SCHEDULER_HELP = (
+    'Show which of the boxes that run the HTTP gateway schedule, what waits there, what they '
+    'rejected and why, and the share of each workspace.'
+)
 RELEASE_HELP = 'Unblock this request, by its name in the list.'
 GATEWAY_ADDRESS_HELP = 'IP:PORT of the metrics listener of any of those boxes.'
 AUDIT_HELP = 'Show the audit trail: who changed which object, and when.'
@@ -167,6 +171,15 @@
     run_command(blocked.blocked(address, context.obj.output))
 
 
+@app.command('scheduler', help=SCHEDULER_HELP)
+def show_scheduler(
+    context: typer.Context,
+    address: Annotated[str, typer.Argument(help=GATEWAY_ADDRESS_HELP)],
+) -> None:
+    """Show what waits at the boxes that schedule, and what they rejected."""
+    run_command(scheduler.scheduler(address, context.obj.output))
+
+
 @app.command(help=AUDIT_HELP)
 def audit(
     context: typer.Context,
--- a/packages/daemon/calicopathd/gateway/state.py
+++ b/packages/daemon/calicopathd/gateway/state.py
@@ -10,6 +10,7 @@
 from calicopath_core.fleet.store import RecordKind
 from calicopathd.gateway.exclusions import excluded_replicas
 from calicopathd.gateway.requests import RawRequest, RequestHandler
+from calicopathd.gateway.scheduling import scheduling_state
 
 if TYPE_CHECKING:
     from calicopath_core.fleet.deployment import ClientLimits
@@ -22,6 +23,7 @@
 BOXES_PATH = '/boxes'
 BLOCKED_PATH = '/blocked'
 REPLICAS_PATH = '/replicas'
+SCHEDULER_PATH = '/scheduler'
 RELEASE_PATH = '/blocked/release'
 STATUS_OK = 200
 STATUS_METHOD_NOT_ALLOWED = 405
@@ -102,6 +104,9 @@
         elif path == REPLICAS_PATH:
             body = msgspec.json.encode(excluded_replicas(self.box))
             responder.respond(STATUS_OK, JSON_HEADERS, body)
+        elif path == SCHEDULER_PATH:
+            body = msgspec.json.encode(scheduling_state(self.box, self.metrics))
+            responder.respond(STATUS_OK, JSON_HEADERS, body)
         elif path == RELEASE_PATH and request.method == 'POST':
             released = self.release(query)
             responder.respond(STATUS_OK, JSON_HEADERS, msgspec.json.encode(released))
