Soak: overloads among the faults, no run after a refusal, service soon after an overload

The check of refused requests covered those that can't be repeated; it now has a companion for all kinds: no run may begin after the caller was refused with 503.

--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -11,7 +11,7 @@
 
 from calicopath_platform import names
 from calicopath_platform.tests.soak_replicas import soak_request
-from tools.soak import checks, crash_requests
+from tools.soak import checks, crash_requests, overload
 from tools.soak.callers import CallerConnection, CallerRequest, send_request
 from tools.soak.limits import find_limit_violations
 from tools.soak.records import RequestKind, RequestRecord
@@ -20,6 +20,7 @@
 
 if TYPE_CHECKING:
     from tools.soak.crash_requests import Repeat
+    from tools.soak.overload import LoadPeriod
 
 CALLER_DEADLINE_S = 4.0
 RESPONSE_TIMEOUT_S = 8.0
@@ -72,6 +73,8 @@
         self.sent_ids: set[str] = set()
         self.faults_are_over = False
         self.crash_request_numbers = itertools.count(1)
+        self.overload_numbers = itertools.count(1)
+        self.load_periods: list[LoadPeriod] = []
 
     async def run(self) -> Verdict:
         """Play it and judge."""
@@ -108,6 +111,11 @@
             await crash_requests.send_repeats(
                 step, partial(self.send_crash_request, step), self.plan.boxes
             )
+        if step.kind is FaultKind.OVERLOAD:
+            period = await overload.send_load(
+                step, self.send_overload_request, self.plan.boxes, self.world.now
+            )
+            self.load_periods.append(period)
         await self.world.apply(step)
 
     async def send_crash_request(self, step: Step, repeat: Repeat, box: int) -> None:
@@ -123,6 +131,13 @@
         await self.send(connection, request)
         connection.close()
 
+    async def send_overload_request(self, kind: RequestKind, box: int) -> None:
+        """Send one request of an overload, on a connection of its own."""
+        call_id = f'o-{next(self.overload_numbers)}'
+        connection = CallerConnection(address=self.world.boxes[box].frontend)
+        await self.send(connection, self.new_request(call_id, kind, box, random.Random(box)))
+        connection.close()
+
     async def run_caller(self, number: int) -> None:
         """Send requests until the faults are over, over connections that are kept."""
         rng = random.Random(f'{self.plan.seed}/{number}')
@@ -204,6 +219,8 @@
         problems = [
             *checks.find_wrong_responses(self.records),
             *checks.find_repeated_runs(self.records, world.runs),
+            *overload.find_runs_after_refusal(self.records, world.runs),
+            *overload.find_lasting_overloads(self.records, self.load_periods, steps),
             *checks.find_unknown_runs(self.records, world.runs, self.sent_ids),
             *checks.find_configuration_reverts(self.records),
             *checks.find_excess_store_calls(world.store.called_at, self.plan.boxes),
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -31,6 +31,7 @@
     CRASH_REQUEST = 'deadly-request'
     REPLICA_LIMITS = 'replica-limits'
     STORE_RESTORE = 'store-goes-back'
+    OVERLOAD = 'overload'
 
 
 class LinkMode(enum.Enum):
@@ -55,9 +56,10 @@
         FaultKind.REPLICA_LEAVES,
         FaultKind.REPLICA_REFUSES,
         FaultKind.REPLICA_LIMITS,
+        FaultKind.OVERLOAD,
     }
 )
-"""What is no fault but an operator's work: nothing may be cut by it."""
+"""What is no fault but an operator's work or callers' load: nothing may be cut by it."""
 
 SEPARATELY_DRAWN = frozenset(
     {
@@ -69,6 +71,7 @@
         FaultKind.CRASH_REQUEST,
         FaultKind.REPLICA_LIMITS,
         FaultKind.STORE_RESTORE,
+        FaultKind.OVERLOAD,
     }
 )
 """What is drawn apart, so that what else a seed means stays as it was before these came."""
@@ -109,6 +112,11 @@
 MAX_SNAPSHOT_AGE_S = 4.0
 """The mean time between two returns of the store from a copy, and how old that is."""
 
+MEAN_OVERLOAD_GAP_S = 5.0
+MIN_OVERLOAD_S = 1.5
+MAX_OVERLOAD_S = 3.0
+"""The mean time between the end of one overload and the start of the next, and how long one is."""
+
 MAX_SERIES_STEPS = 4
 """Changes of one kind that may come right after each other."""
 
@@ -161,6 +169,7 @@
     steps += draw_crash_requests(seed, seconds=seconds)
     steps += draw_limits(seed, seconds=seconds, replicas=replicas)
     steps += draw_restores(seed, seconds=seconds)
+    steps += draw_overloads(seed, seconds=seconds)
     return sorted(steps, key=lambda step: step.at_s)
 
 
@@ -244,6 +253,19 @@
     return steps
 
 
+def draw_overloads(seed: int, *, seconds: float) -> list[Step]:
+    """Return when callers send far more requests of one kind than stages can serve."""
+    rng = random.Random(f'overloads of {seed}')
+    steps: list[Step] = []
+    at_s = rng.uniform(0.0, MEAN_OVERLOAD_GAP_S)
+    while at_s < seconds:
+        for_s = round(rng.uniform(MIN_OVERLOAD_S, MAX_OVERLOAD_S), 3)
+        number = rng.randrange(1_000_000)
+        steps.append(Step(round(at_s, 3), FaultKind.OVERLOAD, number, for_s, LinkMode.PASS))
+        at_s += for_s + rng.expovariate(1 / MEAN_OVERLOAD_GAP_S)
+    return steps
+
+
 def is_calm(
     steps: list[Step], start_s: float, end_s: float, *, ignored: Step | None = None
 ) -> bool:
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -254,8 +254,8 @@
                 await self.write_invalid_entry(step)
             case FaultKind.EVACUATION:
                 await self.evacuate(FAILURE_DOMAINS[step.target], step.duration_s)
-            case FaultKind.CRASH_REQUEST:
-                # Its callers send it; the replicas that run it end by themselves.
+            case FaultKind.CRASH_REQUEST | FaultKind.OVERLOAD:
+                # Callers send these; replicas that run a crash request end by themselves.
                 pass
             case FaultKind.CONFIG_CHANGE:
                 self.config_version += 1
