Scheduler: let equal jobs become infeasible together

Cause: EngineQueue.infeasible pops the deadlines of the jobs that it returns. With two equal jobs the first drop deleted the emptied deadlines of their need, and the second raised KeyError, which stopped the scheduler's task for 1 s. services() read the same deadlines, so that a third job was never placed.

Change: infeasible removes emptied deadlines itself, drop accepts that there are none, and services() reads the lanes.

--- a/packages/core/calicopath_core/scheduling/engine_queue.py
+++ b/packages/core/calicopath_core/scheduling/engine_queue.py
@@ -75,14 +75,16 @@
         if self.jobs.pop(job.id, None) is None:
             return
         self.lanes.drop(self.numbers.pop(job.id))
-        deadlines = self.deadlines[need_of(job)]
+        deadlines = self.deadlines.get(need_of(job))
+        if deadlines is None:
+            return  # `infeasible` has returned all jobs with this need.
         deadlines.drop(job.id)
         if not deadlines:
             del self.deadlines[need_of(job)]
 
     def services(self) -> set[str]:
         """Return the services whose engines jobs wait for."""
-        return {need.service for need in self.deadlines}
+        return {key.shared.service for key in self.lanes.lanes}
 
     def ordered(self, now: float, service: str | None = None) -> Iterator[Job]:
         """Yield the jobs, of one service if it is given, in the order in which they are placed.
@@ -112,9 +114,11 @@
         Each is returned once, in the order of arrival.
         """
         found = []
-        for deadlines in self.deadlines.values():
+        for need, deadlines in list(self.deadlines.items()):
             first_event_s = self.first_event_s(self.jobs[next(iter(deadlines.times))])
             found.extend(deadlines.pop_before(now + first_event_s))
+            if not deadlines:
+                del self.deadlines[need]
         return [self.jobs[name] for name in sorted(found, key=self.numbers.__getitem__)]
 
 
--- a/packages/core/calicopath_core/scheduling/tests/waiting_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/waiting_tests.py
@@ -263,6 +263,32 @@
         estimate_s = 1.0
         self.assertEqual([item], target.infeasible(1.25))
 
+    def test_equal_jobs_that_become_infeasible_together_can_be_dropped(self) -> None:
+        """Guard against a scheduler task that dies when it rejects the second of them."""
+        for count in (2, 3):
+            target = EngineQueue(first_event_s=lambda item: 0.5)
+            jobs = [job(f'j{number}', deadline_s=2.0) for number in range(count)]
+            for item in jobs:
+                target.add(item)
+            self.assertEqual(jobs, target.infeasible(1.75))
+            for item in jobs:
+                self.assertEqual({'engine'}, target.services())
+                target.drop(item)
+            self.assertEqual(set(), target.services())
+
+    def test_an_infeasible_job_that_is_not_dropped_still_waits(self) -> None:
+        """Guard against a job that is never placed because nobody knows its service waits."""
+        target = EngineQueue(first_event_s=lambda item: 0.5)
+        jobs = [job(f'j{number}', deadline_s=2.0) for number in range(3)]
+        for item in jobs:
+            target.add(item)
+        target.infeasible(1.75)
+        for item in jobs[:2]:
+            target.drop(item)
+        self.assertEqual({'engine'}, target.services())
+        self.assertEqual(jobs[2:], target.first(1.75, 'engine', 0, 4))
+        self.assertEqual([], target.infeasible(1.8))
+
     @settings(max_examples=150, deadline=None, derandomize=True)
     @given(EVENT_LIST)
     def test_their_order_and_their_deadlines_equal_a_plain_look(
