Stage calls: take small results behind many large ones

Cause: a call looked at no more than MAX_SKIPPED_GROUPS groups that did not fit. With more large groups ranked first than that, a replica with space for small results only got no call although small pieces waited. A call that had used up its space for large results was not filled either.

Change: the result size is part of WaitingClass, so that the lanes of results larger than the free space are not read. The phases of a deployment declare few sizes, so the number of lanes does not follow from the backlog. Once a call has skipped too many groups, it is filled with small results that fit.

The other reasons for skipping apply only to calls that have pieces already (jobs that run alone, jobs kept together) or are filtered before the limit counts (preferred failure domains); a test covers the latter.

--- a/packages/core/calicopath_core/scheduling/stages.py
+++ b/packages/core/calicopath_core/scheduling/stages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
 from calicopath_core.permits.issuer import PermitIssuer, UnlimitedIssuer
@@ -11,7 +12,7 @@
 from calicopath_core.scheduling.waiting import WaitingPieces
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Container, Iterable, Iterator
+    from collections.abc import Callable, Container, Iterable, Iterator, Mapping
 
     from calicopath_core.fleet.deployment import StageSpec
     from calicopath_core.fleet.replicas import Replica
@@ -43,7 +44,7 @@
 
 MAX_SKIPPED_GROUPS = 64
 """Groups that a call may skip because they don't fit, several times the jobs that share a call. A
-replica without space for any of them would otherwise be compared with all that wait."""
+call would otherwise be compared with all that wait. Beyond them only small results are taken."""
 
 TYPICAL_FILL_RATIO = 0.75
 """Expected fill ratio of a call under load; the daily mean is between 0.6 and 0.9."""
@@ -56,6 +57,18 @@
     pieces: list[Piece]
 
 
+class CallContents:
+    """Hold the pieces of a call that is being filled, and the space that its replica has left.
+
+    `considered` are the numbers of the groups that were taken or skipped.
+    """
+
+    def __init__(self, *, free_bytes: float) -> None:
+        self.free_bytes = free_bytes
+        self.pieces: list[Piece] = []
+        self.considered: set[int] = set()
+
+
 class StageQueue:
     """Hold the waiting pieces of one stage service, and its replicas.
 
@@ -170,15 +183,12 @@
         hosts = [item for item in available if item.replica.failure_domain in preferred]
         waits = failure_domain_waits(hosts, self.spec, self.permits, now)
         for target in free:
-            eligible: Iterable[PieceGroup] = ready
+            eligible = ready
             if preferred:
                 failure_domain = target.replica.failure_domain
-                eligible = [
-                    group
-                    for group in ready
-                    if group.failure_domain is None
-                    or may_run_in(group.preference(now), failure_domain, waits)
-                ]
+                eligible = ready.accepted(
+                    partial(may_run_group_in, failure_domain, waits=waits, now=now)
+                )
                 if self.is_worth_waiting(eligible, fill_wait_s, now):
                     continue
             pieces = self.fitting_pieces(eligible, target, now)
@@ -206,32 +216,43 @@
         """Return how long an incomplete batch may wait: longer, the fewer replicas are free."""
         return MAX_BATCH_DELAY_S * (1 - (free - 1) / max(1, available))
 
-    def fitting_pieces(
-        self, groups: Iterable[PieceGroup], target: StageReplica, now: float
-    ) -> list[Piece]:
+    def fitting_pieces(self, groups: ReadyGroups, target: StageReplica, now: float) -> list[Piece]:
         """Return the pieces, in order, that fit into one call to a replica.
 
+        Groups whose results are larger than the free space are left out. Space also becomes scarce
+        while the call is filled: after many groups that don't fit, small results are taken.
+        """
+        call = CallContents(free_bytes=max(0.0, target.free_result_bytes(self.spec, now)))
+        if not self.fill(call, groups.fitting(call.free_bytes)):
+            self.fill(call, groups.fitting(min(call.free_bytes, LARGE_RESULT_BYTES - 1)))
+        return call.pieces
+
+    def fill(self, call: CallContents, groups: Iterable[PieceGroup]) -> bool:
+        """Add pieces that fit to a call; return false if too many groups were skipped.
+
         Large results of one job stay together, so that its engine can be near all of them.
         """
-        free_bytes = target.free_result_bytes(self.spec, now)
-        found: list[Piece] = []
         skipped = 0
         for group in groups:
             if skipped > MAX_SKIPPED_GROUPS:
-                break
+                return False
+            if group.number in call.considered:
+                continue
+            call.considered.add(group.number)
             alone = self.runs_alone(group.first.job)
-            if alone and found:
+            if alone and call.pieces:
                 skipped += 1
                 continue
             size = group.result_bytes
             pieces = group.pieces
             free_slots = min(
-                self.spec.batch - len(found), int(free_bytes // size) if size else len(pieces)
+                self.spec.batch - len(call.pieces),
+                int(call.free_bytes // size) if size else len(pieces),
             )
             fits_whole = len(pieces) <= free_slots
             if (
                 not fits_whole
-                and found
+                and call.pieces
                 and size >= LARGE_RESULT_BYTES
                 and len(pieces) <= self.spec.batch
             ):
@@ -239,11 +260,11 @@
                 continue
             taken = pieces[: max(0, free_slots)]
             skipped += not taken
-            found.extend(taken)
-            free_bytes -= size * len(taken)
-            if len(found) == self.spec.batch or (alone and found):
+            call.pieces.extend(taken)
+            call.free_bytes -= size * len(taken)
+            if len(call.pieces) == self.spec.batch or (alone and call.pieces):
                 break
-        return found
+        return True
 
     def start_batch(self, target: StageReplica, pieces: list[Piece], now: float) -> StageBatch:
         """Remove pieces from the queue and reserve space for their results."""
@@ -336,6 +357,15 @@
         return self.spec.call_s + self.spec.piece_s * pieces
 
 
+def may_run_group_in(
+    failure_domain: str, group: PieceGroup, *, waits: Mapping[str, float], now: float
+) -> bool:
+    """Tell whether the pieces of a group may run in a failure domain."""
+    if group.failure_domain is None:
+        return True
+    return may_run_in(group.preference(now), failure_domain, waits)
+
+
 def jobs_of(batch: StageBatch) -> list[Job]:
     """Return the distinct jobs whose pieces are in a call."""
     return list({piece.job.id: piece.job for piece in batch.pieces}.values())
--- a/packages/core/calicopath_core/scheduling/tests/waiting_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/waiting_tests.py
@@ -204,6 +204,54 @@
         self.assertIsNone(target.choose_batch(replicas, replicas, ready, 1.0))
         self.assertLessEqual(len(ready.found), MAX_SKIPPED_GROUPS + 2)
 
+    def test_small_results_behind_many_that_do_not_fit_are_computed(self) -> None:
+        """Guard against a replica that is idle while work waits that it has space for."""
+        target = queue(replica('r'))
+        target.replicas['r'].reserved_bytes = 900_000
+        for number in range(MAX_SKIPPED_GROUPS + 1):
+            wait(target, job(f'large{number}', phase(size=LARGE), objective_s=1.0))
+        wait(target, job('small', phase(count=2)))
+        batch = target.next_batch(1.0)
+        assert batch is not None
+        self.assertEqual(['small', 'small'], [piece.job.id for piece in batch.pieces])
+
+    def test_pieces_without_results_need_no_space(self) -> None:
+        """Guard against pieces that wait for space that they don't take."""
+        target = queue(replica('r'))
+        target.replicas['r'].reserved_bytes = 10 * LARGE
+        wait(target, job('one', phase(size=0)))
+        self.assertIsNotNone(target.next_batch(1.0))
+
+    def test_a_call_without_space_for_more_large_results_is_filled_with_small_ones(self) -> None:
+        """Guard against a call with one piece while many pieces wait that fit as well."""
+        target = queue(replica('r'))
+        target.replicas['r'].reserved_bytes = 300_000
+        for number in range(MAX_SKIPPED_GROUPS + 3):
+            wait(target, job(f'large{number:02}', phase(size=LARGE, count=2), objective_s=1.0))
+        wait(target, job('small', phase(count=3)))
+        batch = target.next_batch(1.0)
+        assert batch is not None
+        names = [piece.job.id for piece in batch.pieces]
+        self.assertEqual(['large00', 'large00', 'small', 'small'], names)
+
+    def test_small_results_behind_many_that_prefer_another_failure_domain_are_computed(
+        self,
+    ) -> None:
+        """Guard against a replica that is idle because of pieces that wait for another one."""
+        others = [replica(f'b{number}', 'b') for number in range(MAX_SKIPPED_GROUPS)]
+        target = queue(replica('a', 'a'), *others)
+        for number in range(MAX_SKIPPED_GROUPS):
+            near = target.replicas[f'b{number}']
+            near.open_calls, near.free_at, near.due_at = 1, 0.4, 9.0
+        for number in range(MAX_SKIPPED_GROUPS + 1):
+            reader = job(f'j{number}', phase(size=LARGE), phase(needs=(0,)), objective_s=2.0)
+            reader.results[0][0] = result('h', failure_domain='b', size=LARGE)
+            wait(target, reader, 1)
+        wait(target, job('small', phase(count=2)))
+        batch = target.next_batch(0.1)
+        assert batch is not None
+        self.assertEqual(['small', 'small'], [piece.job.id for piece in batch.pieces])
+
 
 class WaitingForEngines(testtools.TestCase):
     def run_events(self, events: list[tuple[str, int]]) -> None:
--- a/packages/core/calicopath_core/scheduling/waiting.py
+++ b/packages/core/calicopath_core/scheduling/waiting.py
@@ -45,11 +45,13 @@
     """Hold what the groups of a lane have in common.
 
     They are held back together, and must be called `lead_steps` times `LEAD_STEP_S` before their
-    objective.
+    objective. Their results have the same size, one of the few that the phases of a deployment
+    declare, so that groups that don't fit into a replica's space are left out unread.
     """
 
     held_by: PacingClass | None
     lead_steps: int
+    result_bytes: int
 
 
 class PieceGroup:
@@ -83,11 +85,20 @@
 
 
 class ReadyGroups:
-    """Hold the groups that may be dispatched, in order; they are ranked as far as they are read."""
+    """Hold the groups that may be dispatched, in order; they are ranked as far as they are read.
 
-    def __init__(self, ranked: Iterator[PieceGroup]) -> None:
-        self.ranked = ranked
+    `read` yields the groups in order whose results have one of the given sizes; `sizes` are those
+    of the groups held here, in bytes.
+    """
+
+    def __init__(
+        self, *, read: Callable[[frozenset[int]], Iterator[PieceGroup]], sizes: frozenset[int]
+    ) -> None:
+        self.read = read
+        self.sizes = sizes
+        self.ranked = read(sizes)
         self.found: list[PieceGroup] = []
+        self.parts: dict[frozenset[int], ReadyGroups] = {sizes: self}
 
     def __iter__(self) -> Iterator[PieceGroup]:
         yield from self.found
@@ -95,6 +106,22 @@
             self.found.append(group)
             yield group
 
+    def fitting(self, max_bytes: float) -> ReadyGroups:
+        """Return the groups whose results take at most `max_bytes` each, without reading others."""
+        return self.of_sizes(frozenset(size for size in self.sizes if size <= max_bytes))
+
+    def of_sizes(self, sizes: frozenset[int]) -> ReadyGroups:
+        """Return the groups whose results have one of the sizes."""
+        if sizes not in self.parts:
+            self.parts[sizes] = ReadyGroups(read=self.read, sizes=sizes)
+        return self.parts[sizes]
+
+    def accepted(self, accepts: Callable[[PieceGroup], bool]) -> ReadyGroups:
+        """Return the groups that are accepted."""
+        return ReadyGroups(
+            read=lambda sizes: filter(accepts, self.of_sizes(sizes)), sizes=self.sizes
+        )
+
     def preferred(self) -> set[str]:
         """Return the failure domains that groups prefer; this reads all groups."""
         return {group.failure_domain for group in self if group.failure_domain is not None}
@@ -160,8 +187,16 @@
     def ready(self, held: Container[PacingClass], now: float) -> ReadyGroups:
         """Return the groups that may be dispatched now, in order, without the classes in `held`."""
         self.refresh(now)
-        ranked = self.lanes.ordered(now, lambda key: key.shared.held_by not in held, lead_s)
-        return ReadyGroups(ranked)
+
+        def read(sizes: frozenset[int]) -> Iterator[PieceGroup]:
+            return self.lanes.ordered(
+                now,
+                lambda key: key.shared.result_bytes in sizes and key.shared.held_by not in held,
+                lead_s,
+            )
+
+        sizes = frozenset(key.shared.result_bytes for key in self.lanes.lanes)
+        return ReadyGroups(read=read, sizes=sizes)
 
     def refresh(self, now: float) -> None:
         """Move the groups of the jobs that have changed, or whose results have become old."""
@@ -191,10 +226,11 @@
     """Return where a group waits, by the rules of `rank`."""
     job = group.job
     if is_old or job.resumed or group.first.has_siblings_in_progress:
-        return Position(LaneKey(FIRST_TIER, 0, WaitingClass(job.held_by, 0)), job.arrived_at)
+        waiting_class = WaitingClass(job.held_by, 0, group.result_bytes)
+        return Position(LaneKey(FIRST_TIER, 0, waiting_class), job.arrived_at)
     tier = OVER_ALLOWANCE_TIER if job.is_over_allowance else ALLOWED_TIER
     lead_steps = round(job.critical_path_s.get(group.phase, 0.0) / LEAD_STEP_S)
-    waiting_class = WaitingClass(job.held_by, lead_steps)
+    waiting_class = WaitingClass(job.held_by, lead_steps, group.result_bytes)
     return Position(LaneKey(tier, job.order_priority, waiting_class), job.objective_at)
 
 
