Redirect requests that reach a box which has stepped down

Cause: on a box that had stepped down, new requests beyond the 20 hand-overs per tick waited in `fresh`. They were acknowledged and answered on each repeat, but were not in the backlog, so nobody decided about them.

Change: such a request creates no job. Its box is told with `HandedOver` and the new last field `resubmit` to submit it to the successor, and names the first box as `silent_scheduler`, so a successor that disagrees decides itself. A job is redirected to each scheduler once; after that it is refused within the bound. A repeated request names the same `silent_scheduler` as the first one.

--- a/packages/core/calicopath_core/scheduling/client.py
+++ b/packages/core/calicopath_core/scheduling/client.py
@@ -68,7 +68,8 @@
     """Hold a job that was submitted to one or more schedulers, the latest one last.
 
     `unanswered_since` is when the oldest request was sent that the current scheduler has not
-    answered, `None` if it has answered them all.
+    answered, `None` if it has answered them all. `silent_scheduler` is the address of the scheduler
+    that the job was last withdrawn from.
     """
 
     def __init__(self, *, place: PlaceJob, now: float) -> None:
@@ -78,6 +79,7 @@
         self.unanswered_since: float | None = now
         self.no_answer_s = max(MIN_NO_ANSWER_S, NO_ANSWER_SHARE * place.objective_s)
         self.schedulers: list[str] = []
+        self.silent_scheduler = ''
         self.results: dict[tuple[int, int], StageResult] = {}
         self.answer: asyncio.Future[Placed] = asyncio.get_running_loop().create_future()
 
@@ -115,18 +117,15 @@
             if item.phase in message.freed:
                 self.results[key] = msgspec.structs.replace(item, freed=True)
 
-    def request(self, now: float, silent_scheduler: str = '') -> PlaceJob | AdoptJob:
-        """Return the message that submits the job, with its results if there are any.
-
-        `silent_scheduler` is the address of a scheduler that fell silent during the job.
-        """
-        place = self.place_with_time_left(now, silent_scheduler)
+    def request(self, now: float) -> PlaceJob | AdoptJob:
+        """Return the message that submits the job, with its results if there are any."""
+        place = self.place_with_time_left(now)
         if not self.results:
             return place
         waited_s = now - self.submitted_at
         return AdoptJob(place=place, results=tuple(self.results.values()), waited_s=waited_s)
 
-    def place_with_time_left(self, now: float, silent_scheduler: str) -> PlaceJob:
+    def place_with_time_left(self, now: float) -> PlaceJob:
         """Return the placement request with times reduced by the time already spent."""
         spent_s = now - self.submitted_at
         return msgspec.structs.replace(
@@ -135,7 +134,7 @@
             deadline_s=self.place.deadline_s - spent_s,
             backoffs=backoffs_after(self.place.backoffs, spent_s),
             asked_before=bool(self.schedulers),
-            silent_scheduler=silent_scheduler,
+            silent_scheduler=self.silent_scheduler,
         )
 
 
@@ -155,7 +154,7 @@
 
 def busy_refusal(asked: PendingJob, now: float) -> PlacementRejected:
     """Return the error that refuses a job whose scheduler has not answered."""
-    place = asked.place_with_time_left(now, '')
+    place = asked.place_with_time_left(now)
     return PlacementRejected(BUSY_REASON, retry_after_s=busy_retry_after_s(place))
 
 
@@ -200,18 +199,18 @@
         pending_job = PendingJob(place=place, now=now)
         self.pending[place.job] = pending_job
         self.update_scheduler()
-        self.submit(pending_job, now)
+        self.submit(pending_job, self.scheduler_address, now)
         return await pending_job.answer
 
-    def submit(self, pending_job: PendingJob, now: float) -> None:
-        """Submit a job to the current scheduler, and withdraw it from the previous one."""
-        silent_scheduler = pending_job.schedulers[-1] if pending_job.schedulers else ''
-        if silent_scheduler:
+    def submit(self, pending_job: PendingJob, scheduler: str, now: float) -> None:
+        """Submit a job to a scheduler, and withdraw it from the previous one."""
+        if pending_job.schedulers:
+            pending_job.silent_scheduler = pending_job.schedulers[-1]
             gone = RunEnded(job=pending_job.place.job, sender=self.election.own.name, failed=False)
-            self.send(silent_scheduler, gone)
-        self.send(self.scheduler_address, pending_job.request(now, silent_scheduler))
-        pending_job.schedulers.append(self.scheduler_address)
-        acknowledges = self.election.acknowledges(self.scheduler_address)
+            self.send(pending_job.silent_scheduler, gone)
+        self.send(scheduler, pending_job.request(now))
+        pending_job.schedulers.append(scheduler)
+        acknowledges = self.election.acknowledges(scheduler)
         pending_job.on_new_scheduler(now, acknowledges=acknowledges)
 
     def update_scheduler(self) -> None:
@@ -271,7 +270,7 @@
         """Submit orphaned jobs to the current scheduler."""
         now = self.clock.monotonic()
         for asked in self.orphaned_jobs(now):
-            self.submit(asked, now)
+            self.submit(asked, self.scheduler_address, now)
 
     async def run(self) -> None:
         """Follow changes of the scheduler and resend requests until cancelled."""
@@ -290,15 +289,29 @@
             asked.on_progress(message)
 
     def on_handed_over(self, message: HandedOver) -> None:
-        """Wait for the scheduler that took a job over; resubmit the job if that one is silent."""
+        """Wait for the scheduler that took a job over; resubmit the job if that one is silent.
+
+        A job that was not taken over is submitted there. If it was already submitted there, the
+        schedulers disagree and would send it in a circle; it is then refused in time.
+        """
         asked = self.pending.get(message.job)
         if asked is None or asked.answer.done():
             return
+        now = self.clock.monotonic()
+        if message.resubmit and message.scheduler in asked.schedulers:
+            return
+        if message.resubmit and self.is_reachable(message.scheduler, now):
+            self.submit(asked, message.scheduler, now)
+            return
         asked.schedulers.append(message.scheduler)
         acknowledges = self.election.acknowledges(message.scheduler)
-        asked.on_new_scheduler(self.clock.monotonic(), acknowledges=acknowledges)
+        asked.on_new_scheduler(now, acknowledges=acknowledges)
         self.resubmit_orphaned()
 
+    def is_reachable(self, scheduler: str, now: float) -> bool:
+        """Tell whether a job can be submitted to the box at an address."""
+        return scheduler == self.scheduler_address or self.election.is_alive(scheduler, now)
+
     def on_placed(self, message: Placed) -> None:
         """Accept a scheduler's answer; later answers for the same job are ignored.
 
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -211,14 +211,14 @@
         """Start a job, or ignore a repeated message for a known one."""
         if place.job in self.jobs:
             return
+        successor = self.succession.successor
+        if successor is not None and place.silent_scheduler != successor:
+            self.succession.redirect(place, successor)
+            return
         now = self.clock.monotonic()
         self.engine_pools.backoffs.note(place.reply_to, place.backoffs, now)
         job = Job(place=place, now=now)
         self.add_job(job)
-        successor = self.succession.successor
-        if successor is not None and place.silent_scheduler != successor:
-            self.succession.hand_over_soon(job)
-            return
         job.is_adopted = successor is not None
         pool = self.engine_pools.get(place.service)
         if pool is None:
--- a/packages/core/calicopath_core/scheduling/succession.py
+++ b/packages/core/calicopath_core/scheduling/succession.py
@@ -94,6 +94,15 @@
         else:
             self.keep_some()
 
+    def redirect(self, place: PlaceJob, successor: str) -> None:
+        """Tell a box to submit a new request to the successor, which decides about it.
+
+        The box then names this scheduler as `silent_scheduler`, so a successor that takes this box
+        for the scheduler decides about the request too, instead of sending it back.
+        """
+        message = HandedOver(job=place.job, scheduler=successor, resubmit=True)
+        self.scheduler.send(place.reply_to, message)
+
     def hand_over_soon(self, job: Job) -> None:
         """Hand a job over now or with one of the next ticks."""
         if not job.open_calls and job.placed_on is None:
--- a/packages/core/calicopath_core/scheduling/tests/client_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/client_tests.py
@@ -8,6 +8,7 @@
 from calicopath_core.fleet.contact import STEADY
 from calicopath_core.scheduling.client import (
     CHECK_INTERVAL_S,
+    EARLY_RESEND_SHARE,
     MIN_NO_ANSWER_S,
     NO_ANSWER_SHARE,
     RESEND_INTERVAL_S,
@@ -253,3 +254,42 @@
             box.stop()
 
         self.run_virtual(scenario())
+
+    def test_a_job_that_was_not_taken_over_is_submitted_to_the_named_scheduler(self) -> None:
+        """Guards against a request that waits for a scheduler which does not have it."""
+
+        async def scenario() -> None:
+            box = await self.started()
+            asked = asyncio.create_task(box.place(objective_s=1.0))
+            await asyncio.sleep(0.1)
+            box.client.on_handed_over(HandedOver('j', SECOND, resubmit=True))
+            box.client.on_handed_over(HandedOver('j', SECOND, resubmit=True))
+            (place,) = [item for _, to, item in box.sent if to == SECOND]
+            assert isinstance(place, PlaceJob)
+            self.assertEqual(FIRST, place.silent_scheduler)
+            box.client.on_placed(Placed('j', 'engine', (), 0.1, SECOND))
+            self.assertIsInstance((await asked)[1], Placed)
+            box.stop()
+
+        self.run_virtual(scenario())
+
+    def test_a_job_that_schedulers_send_in_a_circle_is_refused_in_time(self) -> None:
+        """Guards against messages without end between boxes that disagree on the scheduler."""
+
+        async def scenario() -> None:
+            box = await self.started()
+            asked = asyncio.create_task(box.place(objective_s=1.0))
+            await asyncio.sleep(0.01)
+            box.client.on_handed_over(HandedOver('j', SECOND, resubmit=True))
+            for _ in range(100):
+                await asyncio.sleep(0.01)
+                box.client.on_handed_over(HandedOver('j', FIRST, resubmit=True))
+            took_s, outcome = await asked
+            self.assertIsInstance(outcome, PlacementRejected)
+            self.assertLess(took_s, MIN_NO_ANSWER_S + 2 * CHECK_INTERVAL_S)
+            self.assertEqual(1, len(box.messages(PlaceJob, FIRST)))
+            resent = MIN_NO_ANSWER_S // (EARLY_RESEND_SHARE * MIN_NO_ANSWER_S)
+            self.assertLessEqual(len(box.messages(PlaceJob, SECOND)), 1 + resent)
+            box.stop()
+
+        self.run_virtual(scenario())
--- a/packages/core/calicopath_core/scheduling/tests/succession_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/succession_tests.py
@@ -10,7 +10,7 @@
 from calicopath_core.scheduling.admission import MAX_BIAS
 from calicopath_core.scheduling.estimates import DEFAULT_FIRST_EVENT_S
 from calicopath_core.scheduling.interfaces import StageCaller
-from calicopath_core.scheduling.messages import AdoptJob, LearnedEstimates
+from calicopath_core.scheduling.messages import AdoptJob, HandedOver, LearnedEstimates
 from calicopath_core.scheduling.scheduler import Scheduler
 from calicopath_core.scheduling.succession import HAND_OVERS_PER_TICK
 from calicopath_core.scheduling.tests.work import job, phase, result
@@ -128,3 +128,28 @@
             self.assertEqual([item.id for item in jobs[:-1]], names)
 
         self.run_virtual(scenario())
+
+    def test_new_requests_are_sent_on_at_once(self) -> None:
+        """Guards against acknowledged requests that nobody decides about."""
+
+        async def scenario() -> None:
+            sent: list[msgspec.Struct] = []
+            before = self.scheduler(sent)
+            before.succession.step_down('next:7')
+            names = [f'j{number}' for number in range(2 * HAND_OVERS_PER_TICK)]
+            for name in names:
+                before.on_place(job(name, phase()).place)
+            self.assertEqual([HandedOver(name, 'next:7', resubmit=True) for name in names], sent)
+            self.assertEqual({}, before.jobs)
+
+        self.run_virtual(scenario())
+
+    def test_two_boxes_that_take_each_other_for_the_scheduler_send_nothing_back(self) -> None:
+        async def scenario() -> None:
+            sent: list[msgspec.Struct] = []
+            before = self.scheduler(sent)
+            before.succession.step_down('next:7')
+            before.on_place(job('j', phase(), silent_scheduler='next:7').place)
+            self.assertEqual([], [item for item in sent if isinstance(item, HandedOver)])
+
+        self.run_virtual(scenario())
--- a/testkit/replay/world.py
+++ b/testkit/replay/world.py
@@ -304,7 +304,8 @@
             for pending in waiting:
                 pending.schedulers.append(self.scheduler.own_address)
                 pending.on_new_scheduler(now, acknowledges=True)
-                self.send_to_scheduler(pending.request(now, silent_scheduler='gone'))
+                pending.silent_scheduler = 'gone'
+                self.send_to_scheduler(pending.request(now))
 
     async def run_caller(self, arrival: Arrival) -> None:
         """Send one request, with up to `MAX_ATTEMPTS` attempts within its deadline."""
@@ -376,7 +377,7 @@
         """Return the answer to a job, or the refusal by its own box if there is none."""
         if pending.answer.done():
             return pending.answer.result()
-        place = pending.place_with_time_left(self.clock.monotonic(), '')
+        place = pending.place_with_time_left(self.clock.monotonic())
         return Rejected(place.job, BUSY_REASON, busy_retry_after_s(place))
 
     def place_request(self, arrival: Arrival, name: str, left_s: float) -> PlaceJob:
