Withdraw a lost placement whose inputs are freed

A `Placed` that was lost was sent again after that with handles that no longer exist, and the caller got the engine's 409 as final answer.

Change: the placement is repeated only while the engine's inputs are kept, or once the run has begun. Otherwise the run is ended at the engine and the request rejected as `result-gone` with the shortest retry delay. Results that only other phases read do not count.

--- a/packages/core/calicopath_core/scheduling/inbox.py
+++ b/packages/core/calicopath_core/scheduling/inbox.py
@@ -133,11 +133,16 @@
         self.scheduler.send(job.place.reply_to, Progress(job=job.id, results=(), freed=()))
 
     def answer_again(self, job: Job) -> None:
-        """Answer a repeated request: its box may have missed the first answer."""
-        if job.placement is not None:
+        """Answer a repeated request: its box may have missed the first answer.
+
+        A placement is not repeated once its inputs are freed, since the engine would refuse it.
+        """
+        if job.placement is None:
+            self.acknowledge(job)
+        elif job.is_running or not any(result.freed for result in job.final_results()):
             self.scheduler.send(job.place.reply_to, job.placement)
         else:
-            self.acknowledge(job)
+            self.scheduler.withdraw_placement(job)
 
     def shed(self) -> None:
         """Reject the requests that can't be decided about in time."""
--- a/packages/core/calicopath_core/scheduling/jobs.py
+++ b/packages/core/calicopath_core/scheduling/jobs.py
@@ -166,7 +166,8 @@
     were expected at their arrival to finish them late. `effective_priority` is the job's own
     priority or a more urgent one. `is_returning` says that the caller was refused and came back as
     told. `pacing_class` says what pacing holds the job back by, `None` until pacing has looked at
-    the job. `placement` is the answer that was sent to the box.
+    the job. `placement` is the answer that was sent to the box. `is_running` says that the engine
+    has read the job's inputs and prompt.
 
     Structures that are derived from jobs register in `changed_in`, and find a job there after each
     change that concerns them: to its results, calls and pieces that have not been dispatched.
@@ -186,6 +187,7 @@
         self.placed_on: str | None = None
         self.placement: Placed | None = None
         self.placed_at: float | None = None
+        self.is_running = False
         self.ended = False
         self.expected_stages_s = 0.0
         self.open_calls = 0
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from calicopath_core.permits.issuer import PermitIssuer, UnlimitedIssuer
-from calicopath_core.scheduling.admission import Admission
+from calicopath_core.scheduling.admission import MIN_RETRY_AFTER_S, Admission
 from calicopath_core.scheduling.backlog import Backlog
 from calicopath_core.scheduling.critical_path import critical_paths
 from calicopath_core.scheduling.due_times import DueTimes
@@ -21,6 +21,7 @@
     Placed,
     Progress,
     Rejected,
+    RunEnded,
 )
 from calicopath_core.scheduling.rejections import NO_ENGINE_RETRY_S, Rejections
 from calicopath_core.scheduling.returning import ReturningCallers
@@ -42,7 +43,6 @@
     from calicopath_core.scheduling.messages import (
         BackoffNotice,
         PlaceJob,
-        RunEnded,
         RunStarted,
         StageResult,
     )
@@ -356,11 +356,24 @@
         self.send(job.place.reply_to, rejected)
         self.end(job)
 
+    def withdraw_placement(self, job: Job) -> None:
+        """End a run that its box has not begun, and tell the caller to retry soon.
+
+        If the box has begun the run, because its repeated request was sent before the placement
+        arrived, it ignores the rejection.
+        """
+        reason, retry_after_s = 'result-gone', MIN_RETRY_AFTER_S
+        self.observer.on_rejected(job, reason, retry_after_s)
+        rejected = Rejected(job=job.id, reason=reason, retry_after_s=retry_after_s)
+        self.send(job.place.reply_to, rejected)
+        self.on_ended(RunEnded(job=job.id, sender=self.own_address, failed=False))
+
     def on_started(self, message: RunStarted) -> None:
         """Record that an engine has read its inputs and prompt, and free the job's results."""
         job = self.jobs.get(message.job)
         if job is None or job.placed_on is None:
             return
+        job.is_running = True
         now = self.clock.monotonic()
         placed_at = now
         if job.placed_at is not None:
--- a/packages/core/calicopath_core/scheduling/tests/inbox_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/inbox_tests.py
@@ -10,7 +10,7 @@
 from calicopath_core.scheduling.inbox import OVERLOAD_END_S, SLICE_S, Inbox
 from calicopath_core.scheduling.messages import AdoptJob, Placed, PlaceJob, Progress, Rejected
 from calicopath_core.scheduling.shedding import BUSY_REASON, LAG_LIMIT_S
-from calicopath_core.scheduling.tests.work import job
+from calicopath_core.scheduling.tests.work import job, phase, result
 from testkit.cases import VirtualCase
 from testkit.virtual import VirtualClock
 
@@ -41,6 +41,7 @@
         self.jobs: dict[str, Job] = {}
         self.placed: list[PlaceJob] = []
         self.sent: list[msgspec.Struct] = []
+        self.withdrawn: list[Job] = []
         self.observer = mock.Mock()
         self.succession = self
 
@@ -54,6 +55,10 @@
         """Adopt a job."""
         self.on_place(message.place)
 
+    def withdraw_placement(self, job: Job) -> None:
+        """Record a withdrawn placement."""
+        self.withdrawn.append(job)
+
     def send(self, address: str, message: msgspec.Struct) -> None:
         """Record a message."""
         self.sent.append(message)
@@ -161,6 +166,40 @@
 
         self.run_virtual(scenario())
 
+    def test_a_placement_is_sent_again_only_while_its_inputs_are_kept(self) -> None:
+        """Guards against an engine that refuses a request because its inputs are gone."""
+
+        async def scenario() -> None:
+            scheduler, inbox = self.new(0.0)
+            placed = Placed('j', 'e', ('last',), 0.1, 'own:7')
+            known = scheduler.jobs['j'] = job('j', phase(), phase(needs=(0,)))
+            known.placement = placed
+            first, last = result('first'), result('last')
+            known.results[0][0], known.results[1][0] = first, last
+            first.freed = True
+            inbox.on_request(known.place)
+            self.assertEqual(([placed], []), (scheduler.sent, scheduler.withdrawn))
+            last.freed = True
+            inbox.on_request(known.place)
+            self.assertEqual(([placed], [known]), (scheduler.sent, scheduler.withdrawn))
+
+        self.run_virtual(scenario())
+
+    def test_a_run_that_has_begun_is_not_withdrawn(self) -> None:
+        """Guards against a run that is no longer counted at its engine."""
+
+        async def scenario() -> None:
+            scheduler, inbox = self.new(0.0)
+            known = scheduler.jobs['j'] = job('j', phase())
+            known.placement = Placed('j', 'e', ('r',), 0.1, 'own:7')
+            known.results[0][0] = read = result('r')
+            read.freed = True
+            known.is_running = True
+            inbox.on_request(known.place)
+            self.assertEqual([], scheduler.withdrawn)
+
+        self.run_virtual(scenario())
+
     def test_what_is_shed_gets_a_rejection_and_an_overload_is_reported_once(self) -> None:
         async def scenario() -> None:
             scheduler, inbox = self.new(0.05)
--- a/packages/daemon/calicopathd/gateway/tests/overload_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/overload_tests.py
@@ -9,7 +9,7 @@
 
 from calicopath_core.membership.messages import encode
 from calicopath_core.scheduling.client import CHECK_INTERVAL_S, MIN_NO_ANSWER_S
-from calicopath_core.scheduling.messages import AdoptJob, PlaceJob, Pong, Progress
+from calicopath_core.scheduling.messages import AdoptJob, Placed, PlaceJob, Pong, Progress
 from calicopath_core.scheduling.shedding import BUSY_REASON
 from calicopath_core.scheduling.succession import HAND_OVERS_PER_TICK
 from testkit.cases import VirtualCase
@@ -205,6 +205,35 @@
 
         self.run_virtual(scenario())
 
+    def test_a_lost_placement_whose_inputs_are_freed_is_withdrawn(self) -> None:
+        """Guards against an engine that refuses a request because its inputs are gone."""
+
+        async def scenario() -> None:
+            fleet = await self.started()
+            client = fleet.boxes['box-2'].box.client
+            lost: list[Any] = []
+
+            def lose_first(message: Placed) -> None:
+                if not lost:
+                    lost.append(message)
+                    return
+                type(client).on_placed(client, message)
+
+            client.on_placed = lose_first  # type: ignore[method-assign]
+            sink = self.serve(fleet, 1)
+            await fleet.settle()
+            self.assertNotEqual((), lost[0].inputs)
+            self.assertEqual((503, 'result-gone'), (sink.status, sink.reason))
+            assert sink.retry_after_s is not None
+            self.assertLess(sink.retry_after_s, 1.0)
+            self.assertEqual([], fleet.replicas.sent)
+            scheduler = fleet.boxes['box-0'].box.scheduler
+            self.assertEqual({}, scheduler.jobs)
+            self.assertEqual([], [p.loads() for p in scheduler.engine_pools.values() if p.loads()])
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
 
 class OlderBuilds(OverloadCase):
     def test_requests_at_a_slow_scheduler_that_sends_no_acknowledgement_are_not_refused(
