Merge: requests to a box that stepped down, lost placements

`calicopath scheduler` reads workspaces from the share rule and shows whether each is over its share, in place of the unused allowance, which only one rule has; it also shows open reservations.

--- a/packages/cli/calicopath_cli/tests/scheduler_tests.py
+++ b/packages/cli/calicopath_cli/tests/scheduler_tests.py
@@ -32,7 +32,7 @@
     'jobs': [JOBS],
     'pieces': [{'service': 'look', 'in_time': 180, 'started': 12, 'ready': 90}],
     'rejections': [{'reason': 'overloaded', 'count': 7}],
-    'shares': [{'workspace': 'hire', 'usual': 0.5, 'recent': 1.25, 'allowed': 0.75, 'left_s': 0.0}],
+    'shares': [{'workspace': 'hire', 'usual': 0.5, 'recent': 1.25, 'allowed': 0.75, 'over': True}],
 }
 LEAVING = IDLE | {'figures': FIGURES | {'jobs': 40, 'to_hand_over': 20}}
 ANSWERS: dict[str, dict[str, Any] | None] = {
@@ -72,7 +72,7 @@
                 [('b2', '1', 'yes', 'no', '30', '4')],
                 [('b2', 'look', '180', '12', '90')],
                 [('b2', 'overloaded', '7')],
-                [('b2', 'hire', '0.500', '1.250', '0.750', '0.000')],
+                [('b2', 'hire', '0.500', '1.250', '0.750', 'yes')],
             ],
             [table.rows for table in tables],
         )
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -7,7 +7,7 @@
 
 from calicopath_core.fleet.pace import PaceEstimates
 from calicopath_core.permits.issuer import PermitIssuer, UnlimitedIssuer
-from calicopath_core.scheduling.admission import Admission
+from calicopath_core.scheduling.admission import MIN_RETRY_AFTER_S, Admission
 from calicopath_core.scheduling.backlog import Backlog
 from calicopath_core.scheduling.critical_path import critical_paths
 from calicopath_core.scheduling.due_times import DueTimes
@@ -22,6 +22,7 @@
     Placed,
     Progress,
     Rejected,
+    RunEnded,
 )
 from calicopath_core.scheduling.rejections import NO_ENGINE_RETRY_S, Rejections
 from calicopath_core.scheduling.returning import ReturningCallers
@@ -44,7 +45,6 @@
     from calicopath_core.scheduling.messages import (
         BackoffNotice,
         PlaceJob,
-        RunEnded,
         RunStarted,
         StageResult,
     )
@@ -222,14 +222,14 @@
         """Start a job, or ignore a repeated message for a known one."""
         if place.job in self.jobs:
             return
+        successor = self.succession.successor
+        if successor is not None and place.silent_scheduler != successor:
+            self.succession.redirect(place, successor)
+            return
         now = self.clock.monotonic()
         self.engine_pools.backoffs.note(place.reply_to, place.backoffs, now)
         job = Job(place=place, now=now)
         self.add_job(job)
-        successor = self.succession.successor
-        if successor is not None and place.silent_scheduler != successor:
-            self.succession.hand_over_soon(job)
-            return
         job.is_adopted = successor is not None
         pool = self.engine_pools.get(place.service)
         if pool is None:
@@ -367,11 +367,24 @@
         self.send(job.place.reply_to, rejected)
         self.end(job)
 
+    def withdraw_placement(self, job: Job) -> None:
+        """End a run that its box has not begun, and tell the caller to retry soon.
+
+        If the box has begun the run, because its repeated request was sent before the placement
+        arrived, it ignores the rejection.
+        """
+        reason, retry_after_s = 'result-gone', MIN_RETRY_AFTER_S
+        self.observer.on_rejected(job, reason, retry_after_s)
+        rejected = Rejected(job=job.id, reason=reason, retry_after_s=retry_after_s)
+        self.send(job.place.reply_to, rejected)
+        self.on_ended(RunEnded(job=job.id, sender=self.own_address, failed=False))
+
     def on_started(self, message: RunStarted) -> None:
         """Record that an engine has read its inputs and prompt, and free the job's results."""
         job = self.jobs.get(message.job)
         if job is None or job.placed_on is None:
             return
+        job.is_running = True
         now = self.clock.monotonic()
         self.on_reported_pace(job.placed_on, message.pace, now)
         placed_at = now
--- a/packages/daemon/calicopathd/gateway/scheduling.py
+++ b/packages/daemon/calicopathd/gateway/scheduling.py
@@ -10,14 +10,13 @@
 
 import msgspec
 
-from calicopath_core.scheduling.fairness import MAX_SAVED_S
 from calicopath_core.scheduling.shedding import BUSY_REASON
 
 if TYPE_CHECKING:
     from aioprometheus.collectors import Counter
 
-    from calicopath_core.scheduling.fairness import Allowances
     from calicopath_core.scheduling.scheduler import Scheduler
+    from calicopath_core.scheduling.shares import ShareMonitor
     from calicopathd.gateway.box import GatewayBox
     from calicopathd.gateway.metrics import GatewayMetrics
 
@@ -59,14 +58,14 @@
 class WorkspaceShare(msgspec.Struct, frozen=True):
     """Describe what a workspace asks and may ask, in seconds of stage work per second.
 
-    `left_s` is its unused allowance in seconds of stage work.
+    `over` says that its requests exceed its share now and wait behind the others.
     """
 
     workspace: str
     usual: float
     recent: float
     allowed: float
-    left_s: float
+    over: bool
 
 
 class SchedulingState(msgspec.Struct, frozen=True):
@@ -98,7 +97,7 @@
         jobs=waiting_jobs(box.scheduler),
         pieces=waiting_pieces(box.scheduler),
         rejections=rejections_by_reason(metrics),
-        shares=workspace_shares(box.scheduler.allowances, now) if is_scheduling else [],
+        shares=workspace_shares(box.scheduler.shares, now) if is_scheduling else [],
     )
 
 
@@ -106,7 +105,7 @@
     """Return single figures; `calicopath scheduler` shows each in a column of this name.
 
     `unanswered` counts the requests that this box refused since it started, because its scheduler
-    did not answer.
+    did not answer, `reservations` the callers who were told when to return and have not come yet.
     """
     return {
         'decision_lag_ms': round(box.inbox.lag_s() * 1000),
@@ -114,6 +113,7 @@
         'jobs': len(box.scheduler.jobs),
         'to_hand_over': box.scheduler.succession.waiting,
         'unanswered': total(metrics.jobs_unanswered),
+        'reservations': box.scheduler.returning.reservations.count,
     }
 
 
@@ -168,19 +168,18 @@
     return [(labels, int(count)) for labels, count in found]
 
 
-def workspace_shares(allowances: Allowances, now: float) -> list[WorkspaceShare]:
+def workspace_shares(shares: ShareMonitor, now: float) -> list[WorkspaceShare]:
     """Return the share of each workspace, those with the highest recent rate first."""
-    usual = {item.workspace: item.rate for item in allowances.usual_rates(now)}
     found = []
-    for name, usage in allowances.workspaces.items():
-        allowed = allowances.allowed_rate(usage, now)
-        left_s = usage.allowance_left_s + allowed * (now - usage.updated_at)
-        share = WorkspaceShare(
-            workspace=name,
-            usual=usual[name],
-            recent=usage.recent.value_at(now),
-            allowed=allowed,
-            left_s=min(allowed * MAX_SAVED_S, left_s),
+    for usual in shares.rule.usual_rates(now):
+        share = shares.rule.share_of(usual.workspace, now)
+        found.append(
+            WorkspaceShare(
+                workspace=usual.workspace,
+                usual=usual.rate,
+                recent=share.used,
+                allowed=share.allowed,
+                over=usual.workspace in shares.over,
+            )
         )
-        found.append(share)
     return sorted(found, key=lambda item: (-item.recent, item.workspace))
--- a/packages/daemon/calicopathd/gateway/tests/overload_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/overload_tests.py
@@ -9,7 +9,7 @@
 
 from calicopath_core.membership.messages import encode
 from calicopath_core.scheduling.client import CHECK_INTERVAL_S, MIN_NO_ANSWER_S
-from calicopath_core.scheduling.messages import AdoptJob, PlaceJob, Pong, Progress
+from calicopath_core.scheduling.messages import AdoptJob, Placed, PlaceJob, Pong, Progress
 from calicopath_core.scheduling.shedding import BUSY_REASON
 from calicopath_core.scheduling.succession import HAND_OVERS_PER_TICK
 from testkit.cases import VirtualCase
@@ -205,6 +205,35 @@
 
         self.run_virtual(scenario())
 
+    def test_a_lost_placement_whose_inputs_are_freed_is_withdrawn(self) -> None:
+        """Guards against an engine that refuses a request because its inputs are gone."""
+
+        async def scenario() -> None:
+            fleet = await self.started()
+            client = fleet.boxes['box-2'].box.client
+            lost: list[Any] = []
+
+            def lose_first(message: Placed) -> None:
+                if not lost:
+                    lost.append(message)
+                    return
+                type(client).on_placed(client, message)
+
+            client.on_placed = lose_first  # type: ignore[method-assign]
+            sink = self.serve(fleet, 1)
+            await fleet.settle()
+            self.assertNotEqual((), lost[0].inputs)
+            self.assertEqual((503, 'result-gone'), (sink.status, sink.reason))
+            assert sink.retry_after_s is not None
+            self.assertLess(sink.retry_after_s, 1.0)
+            self.assertEqual([], fleet.replicas.sent)
+            scheduler = fleet.boxes['box-0'].box.scheduler
+            self.assertEqual({}, scheduler.jobs)
+            self.assertEqual([], [p.loads() for p in scheduler.engine_pools.values() if p.loads()])
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
 
 class OlderBuilds(OverloadCase):
     def test_requests_at_a_slow_scheduler_that_sends_no_acknowledgement_are_not_refused(
@@ -321,7 +350,8 @@
         async def scenario() -> None:
             fleet = await self.started()
             sinks = [self.serve(fleet, number) for number in range(self.COUNT)]
-            await asyncio.sleep(0.3)
+            # Between two ticks, so that none hands jobs over before the check below.
+            await asyncio.sleep(0.3 + NETWORK_S)
             scheduler = fleet.boxes['box-0'].box.scheduler
             scheduler.succession.step_down('box-1:7')
             for number in range(self.COUNT, self.COUNT + 5):
@@ -336,3 +366,20 @@
             await fleet.stop()
 
         self.run_virtual(scenario())
+
+    def test_new_requests_at_a_box_that_has_stepped_down_are_all_served(self) -> None:
+        """Guards against requests beyond the portion of a tick that nobody decides about."""
+
+        async def scenario() -> None:
+            fleet = await self.started()
+            scheduler = fleet.boxes['box-0'].box.scheduler
+            scheduler.succession.step_down('box-1:7')
+            sinks = [self.serve(fleet, number) for number in range(self.COUNT)]
+            await asyncio.sleep(3 * NETWORK_S)
+            self.assertEqual({}, scheduler.jobs)
+            self.assertEqual(self.COUNT, len(fleet.boxes['box-1'].box.scheduler.jobs))
+            await fleet.settle()
+            self.assertEqual([ALL_EVENTS] * len(sinks), [sink.event_ids for sink in sinks])
+            await fleet.stop()
+
+        self.run_virtual(scenario())
--- a/packages/daemon/calicopathd/gateway/tests/scheduling_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/scheduling_tests.py
@@ -119,7 +119,7 @@
 
     def snapshot(self, scheduler: Any) -> Any:
         """Return what the answer reads, as plain data."""
-        backlog, allowances = scheduler.backlog, scheduler.allowances
+        backlog, allowances = scheduler.backlog, scheduler.shares.rule
         return (
             {key: copy.deepcopy(vars(counts)) for key, counts in backlog.classes.items()},
             backlog.now,
