--- a/packages/core/calicopath_core/scheduling/engine_pools.py
+++ b/packages/core/calicopath_core/scheduling/engine_pools.py
@@ -73,7 +73,7 @@
             pool.expire_lost_runs(now)
         self.backoffs.expire(now)
 
-    def restrict(self, job: Job) -> bool:
+    def has_restrictions_for(self, job: Job) -> bool:
         """Tell whether other jobs may use engines that are closed to this one."""
         return bool(job.place.exclude) or job.place.reply_to in self.backoffs.by_box
 
--- a/packages/core/calicopath_core/scheduling/lanes.py
+++ b/packages/core/calicopath_core/scheduling/lanes.py
@@ -110,16 +110,16 @@
         ]
         heapq.heapify(heap)
         while heap:
-            run = heap[0].run
-            yield run.lane[run.index][2]
-            run.index += 1
-            if run.index < run.stop:
-                heapq.heapreplace(heap, run.head())
+            part = heap[0].part
+            yield part.lane[part.index][2]
+            part.index += 1
+            if part.index < part.stop:
+                heapq.heapreplace(heap, part.head())
             else:
                 heapq.heappop(heap)
 
 
-class Run(Generic[Item]):
+class LanePart(Generic[Item]):
     """Hold a part of a lane that is read from `index` to `stop`, and how to rank its items."""
 
     __slots__ = ('index', 'lane', 'priority', 'served_by', 'stop', 'tier')
@@ -142,7 +142,7 @@
         self.served_by = served_by
 
     def head(self) -> Head[Item]:
-        """Return the next item's sort key with the run."""
+        """Return the next item's sort key with the part."""
         at, number, _ = self.lane[self.index]
         in_time = self.tier in (ALLOWED_TIER, OVER_ALLOWANCE_TIER)
         step = int((at - self.served_by) / SLACK_STEP_S) if in_time else 0
@@ -150,24 +150,24 @@
 
 
 class Head(NamedTuple, Generic[Item]):
-    """Hold a `Rank` and a number, by which the heads of runs are compared, and the run."""
+    """Hold a `Rank` and a number, by which the heads of lane parts are compared, and the part."""
 
     tier: int
     slack_step: int
     priority: int
     order_at: float
     number: int
-    run: Run[Item]
+    part: LanePart[Item]
 
 
 def heads(
     key: LaneKey, lane: list[tuple[float, int, Item]], served_by: float
 ) -> Iterator[Head[Item]]:
-    """Yield the heads of the runs that a lane consists of: items in time, and late ones."""
+    """Yield the heads of the parts of a lane: items in time, and late ones."""
     late = 0 if key.tier == FIRST_TIER else bisect.bisect_left(lane, (served_by,))
     for start, stop, tier in ((late, len(lane), key.tier), (0, late, LATE_TIER)):
         if start < stop:
-            run = Run(
+            part = LanePart(
                 lane=lane,
                 index=start,
                 stop=stop,
@@ -175,4 +175,4 @@
                 priority=key.priority,
                 served_by=served_by,
             )
-            yield run.head()
+            yield part.head()
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -305,7 +305,7 @@
                 self.place_engine(job)
                 if job.id not in self.engine_queue.jobs:
                     continue
-                if not self.engine_pools.restrict(job):
+                if not self.engine_pools.has_restrictions_for(job):
                     return
                 passed += 1
 
--- a/packages/core/calicopath_core/scheduling/waiting.py
+++ b/packages/core/calicopath_core/scheduling/waiting.py
@@ -201,11 +201,11 @@
     def refresh(self, now: float) -> None:
         """Move the groups of the jobs that have changed, or whose results have become old."""
         for job in self.changed.pop_all():
-            self.place(job, now)
+            self.update_position(job, now)
         for name in self.old_times.pop_before(now):
-            self.place(next(iter(self.groups[name].values())).job, now)
+            self.update_position(next(iter(self.groups[name].values())).job, now)
 
-    def place(self, job: Job, now: float) -> None:
+    def update_position(self, job: Job, now: float) -> None:
         """Put the groups of a job where they belong."""
         made_at = job.oldest_result_at()
         old_at = None if made_at is None else made_at + OLD_RESULT_AGE_S
