Mark a request as asked before only if a scheduler was heard about it

Cause: `asked_before` was set on each request that was sent again, also to the same scheduler. Such a request went to the queue of admitted ones, which is not shed below 0.65 s, was not charged to its workspace, and lost the reservation of a caller who returned as told.

Change: it is set if progress, an acknowledgement or a hand-over of the job has arrived, or if the job goes to another scheduler than before. Its other uses (charging, reservations) stay as they are.

--- a/packages/core/calicopath_core/scheduling/client.py
+++ b/packages/core/calicopath_core/scheduling/client.py
@@ -69,7 +69,8 @@
 
     `unanswered_since` is when the oldest request was sent that the current scheduler has not
     answered, `None` if it has answered them all. `silent_scheduler` is the address of the scheduler
-    that the job was last withdrawn from.
+    that the job was last withdrawn from. `is_heard_about` says that a scheduler has sent progress
+    or handed the job over; a request that was only sent again is like new to its scheduler.
     """
 
     def __init__(self, *, place: PlaceJob, now: float) -> None:
@@ -80,6 +81,7 @@
         self.no_answer_s = max(MIN_NO_ANSWER_S, NO_ANSWER_SHARE * place.objective_s)
         self.schedulers: list[str] = []
         self.silent_scheduler = ''
+        self.is_heard_about = False
         self.results: dict[tuple[int, int], StageResult] = {}
         self.answer: asyncio.Future[Placed] = asyncio.get_running_loop().create_future()
 
@@ -102,6 +104,7 @@
 
     def on_heard(self, now: float) -> None:
         """Record that the scheduler works on the job."""
+        self.is_heard_about = True
         self.unanswered_since = None
         self.resend_at = now + RESEND_INTERVAL_S
 
@@ -133,7 +136,7 @@
             objective_s=self.place.objective_s - spent_s,
             deadline_s=self.place.deadline_s - spent_s,
             backoffs=backoffs_after(self.place.backoffs, spent_s),
-            asked_before=bool(self.schedulers),
+            asked_before=self.is_heard_about or bool(self.silent_scheduler),
             silent_scheduler=self.silent_scheduler,
         )
 
@@ -303,6 +306,7 @@
         if message.resubmit and self.is_reachable(message.scheduler, now):
             self.submit(asked, message.scheduler, now)
             return
+        asked.is_heard_about = True
         asked.schedulers.append(message.scheduler)
         acknowledges = self.election.acknowledges(message.scheduler)
         asked.on_new_scheduler(now, acknowledges=acknowledges)
--- a/packages/core/calicopath_core/scheduling/messages.py
+++ b/packages/core/calicopath_core/scheduling/messages.py
@@ -48,9 +48,9 @@
 
     `job` is unique to one attempt of one request; `reply_to` is the peer address of the requesting
     box. `exclude` lists engines that must not be chosen. `resumed` says that an engine failed the
-    request midway, `asked_before` that an earlier scheduler admitted the job and fell silent;
-    `silent_scheduler` is the address of the scheduler that fell silent or sent the box elsewhere,
-    to which the job must not be handed over.
+    request midway, `asked_before` that a scheduler has sent progress of the job or handed it over,
+    or that the job goes to another scheduler than before; `silent_scheduler` is the address of the
+    scheduler that fell silent or sent the box elsewhere, to which the job must not be handed over.
     `is_over_allowance` says that an earlier scheduler found the job over its workspace's allowance.
     `content` is the request's fingerprint. `backoffs` holds the engines that back off the
     requesting box, with the seconds left; `may_have_run` says that a rejection would come too late
--- a/packages/core/calicopath_core/scheduling/tests/client_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/client_tests.py
@@ -75,6 +75,14 @@
         """Return when messages of a type were sent to an address."""
         return [at for at, to, item in self.sent if to == address and isinstance(item, kind)]
 
+    def asked_before(self, address: str) -> list[bool]:
+        """Return `asked_before` of the requests that were sent to an address."""
+        return [
+            item.asked_before
+            for _, to, item in self.sent
+            if to == address and isinstance(item, PlaceJob)
+        ]
+
     async def place(self, **changes: Any) -> tuple[float, PlacementRejected | Placed]:
         """Place a job as an exchange does; return the outcome and the seconds that it took."""
         began_at = self.clock.monotonic()
@@ -195,6 +203,50 @@
 
         self.run_virtual(scenario())
 
+    def test_only_a_request_that_a_scheduler_has_worked_on_is_marked_as_asked_before(self) -> None:
+        """Guards against requests sent again that are neither shed in time nor charged."""
+
+        async def scenario() -> None:
+            box = await self.started()
+            asked = asyncio.create_task(box.place(objective_s=1.0, deadline_s=8.0))
+            await asyncio.sleep(MIN_NO_ANSWER_S - 0.1)
+            self.assertEqual([False, False], box.asked_before(FIRST))
+            box.client.on_progress(Progress('j', (), ()))
+            await asyncio.sleep(RESEND_INTERVAL_S + 2 * CHECK_INTERVAL_S)
+            self.assertEqual([False, False, True], box.asked_before(FIRST))
+            box.client.on_placed(Placed('j', 'engine', (), 0.1, FIRST))
+            await asked
+            box.stop()
+
+        self.run_virtual(scenario())
+
+    def test_a_request_that_was_handed_over_is_marked_as_asked_before(self) -> None:
+        async def scenario() -> None:
+            box = await self.started()
+            asked = asyncio.create_task(box.place(objective_s=1.0))
+            await asyncio.sleep(0.01)
+            box.client.on_handed_over(HandedOver('j', SECOND))
+            await asyncio.sleep(MIN_NO_ANSWER_S - 0.1)
+            self.assertEqual(([False], [True]), (box.asked_before(FIRST), box.asked_before(SECOND)))
+            await asked
+            box.stop()
+
+        self.run_virtual(scenario())
+
+    def test_a_request_that_goes_to_the_next_scheduler_is_marked_as_asked_before(self) -> None:
+        async def scenario() -> None:
+            box = await self.started()
+            del box.alive['first']
+            asked = asyncio.create_task(box.place(objective_s=1.0))
+            while len(box.asked_before(SECOND)) < 2:
+                await asyncio.sleep(0.01)
+            self.assertEqual([True, True], box.asked_before(SECOND))
+            self.assertNotIn(True, box.asked_before(FIRST))
+            await asked
+            box.stop()
+
+        self.run_virtual(scenario())
+
     def test_a_scheduler_that_stops_answering_after_its_acknowledgement_is_noticed(self) -> None:
         async def scenario() -> None:
             box = await self.started()
