Drop ended jobs from the hand-over, and continue the others without a new decision

Cause: ended jobs stayed in `begun` and `fresh` once the scheduler was idle, so `jobs_to_hand_over` stayed above 0. A job that was not handed over was decided about again if `started` was empty, which it is for admitted jobs of routes without phases and after an invalidation.

Change: `remove_job` drops the job from both. Every waiting job was admitted, since new requests are redirected, so all are continued and no record of the admission is needed. `keep` and `keep_some` are renamed to `continue_job` and `continue_some`.

--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -417,6 +417,7 @@
         self.expiry_times.drop(job.id)
         self.fetch_times.drop(job.id)
         self.engine_queue.drop(job)
+        self.succession.forget(job)
         self.stages.drop_stale(job)
 
     def report_progress(
--- a/packages/core/calicopath_core/scheduling/succession.py
+++ b/packages/core/calicopath_core/scheduling/succession.py
@@ -43,15 +43,24 @@
         """Start scheduling, also the jobs that still wait to be handed over."""
         self.successor = None
         self.scheduler.engine_pools.on_activated(self.scheduler.clock.monotonic())
-        self.keep_some()
+        self.continue_some()
 
-    def keep_some(self) -> None:
+    def continue_some(self) -> None:
         """Continue jobs that were not handed over, until the number of this tick is reached."""
         while (job := self.next_waiting()) is not None:
             if self.scheduler.jobs.get(job.id) is job and job.placed_on is None:
-                self.keep(job)
+                self.continue_job(job)
                 self.left_this_tick -= 1
 
+    def continue_job(self, job: Job) -> None:
+        """Continue a job that was not handed over. It was admitted: a new one is redirected."""
+        self.scheduler.advance(job)
+
+    def forget(self, job: Job) -> None:
+        """Stop waiting to hand over a job that has ended."""
+        self.begun.pop(job.id, None)
+        self.fresh.pop(job.id, None)
+
     def next_waiting(self) -> Job | None:
         """Remove and return the next waiting job, `None` if there is none for this tick."""
         waiting = self.begun or self.fresh
@@ -59,16 +68,6 @@
             return None
         return waiting.popitem(last=False)[1]
 
-    def keep(self, job: Job) -> None:
-        """Continue a job that was not handed over; one that never started is decided about."""
-        if job.started:
-            self.scheduler.advance(job)
-            return
-        place = self.place_with_time_left(job, self.scheduler.clock.monotonic())
-        job.ended = True
-        self.scheduler.remove_job(job)
-        self.scheduler.on_place(place)
-
     def step_down(self, successor: str) -> None:
         """Hand every job to the successor, a bounded number per tick, those with work begun first.
 
@@ -92,7 +91,7 @@
         if self.successor is not None:
             self.hand_over_some()
         else:
-            self.keep_some()
+            self.continue_some()
 
     def redirect(self, place: PlaceJob, successor: str) -> None:
         """Tell a box to submit a new request to the successor, which decides about it.
--- a/packages/core/calicopath_core/scheduling/tests/succession_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/succession_tests.py
@@ -10,7 +10,12 @@
 from calicopath_core.scheduling.admission import MAX_BIAS
 from calicopath_core.scheduling.estimates import DEFAULT_FIRST_EVENT_S
 from calicopath_core.scheduling.interfaces import StageCaller
-from calicopath_core.scheduling.messages import AdoptJob, HandedOver, LearnedEstimates
+from calicopath_core.scheduling.messages import (
+    AdoptJob,
+    HandedOver,
+    LearnedEstimates,
+    Rejected,
+)
 from calicopath_core.scheduling.scheduler import Scheduler
 from calicopath_core.scheduling.succession import HAND_OVERS_PER_TICK
 from calicopath_core.scheduling.tests.work import job, phase, result
@@ -21,6 +26,8 @@
 if TYPE_CHECKING:
     import msgspec
 
+    from calicopath_core.scheduling.jobs import Job
+
 SIZE = 9000
 SEEN_S = 0.1
 
@@ -153,3 +160,44 @@
             self.assertEqual([], [item for item in sent if isinstance(item, HandedOver)])
 
         self.run_virtual(scenario())
+
+    def test_ended_jobs_do_not_wait_to_be_handed_over(self) -> None:
+        """Guards against a gauge of waiting jobs that stays up while the scheduler is idle."""
+
+        async def scenario() -> None:
+            before = self.scheduler([])
+            jobs = self.add_more_than_go_at_once(before)
+            begun = jobs[-1]
+            begun.results[0][0] = result('r')
+            before.succession.enqueue(begun)
+            self.assertEqual(2, before.succession.waiting)
+            for item in jobs[-2:]:
+                before.end(item)
+            self.assertEqual(0, before.succession.waiting)
+
+        self.run_virtual(scenario())
+
+    def test_a_job_that_did_not_go_is_continued_and_not_decided_about_again(self) -> None:
+        """Guards against refusing admitted jobs without phases, or with results to recompute."""
+
+        async def scenario() -> None:
+            sent: list[msgspec.Struct] = []
+            before = self.scheduler(sent)
+            jobs = self.add_more_than_go_at_once(before)
+            for item in jobs:
+                item.started.clear()
+            before.advance = mock.Mock()  # type: ignore[method-assign]
+            before.succession.activate()
+            before.succession.tick()
+            self.assertEqual([mock.call(item) for item in jobs[-2:]], before.advance.mock_calls)
+            self.assertEqual([], [item for item in sent if isinstance(item, Rejected)])
+
+        self.run_virtual(scenario())
+
+    def add_more_than_go_at_once(self, scheduler: Scheduler) -> list[Job]:
+        """Return the jobs of a scheduler that steps down; the last two have to wait."""
+        jobs = [job(f'j{number}', phase()) for number in range(HAND_OVERS_PER_TICK + 2)]
+        for item in jobs:
+            scheduler.add_job(item)
+        scheduler.succession.step_down('next:7')
+        return jobs
