--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -388,11 +388,12 @@
         self.observer.on_scheduler_changed(address, asked_again)
 
     def tick(self) -> None:
-        """Run the periodic work: expire entries and adjust groups."""
+        """Run the periodic work: expire entries, end overloads and adjust groups."""
         now = self.clock.monotonic()
         self.store_follower.restore_filter.expire()
         for name in self.replicas.expire(now):
             events.emit(log, events.REPLICA_DROPPED, replica=name, held_s=True)
+        self.inbox.check_overload_end(now)
         self.adjust_group_count(now)
         self.update_group()
         self.ledger.expire()
--- a/packages/daemon/calicopathd/gateway/tests/overload_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/overload_tests.py
@@ -9,6 +9,7 @@
 
 from calicopath_core.membership.messages import encode
 from calicopath_core.scheduling.client import CHECK_INTERVAL_S, MIN_NO_ANSWER_S
+from calicopath_core.scheduling.inbox import OVERLOAD_END_S
 from calicopath_core.scheduling.messages import AdoptJob, Placed, PlaceJob, Pong, Progress
 from calicopath_core.scheduling.shedding import BUSY_REASON
 from calicopath_core.scheduling.succession import HAND_OVERS_PER_TICK
@@ -95,6 +96,22 @@
 
         self.run_virtual(scenario())
 
+    def test_the_end_of_an_overload_is_reported_without_another_request(self) -> None:
+        """Guards against an overload that seems to last for hours at a quiet deployment."""
+
+        async def scenario() -> None:
+            fleet = await self.started()
+            box = fleet.boxes['box-0'].box
+            box.inbox.note_shed(now(), 0.3)
+            box.tick()
+            self.assertEqual(1, box.inbox.shed_in_overload)
+            await asyncio.sleep(OVERLOAD_END_S + 0.1)
+            box.tick()
+            self.assertEqual(0, box.inbox.shed_in_overload)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
     def test_what_a_box_refused_is_never_sent_to_an_engine(self) -> None:
         """Guards against a refusal as not run of a request that a late placement then runs."""
 
