--- a/packages/core/calicopath_core/scheduling/returning.py
+++ b/packages/core/calicopath_core/scheduling/returning.py
@@ -40,7 +40,8 @@
 class ReturningCallers:
     """Decide about new jobs under overload, and keep the promises to callers who return.
 
-    `reject` ends a job with a reason and a retry delay.
+    `reject` ends a job with a reason and a retry delay. `allowed` is the operators' setting; the
+    rule also needs a deployment that asks for it.
     """
 
     def __init__(
@@ -49,7 +50,9 @@
         queues: Mapping[str, StageQueue],
         observer: SchedulerObserver,
         reject: Callable[[Job, str, float], None],
+        allowed: bool,
     ) -> None:
+        self.allowed = allowed
         self.queues = queues
         self.observer = observer
         self.reject = reject
@@ -60,7 +63,7 @@
 
     def on_deployment(self, deployment: Deployment) -> None:
         """Take effect only where a deployment asks for it."""
-        self.is_enabled = asks_for_reservations(deployment)
+        self.is_enabled = self.allowed and asks_for_reservations(deployment)
 
     def claim(self, job: Job, now: float) -> None:
         """Recognise a request that returns as it was told."""
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -73,7 +73,8 @@
 
     `send` sends a message to an address. `share_of` selects the replicas that this scheduler may
     use. `backoff_left_s` and `support_backoff_left_s` return for how many seconds a replica still
-    refuses stage calls and calls that free results.
+    refuses stage calls and calls that free results. `promises_returns` allows the overload rule,
+    which promises callers a time to return.
     """
 
     def __init__(
@@ -93,6 +94,7 @@
         support_backoff_left_s: Callable[[Replica], float] = lambda replica: 0.0,
         permits: PermitIssuer | None = None,
         pace: PaceEstimates | None = None,
+        promises_returns: bool = False,
     ) -> None:
         self.pace = pace or PaceEstimates()
         self.permits = permits or UnlimitedIssuer()
@@ -150,7 +152,10 @@
             reject=self.reject,
         )
         self.returning = ReturningCallers(
-            queues=self.stages.queues, observer=observer, reject=self.reject
+            queues=self.stages.queues,
+            observer=observer,
+            reject=self.reject,
+            allowed=promises_returns,
         )
         self.succession = Succession(scheduler=self)
         replicas.listeners.append(self.on_replicas)
--- a/packages/core/calicopath_core/scheduling/tests/returning_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/returning_tests.py
@@ -102,6 +102,7 @@
             own_address='own:7',
             select_replicas=lambda replicas: replicas,
             crashes=new_guard(),
+            promises_returns=True,
         )
         found.on_deployment(deployment(**changes))
         return found
@@ -190,6 +191,21 @@
 
         self.run_virtual(scenario())
 
+    def test_without_the_setting_the_rule_decides_nothing(self) -> None:
+        """A rule that operators have not asked for would change how deployments are served."""
+
+        async def scenario() -> None:
+            scheduler = self.scheduler()
+            scheduler.returning.allowed = False
+            scheduler.on_deployment(deployment())
+            await self.overload(scheduler)
+            scheduler.on_place(self.place('first'))
+            self.assertEqual([], [item for item in self.sent if isinstance(item, Rejected)])
+            self.observer.on_reservation_made.assert_not_called()
+            self.observer.on_beyond_capacity.assert_not_called()
+
+        self.run_virtual(scenario())
+
     def test_a_flood_reserves_nothing(self) -> None:
         """A workspace over its allowance would reserve the capacity that others need."""
 
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -160,6 +160,7 @@
             warmup=settings.warmup,
             pool_factory=self.random_engine_pool if standalone else None,
             pace=self.pace,
+            promises_returns=settings.promises_returns,
         )
         self.client = SchedulerClient(
             clock=self.clock,
--- a/packages/daemon/calicopathd/gateway/settings.py
+++ b/packages/daemon/calicopathd/gateway/settings.py
@@ -45,7 +45,8 @@
     take to stop before it is killed. `evacuate_s` is the time within which requests must stop
     reaching a failure domain that is taken out, `None` if evacuations are not used. A replica
     renews its entry every `replica_heartbeat_s`. `warmup` limits how far the rate of a cold replica
-    may be exceeded.
+    may be exceeded. `promises_returns` allows the overload rule, which tells callers who would be
+    late when to return.
     """
 
     box: str
@@ -65,6 +66,7 @@
     evacuate_s: float | None = None
     replica_heartbeat_s: float = DEFAULT_HEARTBEAT_S
     warmup: WarmupTerms = NO_OVERAGE
+    promises_returns: bool = False
 
     @property
     def followed_kinds(self) -> tuple[RecordKind, ...]:
--- a/testkit/replay/world.py
+++ b/testkit/replay/world.py
@@ -184,6 +184,7 @@
             select_replicas=lambda replicas: replicas,
             crashes=new_guard(),
             warmup=WARMUP_TERMS,
+            promises_returns=True,
         )
         found.on_deployment(self.deployment())
         self.variant.apply(found)
