--- a/packages/core/calicopath_core/scheduling/tests/client_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/client_tests.py
@@ -31,11 +31,20 @@
 from testkit.virtual import VirtualClock
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     import msgspec
 
 FIRST, SECOND = 'first:7', 'second:7'
 
 
+async def wait_until(is_true: Callable[[], bool]) -> None:
+    """Wait until something is true; raise `TimeoutError` if it is not within some resends."""
+    async with asyncio.timeout(5 * RESEND_INTERVAL_S):
+        while not is_true():
+            await asyncio.sleep(0.01)
+
+
 class Box:
     """Run one box's client beside two other boxes that rank before it and answer its pings."""
 
@@ -190,8 +199,7 @@
         async def scenario() -> None:
             box = await self.started()
             asked = asyncio.create_task(box.place(objective_s=1.0))
-            while len(box.messages(PlaceJob, FIRST)) < 2:
-                await asyncio.sleep(0.01)
+            await wait_until(lambda: len(box.messages(PlaceJob, FIRST)) == 2)
             first, again = box.messages(PlaceJob, FIRST)
             self.assertLess(again - first, MIN_NO_ANSWER_S - 0.2)
             box.client.on_progress(Progress('j', (), ()))
@@ -238,8 +246,7 @@
             box = await self.started()
             del box.alive['first']
             asked = asyncio.create_task(box.place(objective_s=1.0))
-            while len(box.asked_before(SECOND)) < 2:
-                await asyncio.sleep(0.01)
+            await wait_until(lambda: len(box.asked_before(SECOND)) == 2)
             self.assertEqual([True, True], box.asked_before(SECOND))
             self.assertNotIn(True, box.asked_before(FIRST))
             await asked
