--- a/packages/core/calicopath_core/scheduling/tests/engines_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/engines_tests.py
@@ -141,7 +141,7 @@
         self.assertAlmostEqual(1.3, factors[1], delta=0.1)
 
     def test_engines_as_fast_as_the_constant_are_chosen_as_before(self) -> None:
-        """Guards against changes in deployments for which the constant was measured."""
+        """Guards against other engine choices where engines are as fast as the constant says."""
         self.run_prompts(32.4, {})
         self.assertEqual(PREFILL_S_PER_TOKEN, self.pool.prompt_speed.s_per_token)
         self.assertEqual({1.0}, {self.pace.factor(name, 62.5) for name in self.pool.engines})
--- a/packages/core/calicopath_core/scheduling/tests/prompt_speed_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/prompt_speed_tests.py
@@ -38,7 +38,7 @@
             self.assertAlmostEqual(1.0, target.s_per_token * 1000 * tokens_per_ms, delta=0.08)
 
     def test_engines_as_fast_as_the_constant_keep_exactly_the_constant(self) -> None:
-        """Guards against other choices in deployments for which the constant was measured."""
+        """Guards against other engine choices where engines are as fast as the constant says."""
         for tokens_per_ms in (32.4, 35.0, 38.0):
             for base_s in (0.02, 0.07, 0.3):
                 target = PromptSpeed()
--- a/packages/core/calicopath_core/scheduling/tests/replica_pace_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/replica_pace_tests.py
@@ -88,7 +88,7 @@
 
 class EvenEngines(testtools.TestCase):
     def test_engines_as_fast_as_the_constant_are_served_exactly_as_before(self) -> None:
-        """Guards against other choices in deployments for which the constants were measured."""
+        """Guards against other engine choices where engines are as fast as the constant says."""
         fleet, pattern = hurried_fleet(), PATTERNS['steady']
         before = serve(fleet, pattern, 1, Variant('no pace', without_pace))
         after = serve(fleet, pattern, 1, OURS)
