Log and count connection attempts to replicas; log when a box reaches none

The lines of the incident do not tell a replica that is down from a box that is partitioned from all of them, nor a refused from a hanging connection. Attempts are counted by result, and a box that opens no connection to three replicas, and none to any other since, logs event 815, then 816 with the first one that opens. No decision uses it yet. The pool opens its connections through a Connector, so that tests can partition one box.

--- a/packages/clients/calicopath_clients/http1/pool.py
+++ b/packages/clients/calicopath_clients/http1/pool.py
@@ -7,13 +7,16 @@
 from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
-from calicopath_clients.http1.connections import Connection
+from calicopath_clients.http1.connectors import DirectConnector
 from calicopath_core.backends.base import MayHaveRun, NotStarted, ProbeResult
+from calicopath_core.fleet.reachability import ConnectResult
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from calicopath_clients.http1.answers import InboundResponse, ResponseHead
+    from calicopath_clients.http1.connections import Connection
+    from calicopath_clients.http1.connectors import Connector
 
 CONNECT_TIMEOUT_S = 1.2
 """A lost SYN packet is sent again after 1 s, so this allows for one loss."""
@@ -99,6 +102,8 @@
     `connection_limit` returns the most connections, in use and idle, to the server at an address.
     `now` returns the time in seconds by which idle time is measured; with a clock that also counts
     the time while the machine is suspended, connections that died meanwhile are not reused.
+    `connector` opens the connections; `on_connect` is called with the address and the result of
+    each attempt.
     """
 
     def __init__(
@@ -106,9 +111,13 @@
         *,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         connection_limit: Callable[[str], int] = lambda address: MAX_OPEN_CONNECTIONS,
+        connector: Connector | None = None,
+        on_connect: Callable[[str, ConnectResult], None] = lambda address, result: None,
     ) -> None:
         self.connect_timeout_s = connect_timeout_s
         self.connection_limit = connection_limit
+        self.connector = connector or DirectConnector()
+        self.on_connect = on_connect
         self.now = loop_time
         self.idle_connections: dict[str, list[Connection]] = {}
         self.open_counts: Counter[str] = Counter()
@@ -175,18 +184,18 @@
             raise NotStarted(
                 f'{address} already has {self.open_counts[address]} connections from this box'
             )
-        host, _, port = address.rpartition(':')
-        loop = asyncio.get_running_loop()
         self.opened_total += 1
         self.open_counts[address] += 1
         try:
             async with asyncio.timeout(self.connect_timeout_s):
-                _, connection = await loop.create_connection(Connection, host, int(port))
+                connection = await self.connector.open(address)
         except BaseException as error:
             self.on_closed(address)
             if isinstance(error, OSError | TimeoutError):
+                self.on_connect(address, connect_result(error))
                 raise NotStarted(f'{address} cannot be reached: {error!r}') from error
             raise
+        self.on_connect(address, ConnectResult.OPENED)
         connection.on_closed = partial(self.on_closed, address)
         return connection
 
@@ -241,6 +250,14 @@
         self.close_idle_except(set())
 
 
+def connect_result(error: Exception) -> ConnectResult:
+    """Return the result of a connection attempt that failed with an error."""
+    if isinstance(error, TimeoutError):
+        return ConnectResult.TIMED_OUT
+    is_refused = isinstance(error, ConnectionRefusedError)
+    return ConnectResult.REFUSED if is_refused else ConnectResult.FAILED
+
+
 def encode_head(head: RequestHead) -> bytes:
     """Encode the request line and headers as they are sent."""
     lines = [f'{head.method} {head.target} HTTP/1.1']
--- /dev/null
+++ b/packages/core/calicopath_core/fleet/reachability.py
@@ -0,0 +1,89 @@
+"""Tell a box that reaches no replica from replicas that are down.
+
+A connection that can't be opened says only that there is no path from this box. If none opens to
+any of several replicas, the box is more likely to be partitioned than all of them to be down.
+"""
+
+from __future__ import annotations
+
+import enum
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from calicopath_core.clock import Clock
+
+MIN_UNREACHABLE = 3
+"""Replicas to which no connection opens before the box counts as partitioned."""
+
+FAILURE_TTL_S = 5.0
+"""How long a failed attempt counts without another one to the same replica."""
+
+
+class ConnectResult(enum.Enum):
+    """Name the result of an attempt to open a connection."""
+
+    OPENED = 'opened'
+    REFUSED = 'refused'
+    TIMED_OUT = 'timed-out'
+    FAILED = 'failed'
+
+
+class ReachabilityObserver(ABC):
+    """Receive the results of connection attempts, for logs and metrics."""
+
+    @abstractmethod
+    def on_connect_result(self, address: str, result: ConnectResult) -> None:
+        """Handle the result of an attempt to connect to a replica."""
+
+    @abstractmethod
+    def on_partitioned(self, results: dict[str, ConnectResult]) -> None:
+        """Handle that this box opens no connection to any of some replicas, by address."""
+
+    @abstractmethod
+    def on_connected_again(self, address: str, partitioned_s: float) -> None:
+        """Handle the first connection that opens after a partition of `partitioned_s` seconds."""
+
+
+class ReplicaReachability:
+    """Track the replicas to which no connection opens from this box; times are monotonic."""
+
+    def __init__(self, *, clock: Clock, observer: ReachabilityObserver) -> None:
+        self.clock = clock
+        self.observer = observer
+        self.failures: dict[str, tuple[ConnectResult, float]] = {}
+        self.partitioned_at: float | None = None
+
+    @property
+    def is_partitioned(self) -> bool:
+        """Return whether connections to several replicas fail and none has opened since."""
+        return self.partitioned_at is not None
+
+    def on_connect(self, address: str, result: ConnectResult) -> None:
+        """Record the result of an attempt to connect to a replica."""
+        now = self.clock.monotonic()
+        self.observer.on_connect_result(address, result)
+        if result is ConnectResult.OPENED:
+            self.on_opened(address, now)
+            return
+        self.failures[address] = (result, now)
+        if self.partitioned_at is None and len(self.current_failures(now)) >= MIN_UNREACHABLE:
+            self.partitioned_at = now
+            self.observer.on_partitioned({key: item[0] for key, item in self.failures.items()})
+
+    def on_opened(self, address: str, now: float) -> None:
+        """Record a connection that opened: this box is not partitioned."""
+        self.failures.clear()
+        if self.partitioned_at is not None:
+            partitioned_s = now - self.partitioned_at
+            self.partitioned_at = None
+            self.observer.on_connected_again(address, partitioned_s)
+
+    def current_failures(self, now: float) -> dict[str, tuple[ConnectResult, float]]:
+        """Return the replicas whose last attempt failed, without outdated ones."""
+        self.failures = {
+            address: item
+            for address, item in self.failures.items()
+            if now - item[1] < FAILURE_TTL_S
+        }
+        return self.failures
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -296,6 +296,15 @@
     'kind restored',
     'Records were read from a restored store; what is already known stays in force.',
 )
+REPLICAS_UNREACHABLE = Event(
+    815,
+    'warning',
+    'replicas unreachable',
+    'No connection to several replicas opens from this box; others may reach them.',
+)
+REPLICAS_REACHABLE = Event(
+    816, 'info', 'replicas reachable', 'A connection to a replica opens from this box again.'
+)
 OBJECT_BAD = Event(806, 'error', 'object bad', 'An object of the store could not be parsed.')
 
 
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -22,6 +22,7 @@
 from calicopath_core.fleet.deployment import DEFAULT_LIMITS, Deployment, DeploymentView
 from calicopath_core.fleet.pace import PaceEstimates
 from calicopath_core.fleet.positions import NO_POSITION, Position
+from calicopath_core.fleet.reachability import ReplicaReachability
 from calicopath_core.fleet.store import RecordKind
 from calicopath_core.scheduling.baseline import RandomEnginePool, StandaloneElection
 from calicopath_core.scheduling.client import SchedulerClient
@@ -31,6 +32,7 @@
 from calicopath_core.scheduling.messages import BackoffNotice, Pong
 from calicopath_core.scheduling.scheduler import Scheduler
 from calicopathd import events
+from calicopathd.gateway.connectlog import ConnectLog
 from calicopathd.gateway.following import StoreFollower
 from calicopathd.gateway.notices import BoxNotices
 from calicopathd.gateway.peers import PeerLink
@@ -104,6 +106,9 @@
         )
         self.replicas, self.gate = self.notices.replicas, self.notices.gate
         replica_client.interceptor = stage_caller.interceptor = self.gate
+        self.reachability = ReplicaReachability(
+            clock=self.clock, observer=ConnectLog(metrics=observer.metrics)
+        )
         self.pace = stage_caller.pace = PaceEstimates(observer=observer)
         self.own = BoxAddress(
             settings.box,
--- a/packages/daemon/calicopathd/gateway/metrics.py
+++ b/packages/daemon/calicopathd/gateway/metrics.py
@@ -63,6 +63,9 @@
         self.replicas_skipped = self.counter(
             'replicas_passed_over_total', 'Replicas chosen for requests that must not get them.'
         )
+        self.replica_connects = self.counter(
+            'replica_connects_total', 'Attempts to connect to replicas by result.'
+        )
         self.stage_calls = self.counter('stage_calls_total', 'Stage calls by service and result.')
         self.stage_pieces = self.counter('stage_pieces_total', 'Pieces in stage calls by service.')
         self.stage_seconds = self.histogram('stage_call_seconds', 'Time of a stage call.')
--- a/packages/daemon/calicopathd/gateway/run.py
+++ b/packages/daemon/calicopathd/gateway/run.py
@@ -159,6 +159,7 @@
             config_version=box.config_version(),
             store_age_seconds=-1.0 if math.isinf(age_s) else age_s,
             replicas=len(box.replicas.replicas),
+            replicas_unreachable=len(box.reachability.failures),
             zones_taken_out=len(box.evacuations.active),
             requests_blocked=len(box.ledger.blocked),
             limits_named=len(box.notices.limits.by_replica),
