Connect to replicas through another box where the own path fails

Cause: a box had one path to a replica, its own, and took a connection that can't be opened for a replica that is down. Change: the pool opens connections through a FallbackConnector. A box that reaches no replica (three fail, none opens) asks others first and tries its own path beside them at most twice a second. Why it works: a connection carries no request before it is open, so trying another path is safe for what must run once; everything above the connection (permits, budgets, identity, deadline, stage calls of a scheduler) stays at the box that serves the caller. The forwarding port is the one after the peers' port, so internalPortRange needs three ports.

--- a/packages/clients/calicopath_clients/http1/connections.py
+++ b/packages/clients/calicopath_clients/http1/connections.py
@@ -50,7 +50,10 @@
         self.last_used_at = 0.0
         self.idle_limit_s: float | None = None
         self.is_reading_paused = False
+        self.is_tunnel = False
+        self.may_be_reused = True
         self.on_closed: Callable[[], None] = lambda: None
+        self.on_lost: Callable[[Exception | None], None] = lambda error: None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the timeouts of the socket for a silent peer."""
@@ -78,9 +81,8 @@
     @property
     def is_reusable(self) -> bool:
         """Tell whether another call may be sent: no bytes of an earlier one are pending."""
-        is_free = (
-            not self.is_closed and self.is_clean and self.is_kept_alive and self.inbound is None
-        )
+        is_free = not self.is_closed and self.is_clean and self.inbound is None
+        is_free = is_free and self.is_kept_alive and self.may_be_reused
         return is_free and self.transport is not None and not self.transport.get_write_buffer_size()
 
     def data_received(self, data: bytes) -> None:
@@ -194,6 +196,7 @@
         """Fail the call that waits for a response."""
         self.is_closed = True
         self.on_closed()
+        self.on_lost(error)
         self.fail(ConnectionBroken(f'the connection was lost: {error!r}'))
 
     def abort(self) -> None:
--- a/packages/clients/calicopath_clients/http1/connectors.py
+++ b/packages/clients/calicopath_clients/http1/connectors.py
@@ -1,11 +1,29 @@
-"""Open the connections of a pool."""
+"""Open the connections of a pool: directly, or through another box where that fails."""
 
 from __future__ import annotations
 
 import asyncio
+import math
 from abc import ABC, abstractmethod
+from collections import deque
+from functools import partial
+from typing import TYPE_CHECKING
 
 from calicopath_clients.http1.connections import Connection
+from calicopath_clients.http1.tunnels import open_tunnel
+from calicopath_core.fleet.reachability import ConnectResult
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from calicopath_core.fleet.forwarders import Forwarders
+    from calicopath_core.fleet.reachability import ReplicaReachability
+
+STAGGER_S = 0.1
+"""How long an attempt may take before the next path is tried beside it, as in RFC 8305."""
+
+RECHECK_INTERVAL_S = 0.5
+"""How often a partitioned box tries to connect directly beside a forwarded attempt."""
 
 
 class Connector(ABC):
@@ -25,3 +43,154 @@
         loop = asyncio.get_running_loop()
         _, connection = await loop.create_connection(Connection, host, int(port))
         return connection
+
+
+class ConnectRace:
+    """Try several paths to one server, each next one once the last has failed or is slow.
+
+    The first connection that opens is taken, later ones are closed. No path sends a request, so
+    that it is safe to try them side by side.
+    """
+
+    def __init__(self) -> None:
+        self.pending: set[asyncio.Task[Connection]] = set()
+        self.errors: list[Exception] = []
+
+    async def run(
+        self, paths: list[Callable[[], Awaitable[Connection]]], *, at_once: int = 1
+    ) -> Connection:
+        """Return the first connection; raise the error of the first path that failed if none opens.
+
+        The first `at_once` paths are tried together. A refusal by a forwarding box is final: the
+        replica's host is up and its port is closed.
+        """
+        waiting = deque(paths)
+        try:
+            while waiting or self.pending:
+                for _ in range(min(at_once, len(waiting))):
+                    self.pending.add(asyncio.ensure_future(waiting.popleft()()))
+                at_once = 1
+                done, self.pending = await asyncio.wait(
+                    self.pending,
+                    timeout=STAGGER_S if waiting else None,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                opened = self.collect(done)
+                if opened is not None:
+                    return opened
+                if any(isinstance(error, RefusedElsewhere) for error in self.errors):
+                    break
+        finally:
+            for task in self.pending:
+                task.add_done_callback(close_late)
+                task.cancel()
+        raise self.errors[0]
+
+    def collect(self, done: set[asyncio.Task[Connection]]) -> Connection | None:
+        """Return a connection that has opened; record errors and close further connections."""
+        found = None
+        for task in done:
+            error = task.exception()
+            if error is None and found is None:
+                found = task.result()
+            elif error is None:
+                close_late(task)
+            elif isinstance(error, Exception):
+                self.errors.append(error)
+        return found
+
+
+def close_late(task: asyncio.Task[Connection]) -> None:
+    """Close the connection of an attempt that was not needed any more."""
+    if not task.cancelled() and task.exception() is None:
+        task.result().abort()
+
+
+def connect_result(error: OSError) -> ConnectResult:
+    """Return the result of a connection attempt that failed with an error."""
+    if isinstance(error, TimeoutError):
+        return ConnectResult.TIMED_OUT
+    is_refused = isinstance(error, ConnectionRefusedError)
+    return ConnectResult.REFUSED if is_refused else ConnectResult.FAILED
+
+
+class RefusedElsewhere(ConnectionRefusedError):
+    """Report that a replica refused the connection of another box, which reaches others."""
+
+
+class FallbackConnector(Connector):
+    """Connect directly, and through another box if that fails or takes long.
+
+    While this box reaches no replica, other boxes are asked first, and the direct path is tried
+    beside them from time to time.
+    """
+
+    def __init__(
+        self,
+        *,
+        direct: Connector,
+        reachability: ReplicaReachability,
+        forwarders: Forwarders,
+        tunnel: Callable[[str, str], Awaitable[Connection]] = open_tunnel,
+    ) -> None:
+        self.direct = direct
+        self.reachability = reachability
+        self.forwarders = forwarders
+        self.tunnel = tunnel
+        self.rechecked_at = -math.inf
+
+    async def open(self, address: str) -> Connection:
+        """Return a new connection to the server at an address."""
+        paths: list[Callable[[], Awaitable[Connection]]] = [
+            partial(self.open_through, forwarder, address) for forwarder in self.forwarders.choose()
+        ]
+        if not self.reachability.is_partitioned or not paths:
+            paths.insert(0, partial(self.open_directly, address))
+        elif self.is_recheck_due():
+            paths.insert(0, partial(self.open_directly, address))
+            return await ConnectRace().run(paths, at_once=2)
+        return await ConnectRace().run(paths)
+
+    def is_recheck_due(self) -> bool:
+        """Return whether to try the direct path again, and record it if so."""
+        now = self.reachability.clock.monotonic()
+        if now - self.rechecked_at < RECHECK_INTERVAL_S:
+            return False
+        self.rechecked_at = now
+        return True
+
+    async def open_directly(self, address: str) -> Connection:
+        """Connect from this box and record the result."""
+        clock = self.reachability.clock
+        started_at = clock.monotonic()
+        try:
+            connection = await self.direct.open(address)
+        except asyncio.CancelledError:
+            # Either another path was faster or the caller's time is over.
+            if clock.monotonic() - started_at >= STAGGER_S:
+                self.reachability.on_connect(address, ConnectResult.TIMED_OUT)
+            raise
+        except OSError as error:
+            self.reachability.on_connect(address, connect_result(error))
+            raise
+        self.reachability.on_connect(address, ConnectResult.OPENED)
+        connection.on_lost = partial(self.on_lost, address)
+        return connection
+
+    def on_lost(self, address: str, error: Exception | None) -> None:
+        """Record a direct connection that the kernel closed because the peer was silent."""
+        if isinstance(error, TimeoutError):
+            self.reachability.on_silent(address)
+
+    async def open_through(self, forwarder: str, address: str) -> Connection:
+        """Connect through another box and record whether that forwards."""
+        try:
+            connection = await self.tunnel(forwarder, address)
+        except ConnectionRefusedError as error:
+            self.forwarders.on_forwarded(forwarder)
+            raise RefusedElsewhere(str(error)) from error
+        except OSError:
+            self.forwarders.on_unavailable(forwarder)
+            raise
+        self.forwarders.on_forwarded(forwarder)
+        return connection
--- a/packages/clients/calicopath_clients/http1/pool.py
+++ b/packages/clients/calicopath_clients/http1/pool.py
@@ -9,7 +9,6 @@
 
 from calicopath_clients.http1.connectors import DirectConnector
 from calicopath_core.backends.base import MayHaveRun, NotStarted, ProbeResult
-from calicopath_core.fleet.reachability import ConnectResult
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -102,8 +101,7 @@
     `connection_limit` returns the most connections, in use and idle, to the server at an address.
     `now` returns the time in seconds by which idle time is measured; with a clock that also counts
     the time while the machine is suspended, connections that died meanwhile are not reused.
-    `connector` opens the connections; `on_connect` is called with the address and the result of
-    each attempt.
+    `connector` opens the connections.
     """
 
     def __init__(
@@ -112,12 +110,10 @@
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         connection_limit: Callable[[str], int] = lambda address: MAX_OPEN_CONNECTIONS,
         connector: Connector | None = None,
-        on_connect: Callable[[str, ConnectResult], None] = lambda address, result: None,
     ) -> None:
         self.connect_timeout_s = connect_timeout_s
         self.connection_limit = connection_limit
         self.connector = connector or DirectConnector()
-        self.on_connect = on_connect
         self.now = loop_time
         self.idle_connections: dict[str, list[Connection]] = {}
         self.open_counts: Counter[str] = Counter()
@@ -192,10 +188,8 @@
         except BaseException as error:
             self.on_closed(address)
             if isinstance(error, OSError | TimeoutError):
-                self.on_connect(address, connect_result(error))
                 raise NotStarted(f'{address} cannot be reached: {error!r}') from error
             raise
-        self.on_connect(address, ConnectResult.OPENED)
         connection.on_closed = partial(self.on_closed, address)
         return connection
 
@@ -245,19 +239,18 @@
                 for connection in self.idle_connections.pop(address):
                     connection.abort()
 
+    def close_idle(self, *, tunnels: bool) -> None:
+        """Close the idle connections through other boxes, or the direct ones."""
+        for idle in self.idle_connections.values():
+            for connection in [item for item in idle if item.is_tunnel == tunnels]:
+                idle.remove(connection)
+                connection.abort()
+
     def close(self) -> None:
         """Close all idle connections."""
         self.close_idle_except(set())
 
 
-def connect_result(error: Exception) -> ConnectResult:
-    """Return the result of a connection attempt that failed with an error."""
-    if isinstance(error, TimeoutError):
-        return ConnectResult.TIMED_OUT
-    is_refused = isinstance(error, ConnectionRefusedError)
-    return ConnectResult.REFUSED if is_refused else ConnectResult.FAILED
-
-
 def encode_head(head: RequestHead) -> bytes:
     """Encode the request line and headers as they are sent."""
     lines = [f'{head.method} {head.target} HTTP/1.1']
--- a/packages/core/calicopath_core/fleet/reachability.py
+++ b/packages/core/calicopath_core/fleet/reachability.py
@@ -11,6 +11,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from calicopath_core.clock import Clock
 
 MIN_UNREACHABLE = 3
@@ -53,6 +55,8 @@
         self.observer = observer
         self.failures: dict[str, tuple[ConnectResult, float]] = {}
         self.partitioned_at: float | None = None
+        self.on_partitioned: Callable[[dict[str, ConnectResult]], None] = lambda results: None
+        self.on_connected_again: Callable[[], None] = lambda: None
 
     @property
     def is_partitioned(self) -> bool:
@@ -65,11 +69,21 @@
         self.observer.on_connect_result(address, result)
         if result is ConnectResult.OPENED:
             self.on_opened(address, now)
-            return
+        else:
+            self.on_failed(address, result, now)
+
+    def on_silent(self, address: str) -> None:
+        """Record an open connection that ended because the replica acknowledged nothing."""
+        self.on_failed(address, ConnectResult.TIMED_OUT, self.clock.monotonic())
+
+    def on_failed(self, address: str, result: ConnectResult, now: float) -> None:
+        """Record a replica that this box does not reach."""
         self.failures[address] = (result, now)
         if self.partitioned_at is None and len(self.current_failures(now)) >= MIN_UNREACHABLE:
             self.partitioned_at = now
-            self.observer.on_partitioned({key: item[0] for key, item in self.failures.items()})
+            results = {key: item[0] for key, item in self.failures.items()}
+            self.observer.on_partitioned(results)
+            self.on_partitioned(results)
 
     def on_opened(self, address: str, now: float) -> None:
         """Record a connection that opened: this box is not partitioned."""
@@ -78,6 +92,7 @@
             partitioned_s = now - self.partitioned_at
             self.partitioned_at = None
             self.observer.on_connected_again(address, partitioned_s)
+            self.on_connected_again()
 
     def current_failures(self, now: float) -> dict[str, tuple[ConnectResult, float]]:
         """Return the replicas whose last attempt failed, without outdated ones."""
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -20,6 +20,7 @@
 from calicopath_core.exchanges.context import ExchangeContext
 from calicopath_core.exchanges.executor import ExchangeExecutor
 from calicopath_core.fleet.deployment import DEFAULT_LIMITS, Deployment, DeploymentView
+from calicopath_core.fleet.forwarders import Forwarders
 from calicopath_core.fleet.pace import PaceEstimates
 from calicopath_core.fleet.positions import NO_POSITION, Position
 from calicopath_core.fleet.reachability import ReplicaReachability
@@ -34,8 +35,10 @@
 from calicopathd import events
 from calicopathd.gateway.connectlog import ConnectLog
 from calicopathd.gateway.following import StoreFollower
+from calicopathd.gateway.forwarding import ForwardingServer
 from calicopathd.gateway.notices import BoxNotices
 from calicopathd.gateway.peers import PeerLink
+from calicopathd.gateway.settings import forward_address
 
 if TYPE_CHECKING:
     import msgspec
@@ -118,6 +121,13 @@
             small=settings.is_small,
         )
         self.election = StandaloneElection(own=self.own) if standalone else Election(own=self.own)
+        self.forwarders = Forwarders(
+            clock=self.clock,
+            rng=self.rng,
+            failure_domain=settings.failure_domain,
+            boxes=self.forwarding_boxes,
+        )
+        self.forwarding = ForwardingServer(replicas=self.replicas, reachability=self.reachability)
         self.config_since = 0.0
         self.synced_at: float | None = None
         self.group = (0, 1)
@@ -234,6 +244,14 @@
             failure_domain=self.settings.failure_domain,
         )
 
+    def forwarding_boxes(self) -> list[BoxAddress]:
+        """Return the listed boxes that may forward connections, with their forwarding addresses."""
+        return [
+            item.box._replace(address=str(forward_address(item.box.address)))
+            for item in self.election.candidates.values()
+            if not item.leaving
+        ]
+
     def random_engine_pool(self, spec: EngineSpec) -> EnginePool:
         """Return an engine pool of the baseline, which picks engines at random."""
         return RandomEnginePool(slots=spec.slots, kv_tokens=spec.kv_tokens, rng=self.rng)
--- a/packages/daemon/calicopathd/gateway/run.py
+++ b/packages/daemon/calicopathd/gateway/run.py
@@ -14,6 +14,7 @@
 from calicopathd.box.tasks import keep_running
 from calicopathd.gateway.reloading import SETTINGS_CHECK_INTERVAL_S
 from calicopathd.gateway.server import HttpServer
+from calicopathd.gateway.settings import forward_address
 
 if TYPE_CHECKING:
     from calicopathd.gateway.box import GatewayBox
@@ -84,6 +85,7 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         self.transport.close()
+        self.box.forwarding.close()
         # Closing the loop restores the default action of the signal, which ends the process.
         loop.remove_signal_handler(signal.SIGHUP)
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
@@ -95,6 +97,7 @@
         await self.exchange_server.start(*settings.exchange_listen)
         await self.ready_server.start(*settings.ready_listen)
         await self.metrics_server.start(*settings.metrics_listen)
+        await self.box.forwarding.start(*forward_address(str(settings.peer_listen)))
         background_tasks = {
             'peers': self.transport.run,
             'pings': self.box.link.run,
@@ -159,6 +162,7 @@
             config_version=box.config_version(),
             store_age_seconds=-1.0 if math.isinf(age_s) else age_s,
             replicas=len(box.replicas.replicas),
+            connections_forwarded=len(box.forwarding.connections),
             replicas_unreachable=len(box.reachability.failures),
             zones_taken_out=len(box.evacuations.active),
             requests_blocked=len(box.ledger.blocked),
@@ -191,6 +195,7 @@
         grace_s = self.box.settings.stop_grace_s - EXIT_MARGIN_S
         started_at = self.box.clock.monotonic()
         self.box.leave()
+        self.box.forwarding.leave()
         self.exchange_server.start_closing()
         events.emit(log, events.GATEWAY_LEAVING, in_progress=self.exchange_server.in_progress)
         await asyncio.sleep(min(LOAD_BALANCER_DELAY_S, grace_s / 2))
@@ -201,6 +206,8 @@
             self.box.client.reject_waiting()
             self.box.notices.permits.refuse_pending()
             await self.exchange_server.wait_idle(REFUSE_MARGIN_S)
+        remaining_s = grace_s - (self.box.clock.monotonic() - started_at)
+        await self.box.forwarding.wait_idle(max(0.0, remaining_s))
         await self.withdraw()
 
     async def withdraw(self) -> None:
--- a/packages/daemon/calicopathd/gateway/settings.py
+++ b/packages/daemon/calicopathd/gateway/settings.py
@@ -27,6 +27,11 @@
 """A replica's entry expires after three missed heartbeats and some tolerance."""
 
 
+FORWARD_PORT_OFFSET = 1
+"""A box forwards connections at the port after the one for its peers' messages, so that others know
+it from the box list."""
+
+
 class HostPort(NamedTuple):
     """Hold a host and port to listen on or to connect to."""
 
@@ -38,6 +43,12 @@
         return f'{self.host}:{self.port}'
 
 
+def forward_address(peer_address: str) -> HostPort:
+    """Return the address at which the box with a peer address forwards connections."""
+    host, _, port = peer_address.rpartition(':')
+    return HostPort(host, int(port) + FORWARD_PORT_OFFSET)
+
+
 class GatewaySettings(NamedTuple):
     """Hold the settings of one box.
 
--- a/testkit/ports.py
+++ b/testkit/ports.py
@@ -2,8 +2,23 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 
+MAX_ATTEMPTS = 100
+
+
+def free_port_block(count: int) -> list[int]:
+    """Return adjacent ports that were free at the time of the call."""
+    for _ in range(MAX_ATTEMPTS):
+        (first,) = free_ports(1)
+        ports = list(range(first, first + count))
+        with contextlib.ExitStack() as stack, contextlib.suppress(OSError, OverflowError):
+            for port in ports[1:]:
+                stack.enter_context(socket.socket()).bind(('127.0.0.1', port))
+            return ports
+    raise RuntimeError(f'found no {count} adjacent free ports')
+
 
 def free_ports(count: int) -> list[int]:
     """Return ports that were free at the time of the call."""
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -23,7 +23,7 @@
     soak_settings,
 )
 from calicopath_platform.tests.standins import StoreStandIn
-from testkit.ports import free_ports
+from testkit.ports import free_port_block, free_ports
 from tools.soak.boxes import BoxProcess
 from tools.soak.links import Link
 from tools.soak.records import BoxStop, Evacuation, LimitPeriod, Run
@@ -135,8 +135,8 @@
 
     def assign_ports(self, box: BoxProcess, store_address: str) -> None:
         """Write a box's settings with ports that were free a moment ago."""
-        frontend, ready, *internal = free_ports(4)
-        peers, metrics = sorted(internal)
+        frontend, ready = free_ports(2)
+        peers, _, metrics = free_port_block(3)
         failure_domain = FAILURE_DOMAINS[box.number % len(FAILURE_DOMAINS)]
         ports = (frontend, ready, peers, metrics)
         box.settings_path.write_text(
