Count a refused probe as a crash only if this box reaches another replica

What callers saw: requests refused as ones that crash replicas (503 until the block ends), at all boxes, though no replica had crashed. Cause: after a broken connection the box probes the replica; a port that refused this box counted as a crash, and the evidence went to every box. A partition that resets connections and refuses new ones looks the same for every replica. Change: a refusal counts if one of up to three other replicas accepts a connection, or if there is no other to compare; else the replica's entry decides, as for a silent one. The probe of the callers' own interface compares endpoints in the same way. Boxes that forward connections record the results of these too.

--- a/packages/clients/calicopath_clients/http1/connectors.py
+++ b/packages/clients/calicopath_clients/http1/connectors.py
@@ -7,7 +7,7 @@
 from abc import ABC, abstractmethod
 from collections import deque
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from calicopath_clients.http1.connections import Connection
 from calicopath_clients.http1.tunnels import open_tunnel
@@ -26,6 +26,9 @@
 """How often a partitioned box tries to connect directly beside a forwarded attempt."""
 
 
+P = TypeVar('P', bound=asyncio.Protocol)
+
+
 class Connector(ABC):
     """Open connections to servers."""
 
@@ -39,10 +42,16 @@
 
     async def open(self, address: str) -> Connection:
         """Return a new connection to the server at an address."""
+        _, connection = await self.open_protocol(Connection, address)
+        return connection
+
+    async def open_protocol(
+        self, new_protocol: Callable[[], P], address: str
+    ) -> tuple[asyncio.Transport, P]:
+        """Return the transport and protocol of a new connection."""
         host, _, port = address.rpartition(':')
         loop = asyncio.get_running_loop()
-        _, connection = await loop.create_connection(Connection, host, int(port))
-        return connection
+        return await loop.create_connection(new_protocol, host, int(port))
 
 
 class ConnectRace:
--- a/packages/core/calicopath_core/crashes/probes.py
+++ b/packages/core/calicopath_core/crashes/probes.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
 from calicopath_core.backends.base import ProbeResult
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from calicopath_core.backends.base import EndpointProber
     from calicopath_core.exchanges.messages import ReplicaProber
     from calicopath_core.fleet.replicas import Replica, ReplicaTable
@@ -24,6 +27,9 @@
 
 ENTRY_POLL_S = 0.2
 
+MAX_COMPARED = 3
+"""Other replicas that are probed to tell a crash from a partition of this box."""
+
 
 class CrashProbe(ABC):
     """Check whether one replica has crashed; `name` identifies it in crash IDs."""
@@ -49,16 +55,33 @@
         self.name = replica.id
 
     async def has_crashed(self) -> bool:
-        """Return whether its port refuses connections."""
-        return await self.prober.probe(self.replica, 0.0) is ProbeResult.REFUSED
+        """Return whether its port alone refuses connections."""
+        refused = await self.prober.probe(self.replica, 0.0) is ProbeResult.REFUSED
+        return refused and await self.reaches_another()
 
     async def confirm_crash(self) -> bool:
-        """Return whether its port refuses connections, or its entry expires if it is silent."""
+        """Return whether its port alone refuses connections, or its entry expires.
+
+        The entry decides if the replica is silent, or if others refuse connections too.
+        """
         found = await self.prober.probe(self.replica, PORT_WATCH_S)
-        if found is not ProbeResult.SILENT:
-            return found is ProbeResult.REFUSED
+        if found is ProbeResult.OPEN:
+            return False
+        if found is ProbeResult.REFUSED and await self.reaches_another():
+            return True
         return await self.entry_expires()
 
+    async def reaches_another(self) -> bool:
+        """Return whether another replica accepts a connection, or there is none to compare."""
+        others = [
+            item for item in self.replicas.replicas.values() if item.address != self.replica.address
+        ]
+        compared = random.Random(self.name).sample(others, min(MAX_COMPARED, len(others)))
+        for other in compared:
+            if await self.prober.probe(other, 0.0) is ProbeResult.OPEN:
+                return True
+        return not compared
+
     async def entry_expires(self) -> bool:
         """Return whether its entry expires without the replica having announced that it leaves."""
         loop = asyncio.get_running_loop()
@@ -74,17 +97,34 @@
 
 
 class EndpointCrashProbe(CrashProbe):
-    """Check an endpoint that operators have added; a silent one does not count as crashed."""
+    """Check an endpoint that operators have added; a silent one does not count as crashed.
+
+    `others` are endpoints to compare it with: if they refuse connections too, this box is more
+    likely to be partitioned than all of them to have crashed.
+    """
 
-    def __init__(self, *, prober: EndpointProber, endpoint: Endpoint) -> None:
+    def __init__(
+        self, *, prober: EndpointProber, endpoint: Endpoint, others: Sequence[Endpoint] = ()
+    ) -> None:
         self.prober = prober
         self.endpoint = endpoint
+        self.others = [item for item in others if item.address != endpoint.address]
         self.name = endpoint.name
 
     async def has_crashed(self) -> bool:
-        """Return whether its port refuses connections."""
-        return await self.prober.probe(self.endpoint, 0.0) is ProbeResult.REFUSED
+        """Return whether its port alone refuses connections."""
+        return await self.refuses_alone(0.0)
 
     async def confirm_crash(self) -> bool:
-        """Return whether its port refuses connections within `PORT_WATCH_S`."""
-        return await self.prober.probe(self.endpoint, PORT_WATCH_S) is ProbeResult.REFUSED
+        """Return whether its port alone refuses connections within `PORT_WATCH_S`."""
+        return await self.refuses_alone(PORT_WATCH_S)
+
+    async def refuses_alone(self, watch_s: float) -> bool:
+        """Return whether its port refuses connections and another endpoint's does not."""
+        if await self.prober.probe(self.endpoint, watch_s) is not ProbeResult.REFUSED:
+            return False
+        compared = random.Random(self.name).sample(self.others, min(MAX_COMPARED, len(self.others)))
+        for other in compared:
+            if await self.prober.probe(other, 0.0) is ProbeResult.OPEN:
+                return True
+        return not compared
--- a/packages/core/calicopath_core/execution/attempts.py
+++ b/packages/core/calicopath_core/execution/attempts.py
@@ -142,7 +142,15 @@
     `answered` tells whether part of the response had arrived.
     """
     if isinstance(error, ConnectionBroken):
-        probe = EndpointCrashProbe(prober=context.backends.prober, endpoint=slot.endpoint)
+        probe = EndpointCrashProbe(
+            prober=context.backends.prober,
+            endpoint=slot.endpoint,
+            others=[
+                replica.endpoint
+                for pool in context.pools.pools.values()
+                for replica in pool.active()
+            ],
+        )
         await context.crashes.on_failed(
             [run.content], service, probe, error, run_started_at=run.last_sent_at, answered=answered
         )
--- a/packages/daemon/calicopathd/gateway/forwarding.py
+++ b/packages/daemon/calicopathd/gateway/forwarding.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, cast
 
 from calicopath_clients.http1.connections import set_socket_timeouts
+from calicopath_clients.http1.connectors import DirectConnector, connect_result
 from calicopath_clients.http1.frames import (
     END_OF_STREAM,
     NO_REUSE,
@@ -18,6 +19,7 @@
     encode_frame,
 )
 from calicopath_clients.http1.tunnels import OPEN, REFUSED, UNAVAILABLE
+from calicopath_core.fleet.reachability import ConnectResult
 
 if TYPE_CHECKING:
     from calicopath_core.fleet.reachability import ReplicaReachability
@@ -39,6 +41,7 @@
     def __init__(self, *, replicas: ReplicaTable, reachability: ReplicaReachability) -> None:
         self.replicas = replicas
         self.reachability = reachability
+        self.connector = DirectConnector()
         self.connections: set[ForwardedConnection] = set()
         self.forwarded_total = 0
         self.leaving = False
@@ -121,19 +124,17 @@
         if not self.server.may_forward(address):
             self.refuse(UNAVAILABLE)
             return
-        host, _, port = address.rpartition(':')
-        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                transport, _ = await loop.create_connection(
-                    lambda: ReplicaSide(box=self), host, int(port)
+                transport, _ = await self.server.connector.open_protocol(
+                    lambda: ReplicaSide(box=self), address
                 )
-        except ConnectionRefusedError:
-            self.refuse(REFUSED)
-            return
-        except OSError:
-            self.refuse(UNAVAILABLE)
+        except OSError as error:
+            result = connect_result(error)
+            self.server.reachability.on_connect(address, result)
+            self.refuse(REFUSED if result is ConnectResult.REFUSED else UNAVAILABLE)
             return
+        self.server.reachability.on_connect(address, ConnectResult.OPENED)
         self.replica = transport
         self.server.forwarded_total += 1
         self.transport.write(encode_frame(OPEN))
--- a/testkit/partition.py
+++ b/testkit/partition.py
@@ -7,10 +7,10 @@
 from typing import TYPE_CHECKING
 
 from calicopath_clients.http1.connections import UNACKED_TIMEOUT_MS
-from calicopath_clients.http1.connectors import DirectConnector
+from calicopath_clients.http1.connectors import DirectConnector, P
 
 if TYPE_CHECKING:
-    from calicopath_clients.http1.connections import Connection
+    from collections.abc import Callable
 
 HANG_S = 3600.0
 
@@ -32,24 +32,25 @@
 
     def __init__(self) -> None:
         self.partition: Partition | None = None
-        self.connections: set[Connection] = set()
+        self.transports: set[asyncio.Transport] = set()
 
-    async def open(self, address: str) -> Connection:
-        """Return a new connection to the server at an address."""
+    async def open_protocol(
+        self, new_protocol: Callable[[], P], address: str
+    ) -> tuple[asyncio.Transport, P]:
+        """Return the transport and protocol of a new connection."""
         if self.partition is Partition.HANGING:
             await asyncio.sleep(HANG_S)
         if self.partition is not None:
             raise ConnectionRefusedError(f'{address} is behind a partition')
-        connection = await super().open(address)
-        self.connections.add(connection)
-        return connection
+        transport, protocol = await super().open_protocol(new_protocol, address)
+        self.transports.add(transport)
+        return transport, protocol
 
     def cut(self, partition: Partition) -> None:
         """Start a partition."""
         self.partition = partition
-        for connection in self.connections:
-            transport = connection.transport
-            if transport is None or transport.is_closing():
+        for transport in self.transports:
+            if transport.is_closing():
                 continue
             if partition is Partition.REFUSED:
                 transport.abort()
@@ -58,7 +59,7 @@
                 # The kernel closes a connection whose peer acknowledges nothing.
                 asyncio.get_running_loop().call_later(UNACKED_TIMEOUT_MS / 1000, transport.abort)
         if partition is not Partition.NEW_REFUSED:
-            self.connections.clear()
+            self.transports.clear()
 
     def heal(self) -> None:
         """End the partition; connections that it silenced stay silent."""
