Reject staged requests at once while no box reaches a replica

What callers saw: with every box partitioned, staged requests were held for up to 7.2 s and then refused. Cause: a stage call that could not be sent was queued again until the job's deadline. Change: a box whose own path and all boxes it asked lead to no replica counts as isolated for 1 s; while it is, the scheduler rejects the jobs of a call that could not be sent.

--- a/packages/clients/calicopath_clients/http1/connectors.py
+++ b/packages/clients/calicopath_clients/http1/connectors.py
@@ -153,12 +153,19 @@
         paths: list[Callable[[], Awaitable[Connection]]] = [
             partial(self.open_through, forwarder, address) for forwarder in self.forwarders.choose()
         ]
+        at_once = 1
         if not self.reachability.is_partitioned or not paths:
             paths.insert(0, partial(self.open_directly, address))
         elif self.is_recheck_due():
             paths.insert(0, partial(self.open_directly, address))
-            return await ConnectRace().run(paths, at_once=2)
-        return await ConnectRace().run(paths)
+            at_once = 2
+        try:
+            return await ConnectRace().run(paths, at_once=at_once)
+        except RefusedElsewhere:
+            raise
+        except OSError:
+            self.reachability.on_no_path()
+            raise
 
     def is_recheck_due(self) -> bool:
         """Return whether to try the direct path again, and record it if so."""
@@ -202,4 +209,5 @@
             self.forwarders.on_unavailable(forwarder)
             raise
         self.forwarders.on_forwarded(forwarder)
+        self.reachability.on_forwarded()
         return connection
--- a/packages/core/calicopath_core/fleet/reachability.py
+++ b/packages/core/calicopath_core/fleet/reachability.py
@@ -22,6 +22,10 @@
 """How long a failed attempt counts without another one to the same replica."""
 
 
+ISOLATION_TTL_S = 1.0
+"""How long the box counts as isolated after an attempt over all paths has failed."""
+
+
 class ConnectResult(enum.Enum):
     """Name the result of an attempt to open a connection."""
 
@@ -55,6 +59,7 @@
         self.observer = observer
         self.failures: dict[str, tuple[ConnectResult, float]] = {}
         self.partitioned_at: float | None = None
+        self.isolated_at: float | None = None
         self.on_partitioned: Callable[[dict[str, ConnectResult]], None] = lambda results: None
         self.on_connected_again: Callable[[], None] = lambda: None
 
@@ -63,6 +68,23 @@
         """Return whether connections to several replicas fail and none has opened since."""
         return self.partitioned_at is not None
 
+    @property
+    def is_isolated(self) -> bool:
+        """Return whether neither this box nor those that it asked reach any replica."""
+        return (
+            self.isolated_at is not None
+            and self.clock.monotonic() - self.isolated_at < ISOLATION_TTL_S
+        )
+
+    def on_no_path(self) -> None:
+        """Record that no path led to a replica, neither from here nor through other boxes."""
+        if self.is_partitioned:
+            self.isolated_at = self.clock.monotonic()
+
+    def on_forwarded(self) -> None:
+        """Record a connection that opened through another box."""
+        self.isolated_at = None
+
     def on_connect(self, address: str, result: ConnectResult) -> None:
         """Record the result of an attempt to connect to a replica."""
         now = self.clock.monotonic()
@@ -88,6 +110,7 @@
     def on_opened(self, address: str, now: float) -> None:
         """Record a connection that opened: this box is not partitioned."""
         self.failures.clear()
+        self.isolated_at = None
         if self.partitioned_at is not None:
             partitioned_s = now - self.partitioned_at
             self.partitioned_at = None
--- a/packages/core/calicopath_core/scheduling/stage_calls.py
+++ b/packages/core/calicopath_core/scheduling/stage_calls.py
@@ -73,6 +73,7 @@
         self.job_controller = job_controller
         self.select_replicas = select_replicas
         self.crashes = crashes
+        self.is_isolated: Callable[[], bool] = lambda: False
         self.pacing = Pacing()
         self.call_monitor = CallMonitor(clock=clock, caller=caller, observer=observer)
         self.queues: dict[str, StageQueue] = {}
@@ -288,6 +289,11 @@
         self.observer.on_stage_call(
             queue.service, batch.target.replica.id, batch.pieces, now - started_at, repr(error)
         )
+        if full and self.is_isolated():
+            # No box can make this call now; waiting would only hold the callers.
+            for job in jobs_of(batch):
+                if not job.ended:
+                    self.job_controller.reject(job, 'no-path')
         for piece in batch.pieces:
             self.retry_piece(queue, piece, full=full)
         for job in jobs_of(batch):
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -177,6 +177,7 @@
             pace=self.pace,
             promises_returns=settings.promises_returns,
         )
+        self.scheduler.stages.is_isolated = lambda: self.reachability.is_isolated
         self.client = SchedulerClient(
             clock=self.clock,
             election=self.election,
