--- a/testkit/partitioned_fleet.py
+++ b/testkit/partitioned_fleet.py
@@ -240,13 +240,14 @@
         box.scheduler.stages.caller = stages
         box.scheduler.stages.call_monitor.caller = stages
         box.scheduler.stages.freeing.caller = stages
-        if self.forwards:
-            linked.connector = FallbackConnector(
-                direct=LinkConnector(links=self.links, box=name),
-                reachability=box.reachability,
-                forwarders=box.forwarders,
-                tunnel=lambda forwarder, address: self.tunnel(name, forwarder, address),
-            )
+        if not self.forwards:
+            box.forwarders.boxes = list
+        linked.connector = FallbackConnector(
+            direct=LinkConnector(links=self.links, box=name),
+            reachability=box.reachability,
+            forwarders=box.forwarders,
+            tunnel=lambda forwarder, address: self.tunnel(name, forwarder, address),
+        )
         return found
 
     async def tunnel(self, box: str, forwarder: str, address: str) -> Connection:
