Don't charge engines with runs that a partition of the box has ended

What callers saw: nothing at first; the scheduler ejected all engines for a second or more and forgot their caches after one box had lost its links. Cause: a box reported every broken run as a failure of its engine. Change: the report is made after the probe of the engine, and a box that reaches no replica by then reports no failure.

--- a/packages/core/calicopath_core/exchanges/context.py
+++ b/packages/core/calicopath_core/exchanges/context.py
@@ -194,4 +194,5 @@
     crashes: CrashGuard
     new_job_id: Callable[[], str]
     may_serve: Callable[[], bool]
+    is_partitioned: Callable[[], bool]
     failure_domain: str
--- a/packages/core/calicopath_core/exchanges/streams.py
+++ b/packages/core/calicopath_core/exchanges/streams.py
@@ -90,11 +90,12 @@
                 self.state.on_send_cancelled()
                 return self.skip_replica(placed, error.exclusion)
             except BackendError as error:
-                failed = not isinstance(error, Declined)
                 turned_away = isinstance(error, Declined) and error.turned_away
                 await check_for_crash(
                     self.context, self.state, replica, error, answered=self.first_event_received
                 )
+                # The probe has shown by now whether this box reaches any replica.
+                failed = not isinstance(error, Declined) and not self.context.is_partitioned()
                 raise
         except BackendError as error:
             self.context.observer.on_attempt_failed(
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -242,6 +242,7 @@
             crashes=self.crashes,
             new_job_id=self.new_job_id,
             may_serve=self.may_serve,
+            is_partitioned=lambda: self.reachability.is_partitioned,
             failure_domain=self.settings.failure_domain,
         )
 
--- a/packages/daemon/calicopathd/gateway/tests/partitioned_fleet_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/partitioned_fleet_tests.py
@@ -5,7 +5,9 @@
 import asyncio
 from typing import TYPE_CHECKING, NamedTuple
 
+from calicopath_core.fleet.reachability import MIN_UNREACHABLE
 from testkit.cases import VirtualCase
+from testkit.gateway_world import EVENT_GAP_S
 from testkit.partition import Partition
 from testkit.partitioned_fleet import PartitionedFleet
 
@@ -21,6 +23,8 @@
 """Least share of requests served at partitioned boxes, relative to the other boxes."""
 
 GAP_S = 0.02
+RUNNING = 24
+JUDGE_S = 0.05
 LOAD_S = 6.0
 
 
@@ -91,6 +95,26 @@
     def test_all_boxes_but_one_with_connections_hanging(self) -> None:
         self.check(Partition.HANGING, 7)
 
+    def test_engines_are_not_ejected_for_the_runs_that_a_partition_ends(self) -> None:
+        async def scenario() -> None:
+            fleet = PartitionedFleet()
+            await fleet.start()
+            (scheduler,) = (address.partition(':')[0] for address in fleet.schedulers())
+            cut = next(name for name in sorted(fleet.boxes) if name != scheduler)
+            for _ in range(RUNNING):
+                fleet.send_to(cut, 'letter')
+            await asyncio.sleep(EVENT_GAP_S * 2)
+            fleet.links.cut(cut, Partition.REFUSED)
+            await asyncio.sleep(JUDGE_S)
+            now = fleet.boxes[scheduler].box.clock.monotonic()
+            engines = fleet.boxes[scheduler].box.scheduler.engine_pools['engine'].engines
+            ejected = [name for name, item in engines.items() if item.ejected_until > now]
+            self.assertEqual(RUNNING, sum(fleet.replicas.runs.values()))
+            self.assertLess(len(ejected), MIN_UNREACHABLE, ejected)
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
     def test_nothing_is_held_when_no_box_reaches_a_replica(self) -> None:
         async def scenario() -> None:
             fleet = PartitionedFleet()
--- a/testkit/partitioned_fleet.py
+++ b/testkit/partitioned_fleet.py
@@ -218,6 +218,7 @@
         self.links = ReplicaLinks()
         self.forwards = forwards
         self.numbers = itertools.count(1)
+        self.routes = itertools.cycle(ROUTES)
         super().__init__(count=count)
         for service in ('engine', 'desk', 'look', 'rank'):
             for number in range(2, replicas):
@@ -272,8 +273,11 @@
 
     def send_next(self, box: str) -> FakeSink:
         """Send a box the next request, on each route in turn; return its reply sink."""
+        return self.send_to(box, next(self.routes))
+
+    def send_to(self, box: str, route: str) -> FakeSink:
+        """Send a box a request on a route; return its reply sink."""
         number = next(self.numbers)
-        route = ROUTES[number % len(ROUTES)]
         now = asyncio.get_running_loop().time()
         target = f'/{route}/{number}'
         return self.serve(box, exchange(number, route, now, target=target, path=target))
