Keep connections to a server that is silent for a second

What callers saw: a request that can't be repeated ended with 502 when its replica acknowledged nothing for 1 s and then went on. Cause: TCP_USER_TIMEOUT of 1 s; on Linux it also decides when unanswered keep-alive probes end an idle connection, whatever their count. A connection that is silent for good is still closed within 3 s. Evidence: silence_tests.py reads the options of a socket and failed before (1 s; over 1.5 s are needed). pyzmq's sockets between boxes keep 0.6 s: they reach no replica. Also: of two paths that open at the same moment the preferred one is taken.

--- a/packages/clients/calicopath_clients/http1/connections.py
+++ b/packages/clients/calicopath_clients/http1/connections.py
@@ -16,12 +16,14 @@
 
     from calicopath_clients.http1.answers import ResponseHead
 
-UNACKED_TIMEOUT_MS = 1000
+UNACKED_TIMEOUT_MS = 2000
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_COUNT = 2
-"""The kernel closes the connection to a peer that acknowledges nothing for 1 to 3 s. A peer that
-lost power or its network sends no reset."""
+"""The kernel closes the connection to a peer that acknowledges nothing for 2 to 3 s. A peer that
+lost power or its network sends no reset, but a sound one may be silent for a second. The first
+timeout also decides when unanswered keep-alive probes end an idle connection, whatever their
+count."""
 
 FIRST_FINAL_STATUS = 200
 MAX_SKIPPED_RESPONSES = 2
--- a/packages/clients/calicopath_clients/http1/connectors.py
+++ b/packages/clients/calicopath_clients/http1/connectors.py
@@ -62,7 +62,7 @@
     """
 
     def __init__(self) -> None:
-        self.pending: set[asyncio.Task[Connection]] = set()
+        self.pending: list[asyncio.Task[Connection]] = []
         self.errors: list[Exception] = []
 
     async def run(
@@ -77,13 +77,15 @@
         try:
             while waiting or self.pending:
                 for _ in range(min(at_once, len(waiting))):
-                    self.pending.add(asyncio.ensure_future(waiting.popleft()()))
+                    self.pending.append(asyncio.ensure_future(waiting.popleft()()))
                 at_once = 1
-                done, self.pending = await asyncio.wait(
+                await asyncio.wait(
                     self.pending,
                     timeout=STAGGER_S if waiting else None,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
+                done = [task for task in self.pending if task.done()]
+                self.pending = [task for task in self.pending if not task.done()]
                 opened = self.collect(done)
                 if opened is not None:
                     return opened
@@ -95,8 +97,11 @@
                 task.cancel()
         raise self.errors[0]
 
-    def collect(self, done: set[asyncio.Task[Connection]]) -> Connection | None:
-        """Return a connection that has opened; record errors and close further connections."""
+    def collect(self, done: list[asyncio.Task[Connection]]) -> Connection | None:
+        """Return the first connection that has opened; record errors and close other connections.
+
+        Of two that opened together the one on the preferred path is taken.
+        """
         found = None
         for task in done:
             error = task.exception()
