Keep requests away from brittle replicas that have no free slot

What callers would have seen: replicas of a plain service that say Server-Brittle fall over one after the other, and their requests end with 502. Cause: the header was not read. A request that one replica declined went to the next; queues that shrink turned many away. Change: the figure is decoded as every notice is (an invalid one costs only itself). Only the slots of a brittle replica count as room; the boxes divide the replicas of a service among them in a ring, so that about as many boxes call one as it has slots, each with its share of the slots. A request may wait half of its time for a slot. A box that was turned away pauses until all that call the replica stay within N a second. It ends when answers no longer have the header.

--- a/packages/core/calicopath_core/exchanges/balancer.py
+++ b/packages/core/calicopath_core/exchanges/balancer.py
@@ -146,7 +146,10 @@
 
         Ejected replicas are used only when all usable ones are ejected. Ties are broken at random.
         """
-        usable = [item for item in self.gate.usable(service) if item.id not in excluded]
+        usable = self.gate.usable(service)
+        if self.gate.brittle.by_replica:
+            usable = self.with_room(usable, now)
+        usable = [item for item in usable if item.id not in excluded]
         usable = self.cold_limiter.allowed(usable, now)
         if not usable:
             return None
@@ -157,6 +160,27 @@
         self.cold_limiter.on_sent(found, now)
         return found
 
+    def with_room(self, replicas: list[Replica], now: float) -> list[Replica]:
+        """Return the replicas without the brittle ones that have no free slot for this box."""
+        brittle = self.gate.brittle
+        share = brittle.share(replicas)
+        return [
+            item
+            for item in replicas
+            if item.id not in brittle.by_replica
+            or (
+                self.stats_of(item).in_flight < share.get(item.id, 0)
+                and self.stats_of(item).estimated_calls(now) < item.slots
+            )
+        ]
+
+    def may_get_room(self, service: str, excluded: set[str]) -> bool:
+        """Return whether a request may wait for a slot of a brittle replica."""
+        return any(
+            item.id in self.gate.brittle.by_replica and item.id not in excluded
+            for item in self.gate.usable(service)
+        )
+
     def permit_candidates(self, service: str, excluded: set[str], now: float) -> list[Replica]:
         """Return the replicas that may be called with a permit, lowest expected cost first."""
         found = [item for item in self.gate.limited_replicas(service) if item.id not in excluded]
--- a/packages/core/calicopath_core/exchanges/plain.py
+++ b/packages/core/calicopath_core/exchanges/plain.py
@@ -41,6 +41,9 @@
 """Part of the time left that a request may wait for a permit. Under overload waits grow to this
 bound, and a permit is wasted on a run that begins at its deadline."""
 
+ROOM_POLL_S = 0.01
+"""Interval at which a request checks whether a brittle replica has a free slot."""
+
 MAX_RETRY_AFTER_JITTER = 1.5
 """Upper bound of the random factor on the time to the next permit in `Retry-After`."""
 
@@ -105,14 +108,28 @@
         )
 
 
+async def choose_with_room(context: ExchangeContext, state: ExchangeState) -> Replica | None:
+    """Return the replica to try next; wait some time for a slot if brittle ones have none free."""
+    started_at = now = context.clock.monotonic()
+    wait_until = started_at + MAX_PERMIT_WAIT_RATIO * (state.deadline_at - started_at)
+    while True:
+        replica = context.balancer.choose(state.service, state.excluded_replicas, now)
+        if replica is not None or now >= wait_until:
+            return replica
+        if not context.balancer.may_get_room(state.service, state.excluded_replicas):
+            return None
+        await asyncio.sleep(ROOM_POLL_S)
+        now = context.clock.monotonic()
+
+
 async def choose_with_permit(context: ExchangeContext, state: ExchangeState) -> Replica | None:
     """Return the replica to try next, holding a permit if it needs one.
 
     Return `None` if the choice must be repeated; raise `RefusedExchange` if no replica is left. The
     request waits for a permit only if no replica can be called without one.
     """
+    replica = await choose_with_room(context, state)
     now = context.clock.monotonic()
-    replica = context.balancer.choose(state.service, state.excluded_replicas, now)
     if replica is not None and context.gate.limits.limit_of(replica) is None:
         return replica
     if replica is not None:
--- a/packages/core/calicopath_core/fleet/gate.py
+++ b/packages/core/calicopath_core/fleet/gate.py
@@ -14,6 +14,7 @@
     from collections.abc import Callable
 
     from calicopath_core.fleet.backoffs import Backoffs
+    from calicopath_core.fleet.brittle import BrittleReplicas
     from calicopath_core.fleet.leaving import LeavingReplicas
     from calicopath_core.fleet.notices import Notice, NoticeObserver
     from calicopath_core.fleet.replicas import Replica, ReplicaTable
@@ -36,6 +37,7 @@
         backoffs: Backoffs,
         limits: AdvertisedLimits,
         permits: PermitClient,
+        brittle: BrittleReplicas,
         observer: NoticeObserver,
         on_leaving: Callable[[str], None],
         on_backoff: Callable[[Replica], None],
@@ -45,6 +47,7 @@
         self.backoffs = backoffs
         self.limits = limits
         self.permits = permits
+        self.brittle = brittle
         self.observer = observer
         self.on_leaving = on_leaving
         self.on_backoff = on_backoff
@@ -59,13 +62,18 @@
     def usable(self, service: str) -> list[Replica]:
         """Return the replicas of a service that may be called now."""
         found = self.replicas.usable(service)
-        if not self.backoffs.by_replica and not self.permits.unavailable_until:
+        is_open = not self.backoffs.by_replica and not self.permits.unavailable_until
+        if is_open and not self.brittle.by_replica:
             return found
         return [item for item in found if self.available_in_s(item) <= 0]
 
     def available_in_s(self, replica: Replica) -> float:
-        """Return the seconds until a replica's backoff ends and a permit may be requested."""
-        return max(self.backoffs.remaining_s(replica), self.permit_available_in_s(replica))
+        """Return the seconds until a replica's pauses end and a permit may be requested."""
+        return max(
+            self.backoffs.remaining_s(replica),
+            self.permit_available_in_s(replica),
+            self.brittle.available_in_s(replica),
+        )
 
     def permit_available_in_s(self, replica: Replica) -> float:
         """Return the seconds until it is useful to request a permit for a replica."""
@@ -131,6 +139,7 @@
             self.record_leaving(replica, replica.address)
             return
         self.limits.on_notice(replica, notice)
+        self.brittle.on_notice(replica, notice)
         if notice.leaving:
             self.record_leaving(replica)
         if notice.backoff_s > 0:
@@ -149,4 +158,5 @@
         self.backoffs.expire()
         self.leaving.expire(self.replicas.replicas)
         self.limits.expire(self.replicas.replicas)
+        self.brittle.keep_only(self.replicas.replicas)
         self.permits.expire()
--- a/packages/core/calicopath_core/fleet/notices.py
+++ b/packages/core/calicopath_core/fleet/notices.py
@@ -22,7 +22,8 @@
     seconds it wants no calls from the box that it answered, 0 for no backoff. `limit_per_s` is the
     request rate that it accepts from all boxes together, `None` for no limit. `executed` is false
     if the replica rejected the call. `from_other_replica` says that another replica answered at its
-    address, so its incarnation is over.
+    address, so its incarnation is over. A replica that turns away more than `brittle_per_s`
+    requests in a second for want of room falls over; `None` if it does not say so.
     """
 
     leaving: bool = False
@@ -30,6 +31,7 @@
     limit_per_s: float | None = None
     executed: bool = True
     from_other_replica: bool = False
+    brittle_per_s: float | None = None
 
 
 EMPTY_NOTICE = Notice()
--- a/packages/core/calicopath_core/scheduling/election.py
+++ b/packages/core/calicopath_core/scheduling/election.py
@@ -367,6 +367,10 @@
         """
         return len(self.candidates) + 1
 
+    def position(self) -> tuple[int, int]:
+        """Return the place of this box among all listed boxes, and their number."""
+        return self.fleet_ranking.index(self.own.name), len(self.fleet_ranking)
+
     def replicas_of_group(self, replicas: list[Replica]) -> list[Replica]:
         """Return the replicas that this box's group calls; all of them if the group has too few."""
         return self.failure_domain_groups.replicas_of_group(replicas, self.group)
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -296,6 +296,10 @@
     'kind restored',
     'Records were read from a restored store; what is already known stays in force.',
 )
+REPLICA_BRITTLE = Event(
+    617, 'info', 'replica brittle', 'A replica falls over if it turns more requests away a second.'
+)
+BRITTLE_ENDED = Event(618, 'info', 'brittle ended', 'A replica no longer says that it is brittle.')
 REPLICAS_UNREACHABLE = Event(
     815,
     'warning',
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -105,6 +105,7 @@
             send=self.send,
             issuer_address=lambda: self.client.scheduler_address,
             limit_share=lambda: 1 / max(1, self.election.groups),
+            position=lambda: self.election.position(),
             on_backoff=self.on_replica_backoff,
         )
         self.replicas, self.gate = self.notices.replicas, self.notices.gate
--- a/packages/daemon/calicopathd/gateway/notices.py
+++ b/packages/daemon/calicopathd/gateway/notices.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from calicopath_core.fleet.backoffs import Backoffs
+from calicopath_core.fleet.brittle import BrittleReplicas
 from calicopath_core.fleet.gate import CallGate
 from calicopath_core.fleet.leaving import LeavingReplicas
 from calicopath_core.fleet.leaving_sharing import LeavingNews, LeavingSharing
@@ -31,7 +32,8 @@
     """Hold the leaving replicas, backoffs, limits and permits of one box.
 
     `hubs` returns the addresses of the boxes that are notified first, `issuer_address` that of the
-    box that issues permits, and `limit_share` the share of each limit that it issues. `on_backoff`
+    box that issues permits, `limit_share` the share of each limit that it issues, and `position`
+    the place of this box among all boxes and their number. `on_backoff`
     is called with each replica that asks this box to back off.
     """
 
@@ -46,6 +48,7 @@
         send: Callable[[str, msgspec.Struct], None],
         issuer_address: Callable[[], str],
         limit_share: Callable[[], float],
+        position: Callable[[], tuple[int, int]],
         on_backoff: Callable[[Replica], None],
     ) -> None:
         self.leaving = LeavingReplicas(clock=clock, observer=observer)
@@ -61,6 +64,9 @@
             backoffs=Backoffs(clock=clock, observer=observer, rng=rng),
             limits=self.limits,
             permits=self.permits,
+            brittle=BrittleReplicas(
+                clock=clock, rng=rng, position=position, on_changed=observer.on_brittle
+            ),
             observer=observer,
             on_leaving=self.on_leaving,
             on_backoff=on_backoff,
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -187,6 +187,16 @@
             source=source,
         )
 
+    def on_brittle(self, replica: Replica, per_s: float | None) -> None:
+        """Log a replica that says how many rejections it bears, or no longer does (`None`)."""
+        events.emit(
+            log,
+            events.REPLICA_BRITTLE if per_s is not None else events.BRITTLE_ENDED,
+            replica=replica.id,
+            service=replica.service,
+            per_s=per_s,
+        )
+
     def on_limit_ended(self, replica: str, held_s: float, sent: int, source: str) -> None:
         """Log the end of a replica's limit."""
         events.emit(
--- a/testkit/gates.py
+++ b/testkit/gates.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from calicopath_core.fleet.backoffs import Backoffs
+from calicopath_core.fleet.brittle import BrittleReplicas
 from calicopath_core.fleet.gate import CallGate
 from calicopath_core.fleet.leaving import LeavingReplicas
 from calicopath_core.fleet.notices import NoticeObserver
@@ -32,6 +33,12 @@
         permits=PermitClient(
             clock=VirtualClock(), own_address='', issuer_address=mock.Mock(), send=mock.Mock()
         ),
+        brittle=BrittleReplicas(
+            clock=VirtualClock(),
+            rng=random.Random(1),
+            position=lambda: (0, 1),
+            on_changed=mock.Mock(),
+        ),
         observer=observer,
         on_leaving=mock.Mock(),
         on_backoff=mock.Mock(),
--- a/testkit/gateway_callers.py
+++ b/testkit/gateway_callers.py
@@ -133,7 +133,7 @@
             self.interceptor.on_notice(replica, notice)
             return FakeBody(head=AnswerHead(STATUS_MISDIRECTED, (), True, None), body=b'')
         answer = await self.replicas.send(outbound)
-        self.interceptor.on_notice(replica, notice)
+        self.interceptor.on_notice(replica, notice._replace(executed=not answer.head.declined))
         return answer
 
     async def probe(self, replica: Replica, watch_s: float) -> ProbeResult:
