Soak: partition boxes from all replicas, and check that their callers are served

A box of the soak is the shipped program with a connector that follows a file: all connections to replicas reset or silenced, or new ones refused, at one to all but one of the boxes, for up to 8 s, beside all other faults. The check is the users' rule: from 3 s on served two thirds as often as at the other boxes, or no more failures than 10 and one in 50. Drawn apart from the other faults, so that older seeds keep their meaning.

--- a/tools/soak/boxes.py
+++ b/tools/soak/boxes.py
@@ -11,6 +11,7 @@
 
 from calicopath_platform.names import SETTINGS_VARIABLE
 from testkit.processes import ROOT
+from tools.soak.partitionable_box import PARTITION_FILE_VARIABLE
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -18,7 +19,7 @@
 
     from tools.soak.records import BoxStop
 
-PYTHON_PATH = ('packages/core', 'packages/clients', 'packages/daemon', 'platform')
+PYTHON_PATH = ('.', 'packages/core', 'packages/clients', 'packages/daemon', 'platform')
 STOP_TIMEOUT_S = 40.0
 POLL_S = 0.05
 
@@ -30,6 +31,8 @@
         self.number = number
         self.settings_path = settings_path
         self.log_path = log_path
+        self.partition_path = settings_path.with_suffix('.partition')
+        self.partitions = 0
         self.frontend = ''
         self.process: asyncio.subprocess.Process | None = None
         self.incarnation = 0
@@ -38,11 +41,15 @@
     async def start(self) -> None:
         """Start a new life."""
         self.incarnation += 1
-        environment = {**os.environ, SETTINGS_VARIABLE: str(self.settings_path)}
+        environment = {
+            **os.environ,
+            SETTINGS_VARIABLE: str(self.settings_path),
+            PARTITION_FILE_VARIABLE: str(self.partition_path),
+        }
         environment['PYTHONPATH'] = os.pathsep.join(str(ROOT / item) for item in PYTHON_PATH)
         with self.log_path.open('ab') as output:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, '-m', 'calicopath_platform', cwd=ROOT, env=environment,
+                sys.executable, '-m', 'tools.soak.partitionable_box', cwd=ROOT, env=environment,
                 stdout=output, stderr=output,
             )  # fmt: skip
 
@@ -66,6 +73,13 @@
         with contextlib.suppress(ProcessLookupError):
             self.process.send_signal(signal_number)
 
+    def set_partition(self, text: str) -> None:
+        """Partition the box from all replicas, or end the partition with an empty text."""
+        # Replaced as a whole, since the box may read it at any moment.
+        written = self.partition_path.with_suffix('.new')
+        written.write_text(text)
+        written.replace(self.partition_path)
+
     async def kill(self) -> None:
         """End the process at once."""
         self.send_signal(signal.SIGCONT)
--- /dev/null
+++ b/tools/soak/partitions.py
@@ -0,0 +1,113 @@
+"""Judge whether boxes that were partitioned from all replicas served their callers."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, NamedTuple
+
+from tools.soak.schedule import FaultKind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from tools.soak.records import RequestRecord
+    from tools.soak.schedule import Step
+
+CONTACT_TIME_S = 3.0
+MIN_SERVED_RATIO = 2 / 3
+MAX_FAILED = 10
+MAX_FAILED_SHARE = 1 / 50
+"""As the users' rule says: from 3 s after the start of a partition, two thirds as often as at the
+other boxes, or no more failures than this number and this share."""
+
+MAX_REASONS = 4
+"""Kinds of failures that a problem names."""
+
+
+NO_REPLICA_REASONS = (b'"no-endpoint"', b'"no-engine"')
+"""Reasons of refusals while all replicas of a service leave, are evacuated or ask for backoffs."""
+
+
+class BoxPeriod(NamedTuple):
+    """Hold a time in which a box was partitioned from all replicas, or disturbed otherwise."""
+
+    box: int
+    started_at: float
+    ended_at: float
+
+
+def find_unserved_callers(
+    records: Iterable[RequestRecord],
+    periods: list[BoxPeriod],
+    disturbed: list[BoxPeriod],
+    steps: list[Step],
+) -> list[str]:
+    """Check that callers of partitioned boxes are served as often as the rule says.
+
+    Boxes do not count while they are killed, paused or stopped, which is in `disturbed`, nor while
+    their link to the store is broken, and for some seconds after that.
+    """
+    cut: list[RequestRecord] = []
+    others: list[RequestRecord] = []
+    for record in records:
+        if record.crash_path or is_excused(record) or is_disturbed(record, disturbed, steps):
+            continue
+        during = [item for item in periods if overlaps(item, record)]
+        if not during:
+            continue
+        own = [item for item in during if item.box == record.box]
+        if not own:
+            others.append(record)
+        elif all(item.started_at + CONTACT_TIME_S <= record.started_at for item in own):
+            cut.append(record)
+    if not cut or not others:
+        return []
+    failed = sum(not is_served(record) for record in cut)
+    if failed <= MAX_FAILED + MAX_FAILED_SHARE * len(cut):
+        return []
+    share = sum(map(is_served, cut)) / len(cut)
+    share_elsewhere = sum(map(is_served, others)) / len(others)
+    if share >= MIN_SERVED_RATIO * share_elsewhere:
+        return []
+    reasons = Counter(
+        (record.kind.value, record.status, record.body[:40].decode('latin-1'))
+        for record in cut
+        if not is_served(record)
+    )
+    return [
+        f'partitioned boxes served {share:.2f} of {len(cut)} requests, '
+        f'the others {share_elsewhere:.2f} of {len(others)}; '
+        f'the most failures: {reasons.most_common(MAX_REASONS)}'
+    ]
+
+
+def overlaps(period: BoxPeriod, record: RequestRecord) -> bool:
+    """Tell whether a request began in a partition's time."""
+    return period.started_at <= record.started_at <= period.ended_at
+
+
+def is_served(record: RequestRecord) -> bool:
+    """Tell whether a request was answered whole, by a replica or with the right denial."""
+    return record.is_complete and record.status in (200, 404)
+
+
+def is_excused(record: RequestRecord) -> bool:
+    """Tell whether the answer says that no replica may be called, by any box."""
+    return any(reason in record.body for reason in NO_REPLICA_REASONS)
+
+
+def is_disturbed(
+    record: RequestRecord, disturbed: Iterable[BoxPeriod], steps: Iterable[Step]
+) -> bool:
+    """Tell whether the request's box had another fault around it."""
+    broken_links = [
+        BoxPeriod(step.target, step.at_s, step.end_s)
+        for step in steps
+        if step.kind is FaultKind.STORE_LINK
+    ]
+    return any(
+        item.box == record.box
+        and item.started_at <= record.ended_at
+        and item.ended_at + CONTACT_TIME_S >= record.started_at
+        for item in (*disturbed, *broken_links)
+    )
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -14,6 +14,7 @@
 from tools.soak import checks, crash_requests, overload
 from tools.soak.callers import CallerConnection, CallerRequest, send_request
 from tools.soak.limits import find_limit_violations
+from tools.soak.partitions import find_unserved_callers
 from tools.soak.records import RequestKind, RequestRecord
 from tools.soak.schedule import FaultKind, Step, draw_steps
 from tools.soak.world import FAILURE_DOMAINS, REPLICA_COUNT, World
@@ -224,6 +225,7 @@
             *checks.find_unknown_runs(self.records, world.runs, self.sent_ids),
             *checks.find_configuration_reverts(self.records),
             *checks.find_excess_store_calls(world.store.called_at, self.plan.boxes),
+            *find_unserved_callers(self.records, world.partitions, world.disturbed, steps),
             *crash_requests.find_wrongly_blocked(self.records),
             *crash_requests.find_runs_after_block(self.records, world.runs),
             *checks.find_runs_after_leaving_notice(self.records, world.runs, steps),
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -32,6 +32,7 @@
     REPLICA_LIMITS = 'replica-limits'
     STORE_RESTORE = 'store-goes-back'
     OVERLOAD = 'overload'
+    BOX_PARTITION = 'box-partition'
 
 
 class LinkMode(enum.Enum):
@@ -72,6 +73,7 @@
         FaultKind.REPLICA_LIMITS,
         FaultKind.STORE_RESTORE,
         FaultKind.OVERLOAD,
+        FaultKind.BOX_PARTITION,
     }
 )
 """What is drawn apart, so that what else a seed means stays as it was before these came."""
@@ -117,6 +119,14 @@
 MAX_OVERLOAD_S = 3.0
 """The mean time between the end of one overload and the start of the next, and how long one is."""
 
+MEAN_PARTITION_GAP_S = 4.0
+MIN_PARTITION_S = 0.5
+MAX_PARTITION_S = 8.0
+"""The mean time between two partitions of boxes from all replicas, and how long one is."""
+
+PARTITION_MODES = (LinkMode.RESET, LinkMode.SILENT, LinkMode.PASS)
+"""Resets or silences all connections to replicas, or refuses only new ones."""
+
 MAX_SERIES_STEPS = 4
 """Changes of one kind that may come right after each other."""
 
@@ -170,6 +180,7 @@
     steps += draw_limits(seed, seconds=seconds, replicas=replicas)
     steps += draw_restores(seed, seconds=seconds)
     steps += draw_overloads(seed, seconds=seconds)
+    steps += draw_partitions(seed, seconds=seconds, boxes=boxes)
     return sorted(steps, key=lambda step: step.at_s)
 
 
@@ -266,6 +277,20 @@
     return steps
 
 
+def draw_partitions(seed: int, *, seconds: float, boxes: int) -> list[Step]:
+    """Return which boxes are partitioned from all replicas, and when; one at least is not."""
+    rng = random.Random(f'partitions of {seed}')
+    steps: list[Step] = []
+    at_s = rng.expovariate(1 / MEAN_PARTITION_GAP_S)
+    while at_s < seconds and boxes > 1:
+        for_s = round(rng.uniform(MIN_PARTITION_S, MAX_PARTITION_S), 3)
+        mode = rng.choice(PARTITION_MODES)
+        for box in rng.sample(range(boxes), rng.randint(1, boxes - 1)):
+            steps.append(Step(round(at_s, 3), FaultKind.BOX_PARTITION, box, for_s, mode))
+        at_s += rng.expovariate(1 / MEAN_PARTITION_GAP_S)
+    return steps
+
+
 def is_calm(
     steps: list[Step], start_s: float, end_s: float, *, ignored: Step | None = None
 ) -> bool:
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -23,9 +23,11 @@
     soak_settings,
 )
 from calicopath_platform.tests.standins import StoreStandIn
+from testkit.partition import Partition
 from testkit.ports import free_port_block, free_ports
 from tools.soak.boxes import BoxProcess
 from tools.soak.links import Link
+from tools.soak.partitions import BoxPeriod
 from tools.soak.records import BoxStop, Evacuation, LimitPeriod, Run
 from tools.soak.schedule import FaultKind, LinkMode
 
@@ -56,6 +58,13 @@
 """How many of the wishes make no sense."""
 
 
+PARTITIONS = {
+    LinkMode.RESET: Partition.REFUSED,
+    LinkMode.SILENT: Partition.HANGING,
+    LinkMode.PASS: Partition.NEW_REFUSED,
+}
+
+
 class ReplicaSlot:
     """Hold one place of a replica: its link, and the incarnation that is there."""
 
@@ -89,6 +98,8 @@
         self.evacuations: list[Evacuation] = []
         self.evacuated: set[str] = set()
         self.limit_periods: list[LimitPeriod] = []
+        self.partitions: list[BoxPeriod] = []
+        self.disturbed: list[BoxPeriod] = []
         self.crash_times: dict[str, list[float]] = {}
         self.crash_tasks: set[asyncio.Task[None]] = set()
         self.config_version = 1
@@ -215,6 +226,8 @@
         match step.kind:
             case FaultKind.KILL_BOX | FaultKind.PAUSE_BOX | FaultKind.STOP_BOX:
                 await self.disturb_box(step, self.boxes[step.target])
+            case FaultKind.BOX_PARTITION:
+                await self.partition_box(step, self.boxes[step.target])
             case FaultKind.RELOAD_BOX:
                 self.boxes[step.target].send_signal(signal.SIGHUP)
             case FaultKind.STORE_LINK:
@@ -329,11 +342,24 @@
         await asyncio.sleep(step.duration_s)
         link.set_mode(LinkMode.PASS)
 
+    async def partition_box(self, step: Step, box: BoxProcess) -> None:
+        """Partition a box from all replicas for a while, unless it is already."""
+        if box.partitions:
+            return
+        box.partitions += 1
+        started_at = self.now()
+        box.set_partition(PARTITIONS[step.link_mode].value)
+        await asyncio.sleep(step.duration_s)
+        box.set_partition('')
+        self.partitions.append(BoxPeriod(box.number, started_at, self.now()))
+        box.partitions -= 1
+
     async def disturb_box(self, step: Step, box: BoxProcess) -> None:
         """Kill, pause or stop a box, unless something is done to it already."""
         if box.has_fault:
             return
         box.has_fault = True
+        started_at = self.now()
         try:
             if step.kind is FaultKind.PAUSE_BOX:
                 box.send_signal(signal.SIGSTOP)
@@ -348,6 +374,7 @@
             await box.start()
         finally:
             box.has_fault = False
+            self.disturbed.append(BoxPeriod(box.number, started_at, self.now()))
 
     async def replace_replica(self, step: Step, slot: ReplicaSlot) -> None:
         """Have a replica crash or leave as announced, and another come in its place.
