Choose forwarding boxes only when needed, from a bounded sample

Cause: each new connection shuffled the list of all boxes, at 1,700 boxes about as many steps a connection, although nearly all of them open directly. Change: paths are yielded one by one; a choice ranks at most 16 boxes drawn from the list.

--- a/packages/clients/calicopath_clients/http1/connectors.py
+++ b/packages/clients/calicopath_clients/http1/connectors.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
 from abc import ABC, abstractmethod
-from collections import deque
 from functools import partial
 from typing import TYPE_CHECKING, TypeVar
 
@@ -14,7 +14,9 @@
 from calicopath_core.fleet.reachability import ConnectResult
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Iterator
+
+    Path = Callable[[], Awaitable[Connection]]
 
     from calicopath_core.fleet.forwarders import Forwarders
     from calicopath_core.fleet.reachability import ReplicaReachability
@@ -65,23 +67,25 @@
         self.pending: list[asyncio.Task[Connection]] = []
         self.errors: list[Exception] = []
 
-    async def run(
-        self, paths: list[Callable[[], Awaitable[Connection]]], *, at_once: int = 1
-    ) -> Connection:
+    async def run(self, paths: Iterator[Path], *, at_once: int = 1) -> Connection:
         """Return the first connection; raise the error of the first path that failed if none opens.
 
         The first `at_once` paths are tried together. A refusal by a forwarding box is final: the
         replica's host is up and its port is closed.
         """
-        waiting = deque(paths)
+        has_more = True
         try:
-            while waiting or self.pending:
-                for _ in range(min(at_once, len(waiting))):
-                    self.pending.append(asyncio.ensure_future(waiting.popleft()()))
+            while True:
+                for path in itertools.islice(paths, at_once):
+                    self.pending.append(asyncio.ensure_future(path()))
+                    at_once -= 1
+                has_more = has_more and not at_once
                 at_once = 1
+                if not self.pending:
+                    break
                 await asyncio.wait(
                     self.pending,
-                    timeout=STAGGER_S if waiting else None,
+                    timeout=STAGGER_S if has_more else None,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 done = [task for task in self.pending if task.done()]
@@ -155,23 +159,27 @@
 
     async def open(self, address: str) -> Connection:
         """Return a new connection to the server at an address."""
-        paths: list[Callable[[], Awaitable[Connection]]] = [
-            partial(self.open_through, forwarder, address) for forwarder in self.forwarders.choose()
-        ]
-        at_once = 1
-        if not self.reachability.is_partitioned or not paths:
-            paths.insert(0, partial(self.open_directly, address))
-        elif self.is_recheck_due():
-            paths.insert(0, partial(self.open_directly, address))
-            at_once = 2
+        is_partitioned = self.reachability.is_partitioned
+        rechecks = is_partitioned and self.is_recheck_due()
+        paths = self.paths_to(address, directly=rechecks or not is_partitioned)
         try:
-            return await ConnectRace().run(paths, at_once=at_once)
+            return await ConnectRace().run(paths, at_once=2 if rechecks else 1)
         except RefusedElsewhere:
             raise
         except OSError:
             self.reachability.on_no_path()
             raise
 
+    def paths_to(self, address: str, *, directly: bool) -> Iterator[Path]:
+        """Yield the paths to a server; the other boxes are chosen only if they are needed."""
+        if directly:
+            yield partial(self.open_directly, address)
+        forwarders = self.forwarders.choose()
+        for forwarder in forwarders:
+            yield partial(self.open_through, forwarder, address)
+        if not directly and not forwarders:
+            yield partial(self.open_directly, address)
+
     def is_recheck_due(self) -> bool:
         """Return whether to try the direct path again, and record it if so."""
         now = self.reachability.clock.monotonic()
--- a/packages/clients/calicopath_clients/tests/connectors_tests.py
+++ b/packages/clients/calicopath_clients/tests/connectors_tests.py
@@ -42,6 +42,7 @@
                 BoxAddress('c', 'far', 'south', '1'),
                 BoxAddress('d', 'far-2', 'south', '1'),
             ],
+            address_of=lambda box: box.address,
         )
         self.connector = FallbackConnector(
             direct=self,
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -127,6 +127,7 @@
             rng=self.rng,
             failure_domain=settings.failure_domain,
             boxes=self.forwarding_boxes,
+            address_of=lambda box: str(forward_address(box.address)),
         )
         self.forwarding = ForwardingServer(replicas=self.replicas, reachability=self.reachability)
         self.config_since = 0.0
@@ -248,12 +249,8 @@
         )
 
     def forwarding_boxes(self) -> list[BoxAddress]:
-        """Return the listed boxes that may forward connections, with their forwarding addresses."""
-        return [
-            item.box._replace(address=str(forward_address(item.box.address)))
-            for item in self.election.candidates.values()
-            if not item.leaving
-        ]
+        """Return the listed boxes that may forward connections."""
+        return [item.box for item in self.election.candidates.values() if not item.leaving]
 
     def random_engine_pool(self, spec: EngineSpec) -> EnginePool:
         """Return an engine pool of the baseline, which picks engines at random."""
