--- a/tools/soak/partitions.py
+++ b/tools/soak/partitions.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING, NamedTuple
 
+from tools.soak.records import RequestKind
 from tools.soak.schedule import FaultKind
 
 if TYPE_CHECKING:
@@ -41,11 +42,13 @@
     periods: list[BoxPeriod],
     disturbed: list[BoxPeriod],
     steps: list[Step],
+    boxes: int,
 ) -> list[str]:
     """Check that callers of partitioned boxes are served as often as the rule says.
 
     Boxes do not count while they are killed, paused or stopped, which is in `disturbed`, nor while
-    their link to the store is broken, and for some seconds after that.
+    their link to the store is broken, and for some seconds after that. Times do not count in which
+    faults overlap so that none of the `boxes` reaches the replicas.
     """
     cut: list[RequestRecord] = []
     others: list[RequestRecord] = []
@@ -53,13 +56,26 @@
         if record.crash_path or is_excused(record) or is_disturbed(record, disturbed, steps):
             continue
         during = [item for item in periods if overlaps(item, record)]
-        if not during:
-            continue
-        own = [item for item in during if item.box == record.box]
-        if not own:
+        # Both sides are compared over the same time: other faults come and go meanwhile.
+        settled = [item for item in during if item.started_at + CONTACT_TIME_S <= record.started_at]
+        if any(item.box == record.box for item in settled):
+            if has_sound_box(record.started_at, boxes, [*periods, *disturbed]):
+                cut.append(record)
+        elif settled and all(item.box != record.box for item in during):
             others.append(record)
-        elif all(item.started_at + CONTACT_TIME_S <= record.started_at for item in own):
-            cut.append(record)
+    return [
+        problem
+        for kind in RequestKind
+        for problem in compare(
+            kind,
+            [record for record in cut if record.kind is kind],
+            [record for record in others if record.kind is kind],
+        )
+    ]
+
+
+def compare(kind: RequestKind, cut: list[RequestRecord], others: list[RequestRecord]) -> list[str]:
+    """Compare requests of one kind: an overload is of one kind, and not at every box alike."""
     if not cut or not others:
         return []
     failed = sum(not is_served(record) for record in cut)
@@ -70,17 +86,25 @@
     if share >= MIN_SERVED_RATIO * share_elsewhere:
         return []
     reasons = Counter(
-        (record.kind.value, record.status, record.body[:40].decode('latin-1'))
+        (record.status, record.body[:40].decode('latin-1'))
         for record in cut
         if not is_served(record)
     )
     return [
-        f'partitioned boxes served {share:.2f} of {len(cut)} requests, '
+        f'partitioned boxes served {share:.2f} of {len(cut)} requests ({kind.value}), '
         f'the others {share_elsewhere:.2f} of {len(others)}; '
         f'the most failures: {reasons.most_common(MAX_REASONS)}'
     ]
 
 
+def has_sound_box(at: float, boxes: int, troubles: list[BoxPeriod]) -> bool:
+    """Tell whether some box has been without trouble for some seconds."""
+    troubled = {
+        item.box for item in troubles if item.started_at <= at <= item.ended_at + CONTACT_TIME_S
+    }
+    return len(troubled) < boxes
+
+
 def overlaps(period: BoxPeriod, record: RequestRecord) -> bool:
     """Tell whether a request began in a partition's time."""
     return period.started_at <= record.started_at <= period.ended_at
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -225,7 +225,9 @@
             *checks.find_unknown_runs(self.records, world.runs, self.sent_ids),
             *checks.find_configuration_reverts(self.records),
             *checks.find_excess_store_calls(world.store.called_at, self.plan.boxes),
-            *find_unserved_callers(self.records, world.partitions, world.disturbed, steps),
+            *find_unserved_callers(
+                self.records, world.partitions, world.disturbed, steps, self.plan.boxes
+            ),
             *crash_requests.find_wrongly_blocked(self.records),
             *crash_requests.find_runs_after_block(self.records, world.runs),
             *checks.find_runs_after_leaving_notice(self.records, world.runs, steps),
--- a/tools/soak/tests/partitions_tests.py
+++ b/tools/soak/tests/partitions_tests.py
@@ -19,13 +19,19 @@
 
 class UnservedCallers(testtools.TestCase):
     def find(
-        self, cut: list[int], others: list[int], *, at: float = 14.0, disturbed: bool = False
+        self,
+        cut: list[int],
+        others: list[int],
+        *,
+        at: float = 14.0,
+        disturbed: bool = False,
+        boxes: int = 2,
     ) -> list[str]:
         """Return the problems of some statuses at a partitioned box and at another one."""
         records = [record(0, at, status) for status in cut]
         records += [record(1, at, status) for status in others]
         faults = [BoxPeriod(0, 9.0, 12.0)] if disturbed else []
-        return find_unserved_callers(records, [PERIOD], faults, [])
+        return find_unserved_callers(records, [PERIOD], faults, [], boxes)
 
     def test_a_box_that_refuses_what_others_serve_is_a_problem(self) -> None:
         self.assertEqual(1, len(self.find([503] * 20 + [200] * 20, [200] * 40)))
@@ -38,5 +44,8 @@
         self.assertEqual([], self.find([503] * 10, [200] * 40))
         self.assertEqual([], self.find([503] * 40, [200] * 40, at=12.9))
 
+    def test_a_time_in_which_no_box_reaches_replicas_does_not_count(self) -> None:
+        self.assertEqual([], self.find([503] * 40, [200] * 40, boxes=1))
+
     def test_a_box_that_was_stopped_meanwhile_does_not_count(self) -> None:
         self.assertEqual([], self.find([503] * 40, [200] * 40, disturbed=True))
