--- a/tools/mutants/catalogue.py
+++ b/tools/mutants/catalogue.py
@@ -5,6 +5,7 @@
 from tools.mutants.limits import LIMIT_MUTANTS
 from tools.mutants.mutant import CORE, Mutant
 from tools.mutants.notices import NOTICE_MUTANTS
+from tools.mutants.partitions import PARTITION_MUTANTS
 from tools.mutants.restored import RESTORED_MUTANTS
 
 CRASHES = f'{CORE}/crashes/tests/ledger_tests.py'
@@ -277,4 +278,5 @@
     *NOTICE_MUTANTS,
     *LIMIT_MUTANTS,
     *RESTORED_MUTANTS,
+    *PARTITION_MUTANTS,
 )
