Tests that catch the two mutants that survived

A placement on an excluded engine is passed over before a permit is taken or a connection is opened: the test now reads that no call was held back (the gate held it back with the mutant). That a box with another digest is sent all updates is caught by the test of two boxes that know different things; the mutant names that test now instead of one that other paths satisfy.

--- a/packages/daemon/calicopathd/gateway/tests/evacuating_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/evacuating_tests.py
@@ -135,6 +135,10 @@
             await fleet.settle()
             self.assertEqual([ALL_EVENTS] * 8, [sink.event_ids for sink in sinks])
             self.assertEqual([], south(reached(fleet)))
+            # Passed over before a permit is taken or a connection is opened.
+            metrics = fleet.boxes['box-1'].box.observer.metrics
+            self.assertNotEqual([], metrics.replicas_skipped.get_all())
+            self.assertEqual([], metrics.calls_held_back.get_all())
 
         self.run_fleet(scenario)
 
--- a/tools/mutants/catalogue.py
+++ b/tools/mutants/catalogue.py
@@ -203,7 +203,7 @@
         f'{CORE}/membership/sharing.py',
         'if digest == self.digest():',
         'if self.send:',
-        f'{BLOCKED}::Answered',
+        f'{CRASHES}::Sharing',
     ),
     Mutant(
         'every box knows',
