--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -10,10 +10,12 @@
 import typer
 
 from tools.soak.run import Plan, Soak, Verdict
+from tools.soak.schedule import FaultKind
 
 HELP_SEEDS = 'Seeds to play, separated by commas; fresh ones are drawn beside them.'
 HELP_FRESH = 'How many fresh seeds to draw and play.'
 HELP_SECONDS = 'How long faults come, in seconds.'
+HELP_ONLY = 'Play only the steps of this kind, for example box-partition.'
 HELP_TIMED = 'Check bounds in time too; a busy machine may break those by itself.'
 
 MAX_PROBLEMS_SHOWN = 10
@@ -45,6 +47,7 @@
     boxes: Annotated[int, typer.Option(help='Processes of the program.')] = 4,
     callers: Annotated[int, typer.Option(help='Callers at once.')] = 16,
     timed: Annotated[bool, typer.Option(help=HELP_TIMED)] = False,
+    only: Annotated[str, typer.Option(help=HELP_ONLY)] = '',
 ) -> None:
     """Play seeds and print a line for each."""
     all_seeds = [int(item) for item in seeds.split(',') if item]
@@ -52,7 +55,7 @@
     all_seeds += [secrets.randbelow(10**9) for _ in range(fresh)]
     failed = 0
     for seed in all_seeds:
-        plan = Plan(seed, seconds, boxes, callers, timed)
+        plan = Plan(seed, seconds, boxes, callers, timed, FaultKind(only) if only else None)
         verdict = asyncio.run(Soak(plan=plan).run())
         report(verdict)
         failed += bool(verdict.problems)
--- a/tools/soak/partitions.py
+++ b/tools/soak/partitions.py
@@ -21,14 +21,13 @@
 """As the users' rule says: from 3 s after the start of a partition, two thirds as often as at the
 other boxes, or no more failures than this number and this share."""
 
+UNDISTURBING = (FaultKind.BOX_PARTITION, FaultKind.RELOAD_BOX, FaultKind.CONFIG_CHANGE)
+"""Steps beside which the rule is checked."""
+
 MAX_REASONS = 4
 """Kinds of failures that a problem names."""
 
 
-NO_REPLICA_REASONS = (b'"no-endpoint"', b'"no-engine"')
-"""Reasons of refusals while all replicas of a service leave, are evacuated or ask for backoffs."""
-
-
 class BoxPeriod(NamedTuple):
     """Hold a time in which a box was partitioned from all replicas, or disturbed otherwise."""
 
@@ -47,13 +46,14 @@
     """Check that callers of partitioned boxes are served as often as the rule says.
 
     Boxes do not count while they are killed, paused or stopped, which is in `disturbed`, nor while
-    their link to the store is broken, and for some seconds after that. Times do not count in which
-    faults overlap so that none of the `boxes` reaches the replicas.
+    another fault or a drawn word of a replica touches them, and for some seconds after that: scarce
+    capacity falls unevenly on the boxes. Times do not count in which faults overlap so that none of
+    the `boxes` reaches the replicas.
     """
     cut: list[RequestRecord] = []
     others: list[RequestRecord] = []
     for record in records:
-        if record.crash_path or is_excused(record) or is_disturbed(record, disturbed, steps):
+        if record.crash_path or is_disturbed(record, disturbed, steps):
             continue
         during = [item for item in periods if overlaps(item, record)]
         # Both sides are compared over the same time: other faults come and go meanwhile.
@@ -115,23 +115,17 @@
     return record.is_complete and record.status in (200, 404)
 
 
-def is_excused(record: RequestRecord) -> bool:
-    """Tell whether the answer says that no replica may be called, by any box."""
-    return any(reason in record.body for reason in NO_REPLICA_REASONS)
-
-
 def is_disturbed(
     record: RequestRecord, disturbed: Iterable[BoxPeriod], steps: Iterable[Step]
 ) -> bool:
-    """Tell whether the request's box had another fault around it."""
-    broken_links = [
-        BoxPeriod(step.target, step.at_s, step.end_s)
-        for step in steps
-        if step.kind is FaultKind.STORE_LINK
-    ]
+    """Tell whether anything but partitions was drawn around the request, or touched its box."""
+    others = [step for step in steps if step.kind not in UNDISTURBING]
     return any(
         item.box == record.box
         and item.started_at <= record.ended_at
         and item.ended_at + CONTACT_TIME_S >= record.started_at
-        for item in (*disturbed, *broken_links)
+        for item in disturbed
+    ) or any(
+        step.at_s <= record.ended_at and step.end_s + CONTACT_TIME_S >= record.started_at
+        for step in others
     )
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -45,6 +45,7 @@
     """Hold what to play: the faults' seconds, how many boxes and callers, which checks.
 
     With `timed`, bounds in time are checked too; a machine that is busy may break those by itself.
+    With `only`, the steps of other kinds are left out.
     """
 
     seed: int
@@ -52,6 +53,7 @@
     boxes: int
     callers: int
     check_times: bool
+    only: FaultKind | None = None
 
 
 class Verdict(NamedTuple):
@@ -87,6 +89,7 @@
             replicas=REPLICA_COUNT,
             failure_domains=len(FAILURE_DOMAINS),
         )
+        steps = [step for step in steps if plan.only in (None, step.kind)]
         try:
             await self.world.start()
             problems = await self.check_boxes_serve('before the faults')
--- a/tools/soak/tests/partitions_tests.py
+++ b/tools/soak/tests/partitions_tests.py
@@ -6,6 +6,7 @@
 
 from tools.soak.partitions import BoxPeriod, find_unserved_callers
 from tools.soak.records import RequestKind, RequestRecord
+from tools.soak.schedule import FaultKind, LinkMode, Step
 
 PERIOD = BoxPeriod(0, 10.0, 20.0)
 
@@ -44,6 +45,13 @@
         self.assertEqual([], self.find([503] * 10, [200] * 40))
         self.assertEqual([], self.find([503] * 40, [200] * 40, at=12.9))
 
+    def test_another_fault_around_a_request_excuses_it(self) -> None:
+        step = Step(10.0, FaultKind.REPLICA_LIMITS, 0, 2.0, LinkMode.PASS)
+        records = [record(0, 14.0, 503)] * 40 + [record(1, 14.0, 200)] * 40
+        self.assertEqual([], find_unserved_callers(records, [PERIOD], [], [step], 2))
+        partition = step._replace(kind=FaultKind.BOX_PARTITION)
+        self.assertEqual(1, len(find_unserved_callers(records, [PERIOD], [], [partition], 2)))
+
     def test_a_time_in_which_no_box_reaches_replicas_does_not_count(self) -> None:
         self.assertEqual([], self.find([503] * 40, [200] * 40, boxes=1))
 
