--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 # A short run whose verdict does not depend on the machine's speed; by hand: python -m tools.soak --timed
 soak: setup
 	$(PY) -m tools.soak --kept --seeds 1,2,3 --seconds 6
-	$(PY) -m tools.soak --only box-partition --seeds 3,4 --seconds 8
+	$(PY) -m tools.soak --only box-partition --seeds 3,4 --seconds 10
 
 mutants: setup
 	$(PY) -m tools.mutants
--- a/tools/soak/partitions.py
+++ b/tools/soak/partitions.py
@@ -5,7 +5,6 @@
 from collections import Counter
 from typing import TYPE_CHECKING, NamedTuple
 
-from tools.soak.records import RequestKind
 from tools.soak.schedule import FaultKind
 
 if TYPE_CHECKING:
@@ -63,19 +62,6 @@
                 cut.append(record)
         elif settled and all(item.box != record.box for item in during):
             others.append(record)
-    return [
-        problem
-        for kind in RequestKind
-        for problem in compare(
-            kind,
-            [record for record in cut if record.kind is kind],
-            [record for record in others if record.kind is kind],
-        )
-    ]
-
-
-def compare(kind: RequestKind, cut: list[RequestRecord], others: list[RequestRecord]) -> list[str]:
-    """Compare requests of one kind: an overload is of one kind, and not at every box alike."""
     if not cut or not others:
         return []
     failed = sum(not is_served(record) for record in cut)
@@ -86,12 +72,12 @@
     if share >= MIN_SERVED_RATIO * share_elsewhere:
         return []
     reasons = Counter(
-        (record.status, record.body[:40].decode('latin-1'))
+        (record.kind.value, record.status, record.body[:40].decode('latin-1'))
         for record in cut
         if not is_served(record)
     )
     return [
-        f'partitioned boxes served {share:.2f} of {len(cut)} requests ({kind.value}), '
+        f'partitioned boxes served {share:.2f} of {len(cut)} requests, '
         f'the others {share_elsewhere:.2f} of {len(others)}; '
         f'the most failures: {reasons.most_common(MAX_REASONS)}'
     ]
