--- a/packages/clients/calicopath_clients/tests/connectors_tests.py
+++ b/packages/clients/calicopath_clients/tests/connectors_tests.py
@@ -131,6 +131,18 @@
 
         self.run_paths(work)
 
+    def test_a_recheck_that_hangs_delays_no_connection(self) -> None:
+        async def work(paths: ScriptedPaths) -> None:
+            paths.scripts['direct'] = 'hang'
+            for address in 'rst':
+                paths.reachability.on_silent(address)
+            started_at = paths.clock.monotonic()
+            self.assertEqual('near', await paths.open_path('r'))
+            self.assertIn('direct', paths.attempts)
+            self.assertLess(paths.clock.monotonic() - started_at, 0.05)
+
+        self.run_paths(work)
+
     def test_boxes_that_reach_nothing_either_fail_the_attempt_soon(self) -> None:
         async def work(paths: ScriptedPaths) -> None:
             for path in ('near', 'far', 'far-2'):
