Ask idle stage replicas that advertise a limit whether it still holds

Cause: the one replica left to a stage advertised a limit of 0, which counts as 0.2 calls a second; with the estimates that a slow time had raised (bias 2) every job was expected after its deadline and rejected. Without a call no answer showed that the limit had ended. Evidence: the new test of limit_tests.py rejected every job before and serves all now; 329 tests of scheduling, limits and permits pass beside it.

--- a/packages/core/calicopath_core/scheduling/stage_calls.py
+++ b/packages/core/calicopath_core/scheduling/stage_calls.py
@@ -177,6 +177,18 @@
         target.update_free_bytes(report.free_bytes, queue.spec, self.clock.monotonic())
         self.dispatch_soon()
 
+    def query_limited(self, is_limited: Callable[[Replica], bool]) -> None:
+        """Query idle replicas that advertise a limit, at the rate of control calls.
+
+        Only an answer shows that a limit has ended, and while jobs are rejected for it none is
+        called.
+        """
+        for queue in self.queues.values():
+            for target in queue.replicas.values():
+                is_idle = not target.open_calls and is_limited(target.replica)
+                if is_idle and self.freeing.backoff_left_s(target.replica) <= 0:
+                    self.spawn(self.query_free_space(queue, target))
+
     def dispatch_soon(self) -> None:
         """Schedule one dispatch after all events of this loop iteration are processed.
 
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -422,6 +422,8 @@
         for name in self.replicas.expire(now):
             events.emit(log, events.REPLICA_DROPPED, replica=name, held_s=True)
         self.inbox.check_overload_end(now)
+        if self.client.scheduler_address == self.own.address:
+            self.scheduler.stages.query_limited(self.notices.is_limited)
         self.adjust_group_count(now)
         self.update_group()
         self.ledger.expire()
--- a/packages/daemon/calicopathd/gateway/notices.py
+++ b/packages/daemon/calicopathd/gateway/notices.py
@@ -100,6 +100,10 @@
         """Report to other boxes that a replica has advertised a limit or withdrawn it."""
         self.limit_sharing.report([replica])
 
+    def is_limited(self, replica: Replica) -> bool:
+        """Return whether a replica advertises a limit, as far as known."""
+        return self.limits.limit_of(replica) is not None
+
     def service_of(self, replica: str) -> str:
         """Return a replica's service, an empty string if the replica is unknown."""
         found = self.replicas.replicas.get(replica)
--- a/packages/daemon/calicopathd/gateway/tests/limit_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/limit_tests.py
@@ -8,7 +8,10 @@
 
 from calicopath_core.fleet.notices import Notice
 from calicopath_core.permits.limits import ENFORCEMENT_DELAY_S, LimitState
+from calicopath_core.scheduling.admission import MAX_BIAS
+from calicopathd.gateway.run import TICK_INTERVAL_S
 from testkit.cases import VirtualCase
+from testkit.gateway_world import exchange
 from testkit.notice_fleet import NoticeFleet
 
 if TYPE_CHECKING:
@@ -273,3 +276,50 @@
             self.assertGreater(sum(name in DESKS for name in reached), 100)
 
         self.run_scenario(work)
+
+
+class EndedLimits(VirtualCase):
+    def test_a_stage_serves_again_after_the_limit_of_its_only_replica_has_ended(self) -> None:
+        """Staged requests are refused while the limit holds, so that no call shows its end."""
+
+        async def scenario() -> None:
+            fleet = NoticeFleet()
+            await fleet.start()
+            ticking = asyncio.create_task(run_ticks(fleet))
+            fleet.withdraw('look-south')
+            fleet.withdraw('look-2')
+            await send_drafts(fleet, 4)
+            fleet.advertise_limit(0.0, 'look-north')
+            await send_drafts(fleet, 4)
+            for item in fleet.boxes.values():
+                # Stages that were slow for a while raise the estimate for all later jobs.
+                item.box.scheduler.admission.set_bias(MAX_BIAS)
+            await send_drafts(fleet, 20)
+            fleet.clear_limit('look-north')
+            await send_drafts(fleet, 20)
+            sinks = await send_drafts(fleet, 8)
+            await fleet.settle()
+            self.assertEqual([], [sink.reason for sink in sinks if sink.status != 200])
+            ticking.cancel()
+            await fleet.stop()
+
+        self.run_virtual(scenario())
+
+
+async def run_ticks(fleet: NoticeFleet) -> None:
+    """Run the periodic work of every box, as the runner does."""
+    while True:
+        for item in fleet.boxes.values():
+            item.box.tick()
+        await asyncio.sleep(TICK_INTERVAL_S)
+
+
+async def send_drafts(fleet: NoticeFleet, count: int) -> list[FakeSink]:
+    """Send staged requests whose callers wait 4 s; return their reply sinks."""
+    sinks = []
+    for _ in range(count):
+        now = asyncio.get_running_loop().time()
+        request = exchange(next(fleet.numbers), 'draft', now, deadline_s=4.0)
+        sinks.append(fleet.serve('box-1', request))
+        await asyncio.sleep(0.5)
+    return sinks
