Brittle replicas: what one says counts for its service, and shares do not move with pauses

Cause: a box took a replica that it had not called yet for a sound one; a box in a pause took its share over fewer replicas and turned to others; and a replica that was not a box's to call stayed brittle there for ever, as no answer told otherwise.

--- a/packages/core/calicopath_core/exchanges/balancer.py
+++ b/packages/core/calicopath_core/exchanges/balancer.py
@@ -148,7 +148,7 @@
         """
         usable = self.gate.usable(service)
         if self.gate.brittle.by_replica:
-            usable = self.with_room(usable, now)
+            usable = self.with_room(service, usable, now)
         usable = [item for item in usable if item.id not in excluded]
         usable = self.cold_limiter.allowed(usable, now)
         if not usable:
@@ -160,26 +160,27 @@
         self.cold_limiter.on_sent(found, now)
         return found
 
-    def with_room(self, replicas: list[Replica], now: float) -> list[Replica]:
-        """Return the replicas without the brittle ones that have no free slot for this box."""
-        brittle = self.gate.brittle
-        share = brittle.share(replicas)
+    def with_room(self, service: str, replicas: list[Replica], now: float) -> list[Replica]:
+        """Return the replicas; of a brittle service those with a free slot for this box.
+
+        The share does not depend on pauses: a box that turned to other replicas would fill those.
+        """
+        share = self.gate.brittle.share(self.replicas.usable(service))
+        if not share:
+            return replicas
         return [
             item
             for item in replicas
-            if item.id not in brittle.by_replica
-            or (
-                self.stats_of(item).in_flight < share.get(item.id, 0)
-                and self.stats_of(item).estimated_calls(now) < item.slots
-            )
+            if self.stats_of(item).in_flight < share.get(item.id, 0)
+            and self.stats_of(item).estimated_calls(now) < item.slots
         ]
 
     def may_get_room(self, service: str, excluded: set[str]) -> bool:
         """Return whether a request may wait for a slot of a brittle replica."""
-        return any(
-            item.id in self.gate.brittle.by_replica and item.id not in excluded
-            for item in self.gate.usable(service)
-        )
+        if not self.gate.brittle.by_replica:
+            return False
+        share = self.gate.brittle.share(self.replicas.usable(service))
+        return any(name not in excluded for name in share)
 
     def permit_candidates(self, service: str, excluded: set[str], now: float) -> list[Replica]:
         """Return the replicas that may be called with a permit, lowest expected cost first."""
--- a/packages/daemon/calicopathd/gateway/tests/brittle_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/brittle_tests.py
@@ -16,14 +16,16 @@
 
 
 class BrittleReplicas(VirtualCase):
-    def falls(self, load: float, *, count: int = 8, route: str = 'pay') -> tuple[int, float]:
+    def falls(
+        self, load: float, *, count: int = 8, route: str = 'pay', brittle_per_s: int = 5
+    ) -> tuple[int, float]:
         """Return the falls under a load, as a share of capacity, and the share served of it.
 
         The replicas let none wait from `CONTACT_S` on.
         """
 
         async def scenario() -> tuple[int, float]:
-            fleet = BrittleFleet(count=count)
+            fleet = BrittleFleet(count=count, brittle_per_s=brittle_per_s)
             await fleet.start()
             await fleet.load(route, 0.05, CONTACT_S)
             fleet.shrink_queues(0)
@@ -86,3 +88,7 @@
         falls, served = self.falls(0.6, count=28)
         self.assertEqual(0, falls)
         self.assertGreater(served, 0.9)
+
+    def test_few_replicas_that_bear_little_fall_over_when_boxes_outnumber_slots(self) -> None:
+        falls, _ = self.falls(2.0, count=28, brittle_per_s=2)
+        self.assertLessEqual(falls, MAX_FALLS)
