Soak and tests: listen below the range of ports for outgoing connections

Cause: the box was started again and ended with EADDRINUSE at its forwarding port: an outgoing connection of another process had taken the port while the box was down. Its ports were drawn from the range for outgoing connections.

--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -24,7 +24,7 @@
 )
 from calicopath_platform.tests.standins import StoreStandIn
 from testkit.partition import Partition
-from testkit.ports import free_port_block, free_ports
+from testkit.ports import free_port_block
 from tools.soak.boxes import BoxProcess
 from tools.soak.links import Link
 from tools.soak.partitions import BoxPeriod
@@ -146,8 +146,7 @@
 
     def assign_ports(self, box: BoxProcess, store_address: str) -> None:
         """Write a box's settings with ports that were free a moment ago."""
-        frontend, ready = free_ports(2)
-        peers, _, metrics = free_port_block(3)
+        peers, _, metrics, frontend, ready = free_port_block(5)
         failure_domain = FAILURE_DOMAINS[box.number % len(FAILURE_DOMAINS)]
         ports = (frontend, ready, peers, metrics)
         box.settings_path.write_text(
