Log and count streams that a replica continues, with software versions

The lines could not tell a stream that a client takes up from a new one, nor at which version it goes on.

--- a/packages/core/calicopath_core/exchanges/context.py
+++ b/packages/core/calicopath_core/exchanges/context.py
@@ -20,7 +20,7 @@
     from calicopath_core.fleet.deployment import Deployment, DeploymentView, Route
     from calicopath_core.fleet.gate import CallGate
     from calicopath_core.fleet.notices import Exclusion
-    from calicopath_core.fleet.replicas import ReplicaTable
+    from calicopath_core.fleet.replicas import Replica, ReplicaTable
     from calicopath_core.scheduling.client import SchedulerClient
     from calicopath_core.scheduling.election import Election
 
@@ -87,6 +87,7 @@
         self.deadline_at = deadline_at
         self.tried_replicas: list[str] = []
         self.skipped_replicas: list[str] = []
+        self.tried_versions: list[str] = []
         self.runs = 0
         self.sends = 0
         self.sent_at = 0.0
@@ -155,6 +156,13 @@
     ) -> None:
         """Handle the end of a wait for a permit; `replica` is empty if none was granted."""
 
+    @abstractmethod
+    def on_stream_resumed(self, state: ExchangeState, replica: Replica, begun_by: str) -> None:
+        """Handle the first event from a replica that continues a stream.
+
+        `begun_by` is the version that began the stream, empty if this box does not know it.
+        """
+
     @abstractmethod
     def on_blocked_refused(self, state: ExchangeState) -> None:
         """Handle a request that is not sent because requests like it crash replicas."""
--- a/packages/core/calicopath_core/exchanges/messages.py
+++ b/packages/core/calicopath_core/exchanges/messages.py
@@ -23,8 +23,9 @@
 class Exchange(NamedTuple):
     """Hold one request as it was received; `received_at` is in monotonic seconds.
 
-    `headers` are forwarded unchanged. Headers that the gateway interprets are not among them; their
-    values are in other fields.
+    `headers` are forwarded unchanged. Headers that the gateway replaces are not among them; their
+    values are in other fields. `resumed_call_id` identifies the caller's attempt that received the
+    first event of a stream which this request continues.
     """
 
     call_id: str
@@ -41,6 +42,7 @@
     prompt: Prompt | None
     piece_counts: tuple[int, ...]
     piece_key: str
+    resumed_call_id: str | None = None
 
 
 class OutboundRequest(NamedTuple):
--- a/packages/core/calicopath_core/exchanges/streams.py
+++ b/packages/core/calicopath_core/exchanges/streams.py
@@ -61,6 +61,7 @@
         self.splitter.last_event_id = state.exchange.last_event_id
         self.head_sent = False
         self.first_event_received = False
+        self.begun_by = ''
         self.reported_pace: float | None = None
 
     async def serve(self) -> None:
@@ -192,6 +193,7 @@
         """Send the request to an engine and forward its events; return whether it is over."""
         state = self.state
         state.on_send(replica.id, self.context.clock.monotonic())
+        state.tried_versions.append(replica.version)
         self.first_event_received = False
         answer = await self.send(placed, replica)
         self.reported_pace = answer.head.load.pace if answer.head.load is not None else None
@@ -203,7 +205,7 @@
             state.runs += 1
             if not answer.head.success:
                 return await self.forward_failure(answer)
-            await self.forward_events(job, placed, answer)
+            await self.forward_events(job, placed, replica, answer)
             return True
         finally:
             answer.close()
@@ -251,7 +253,9 @@
         self.sink.respond(answer.head.status, answer.head.headers, body)
         return True
 
-    async def forward_events(self, job: str, placed: Placed, answer: ReplicaAnswer) -> None:
+    async def forward_events(
+        self, job: str, placed: Placed, replica: Replica, answer: ReplicaAnswer
+    ) -> None:
         """Forward complete events as they come."""
         timeout_s = self.first_event_timeout_s(placed)
         self.splitter.buffer = b''
@@ -264,6 +268,7 @@
                 continue
             if not self.first_event_received:
                 self.first_event_received = True
+                self.record_version(replica)
                 self.context.scheduler.report_started(job, self.reported_pace)
                 # By the end of the stream the report would be out of date.
                 self.reported_pace = None
@@ -273,6 +278,13 @@
             raise MayHaveRun('the stream ended inside an event')
         self.finish(answer)
 
+    def record_version(self, replica: Replica) -> None:
+        """Record the version of the replica that sends the next events."""
+        if self.head_sent or self.state.exchange.last_event_id is not None:
+            self.context.observer.on_stream_resumed(self.state, replica, self.begun_by)
+        if not self.head_sent:
+            self.begun_by = replica.version
+
     async def read(self, answer: ReplicaAnswer, timeout_s: float) -> bytes | None:
         """Return the next bytes of a stream; raise `MayHaveRun` if none come in time."""
         try:
--- a/packages/core/calicopath_core/fleet/replicas.py
+++ b/packages/core/calicopath_core/fleet/replicas.py
@@ -22,7 +22,8 @@
     """Describe a replica: `id` names the instance, `address` is `host:port`.
 
     `cold` means that it is warming up and accepts less load than usual. `started_ms` is when this
-    incarnation was started, in milliseconds since 1970, 0 if unknown.
+    incarnation was started, in milliseconds since 1970, 0 if unknown. `version` is that of its
+    software, empty if unknown; versions have no order.
     """
 
     id: str
@@ -33,6 +34,7 @@
     draining: bool
     cold: bool = False
     started_ms: float = 0.0
+    version: str = ''
 
 
 class ReplicaTable:
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -300,6 +300,9 @@
     617, 'info', 'replica brittle', 'A replica falls over if it turns more requests away a second.'
 )
 BRITTLE_ENDED = Event(618, 'info', 'brittle ended', 'A replica no longer says that it is brittle.')
+STREAM_RESUMED = Event(
+    619, 'info', 'stream resumed', 'A replica continues a stream that another call began.'
+)
 REPLICAS_UNREACHABLE = Event(
     815,
     'warning',
--- a/packages/daemon/calicopathd/gateway/metrics.py
+++ b/packages/daemon/calicopathd/gateway/metrics.py
@@ -23,6 +23,10 @@
         self.attempts_failed = self.counter(
             'attempts_failed_total', 'Failed attempts by service and failure.'
         )
+        self.streams_resumed = self.counter(
+            'streams_resumed_total',
+            'Streams that a replica continued, by who resumed them and whose version it has.',
+        )
         self.crashes_recorded = self.counter(
             'replica_ends_noted_total', 'Ends of replicas, counted for each request that ran there.'
         )
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -65,6 +65,9 @@
             status=state.status,
             detail=state.detail,
             replicas=state.tried_replicas,
+            versions=state.tried_versions,
+            last_event_id=state.exchange.last_event_id,
+            resumes=state.exchange.resumed_call_id,
             first_ms=None if first_s is None else round(first_s * 1000),
             took_ms=round(took_s * 1000),
         )
@@ -102,6 +105,24 @@
             error=str(error),
         )
 
+    def on_stream_resumed(self, state: ExchangeState, replica: Replica, begun_by: str) -> None:
+        """Log and count a stream that a replica continues; `begun_by` is empty if unknown."""
+        by = 'box' if state.first_byte_at is not None else 'caller'
+        version = 'unknown'
+        if begun_by:
+            version = 'same' if begun_by == replica.version else 'other'
+        self.metrics.streams_resumed.inc({'by': by, 'version': version})
+        events.emit(
+            log,
+            events.STREAM_RESUMED,
+            request=state.exchange.call_id,
+            resumes=state.exchange.resumed_call_id,
+            by=by,
+            replica=replica.id,
+            version=replica.version,
+            begun_by=begun_by or None,
+        )
+
     def on_permit(self, service: str, outcome: str) -> None:
         """Count a permit by its outcome."""
         self.metrics.permits.inc({'service': service, 'outcome': outcome})
