--- a/testkit/gateway.py
+++ b/testkit/gateway.py
@@ -73,6 +73,7 @@
         self.notices = ReplicaNotices()
         self.boxes: dict[str, FleetBox] = {}
         self.request_tasks: list[asyncio.Task[None]] = []
+        self.tasks_by_box: dict[str, list[asyncio.Task[None]]] = {}
         self.store.write(RecordKind.DEPLOYMENT, 'main', deployment())
         for replica in replicas():
             self.store.write(RecordKind.REPLICA, replica.id, replica)
@@ -109,8 +110,10 @@
         await asyncio.sleep(2.0)
 
     def kill(self, name: str) -> None:
-        """Kill a box and disconnect it from the network."""
+        """Kill a box, cut the requests that it serves, and disconnect it from the network."""
         self.boxes.pop(name).kill()
+        for task in self.tasks_by_box.pop(name, []):
+            task.cancel()
         self.network.handlers.pop(f'{name}:7', None)
 
     def evacuate(self, failure_domain: str) -> None:
@@ -131,6 +134,7 @@
         sink = FakeSink()
         task = asyncio.create_task(self.boxes[name].box.executor.serve(request, sink))
         self.request_tasks.append(task)
+        self.tasks_by_box.setdefault(name, []).append(task)
         return sink
 
     async def settle(self, timeout_s: float = 20.0) -> None:
--- a/testkit/gateway_replicas.py
+++ b/testkit/gateway_replicas.py
@@ -130,7 +130,8 @@
         if self.next_id > EVENTS:
             self.engine.running.discard(self.outbound.exchange.call_id)
             return None
-        data = f'id: {self.next_id}\ndata: t{self.next_id}\n\n'.encode()
+        version = self.outbound.replica.version
+        data = f'id: {self.next_id}\ndata: t{self.next_id} {version}\n\n'.encode()
         self.next_id += 1
         self.sent += 1
         return data
@@ -255,3 +256,9 @@
         """Return the identifiers of the received events."""
         lines = self.body.decode().splitlines()
         return [int(line[3:]) for line in lines if line.startswith('id:')]
+
+    @property
+    def versions(self) -> list[str]:
+        """Return the version of the replica that sent each of the received events."""
+        lines = self.body.decode().splitlines()
+        return [line.split(' ')[2] for line in lines if line.startswith('data:')]
