--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+EVENT_VERSION = re.compile(rb'^data: t\d+ (.*)$', re.MULTILINE)
 EVENT_ID = re.compile(rb'^id: (\d+)$', re.MULTILINE)
 
 
@@ -41,6 +42,8 @@
     data: bytes
     probed_version: int
     crash_path: str = ''
+    resumed_call_id: str = ''
+    last_event_id: int = 0
 
 
 class CallerConnection:
@@ -144,6 +147,7 @@
         connection.close()
     is_stream = request.kind in STREAM_KINDS and response.status == 200
     event_ids = tuple(int(found) for found in EVENT_ID.findall(response.body)) if is_stream else ()
+    versions = EVENT_VERSION.findall(response.body) if is_stream else ()
     return RequestRecord(
         call_id=request.call_id,
         kind=request.kind,
@@ -161,4 +165,7 @@
         crash_path=request.crash_path,
         retry_after_s=response.retry_after_s,
         replica_is_limited=response.replica_is_limited,
+        event_versions=tuple(version.decode() for version in versions),
+        resumed_call_id=request.resumed_call_id,
+        last_event_id=request.last_event_id,
     )
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -59,11 +59,13 @@
 
 def find_stream_errors(record: RequestRecord) -> list[str]:
     """Check that a stream has each event once and in order, and ends as whole only if it is."""
-    expected = tuple(range(1, len(record.event_ids) + 1))
+    first = record.last_event_id + 1
+    expected = tuple(range(first, first + len(record.event_ids)))
     if record.event_ids != expected:
         return [f'{record.call_id}: events {record.event_ids}']
-    if record.is_complete and len(record.event_ids) != EVENTS_PER_STREAM:
-        return [f'{record.call_id}: ended as whole after {len(record.event_ids)} events']
+    last_event_id = record.event_ids[-1] if record.event_ids else record.last_event_id
+    if record.is_complete and last_event_id != EVENTS_PER_STREAM:
+        return [f'{record.call_id}: ended as whole after event {last_event_id}']
     return []
 
 
--- a/tools/soak/records.py
+++ b/tools/soak/records.py
@@ -29,7 +29,9 @@
     `incarnation` counts the starts of the box; `probed_version` is the configuration version that a
     probe asks for; `replica_is_leaving` and `replica_is_limited` tell that the response carried the
     notice of a leaving replica or of a limit; `crash_path` is the path of a request that crashes
-    the replica that runs it.
+    the replica that runs it. `event_versions` has the version of the replica that made each event;
+    an attempt that continues a stream has the identifier of the first attempt in `resumed_call_id`
+    and the last event that came before in `last_event_id`.
     """
 
     call_id: str
@@ -48,6 +50,9 @@
     crash_path: str = ''
     retry_after_s: float = 0.0
     replica_is_limited: bool = False
+    event_versions: tuple[str, ...] = ()
+    resumed_call_id: str = ''
+    last_event_id: int = 0
 
     @property
     def is_refusal(self) -> bool:
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -16,12 +16,19 @@
 from tools.soak.limits import find_limit_violations
 from tools.soak.partitions import find_unserved_callers
 from tools.soak.records import RequestKind, RequestRecord
+from tools.soak.resuming import (
+    find_lost_streams,
+    find_mixed_versions,
+    is_broken_stream,
+    resume_stream,
+)
 from tools.soak.schedule import FaultKind, Step, draw_steps
 from tools.soak.world import FAILURE_DOMAINS, REPLICA_COUNT, World
 
 if TYPE_CHECKING:
     from tools.soak.crash_requests import Repeat
     from tools.soak.overload import LoadPeriod
+    from tools.soak.resuming import Resumption
 
 CALLER_DEADLINE_S = 4.0
 RESPONSE_TIMEOUT_S = 8.0
@@ -153,11 +160,43 @@
             request = self.new_request(
                 f'c-{number}-{request_number}', rng.choice(CALLER_REQUEST_KINDS), box, rng
             )
-            await self.send(connections[box], request)
+            record = await self.send(connections[box], request)
+            if is_broken_stream(record):
+                send_rest = partial(self.send_rest, record, connections, rng)
+                await resume_stream(record, send_rest, CALLER_DEADLINE_S, self.world.now)
             await asyncio.sleep(rng.uniform(0, MAX_CALLER_PAUSE_S))
         for connection in connections:
             connection.close()
 
+    async def send_rest(
+        self,
+        broken: RequestRecord,
+        connections: list[CallerConnection],
+        rng: random.Random,
+        resumption: Resumption,
+    ) -> RequestRecord:
+        """Send a request that continues a broken stream, to any box."""
+        box = rng.randrange(len(connections))
+        data = soak_request(
+            f'/{broken.kind.value}/{broken.call_id}',
+            resumption.call_id,
+            staged=True,
+            deadline_s=resumption.deadline_s,
+            resumed_call_id=resumption.resumed_call_id,
+            last_event_id=resumption.last_event_id,
+        )
+        request = CallerRequest(
+            resumption.call_id,
+            broken.kind,
+            box,
+            self.world.boxes[box].incarnation,
+            data,
+            0,
+            resumed_call_id=resumption.resumed_call_id,
+            last_event_id=resumption.last_event_id,
+        )
+        return await self.send(connections[box], request)
+
     def new_request(
         self, call_id: str, kind: RequestKind, box: int, rng: random.Random
     ) -> CallerRequest:
@@ -234,6 +273,8 @@
             *crash_requests.find_wrongly_blocked(self.records),
             *crash_requests.find_runs_after_block(self.records, world.runs),
             *checks.find_runs_after_leaving_notice(self.records, world.runs, steps),
+            *find_mixed_versions(self.records),
+            *find_lost_streams(self.records, self.plan.only),
             *find_limit_violations(
                 self.records,
                 world.limit_periods,
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -33,6 +33,7 @@
     STORE_RESTORE = 'store-goes-back'
     OVERLOAD = 'overload'
     BOX_PARTITION = 'box-partition'
+    KILL_BOXES = 'kill-boxes'
 
 
 class LinkMode(enum.Enum):
@@ -74,6 +75,7 @@
         FaultKind.STORE_RESTORE,
         FaultKind.OVERLOAD,
         FaultKind.BOX_PARTITION,
+        FaultKind.KILL_BOXES,
     }
 )
 """What is drawn apart, so that what else a seed means stays as it was before these came."""
@@ -124,6 +126,9 @@
 MAX_PARTITION_S = 8.0
 """The mean time between two partitions of boxes from all replicas, and how long one is."""
 
+MEAN_KILL_GAP_S = 2.5
+"""The mean time between two moments at which boxes are killed: one, some or all."""
+
 PARTITION_MODES = (LinkMode.RESET, LinkMode.SILENT, LinkMode.PASS)
 """Resets or silences all connections to replicas, or refuses only new ones."""
 
@@ -181,6 +186,7 @@
     steps += draw_restores(seed, seconds=seconds)
     steps += draw_overloads(seed, seconds=seconds)
     steps += draw_partitions(seed, seconds=seconds, boxes=boxes)
+    steps += draw_kills(seed, seconds=seconds, boxes=boxes)
     return sorted(steps, key=lambda step: step.at_s)
 
 
@@ -291,6 +297,18 @@
     return steps
 
 
+def draw_kills(seed: int, *, seconds: float, boxes: int) -> list[Step]:
+    """Return when boxes are killed at the same moment; the target is how many."""
+    rng = random.Random(f'kills of {seed}')
+    steps: list[Step] = []
+    at_s = rng.expovariate(1 / MEAN_KILL_GAP_S)
+    while at_s < seconds:
+        count = rng.randint(1, boxes)
+        steps.append(Step(round(at_s, 3), FaultKind.KILL_BOXES, count, 0.0, LinkMode.PASS))
+        at_s += rng.expovariate(1 / MEAN_KILL_GAP_S)
+    return steps
+
+
 def is_calm(
     steps: list[Step], start_s: float, end_s: float, *, ignored: Step | None = None
 ) -> bool:
--- a/tools/soak/tests/limits_tests.py
+++ b/tools/soak/tests/limits_tests.py
@@ -20,6 +20,7 @@
             self.addCleanup(shutil.rmtree, world.folder)
             replica = SoakReplica(
                 name='i-6-1',
+                version='v1',
                 service='engine',
                 failure_domain='a',
                 clock=world.now,
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -36,6 +36,7 @@
 
 SERVICES = ('engine', 'look', 'desk')
 REPLICAS_PER_SERVICE = 3
+VERSIONS = ('v1', 'v2')
 REPLICA_COUNT = len(SERVICES) * REPLICAS_PER_SERVICE
 FAILURE_DOMAINS = ('north', 'south')
 RESTART_DELAY_S = 0.5
@@ -78,6 +79,10 @@
         self.stack = contextlib.AsyncExitStack()
         self.lock = asyncio.Lock()
 
+    def next_version(self) -> str:
+        """Return the software version of a new incarnation: both versions serve side by side."""
+        return VERSIONS[(self.number // len(SERVICES) + self.incarnation - 1) % len(VERSIONS)]
+
 
 class World:
     """Own everything that runs; times are seconds since it was made."""
@@ -157,8 +162,11 @@
     async def start_replica(self, slot: ReplicaSlot, name: str | None = None) -> None:
         """Start a new incarnation, under a name of its own unless one is given, and announce it."""
         slot.incarnation += 1
+        # One that starts again under its name has the same software.
+        version = slot.replica.version if name and slot.replica is not None else slot.next_version()
         slot.replica = SoakReplica(
             name=name or f'i-{slot.number}-{slot.incarnation}',
+            version=version,
             service=slot.service,
             failure_domain=slot.failure_domain,
             clock=self.now,
@@ -202,7 +210,7 @@
             'service': slot.service,
             'address': slot.link.address,
             'zone': slot.failure_domain,
-            'version': '1',
+            'version': slot.replica.version,
             'slots': 8,
             'state': state,
             'warmupLeftMs': 0,
@@ -225,6 +233,8 @@
         match step.kind:
             case FaultKind.KILL_BOX | FaultKind.PAUSE_BOX | FaultKind.STOP_BOX:
                 await self.disturb_box(step, self.boxes[step.target])
+            case FaultKind.KILL_BOXES:
+                await self.kill_boxes(step)
             case FaultKind.BOX_PARTITION:
                 await self.partition_box(step, self.boxes[step.target])
             case FaultKind.RELOAD_BOX:
@@ -275,6 +285,13 @@
                     names.CONFIG_KIND, names.CONFIG_NAME, soak_config(self.config_version)
                 )
 
+    async def kill_boxes(self, step: Step) -> None:
+        """Kill as many boxes at the same moment as the step's target says."""
+        first = int(1000 * step.at_s) % len(self.boxes)
+        chosen = [self.boxes[(first + shift) % len(self.boxes)] for shift in range(step.target)]
+        kill = step._replace(kind=FaultKind.KILL_BOX)
+        await asyncio.gather(*(self.disturb_box(kill, box) for box in chosen))
+
     async def restore_store(self, step: Step) -> None:
         """Have the store be away and come back in a new era, from a copy as old as the step."""
         snapshot = self.store.snapshot()
