Resume a broken answer only at the software version that began it

Callers saw answers whose events came from two versions of the engine software. The version of a replica's entry was not decoded, so the scheduler placed the rest of a stream at any engine that had not failed it.

A placement request now names the version that sent the first event, by the entry that was in force then; only engines of that version are chosen, wait or count as available. The box checks the chosen engine itself, since its scheduler may be of an older build or have an older entry. The last engine of the version may be tried again; without any, the answer ends as broken at once.

The second test now removes the engines while the answer runs: with an engine of its version left, the answer goes on there, for which a third test stands.

--- a/packages/core/calicopath_core/exchanges/context.py
+++ b/packages/core/calicopath_core/exchanges/context.py
@@ -157,10 +157,12 @@
         """Handle the end of a wait for a permit; `replica` is empty if none was granted."""
 
     @abstractmethod
-    def on_stream_resumed(self, state: ExchangeState, replica: Replica, begun_by: str) -> None:
+    def on_stream_resumed(
+        self, state: ExchangeState, replica: Replica, begun_by: str | None
+    ) -> None:
         """Handle the first event from a replica that continues a stream.
 
-        `begun_by` is the version that began the stream, empty if this box does not know it.
+        `begun_by` is the version that began the stream, `None` if this box does not know it.
         """
 
     @abstractmethod
--- a/packages/core/calicopath_core/exchanges/streams.py
+++ b/packages/core/calicopath_core/exchanges/streams.py
@@ -61,7 +61,7 @@
         self.splitter.last_event_id = state.exchange.last_event_id
         self.head_sent = False
         self.first_event_received = False
-        self.begun_by = ''
+        self.begun_by: str | None = None
         self.reported_pace: float | None = None
 
     async def serve(self) -> None:
@@ -77,9 +77,7 @@
         try:
             placed = await self.place(job)
             replica = self.context.replicas.replicas.get(placed.replica)
-            exclusion = (
-                Exclusion.GONE if replica is None else self.context.gate.exclusion_of(replica)
-            )
+            exclusion = self.exclusion_of(replica)
             if replica is None or exclusion is not None:
                 # This box knows of an exclusion that the scheduler missed; nothing was sent.
                 return self.skip_replica(placed, exclusion or Exclusion.GONE)
@@ -109,6 +107,17 @@
                 job, failed=failed, turned_away=turned_away, pace=self.reported_pace
             )
 
+    def exclusion_of(self, replica: Replica | None) -> Exclusion | None:
+        """Return why the chosen engine must not get this request, `None` if it may.
+
+        The scheduler may have an older entry of the engine, or not know versions at all.
+        """
+        if replica is None:
+            return Exclusion.GONE
+        if self.begun_by not in (None, replica.version):
+            return Exclusion.OTHER_VERSION
+        return self.context.gate.exclusion_of(replica)
+
     async def take_permit(self, placed: Placed, replica: Replica) -> None:
         """Use the permit granted with a placement; request one if the scheduler knew of no limit.
 
@@ -177,14 +186,27 @@
             service=state.service,
             phases=phases,
             prompt=exchange.prompt or Prompt('', (), 0, 0),
-            exclude=(*state.tried_replicas, *state.skipped_replicas),
+            exclude=self.excluded_engines(),
             resumed=bool(state.tried_replicas),
             workspace=state.workspace or '',
             content=state.content,
             backoffs=self.context.gate.remaining_backoffs(state.service),
             may_have_run=state.may_have_run,
+            version=self.begun_by,
         )
 
+    def excluded_engines(self) -> tuple[str, ...]:
+        """Return the engines that must not be chosen.
+
+        The last engine of a stream's version may be tried again: no other one can continue it.
+        """
+        tried, skipped = self.state.tried_replicas, self.state.skipped_replicas
+        usable = self.context.gate.usable(self.state.service)
+        others = [item for item in usable if item.id not in tried and item.id not in skipped]
+        if self.begun_by is not None and all(item.version != self.begun_by for item in others):
+            return tuple(skipped)
+        return (*tried, *skipped)
+
     def left_s(self) -> float:
         """Return the seconds until the exchange's deadline, at least 0."""
         return max(0.0, self.state.deadline_at - self.context.clock.monotonic())
@@ -282,7 +304,7 @@
         """Record the version of the replica that sends the next events."""
         if self.head_sent or self.state.exchange.last_event_id is not None:
             self.context.observer.on_stream_resumed(self.state, replica, self.begun_by)
-        if not self.head_sent:
+        if self.begun_by is None:
             self.begun_by = replica.version
 
     async def read(self, answer: ReplicaAnswer, timeout_s: float) -> bytes | None:
--- a/packages/core/calicopath_core/fleet/notices.py
+++ b/packages/core/calicopath_core/fleet/notices.py
@@ -50,6 +50,7 @@
     LEAVING = 'leaving'
     BACKOFF = 'backoff'
     LIMIT = 'limit'
+    OTHER_VERSION = 'other-version'
 
 
 class ReplicaExcluded(NotStarted):
--- a/packages/core/calicopath_core/scheduling/baseline.py
+++ b/packages/core/calicopath_core/scheduling/baseline.py
@@ -39,5 +39,5 @@
 
     def choose(self, job: Job, now: float) -> EngineChoice | None:
         """Return a random engine with a free slot, `None` if there is none."""
-        usable = [item for item in self.engines.values() if len(item.runs) < self.slots]
+        usable = [item for item in self.engines_for(job) if len(item.runs) < self.slots]
         return EngineChoice(self.rng.choice(usable), 0.0) if usable else None
--- a/packages/core/calicopath_core/scheduling/engine_pools.py
+++ b/packages/core/calicopath_core/scheduling/engine_pools.py
@@ -80,7 +80,9 @@
 
     def has_restrictions_for(self, job: Job) -> bool:
         """Tell whether other jobs may use engines that are closed to this one."""
-        return bool(job.place.exclude) or job.place.reply_to in self.backoffs.by_box
+        place = job.place
+        is_restricted = bool(place.exclude) or place.version is not None
+        return is_restricted or place.reply_to in self.backoffs.by_box
 
     def loads(self) -> dict[str, float]:
         """Return the work that waits at each engine, in seconds by replica."""
--- a/packages/core/calicopath_core/scheduling/engines.py
+++ b/packages/core/calicopath_core/scheduling/engines.py
@@ -252,9 +252,21 @@
             return self.start_limit
         return self.start_limit.per_scheduler()
 
+    def engines_for(self, job: Job) -> list[Engine]:
+        """Return the engines that may run a job, even if they are busy now.
+
+        A stream that has begun may only go on at the software version that began it.
+        """
+        place = job.place
+        return [
+            engine
+            for name, engine in self.engines.items()
+            if name not in place.exclude and place.version in (None, engine.replica.version)
+        ]
+
     def has_engine_for(self, job: Job) -> bool:
         """Tell whether any engine may run a job, even if all are busy now."""
-        return any(name not in job.place.exclude for name in self.engines)
+        return bool(self.engines_for(job))
 
     def choose(self, job: Job, now: float) -> EngineChoice | None:
         """Return the engine of least cost for a job, `None` if no engine accepts it now.
@@ -266,9 +278,8 @@
         start_limit = self.current_start_limit(now)
         usable = [
             engine
-            for engine in self.engines.values()
+            for engine in self.engines_for(job)
             if len(engine.runs) < self.slots
-            and engine.replica.id not in job.place.exclude
             and engine.can_start_run(start_limit, now)
             and self.accepts_run(engine, job, now)
         ]
@@ -307,19 +318,18 @@
 
     def min_backoff_s(self, job: Job, now: float) -> float:
         """Return the seconds until the first engine accepts a run from a job's box, 0 for now."""
-        replica_ids = (name for name in self.engines if name not in job.place.exclude)
+        replica_ids = (item.replica.id for item in self.engines_for(job))
         return self.backoffs.min_remaining_s(job.place.reply_to, replica_ids, now)
 
     def permit_wait_s(self, job: Job, ahead: int) -> float:
         """Return the seconds until an engine may be called for a job behind `ahead` others."""
-        exclude = job.place.exclude
-        usable = [item.replica for name, item in self.engines.items() if name not in exclude]
+        usable = [item.replica for item in self.engines_for(job)]
         return self.permits.wait_s(usable, ahead)
 
     def min_first_event_s(self, job: Job, now: float) -> float:
         """Return the least time to a job's first event over all healthy engines, in seconds."""
         prompt = prompt_keys(job.place.prompt)
-        healthy = [item for item in self.engines.values() if item.ejected_until <= now]
+        healthy = [item for item in self.engines_for(job) if item.ejected_until <= now]
         box = job.place.reply_to
         times = (
             self.first_event_s(engine, prompt, now)
--- a/packages/core/calicopath_core/scheduling/messages.py
+++ b/packages/core/calicopath_core/scheduling/messages.py
@@ -54,8 +54,9 @@
     `is_over_allowance` says that an earlier scheduler found the job over its workspace's allowance.
     `content` is the request's fingerprint. `backoffs` holds the engines that back off the
     requesting box, with the seconds left; `may_have_run` says that a rejection would come too late
-    for the caller to try another box. `objective_s` and `deadline_s` are the seconds left when the
-    message is sent.
+    for the caller to try another box. `version` is the software version that began the stream, at
+    which alone it may go on; `None` for a new stream. `objective_s` and `deadline_s` are the seconds
+    left when the message is sent.
     """
 
     job: str
@@ -78,6 +79,7 @@
     content: str = ''
     backoffs: dict[str, float] = {}
     may_have_run: bool = False
+    version: str | None = None
 
     @property
     def services(self) -> tuple[str, ...]:
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -105,11 +105,13 @@
             error=str(error),
         )
 
-    def on_stream_resumed(self, state: ExchangeState, replica: Replica, begun_by: str) -> None:
-        """Log and count a stream that a replica continues; `begun_by` is empty if unknown."""
+    def on_stream_resumed(
+        self, state: ExchangeState, replica: Replica, begun_by: str | None
+    ) -> None:
+        """Log and count a stream that a replica continues; `begun_by` is `None` if unknown."""
         by = 'box' if state.first_byte_at is not None else 'caller'
         version = 'unknown'
-        if begun_by:
+        if begun_by is not None:
             version = 'same' if begun_by == replica.version else 'other'
         self.metrics.streams_resumed.inc({'by': by, 'version': version})
         events.emit(
@@ -120,7 +122,7 @@
             by=by,
             replica=replica.id,
             version=replica.version,
-            begun_by=begun_by or None,
+            begun_by=begun_by,
         )
 
     def on_permit(self, service: str, outcome: str) -> None:
--- a/packages/daemon/calicopathd/gateway/tests/versions_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/versions_tests.py
@@ -112,15 +112,27 @@
     def test_a_broken_answer_without_a_replica_of_its_version_is_not_completed_by_another(
         self,
     ) -> None:
+        async def work(fleet: MixedFleet) -> None:
+            fleet.replicas.faults = {ANY_REPLICA: ['break:3']}
+            caller = ResumingCaller(fleet=fleet, number=1)
+            sink = caller.send('box-0')
+            await asyncio.sleep(BEGUN_S)
+            fleet.remove_engines(*caller.versions)
+            await fleet.settle()
+            self.assertEqual(([1, 2, 3], 'cut'), (sink.event_ids, sink.state))
+
+        self.run_scenario(work, count=1)
+
+    def test_a_broken_answer_goes_on_at_the_last_replica_of_its_version(self) -> None:
         async def work(fleet: MixedFleet) -> None:
             fleet.remove_engines('v1', 1)
             fleet.remove_engines('v2', 1)
             await asyncio.sleep(0.1)
             fleet.replicas.faults = {ANY_REPLICA: ['break:3']}
             caller = ResumingCaller(fleet=fleet, number=1)
-            sink = caller.send('box-0')
+            caller.send('box-0')
             await fleet.settle()
-            self.assertEqual(([1, 2, 3], 'cut'), (sink.event_ids, sink.state))
+            self.check([caller])
 
         self.run_scenario(work, count=1)
 
