Resume a caller's stream only at the software version that began it

Nothing told a box which version had begun a stream that it had not served, so it was placed like a new one.

Each box now records which version sent the first event of a stream, by the entry in force when it was sent, and sends the record to the scheduler and to two boxes chosen by a hash of the names within 20 ms. A box that a caller comes back to asks the scheduler; all boxes send a new scheduler what they hold. The scheduler declares each version of a service in the store, by conditional update, before streams begin at it, and writes its records there every 0.25 s while a service has several versions. So the only declared version began every stream without a record; else a stream that nobody knows is refused as not run, without a time to come back, as is one whose version has no replica left. A traffic split is drawn by the first attempt.

The release test has two cases now, for a release that was seen before all boxes ended and for one that comes at that moment.

--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,7 @@
 soak: setup
 	$(PY) -m tools.soak --kept --seeds 1,2,3 --seconds 6
 	$(PY) -m tools.soak --only box-partition --seeds 3,4 --seconds 10
+	$(PY) -m tools.soak --only kill-boxes --seeds 1,2 --seconds 10
 
 mutants: setup
 	$(PY) -m tools.mutants
--- a/packages/core/calicopath_core/exchanges/context.py
+++ b/packages/core/calicopath_core/exchanges/context.py
@@ -23,6 +23,7 @@
     from calicopath_core.fleet.replicas import Replica, ReplicaTable
     from calicopath_core.scheduling.client import SchedulerClient
     from calicopath_core.scheduling.election import Election
+    from calicopath_core.versions.directory import VersionDirectory
 
 STATUS_UNAUTHORIZED = 401
 STATUS_NOT_FOUND = 404
@@ -158,13 +159,18 @@
 
     @abstractmethod
     def on_stream_resumed(
-        self, state: ExchangeState, replica: Replica, begun_by: str | None
+        self, state: ExchangeState, replica: Replica, begun_by: str | None, source: str
     ) -> None:
         """Handle the first event from a replica that continues a stream.
 
-        `begun_by` is the version that began the stream, `None` if this box does not know it.
+        `begun_by` is the version that began the stream, `None` if it is unknown; `source` names
+        what showed it.
         """
 
+    @abstractmethod
+    def on_version_unknown(self, state: ExchangeState, waited_s: float) -> None:
+        """Handle a stream that cannot be resumed because nobody knows which version began it."""
+
     @abstractmethod
     def on_blocked_refused(self, state: ExchangeState) -> None:
         """Handle a request that is not sent because requests like it crash replicas."""
@@ -202,6 +208,7 @@
     replica_client: ReplicaClient
     observer: ExchangeObserver
     crashes: CrashGuard
+    versions: VersionDirectory
     new_job_id: Callable[[], str]
     may_serve: Callable[[], bool]
     is_partitioned: Callable[[], bool]
--- a/packages/core/calicopath_core/exchanges/executor.py
+++ b/packages/core/calicopath_core/exchanges/executor.py
@@ -102,11 +102,12 @@
     """Return the service of a request.
 
     On a route with a traffic split the draw is seeded by the request's identifier, so that the
-    same identifier always gets the same service.
+    same identifier always gets the same service. A stream goes on at the service that began it.
     """
     if len(route.services) == 1:
         return route.services[0].service
-    remaining = random.Random(exchange.call_id).random() * sum(
+    seed = exchange.resumed_call_id if exchange.continues_stream else None
+    remaining = random.Random(seed or exchange.call_id).random() * sum(
         item.weight for item in route.services
     )
     for item in route.services:
--- a/packages/core/calicopath_core/exchanges/messages.py
+++ b/packages/core/calicopath_core/exchanges/messages.py
@@ -17,6 +17,9 @@
 OVERLOAD_STATUSES = (429, 503)
 """Statuses with which an overloaded replica declines a request."""
 
+NO_EVENT_ID = '0'
+"""Identifier before that of the first event of a stream."""
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -44,6 +47,11 @@
     piece_key: str
     resumed_call_id: str | None = None
 
+    @property
+    def continues_stream(self) -> bool:
+        """Return whether the caller has received events of the stream before."""
+        return self.last_event_id not in (None, '', NO_EVENT_ID)
+
 
 class OutboundRequest(NamedTuple):
     """Hold a request to a replica and the values that the gateway adds to it."""
--- a/packages/core/calicopath_core/exchanges/streams.py
+++ b/packages/core/calicopath_core/exchanges/streams.py
@@ -19,7 +19,7 @@
 from calicopath_core.exchanges.plain import check_for_crash, read_all
 from calicopath_core.fleet.notices import Exclusion, ReplicaExcluded
 from calicopath_core.scheduling.client import PlacementRejected
-from calicopath_core.scheduling.messages import PhaseWork, PlaceJob, Prompt
+from calicopath_core.scheduling.messages import VERSION_GONE, PhaseWork, PlaceJob, Prompt
 from calicopath_core.scheduling.shedding import BUSY_REASON
 
 if TYPE_CHECKING:
@@ -47,6 +47,9 @@
 MAX_PERMIT_WAIT_S = 0.2
 """Longest wait for a permit that the scheduler did not grant with the placement."""
 
+VERSION_UNKNOWN = 'version-unknown'
+"""Refusal reason for a stream of which nobody knows which version began it."""
+
 STATUS_CONFLICT = 409
 
 
@@ -62,13 +65,33 @@
         self.head_sent = False
         self.first_event_received = False
         self.begun_by: str | None = None
+        self.version_source = 'own'
         self.reported_pace: float | None = None
 
     async def serve(self) -> None:
         """Place and run the stream until it is complete or can't be resumed."""
+        if self.state.exchange.continues_stream:
+            await self.find_version()
         while not await self.attempt():
             pass
 
+    async def find_version(self) -> None:
+        """Find the version that began the caller's stream; raise `RefusedExchange` if unknown.
+
+        At any other version the rest would not fit. The refusal has no retry delay, since the same
+        request would be refused again; the caller may begin the stream anew.
+        """
+        state, started_at = self.state, self.context.clock.monotonic()
+        call_id = state.exchange.resumed_call_id
+        found = await self.context.versions.find(
+            state.service, state.workspace, call_id, self.left_s()
+        )
+        if found is None:
+            waited_s = self.context.clock.monotonic() - started_at
+            self.context.observer.on_version_unknown(state, waited_s)
+            raise RefusedExchange(STATUS_UNAVAILABLE, VERSION_UNKNOWN)
+        self.begun_by, self.version_source = found
+
     async def attempt(self) -> bool:
         """Place the request once and run it there; return whether the exchange is over."""
         job = self.context.new_job_id()
@@ -149,6 +172,8 @@
             async with asyncio.timeout(self.left_s()):
                 return await self.context.scheduler.place(request)
         except PlacementRejected as error:
+            if error.reason == VERSION_GONE and not self.state.may_have_run:
+                raise RefusedExchange(STATUS_UNAVAILABLE, VERSION_GONE) from error
             raise self.refusal(error.reason, error.retry_after_s) from error
         except TimeoutError as error:
             unanswered = self.context.scheduler.is_unanswered(job)
@@ -187,7 +212,7 @@
             phases=phases,
             prompt=exchange.prompt or Prompt('', (), 0, 0),
             exclude=self.excluded_engines(),
-            resumed=bool(state.tried_replicas),
+            resumed=self.begun_by is not None or bool(state.tried_replicas),
             workspace=state.workspace or '',
             content=state.content,
             backoffs=self.context.gate.remaining_backoffs(state.service),
@@ -302,10 +327,17 @@
 
     def record_version(self, replica: Replica) -> None:
         """Record the version of the replica that sends the next events."""
-        if self.head_sent or self.state.exchange.last_event_id is not None:
-            self.context.observer.on_stream_resumed(self.state, replica, self.begun_by)
+        state = self.state
         if self.begun_by is None:
             self.begun_by = replica.version
+        else:
+            self.context.observer.on_stream_resumed(
+                state, replica, self.begun_by, self.version_source
+            )
+        if not self.head_sent and state.route.resumable:
+            self.context.versions.on_begun(
+                state.service, state.workspace, state.exchange.call_id, self.begun_by
+            )
 
     async def read(self, answer: ReplicaAnswer, timeout_s: float) -> bytes | None:
         """Return the next bytes of a stream; raise `MayHaveRun` if none come in time."""
@@ -326,6 +358,9 @@
 
     def finish(self, answer: ReplicaAnswer) -> None:
         """End the caller's answer as complete."""
+        self.context.versions.on_answered(
+            self.state.service, self.state.workspace, self.state.exchange.call_id
+        )
         self.state.outcome = 'answered'
         self.context.crashes.on_survived(self.state.content, self.state.service)
         if not self.head_sent:
--- a/packages/core/calicopath_core/fleet/store.py
+++ b/packages/core/calicopath_core/fleet/store.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from abc import ABC, abstractmethod
+from abc import abstractmethod
 from typing import TYPE_CHECKING, NamedTuple
 
 from calicopath_core.exceptions import CalicopathError
@@ -11,6 +11,7 @@
 from calicopath_core.fleet.evacuations import Evacuation
 from calicopath_core.fleet.replicas import Replica
 from calicopath_core.scheduling.election import BoxAddress
+from calicopath_core.versions.store import StreamStore
 
 if TYPE_CHECKING:
     from calicopath_core.crashes.keeping import StoredRequest
@@ -57,7 +58,7 @@
     """Report that the store no longer has the changes since a revision."""
 
 
-class FleetStore(ABC):
+class FleetStore(StreamStore):
     """Read, follow and write the records of a fleet."""
 
     @abstractmethod
--- a/packages/core/calicopath_core/scheduling/engine_pools.py
+++ b/packages/core/calicopath_core/scheduling/engine_pools.py
@@ -67,6 +67,11 @@
         for name, pool in self.items():
             pool.set_replicas(select_replicas(replicas.usable(name)), replicas.replicas)
 
+    def set_declared(self, versions: dict[str, frozenset[str]] | None) -> None:
+        """Set the software versions at which streams may begin; `None` if they are not known."""
+        for name, pool in self.items():
+            pool.declared_versions = versions.get(name, frozenset()) if versions else None
+
     def on_activated(self, now: float) -> None:
         """Record that another box may place runs a moment longer."""
         for pool in self.values():
--- a/packages/core/calicopath_core/scheduling/engines.py
+++ b/packages/core/calicopath_core/scheduling/engines.py
@@ -213,6 +213,7 @@
         self.start_limit: StartLimit | None = None
         self.exclusive_from = 0.0
         self.kv_tokens = kv_tokens
+        self.declared_versions: frozenset[str] | None = None
         self.engines: dict[str, Engine] = {}
         self.known_engines: dict[str, Engine] = {}
 
@@ -255,14 +256,18 @@
     def engines_for(self, job: Job) -> list[Engine]:
         """Return the engines that may run a job, even if they are busy now.
 
-        A stream that has begun may only go on at the software version that began it.
+        A stream that has begun may only go on at the software version that began it. A new one
+        begins at a declared version, unless there is no engine of any.
         """
-        place = job.place
-        return [
-            engine
-            for name, engine in self.engines.items()
-            if name not in place.exclude and place.version in (None, engine.replica.version)
-        ]
+        place, declared = job.place, self.declared_versions
+        allowed = [item for name, item in self.engines.items() if name not in place.exclude]
+        if place.version is not None:
+            return [item for item in allowed if item.replica.version == place.version]
+        if declared is None or not any(
+            item.replica.version in declared for item in self.engines.values()
+        ):
+            return allowed
+        return [item for item in allowed if item.replica.version in declared]
 
     def has_engine_for(self, job: Job) -> bool:
         """Tell whether any engine may run a job, even if all are busy now."""
--- a/packages/core/calicopath_core/scheduling/messages.py
+++ b/packages/core/calicopath_core/scheduling/messages.py
@@ -17,6 +17,9 @@
 ROUTE_PRIORITIES = 10
 """Number of route priorities within each priority of a workspace; 0 is the most urgent."""
 
+VERSION_GONE = 'version-gone'
+"""Reason of the rejection of a stream that no engine of its software version can continue."""
+
 
 class PhaseWork(msgspec.Struct, frozen=True, array_like=True):
     """Describe one phase of a job and how many pieces it has."""
@@ -54,9 +57,9 @@
     `is_over_allowance` says that an earlier scheduler found the job over its workspace's allowance.
     `content` is the request's fingerprint. `backoffs` holds the engines that back off the
     requesting box, with the seconds left; `may_have_run` says that a rejection would come too late
-    for the caller to try another box. `version` is the software version that began the stream, at
-    which alone it may go on; `None` for a new stream. `objective_s` and `deadline_s` are the seconds
-    left when the message is sent.
+    for the caller to try another box. `version` is the software version that began the stream and
+    at which alone it may go on, `None` for a new stream. `objective_s` and `deadline_s` are the
+    seconds left when the message is sent.
     """
 
     job: str
--- a/packages/core/calicopath_core/scheduling/scheduler.py
+++ b/packages/core/calicopath_core/scheduling/scheduler.py
@@ -19,6 +19,7 @@
 from calicopath_core.scheduling.interfaces import JobController
 from calicopath_core.scheduling.jobs import Job, Piece
 from calicopath_core.scheduling.messages import (
+    VERSION_GONE,
     Placed,
     Progress,
     Rejected,
@@ -64,9 +65,6 @@
 """Jobs that are first taken from the engine queue; seldom more find an engine at once. Every look
 sorts the queue anew, so a look past restricted jobs takes as many jobs as were passed."""
 
-VERSION_GONE_REASON = 'version-gone'
-"""Reason of the rejection of a stream that no engine of its software version can continue."""
-
 DEFAULT_RETRY_AFTER_S = 0.5
 """Retry delay of a rejected job when no estimate is available."""
 
@@ -331,7 +329,7 @@
     def reject_unserved(self, job: Job) -> None:
         """Reject a job that no engine can serve."""
         now = self.clock.monotonic()
-        reason = 'no-engine' if job.place.version is None else VERSION_GONE_REASON
+        reason = 'no-engine' if job.place.version is None else VERSION_GONE
         self.reject(job, reason, self.admission.retry_after_s(job, NO_ENGINE_RETRY_S, now))
 
     def place_engine(self, job: Job) -> None:
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -303,6 +303,21 @@
 STREAM_RESUMED = Event(
     619, 'info', 'stream resumed', 'A replica continues a stream that another call began.'
 )
+VERSION_UNKNOWN = Event(
+    620,
+    'warning',
+    'stream version unknown',
+    'A stream cannot be resumed since nobody knows which version began it.',
+)
+VERSIONS_DECLARED = Event(
+    621, 'info', 'versions declared', 'Streams may begin at these software versions.'
+)
+STREAM_RECORDS_UNAVAILABLE = Event(
+    622,
+    'warning',
+    'stream records unavailable',
+    'Versions and records of streams could not be read from the store or written to it.',
+)
 REPLICAS_UNREACHABLE = Event(
     815,
     'warning',
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -39,6 +39,7 @@
 from calicopathd.gateway.notices import BoxNotices
 from calicopathd.gateway.peers import PeerLink
 from calicopathd.gateway.settings import forward_address
+from calicopathd.gateway.versions import BoxVersions
 
 if TYPE_CHECKING:
     import msgspec
@@ -214,6 +215,20 @@
         )
         self.records, self.feeds = self.store_follower.records, self.store_follower.feeds
         self.subscription = self.store_follower.subscription
+        self.versions = BoxVersions(
+            clock=self.clock,
+            observer=observer,
+            store=store,
+            own=self.own,
+            replicas=self.replicas,
+            pools=self.scheduler.engine_pools,
+            scheduler_address=lambda: self.client.scheduler_address,
+            is_scheduler=self.is_scheduler,
+            group=lambda: self.election.group,
+            era=self.subscription.era,
+            send=self.send,
+        )
+        self.link.versions = self.versions
         self.link.scheduler, self.link.client = self.scheduler, self.client
         self.link.inbox = self.inbox
         self.link.subscription, self.link.crash_sharing = self.subscription, self.sharing
@@ -242,6 +257,7 @@
             replica_client=replica_client,
             observer=self.observer,
             crashes=self.crashes,
+            versions=self.versions.directory,
             new_job_id=self.new_job_id,
             may_serve=self.may_serve,
             is_partitioned=lambda: self.reachability.is_partitioned,
@@ -307,6 +323,10 @@
         needed = (kind for kind in self.feeds if kind is not RecordKind.BOX)
         return self.view.current is not None and all(self.feeds[kind].synced for kind in needed)
 
+    def is_scheduler(self) -> bool:
+        """Return whether this box schedules and has all records that this needs."""
+        return self.client.scheduler_address == self.own.address and self.is_synced()
+
     def is_ready(self) -> bool:
         """Return whether load balancers should send callers to this box."""
         return self.may_serve() and bool(self.replicas.replicas) and not self.leaving
@@ -342,6 +362,7 @@
         self.election.on_listed(self.records.boxes.values(), now)
         self.update_group()
         self.subscription.on_listed(self.records.boxes.values())
+        self.versions.on_listed(self.records.boxes.values())
 
     def update_group(self) -> None:
         """Inform the scheduler if this box belongs to another group now."""
@@ -412,6 +433,7 @@
         else:
             self.scheduler.stages.release.on_hand_over()
             self.scheduler.succession.step_down(address)
+        self.versions.on_scheduler_changed(address)
         self.notices.on_issuer_changed(is_own=address == self.own.address)
         self.observer.on_scheduler_changed(address, asked_again)
 
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -15,6 +15,7 @@
 from calicopath_core.scheduling.interfaces import SchedulerObserver
 from calicopathd import events
 from calicopathd.crashlog import CrashLog
+from calicopathd.gateway.versionlog import VersionLog
 
 if TYPE_CHECKING:
     from calicopath_core.backends.base import BackendError
@@ -34,6 +35,7 @@
 
 
 class GatewayObserver(
+    VersionLog,
     ExchangeObserver,
     FeedObserver,
     NoticeObserver,
@@ -105,26 +107,6 @@
             error=str(error),
         )
 
-    def on_stream_resumed(
-        self, state: ExchangeState, replica: Replica, begun_by: str | None
-    ) -> None:
-        """Log and count a stream that a replica continues; `begun_by` is `None` if unknown."""
-        by = 'box' if state.first_byte_at is not None else 'caller'
-        version = 'unknown'
-        if begun_by is not None:
-            version = 'same' if begun_by == replica.version else 'other'
-        self.metrics.streams_resumed.inc({'by': by, 'version': version})
-        events.emit(
-            log,
-            events.STREAM_RESUMED,
-            request=state.exchange.call_id,
-            resumes=state.exchange.resumed_call_id,
-            by=by,
-            replica=replica.id,
-            version=replica.version,
-            begun_by=begun_by,
-        )
-
     def on_permit(self, service: str, outcome: str) -> None:
         """Count a permit by its outcome."""
         self.metrics.permits.inc({'service': service, 'outcome': outcome})
--- a/packages/daemon/calicopathd/gateway/peers.py
+++ b/packages/daemon/calicopathd/gateway/peers.py
@@ -36,6 +36,12 @@
     RunEnded,
     RunStarted,
 )
+from calicopath_core.versions.messages import (
+    VERSION_MESSAGES,
+    StreamNews,
+    VersionAnswer,
+    VersionQuery,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -50,6 +56,7 @@
     from calicopath_core.scheduling.inbox import Inbox
     from calicopath_core.scheduling.scheduler import Scheduler
     from calicopathd.gateway.notices import BoxNotices
+    from calicopathd.gateway.versions import BoxVersions
 
 
 class PeerLink:
@@ -79,6 +86,7 @@
                 *LEAVING_MESSAGES,
                 *LIMIT_MESSAGES,
                 *PERMIT_MESSAGES,
+                *VERSION_MESSAGES,
             )
         )
         self.scheduler: Scheduler | None = None
@@ -87,6 +95,7 @@
         self.subscription: Subscription | None = None
         self.crash_sharing: CrashSharing | None = None
         self.notices: BoxNotices | None = None
+        self.versions: BoxVersions | None = None
         self.messages_sent = 0
         transport.listen(self.on_data)
 
@@ -115,6 +124,7 @@
         assert self.subscription is not None
         assert self.crash_sharing is not None
         assert self.notices is not None
+        assert self.versions is not None
         match message:
             case Ping():
                 self.election.on_ping(message, self.clock.monotonic())
@@ -157,6 +167,8 @@
                 self.crash_sharing.on_news(message)
             case BackoffNotice():
                 self.scheduler.on_backoffs(message)
+            case StreamNews() | VersionQuery() | VersionAnswer():
+                self.versions.handle(message)
             case _:
                 self.notices.handle(message)
 
@@ -196,8 +208,10 @@
         """Ping candidates and notify hubs periodically, until cancelled."""
         assert self.crash_sharing is not None
         assert self.notices is not None
+        assert self.versions is not None
         while True:
             self.ping_all()
             self.crash_sharing.notify_hubs()
             self.notices.notify_hubs()
+            self.versions.directory.repeat_if_due()
             await asyncio.sleep(PING_INTERVAL_S)
--- a/packages/daemon/calicopathd/gateway/run.py
+++ b/packages/daemon/calicopathd/gateway/run.py
@@ -108,6 +108,7 @@
             'settings': self.watch_settings,
             'lag': self.box.measure_lag,
             'blocked requests': self.box.blocked_persister.run,
+            'stream records': self.box.versions.keeper.run,
             'register': self.box.store_follower.registration.run,
         }
         for feed in self.box.feeds.values():
--- a/packages/daemon/calicopathd/gateway/tests/versions_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/versions_tests.py
@@ -20,7 +20,14 @@
 STREAMS_PER_BOX = 16
 ENGINES_PER_VERSION = 2
 BEGUN_S = 0.08
-"""Time after which every stream has sent some of its events."""
+"""Time after which a stream has sent some of its events."""
+
+LONG_GAP_S = 0.5
+BEGINNING_S = 2.0
+"""Gap between the events of long streams, which take 3 s, and time over which they begin."""
+
+RELEASE_S = 0.5
+"""Time from the start of a new version's first replicas until all boxes are killed."""
 
 RESTART_S = 0.5
 READY_S = 2.0
@@ -50,15 +57,19 @@
         for number in range(count):
             self.store.write(RecordKind.REPLICA, f'engine-{version}-{number}', None)
 
-    def begin_streams(self) -> dict[str, list[ResumingCaller]]:
-        """Begin streams at every box, and return their callers by box."""
-        callers: dict[str, list[ResumingCaller]] = {}
-        for place, box in enumerate(self.boxes):
-            for number in range(STREAMS_PER_BOX):
-                caller = ResumingCaller(fleet=self, number=place * STREAMS_PER_BOX + number)
-                caller.send(box)
-                callers.setdefault(box, []).append(caller)
-        return callers
+    async def begin_streams(self) -> dict[str, list[ResumingCaller]]:
+        """Begin long streams at every box in turn; return the callers with events, by box."""
+        self.replicas.stream_gap_s = LONG_GAP_S
+        boxes = list(self.boxes)
+        callers: dict[str, list[ResumingCaller]] = {box: [] for box in boxes}
+        for number in range(STREAMS_PER_BOX * len(boxes)):
+            caller = ResumingCaller(fleet=self, number=number)
+            caller.send(boxes[number % len(boxes)])
+            callers[boxes[number % len(boxes)]].append(caller)
+            await asyncio.sleep(BEGINNING_S / STREAMS_PER_BOX / len(boxes))
+        return {
+            box: [item for item in found if item.last_event_id] for box, found in callers.items()
+        }
 
     async def restart_all(self) -> None:
         """Kill every box at the same moment and start them again."""
@@ -117,7 +128,8 @@
             caller = ResumingCaller(fleet=fleet, number=1)
             sink = caller.send('box-0')
             await asyncio.sleep(BEGUN_S)
-            fleet.remove_engines(*caller.versions)
+            (version,) = caller.versions
+            fleet.remove_engines(version)
             await fleet.settle()
             self.assertEqual(([1, 2, 3], 'cut'), (sink.event_ids, sink.state))
 
@@ -142,8 +154,7 @@
         """Kill boxes at once and have their callers go on at the others."""
 
         async def work(fleet: MixedFleet) -> None:
-            callers = fleet.begin_streams()
-            await asyncio.sleep(BEGUN_S)
+            callers = await fleet.begin_streams()
             names = list(fleet.boxes)[:ended]
             for name in names:
                 fleet.kill(name)
@@ -168,8 +179,8 @@
 
     def test_streams_do_not_go_on_at_another_version_after_all_boxes_were_killed(self) -> None:
         async def work(fleet: MixedFleet) -> None:
-            callers = [item for items in fleet.begin_streams().values() for item in items]
-            await asyncio.sleep(BEGUN_S)
+            begun = await fleet.begin_streams()
+            callers = [item for items in begun.values() for item in items]
             await fleet.restart_all()
             boxes = list(fleet.boxes)
             await asyncio.gather(
@@ -181,35 +192,43 @@
 
     def test_streams_begun_before_a_release_do_not_go_on_at_the_new_version(self) -> None:
         async def work(fleet: MixedFleet) -> None:
-            fleet.remove_engines('v2')
-            await asyncio.sleep(0.1)
-            callers = [item for items in fleet.begin_streams().values() for item in items]
-            await asyncio.sleep(BEGUN_S)
-            fleet.add_engines('v2')
-            await fleet.restart_all()
-            boxes = list(fleet.boxes)
-            await asyncio.gather(
-                *(caller.resume(boxes[caller.number % BOXES]) for caller in callers)
-            )
+            callers = await self.begin_before_release(fleet, RELEASE_S)
             self.check(callers)
 
         self.run_scenario(work)
 
+    def test_streams_do_not_go_on_at_a_version_that_came_as_all_boxes_were_killed(self) -> None:
+        async def work(fleet: MixedFleet) -> None:
+            callers = await self.begin_before_release(fleet, 0.0)
+            self.assertEqual([], [item.number for item in callers if len(item.versions) > 1])
+
+        self.run_scenario(work)
+
+    async def begin_before_release(self, fleet: MixedFleet, pause_s: float) -> list[ResumingCaller]:
+        """Begin streams before a version is added, kill all boxes a while later, and resume."""
+        fleet.remove_engines('v2')
+        await asyncio.sleep(0.1)
+        begun = await fleet.begin_streams()
+        callers = [item for items in begun.values() for item in items]
+        fleet.add_engines('v2')
+        await asyncio.sleep(pause_s)
+        await fleet.restart_all()
+        boxes = list(fleet.boxes)
+        await asyncio.gather(*(caller.resume(boxes[caller.number % BOXES]) for caller in callers))
+        return [caller for caller in callers if len(caller.attempts) > 1]
+
 
 class LostVersions(VersionCase):
     def test_a_stream_whose_version_is_gone_is_refused_at_once(self) -> None:
         async def work(fleet: MixedFleet) -> None:
-            callers = fleet.begin_streams()['box-0']
-            await asyncio.sleep(BEGUN_S)
-            fleet.kill('box-0')
-            began = {next(iter(caller.versions)) for caller in callers}
-            self.assertEqual({'v1', 'v2'}, began)
-            fleet.remove_engines('v1')
+            callers = (await fleet.begin_streams())['box-3']
+            fleet.kill('box-3')
+            (gone,) = callers[0].versions
+            fleet.remove_engines(gone)
             await asyncio.sleep(0.1)
             started_at = asyncio.get_running_loop().time()
-            lost = [caller for caller in callers if caller.versions == {'v1'}]
-            sinks = [caller.send('box-1') for caller in lost]
-            await fleet.settle()
+            sinks = [caller.send('box-1') for caller in callers if caller.versions == {gone}]
+            await asyncio.gather(*fleet.request_tasks[-len(sinks) :])
             self.assertEqual({'refused'}, {sink.state for sink in sinks})
             self.assertLess(asyncio.get_running_loop().time() - started_at, 0.3)
 
--- a/testkit/gateway.py
+++ b/testkit/gateway.py
@@ -51,6 +51,7 @@
             box.client.run,
             box.subscription.run,
             box.blocked_persister.run,
+            box.versions.keeper.run,
             box.store_follower.registration.keep_registered,
         ]
         work.extend(feed.run for feed in box.feeds.values())
--- a/testkit/gateway_replicas.py
+++ b/testkit/gateway_replicas.py
@@ -122,7 +122,7 @@
 
     async def read(self) -> bytes | None:
         """Return the next event."""
-        await asyncio.sleep(EVENT_GAP_S)
+        await asyncio.sleep(self.engine.stream_gap_s)
         if self.break_after is not None and self.sent >= self.break_after:
             if self.break_after == HANGS_BEFORE_EVENTS:
                 await asyncio.sleep(3600)
@@ -180,6 +180,7 @@
         self.runs: dict[str, int] = {}
         self.running: set[str] = set()
         self.loads: dict[str, LoadReport] = {}
+        self.stream_gap_s = EVENT_GAP_S
 
     async def send(self, outbound: OutboundRequest) -> ReplicaAnswer:
         """Respond with the replica's next fault, if any."""
--- a/testkit/gateway_store.py
+++ b/testkit/gateway_store.py
@@ -16,10 +16,13 @@
     Record,
     RecordKind,
 )
+from calicopath_core.versions.keeping import StoredStreams
 
 if TYPE_CHECKING:
     from calicopath_core.crashes.keeping import StoredRequest
     from calicopath_core.scheduling.election import BoxAddress
+    from calicopath_core.versions.keeping import Versions
+    from calicopath_core.versions.messages import BegunStreams
 
 
 REWRITTEN_KINDS = (RecordKind.DEPLOYMENT, RecordKind.REPLICA, RecordKind.EVACUATION)
@@ -34,6 +37,7 @@
     log: list[tuple[int, RecordKind, Change]]
     relays: tuple[BoxAddress, ...] | None
     blocked: tuple[StoredRequest, ...]
+    streams: StoredStreams
 
 
 class FakeStore:
@@ -50,6 +54,8 @@
         self.watches_silent = False
         self.relays: tuple[BoxAddress, ...] | None = None
         self.blocked: tuple[StoredRequest, ...] = ()
+        self.streams = StoredStreams({}, None, ())
+        self.stream_groups: dict[int, tuple[BegunStreams, ...]] = {}
         self.changed = asyncio.Event()
         self.era = 0
         self.down = False
@@ -76,7 +82,14 @@
     def snapshot(self) -> StoreSnapshot:
         """Return a snapshot for `restore`."""
         records = {kind: dict(held) for kind, held in self.records.items()}
-        return StoreSnapshot(self.revision, records, list(self.log), self.relays, self.blocked)
+        return StoreSnapshot(
+            self.revision, records, list(self.log), self.relays, self.blocked, self.read_streams()
+        )
+
+    def read_streams(self) -> StoredStreams:
+        """Return the declared versions and the records of all groups."""
+        groups = tuple(item for group in self.stream_groups.values() for item in group)
+        return self.streams._replace(groups=groups)
 
     async def restore(
         self, snapshot: StoreSnapshot, down_s: float, rewrite_delay_s: float = 0.0
@@ -92,6 +105,7 @@
         self.revision, self.log = snapshot.revision, list(snapshot.log)
         self.records = {kind: dict(held) for kind, held in snapshot.records.items()}
         self.relays, self.blocked = snapshot.relays, snapshot.blocked
+        self.streams, self.stream_groups = snapshot.streams, {0: snapshot.streams.groups}
         self.era += 1
         self.down = False
         await asyncio.sleep(rewrite_delay_s)
@@ -228,6 +242,34 @@
         self.store.blocked = kept
         return self.store.era
 
+    async def read_streams(self) -> StoredStreams:
+        """Return the declared versions and the records."""
+        await asyncio.sleep(0.004)
+        if self.silent:
+            await self.time_out(0.0)
+        self.check_reachable()
+        return self.store.read_streams()
+
+    async def write_versions(self, versions: Versions, revision: int | None) -> int | None:
+        """Replace the declared versions unless their revision is another one."""
+        await asyncio.sleep(0.004)
+        if self.silent:
+            await self.time_out(0.0)
+        self.check_reachable()
+        if self.store.streams.revision != revision:
+            return None
+        self.store.revision += 1
+        self.store.streams = StoredStreams(versions, self.store.revision, ())
+        return self.store.revision
+
+    async def write_streams(self, group: int, groups: tuple[BegunStreams, ...]) -> None:
+        """Replace the records of a group."""
+        await asyncio.sleep(0.004)
+        if self.silent:
+            await self.time_out(0.0)
+        self.check_reachable()
+        self.store.stream_groups[group] = groups
+
     async def register(self, box: BoxAddress) -> None:
         """Write the box's record."""
         self.check_reachable()
