Tests of what callers may send to continue a stream

Without Resumes, with an id that nobody saw or of another workspace: refused as not run. Without Last-Event-Id: begins anew. Chains of three attempts, streams taken up twice, the store away, all boxes killed meanwhile, and a scheduler that ignores versions: one version each.

--- a/packages/daemon/calicopathd/gateway/tests/versions_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/versions_tests.py
@@ -5,17 +5,22 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from calicopath_core.fleet.deployment import Workspace
 from calicopath_core.fleet.replicas import Replica
 from calicopath_core.fleet.store import RecordKind
 from testkit.cases import VirtualCase
 from testkit.gateway import GatewayFleet
 from testkit.gateway_replicas import ANY_REPLICA
-from testkit.gateway_world import FAILURE_DOMAINS
+from testkit.gateway_world import FAILURE_DOMAINS, KEY, deployment
 from testkit.resuming_callers import ResumingCaller
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from calicopath_core.scheduling.engines import Engine, EnginePool
+    from calicopath_core.scheduling.jobs import Job
+    from testkit.gateway_replicas import FakeSink
+
 BOXES = 8
 STREAMS_PER_BOX = 16
 ENGINES_PER_VERSION = 2
@@ -233,3 +238,129 @@
             self.assertLess(asyncio.get_running_loop().time() - started_at, 0.3)
 
         self.run_scenario(work)
+
+
+class Continued(VersionCase):
+    """Test what callers may send to continue a stream."""
+
+    async def resume(
+        self, fleet: MixedFleet, **changes: object
+    ) -> tuple[list[ResumingCaller], list[FakeSink]]:
+        """Begin streams, kill their box, and return their callers and second answers."""
+        callers = (await fleet.begin_streams())['box-3']
+        fleet.kill('box-3')
+        await asyncio.sleep(0.1)
+        sinks = [caller.send('box-1', **changes) for caller in callers]
+        await asyncio.gather(*fleet.request_tasks[-len(sinks) :])
+        return callers, sinks
+
+    def check_unknown(self, **changes: object) -> None:
+        """Check that streams are refused as not run, without a time to come back."""
+
+        async def work(fleet: MixedFleet) -> None:
+            sent = len(fleet.replicas.sent)
+            _, sinks = await self.resume(fleet, **changes)
+            answers = {(sink.status, sink.reason, sink.retry_after_s) for sink in sinks}
+            self.assertEqual({(503, 'version-unknown', None)}, answers)
+            resumed = [item for item in fleet.replicas.sent[sent:] if item.last_event_id]
+            self.assertEqual([], resumed)
+
+        self.run_scenario(work)
+
+    def test_a_stream_without_the_attempt_that_began_it_is_not_guessed(self) -> None:
+        self.check_unknown(resumed_call_id=None)
+
+    def test_a_stream_of_an_attempt_that_nobody_saw_is_not_guessed(self) -> None:
+        self.check_unknown(resumed_call_id='never-seen')
+
+    def test_a_stream_of_another_workspace_is_not_continued(self) -> None:
+        async def work(fleet: MixedFleet) -> None:
+            workspaces = (Workspace('hire', (KEY,), None), Workspace('other', ('key-2',), None))
+            record = deployment(2, workspaces=workspaces)
+            fleet.store.write(RecordKind.DEPLOYMENT, 'main', record)
+            await asyncio.sleep(0.5)
+            _, sinks = await self.resume(fleet, key='key-2')
+            self.assertEqual({'version-unknown'}, {sink.reason for sink in sinks})
+
+        self.run_scenario(work)
+
+    def test_a_request_without_a_last_event_begins_anew(self) -> None:
+        async def work(fleet: MixedFleet) -> None:
+            _, sinks = await self.resume(fleet, last_event_id=None)
+            self.assertEqual({(1, 2, 3, 4, 5, 6)}, {tuple(sink.event_ids) for sink in sinks})
+
+        self.run_scenario(work)
+
+    def test_a_chain_of_three_attempts_has_one_version(self) -> None:
+        async def work(fleet: MixedFleet) -> None:
+            callers = (await fleet.begin_streams())['box-3']
+            fleet.kill('box-3')
+            await asyncio.sleep(0.1)
+            for caller in callers:
+                caller.send('box-4')
+            await asyncio.sleep(2 * LONG_GAP_S)
+            fleet.kill('box-4')
+            await asyncio.sleep(0.1)
+            await asyncio.gather(*(caller.resume('box-5') for caller in callers))
+            self.check(callers)
+            self.assertEqual({3}, {len(caller.attempts) for caller in callers})
+
+        self.run_scenario(work)
+
+    def test_a_stream_taken_up_twice_has_one_version(self) -> None:
+        async def work(fleet: MixedFleet) -> None:
+            callers = (await fleet.begin_streams())['box-3']
+            sinks = [caller.send('box-1') for caller in callers]
+            await fleet.settle()
+            self.assertEqual({'whole'}, {sink.state for sink in sinks})
+            self.assertEqual([1] * len(callers), [len(caller.versions) for caller in callers])
+
+        self.run_scenario(work)
+
+    def test_streams_go_on_where_they_began_while_the_store_is_away(self) -> None:
+        async def work(fleet: MixedFleet) -> None:
+            callers = (await fleet.begin_streams())['box-3']
+            for box in fleet.boxes.values():
+                box.store.cut = True
+            fleet.kill('box-3')
+            await asyncio.sleep(0.1)
+            await asyncio.gather(*(caller.resume('box-1', 'box-2') for caller in callers))
+            self.check(callers)
+
+        self.run_scenario(work)
+
+    def test_nothing_is_guessed_after_all_boxes_were_killed_while_the_store_is_away(self) -> None:
+        async def work(fleet: MixedFleet) -> None:
+            begun = await fleet.begin_streams()
+            callers = [item for items in begun.values() for item in items]
+            await fleet.restart_all()
+            for box in fleet.boxes.values():
+                box.store.cut = True
+            await asyncio.gather(
+                *(caller.resume(f'box-{caller.number % BOXES}') for caller in callers)
+            )
+            self.assertEqual([], [item.number for item in callers if len(item.versions) > 1])
+
+        self.run_scenario(work)
+
+    def test_an_engine_of_another_version_that_an_older_scheduler_chose_gets_nothing(self) -> None:
+        async def work(fleet: MixedFleet) -> None:
+            callers = (await fleet.begin_streams())['box-3']
+            for box in fleet.boxes.values():
+                for pool in box.box.scheduler.engine_pools.values():
+                    ignore_versions(pool)
+            fleet.kill('box-3')
+            await asyncio.sleep(0.1)
+            await asyncio.gather(*(caller.resume('box-1', 'box-2') for caller in callers))
+            self.assertEqual([], [item.number for item in callers if len(item.versions) > 1])
+
+        self.run_scenario(work)
+
+
+def ignore_versions(pool: EnginePool) -> None:
+    """Let a scheduler choose as one of a build that knows no versions."""
+
+    def engines_for(job: Job) -> list[Engine]:
+        return [item for name, item in pool.engines.items() if name not in job.place.exclude]
+
+    pool.engines_for = engines_for  # type: ignore[method-assign]
--- a/testkit/resuming_callers.py
+++ b/testkit/resuming_callers.py
@@ -49,10 +49,10 @@
         """Send the request to a box, from after the last event received so far."""
         call_id = f'{self.route}-{self.number}-{len(self.attempts)}'
         now = asyncio.get_running_loop().time()
-        if self.last_event_id:
-            changes['last_event_id'] = str(self.last_event_id)
-            changes['resumed_call_id'] = self.first_attempt_with_events
         fields: dict[str, object] = {'call_id': call_id, 'piece_counts': ()}
+        if self.last_event_id:
+            fields['last_event_id'] = str(self.last_event_id)
+            fields['resumed_call_id'] = self.first_attempt_with_events
         sink = self.fleet.serve(box, exchange(self.number, self.route, now, **(fields | changes)))
         self.attempts.append((call_id, sink))
         return sink
