--- a/packages/core/calicopath_core/versions/directory.py
+++ b/packages/core/calicopath_core/versions/directory.py
@@ -47,9 +47,9 @@
 """How long an answer to a query may take before the query is repeated; the scheduler may have
 changed."""
 
-MAX_LOOKUP_S = 1.0
-"""Longest time that a caller waits for a lookup: a scheduler that has just crashed is replaced
-within this time, and callers leave after a gap of 2 s."""
+MAX_QUERIES = 4
+"""Queries for one lookup: a scheduler that has just crashed is replaced in the time that they take,
+and callers leave after a gap of 2 s."""
 
 
 def choose_holders(own: BoxAddress, boxes: Iterable[BoxAddress]) -> list[str]:
@@ -189,9 +189,10 @@
         version = self.ledger.find(key, now)
         if version is not None:
             return FoundVersion(version, 'own')
-        until = now + min(left_s, MAX_LOOKUP_S)
-        while (left := until - self.clock.monotonic()) > 0:
-            answer = await self.query(service, key, min(left, QUERY_TIMEOUT_S))
+        until = now + left_s
+        for _ in range(MAX_QUERIES):
+            timeout_s = min(QUERY_TIMEOUT_S, until - self.clock.monotonic())
+            answer = await self.query(service, key, timeout_s)
             if answer is not None:
                 break
         else:
