Callers' interface: continue a broken generation only at an endpoint of its version

A generation whose first token came from an endpoint goes on only at endpoints of its version; without an active one it ends as broken. The naive version is unchanged.

Failed before: answers_tests.py, a broken stream of four endpoints with two versions was called at both. Boxes of earlier builds reject documents with the new field, so it may be set only once all boxes are of this build.

--- a/packages/cli/calicopath_cli/__main__.py
+++ b/packages/cli/calicopath_cli/__main__.py
@@ -245,6 +245,7 @@
     concurrency: Annotated[
         int, typer.Option(help='Number of calls that the endpoint serves at a time.')
     ],
+    version: Annotated[str, typer.Option(help="Version of the endpoint's software.")] = '',
     wait: Wait = None,
 ) -> None:
     """Add an endpoint."""
@@ -258,6 +259,8 @@
         'concurrency': concurrency,
         'state': EndpointState.ACTIVE.value,
     }
+    if version:
+        spec['version'] = version
     run_command(endpoints.add_endpoint(platform_options(context), spec, wait))
 
 
--- a/packages/cli/calicopath_cli/commands/endpoints.py
+++ b/packages/cli/calicopath_cli/commands/endpoints.py
@@ -31,8 +31,18 @@
     async with open_operator(options) as operator:
         objects = await operator.store.list(ENDPOINT_PREFIX)
     specs = [item.value['spec'] for item in sorted(objects) if item.value['spec'] is not None]
-    headers = ('name', 'service', 'stage', 'state', 'failure_domain', 'concurrency', 'address')
-    rows = [[spec.get(name, 'active') for name in headers] for spec in specs]
+    headers = (
+        'name',
+        'service',
+        'stage',
+        'state',
+        'failure_domain',
+        'concurrency',
+        'address',
+        'version',
+    )
+    defaults = {'state': 'active', 'version': ''}
+    rows = [[spec.get(name, defaults.get(name)) for name in headers] for spec in specs]
     print_rows(options.output, headers, rows)
 
 
--- a/packages/core/calicopath_core/config/parsers.py
+++ b/packages/core/calicopath_core/config/parsers.py
@@ -172,6 +172,7 @@
         state=EndpointState(
             fields.choice('state', [item.value for item in EndpointState], 'active')
         ),
+        version=fields.text('version', ''),
     )
     fields.finish()
     if endpoint.address and not is_http_address(endpoint.address):
--- a/packages/core/calicopath_core/execution/attempts.py
+++ b/packages/core/calicopath_core/execution/attempts.py
@@ -79,11 +79,15 @@
 
 
 async def acquire_slot(
-    context: StageContext, run: PipelineRun, budget: StageBudget, tried: set[str]
+    context: StageContext,
+    run: PipelineRun,
+    budget: StageBudget,
+    tried: set[str],
+    version: str | None = None,
 ) -> Slot:
     """Acquire a slot for a stage; raise `StageFailed` if the request is blocked or gets none.
 
-    Endpoints in `tried` are excluded.
+    Endpoints in `tried` are excluded, and those of other versions than `version` if it is given.
     """
     check_not_blocked(context, run, budget)
     pool = context.pools.pool(budget.stage.service)
@@ -95,6 +99,7 @@
         expected_s=budget.stage.expected_s,
         exclude=frozenset(tried),
         affinity=affinity_key(context, run, budget),
+        version=version,
     )
     try:
         slot = await pool.acquire(request)
--- a/packages/core/calicopath_core/execution/generation.py
+++ b/packages/core/calicopath_core/execution/generation.py
@@ -36,7 +36,8 @@
 class GenerationProgress:
     """Collect the tokens of a generation in order, across the replicas that produce them.
 
-    A character is returned only once all its UTF-8 bytes have arrived.
+    A character is returned only once all its UTF-8 bytes have arrived. `version` is the software
+    version of the endpoint that sent the first token.
     """
 
     def __init__(self) -> None:
@@ -44,6 +45,7 @@
         self.text: list[str] = []
         self.decoder = codecs.getincrementaldecoder('utf-8')()
         self.total: int | None = None
+        self.version: str | None = None
 
     @property
     def offset(self) -> int:
@@ -99,7 +101,7 @@
             if progress.offset:
                 # The rest of a broken generation takes less than a complete one.
                 budget = budget._replace(expected_s=0.0)
-            slot = await acquire_slot(self.context, run, budget, tried)
+            slot = await acquire_slot(self.context, run, budget, tried, progress.version)
             queued_s += slot.queued_s
             try:
                 await self.attempt(run, budget, slot, progress)
@@ -192,6 +194,8 @@
                 timing.on_token(clock.monotonic())
                 self.note_first_token(run, timing)
                 text = progress.add(item)
+                if progress.version is None:
+                    progress.version = slot.endpoint.version
                 if text:
                     await run.sink.write(text)
                 # Writing to a slow caller must not count as a stall of the replica.
--- a/packages/core/calicopath_core/execution/tests/answers_tests.py
+++ b/packages/core/calicopath_core/execution/tests/answers_tests.py
@@ -103,6 +103,28 @@
 
         self.run_virtual(scenario())
 
+    def test_a_broken_stream_goes_on_only_at_an_endpoint_of_its_version(self) -> None:
+        async def scenario(versions: tuple[str, ...], resumed: int) -> None:
+            fleet = new_fleet(replicas=len(versions))
+            for number, version in enumerate(versions):
+                item = fleet[f'drafting-{number}']
+                item.endpoint = item.endpoint._replace(version=version)
+            set_faults(fleet, 'drafting', fault_once(Fault.CUT))
+            box = FakeBox(fleet=fleet, state=StoreState()).configure(fleet)
+            outcome = await box.send('answer', PUNJABI)
+            called = [
+                item.endpoint.version
+                for name, item in fleet.endpoints.items()
+                if name.startswith('drafting')
+                for _ in item.offsets
+            ]
+            self.assertEqual((1 + resumed, 1), (len(called), len(set(called))))
+            self.assertEqual(bool(resumed), isinstance(outcome, Answered))
+
+        for _ in range(4):
+            self.run_virtual(scenario(('v1', 'v2', 'v1', 'v2'), 1))
+        self.run_virtual(scenario(('v1', 'v2'), 1))
+
     def test_the_naive_version_passes_a_short_or_doubled_answer_off_as_whole(self) -> None:
         async def scenario(fault: Fault) -> None:
             whole = await undisturbed('answer', PUNJABI)
--- a/packages/core/calicopath_core/routing/pools.py
+++ b/packages/core/calicopath_core/routing/pools.py
@@ -26,6 +26,9 @@
 TIMER_SLACK_S = 0.001
 """Delay added to timers for the end of a backoff, since timers may fire early by rounding."""
 
+VERSION_POLL_S = 0.02
+"""How often a broken generation looks for a slot at an endpoint of its version."""
+
 MAX_WAIT_S = 60.0
 """Wait that is reported when requests of higher priority take all the capacity."""
 
@@ -61,6 +64,7 @@
     expected_s: float
     exclude: frozenset[str] = frozenset()
     affinity: str | None = None
+    version: str | None = None
 
 
 class Slot:
@@ -212,6 +216,8 @@
         slot comes free in time.
         """
         requested_at = self.clock.monotonic()
+        if request.version is not None:
+            return await self.acquire_of_version(request)
         if not self.active():
             raise NoEndpoint(f'service {self.service!r} has no active endpoint')
         backoff_left_s = self.min_backoff_left_s()
@@ -229,6 +235,22 @@
             queued_s=self.clock.monotonic() - requested_at,
         )
 
+    async def acquire_of_version(self, request: SlotRequest) -> Slot:
+        """Return a slot of an endpoint of the requested version, to continue a generation there.
+
+        It goes before the calls that wait in the queue, which have not begun.
+        """
+        requested_at = self.clock.monotonic()
+        while any(replica.endpoint.version == request.version for replica in self.active()):
+            replica = self.choose(request)
+            queued_s = self.clock.monotonic() - requested_at
+            if replica is not None:
+                return self.take_slot(replica, request, queued_s)
+            if self.clock.monotonic() >= request.latest_start:
+                raise self.no_free_slot(request.priority)
+            await asyncio.sleep(VERSION_POLL_S)
+        raise NoEndpoint(f'service {self.service!r} has no endpoint of the same version')
+
     async def wait_in_queue(self, request: SlotRequest) -> Replica:
         """Wait in the queue until `serve_waiters` assigns an endpoint."""
         if len(self.queue) >= MAX_QUEUED:
@@ -257,7 +279,13 @@
 
     def choose(self, request: SlotRequest) -> Replica | None:
         """Return the endpoint for a call, or `None` if none has a free slot."""
-        with_room = [replica for replica in self.candidates() if replica.has_free_slot()]
+        candidates = self.candidates()
+        if request.version is not None:
+            found = [item for item in candidates if item.endpoint.version == request.version]
+            candidates = found or [
+                item for item in self.not_backing_off() if item.endpoint.version == request.version
+            ]
+        with_room = [replica for replica in candidates if replica.has_free_slot()]
         preferred = [replica for replica in with_room if replica.name not in request.exclude]
         if not with_room:
             return None
--- a/packages/core/calicopath_core/structure/endpoints.py
+++ b/packages/core/calicopath_core/structure/endpoints.py
@@ -18,7 +18,10 @@
 
 
 class Endpoint(NamedTuple):
-    """Describe one endpoint; `concurrency` is the number of calls it serves at once."""
+    """Describe one endpoint; `concurrency` is the number of calls it serves at once.
+
+    `version` is that of its software; parts of one generation by two versions do not fit together.
+    """
 
     name: str
     service: str
@@ -27,3 +30,4 @@
     failure_domain: str
     concurrency: int
     state: EndpointState = EndpointState.ACTIVE
+    version: str = ''
--- a/testkit/world.py
+++ b/testkit/world.py
@@ -98,6 +98,7 @@
         'failure_domain': endpoint.failure_domain,
         'concurrency': endpoint.concurrency,
         'state': endpoint.state.value,
+        'version': endpoint.version,
     }
 
 
