calicopath versions: replicas and bound streams by software version

Operators could not see which versions serve side by side, nor how far a release is. Each box reports the replicas of each version, its callers' streams that only it can continue, and whether the scheduler has declared it; the command adds them up.

--- a/packages/cli/calicopath_cli/__main__.py
+++ b/packages/cli/calicopath_cli/__main__.py
@@ -12,7 +12,15 @@
 
 from calicopath_cli.commands import apply as apply_command
 from calicopath_cli.commands import audit as audit_command
-from calicopath_cli.commands import blocked, endpoints, gateways, objects, replicas, scheduler
+from calicopath_cli.commands import (
+    blocked,
+    endpoints,
+    gateways,
+    objects,
+    replicas,
+    scheduler,
+    versions,
+)
 from calicopath_cli.commands import check as check_command
 from calicopath_cli.commands import status as status_command
 from calicopath_cli.exceptions import (
@@ -171,6 +179,15 @@
     run_command(blocked.blocked(address, context.obj.output))
 
 
+@app.command('versions')
+def show_versions(
+    context: typer.Context,
+    address: Annotated[str, typer.Argument(help=GATEWAY_ADDRESS_HELP)],
+) -> None:
+    """Show the software versions of replicas and the streams that are bound to each."""
+    run_command(versions.versions(address, context.obj.output))
+
+
 @app.command('scheduler', help=SCHEDULER_HELP)
 def show_scheduler(
     context: typer.Context,
--- a/packages/daemon/calicopathd/gateway/state.py
+++ b/packages/daemon/calicopathd/gateway/state.py
@@ -24,6 +24,7 @@
 BLOCKED_PATH = '/blocked'
 REPLICAS_PATH = '/replicas'
 SCHEDULER_PATH = '/scheduler'
+VERSIONS_PATH = '/versions'
 RELEASE_PATH = '/blocked/release'
 STATUS_OK = 200
 STATUS_METHOD_NOT_ALLOWED = 405
@@ -107,6 +108,9 @@
         elif path == SCHEDULER_PATH:
             body = msgspec.json.encode(scheduling_state(self.box, self.metrics))
             responder.respond(STATUS_OK, JSON_HEADERS, body)
+        elif path == VERSIONS_PATH:
+            body = msgspec.json.encode(self.box.versions.state())
+            responder.respond(STATUS_OK, JSON_HEADERS, body)
         elif path == RELEASE_PATH and request.method == 'POST':
             released = self.release(query)
             responder.respond(STATUS_OK, JSON_HEADERS, msgspec.json.encode(released))
--- a/packages/daemon/calicopathd/gateway/tests/versions_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/versions_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from calicopath_core.fleet.deployment import Workspace
@@ -179,6 +180,18 @@
         self.run_scenario(work)
 
 
+class Shown(VersionCase):
+    def test_a_box_shows_its_callers_streams_by_version(self) -> None:
+        async def work(fleet: MixedFleet) -> None:
+            callers = (await fleet.begin_streams())['box-3']
+            found = fleet.boxes['box-3'].box.versions.state()
+            counted = {item.version: (item.replicas, item.streams) for item in found}
+            began = Counter(version for caller in callers for version in caller.versions)
+            self.assertEqual({name: (2, began[name]) for name in ('v1', 'v2')}, counted)
+
+        self.run_scenario(work)
+
+
 class Continued(VersionCase):
     """Test what callers may send to continue a stream."""
 
--- a/packages/daemon/calicopathd/gateway/versions.py
+++ b/packages/daemon/calicopathd/gateway/versions.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from calicopath_core.versions.directory import VersionDirectory, choose_holders
 from calicopath_core.versions.keeping import StreamKeeper
 from calicopath_core.versions.ledger import StreamLedger
@@ -12,8 +15,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    import msgspec
-
     from calicopath_core.clock import Clock
     from calicopath_core.fleet.replicas import ReplicaTable
     from calicopath_core.scheduling.election import BoxAddress
@@ -21,6 +22,24 @@
     from calicopath_core.versions.store import StreamStore
     from calicopathd.gateway.observer import GatewayObserver
 
+Key = tuple[str, str]
+"""A service and a version of it."""
+
+
+class VersionState(msgspec.Struct, frozen=True):
+    """Describe a software version of a service with engines, as one box sees it.
+
+    `streams` counts the streams of this box's callers that only this version can continue.
+    `declared` is `None` on boxes that do not know the declared versions.
+    """
+
+    service: str
+    version: str
+    replicas: int
+    draining: int
+    streams: int
+    declared: bool | None
+
 
 class BoxVersions:
     """Hold the records of streams on one box, and the declared versions while it schedules.
@@ -79,6 +98,29 @@
                 found[replica.service].add(replica.version)
         return {name: frozenset(versions) for name, versions in found.items() if versions}
 
+    def state(self) -> list[VersionState]:
+        """Return the versions that replicas have or streams are bound to."""
+        replicas, draining, streams = Counter[Key](), Counter[Key](), Counter[Key]()
+        for replica in self.replicas.replicas.values():
+            if replica.service in self.pools:
+                replicas[replica.service, replica.version] += 1
+                draining[replica.service, replica.version] += replica.draining
+        for key in self.directory.own_keys:
+            record = self.ledger.records.get(key)
+            if record is not None:
+                streams[record.service, record.version] += 1
+        declared = self.keeper.versions
+        return [
+            VersionState(
+                *key,
+                replicas[key],
+                draining[key],
+                streams[key],
+                None if declared is None else key[1] in declared.get(key[0], ()),
+            )
+            for key in sorted({*replicas, *streams})
+        ]
+
     def on_declared(self, versions: dict[str, frozenset[str]] | None) -> None:
         """Let streams begin at the declared versions only."""
         self.pools.set_declared(versions)
