--- a/packages/core/calicopath_core/scheduling/tests/engines_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/engines_tests.py
@@ -191,3 +191,32 @@
         assert choice is not None
         self.pool.start_run(choice, item, now)
         return choice.engine.replica.id
+
+
+class Versions(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.pool = EnginePool(slots=2, kv_tokens=10_000)
+        self.pool.set_replicas(
+            replica(name, 'a', 'engine')._replace(version=version)
+            for name, version in (('old', 'v1'), ('new', 'v2'), ('newest', 'v3'))
+        )
+
+    def engines_for(self, item: Any) -> set[str]:
+        """Return the engines that may run a job."""
+        return {engine.replica.id for engine in self.pool.engines_for(item)}
+
+    def test_a_stream_goes_on_at_its_version_only(self) -> None:
+        self.assertEqual({'new'}, self.engines_for(job('one', version='v2')))
+        self.assertEqual(set(), self.engines_for(job('one', version='v2', exclude=('new',))))
+        self.assertFalse(self.pool.has_engine_for(job('one', version='gone')))
+
+    def test_a_new_stream_begins_at_a_declared_version(self) -> None:
+        self.assertEqual({'old', 'new', 'newest'}, self.engines_for(job('one')))
+        self.pool.declared_versions = frozenset({'v1', 'v2'})
+        self.assertEqual({'old', 'new'}, self.engines_for(job('one')))
+        self.assertEqual(set(), self.engines_for(job('one', exclude=('old', 'new'))))
+
+    def test_a_new_stream_begins_anywhere_if_no_engine_has_a_declared_version(self) -> None:
+        self.pool.declared_versions = frozenset({'gone'})
+        self.assertEqual({'old', 'new', 'newest'}, self.engines_for(job('one')))
--- a/packages/core/calicopath_core/versions/directory.py
+++ b/packages/core/calicopath_core/versions/directory.py
@@ -40,12 +40,8 @@
 among them, one holder survives unless the other two are just those of the third's streams."""
 
 GATHER_S = 1.0
-"""How long a new scheduler does not answer that it knows no record: until then the other boxes
-notice the change and send theirs. Queries are repeated meanwhile."""
-
-QUERY_TIMEOUT_S = 0.25
-"""How long an answer to a query may take before the query is repeated; the scheduler may have
-changed."""
+"""How long a new scheduler, or a box that has just started, does not deny that there is a record:
+until then the other boxes notice the change and send theirs. Queries are repeated meanwhile."""
 
 MAX_QUERIES = 4
 """Queries for one lookup: a scheduler that has just crashed is replaced in the time that they take,
@@ -94,7 +90,7 @@
         self.ledger = ledger
         self.own_address = own_address
         self.holders: list[str] = []
-        self.gathers_until = 0.0
+        self.gathers_until: float | None = None
         self.repeat_at = 0.0
         self.scheduler_address = scheduler_address
         self.send = send
@@ -120,10 +116,12 @@
         """Drop the record of an attempt that was answered whole."""
         key = stream_key(service, workspace, call_id)
         self.own_keys.pop(key, None)
-        if self.new_keys.pop(key, '') == '':
-            self.answered_keys.append(key)
-            self.flush_soon()
         self.ledger.drop([key])
+        if key in self.new_keys:
+            del self.new_keys[key]
+            return
+        self.answered_keys.append(key)
+        self.flush_soon()
 
     def flush_soon(self) -> None:
         """Send what is new in a moment, together with what comes meanwhile."""
@@ -170,6 +168,9 @@
     def repeat_if_due(self) -> None:
         """Send the records of all own streams again, once an interval."""
         now = self.clock.monotonic()
+        if self.gathers_until is None:
+            # A box that starts takes itself for the scheduler until it hears of the others.
+            self.gathers_until = now + GATHER_S
         if now < self.repeat_at:
             return
         self.repeat_at = now + REPEAT_INTERVAL_S
@@ -236,9 +237,13 @@
     async def resolve_and_answer(self, message: VersionQuery) -> None:
         """Answer a query by what the store shows, or not at all while records are still coming."""
         found = await self.resolve(message.service, message.key)
-        if found is not None or self.clock.monotonic() >= self.gathers_until:
+        if found is not None or self.has_gathered():
             self.answer(message, found)
 
+    def has_gathered(self) -> bool:
+        """Tell whether the other boxes have had time to send their records."""
+        return self.gathers_until is not None and self.clock.monotonic() >= self.gathers_until
+
     def answer(self, message: VersionQuery, found: FoundVersion | None) -> None:
         """Send the answer to a query."""
         answer = VersionAnswer(number=message.number, version=None)
--- a/packages/core/calicopath_core/versions/tests/directory_tests.py
+++ b/packages/core/calicopath_core/versions/tests/directory_tests.py
@@ -91,6 +91,18 @@
 
         self.run_virtual(scenario())
 
+    def test_a_box_that_has_just_started_denies_no_record(self) -> None:
+        async def scenario() -> None:
+            directory = self.new_directory()
+            directory.repeat_if_due()
+            key = stream_key('engine', 'hire', 'a')
+            query = VersionQuery(number=1, reply_to='own', service='engine', key=key)
+            directory.on_query(query)
+            await asyncio.sleep(0.01)
+            self.assertEqual([], self.messages(VersionAnswer))
+
+        self.run_virtual(scenario())
+
 
 class News(DirectoryCase):
     def test_streams_that_begin_together_go_in_one_message_to_each_holder(self) -> None:
--- a/packages/daemon/calicopathd/gateway/tests/versions_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/versions_tests.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from calicopath_core.fleet.deployment import Workspace
+from calicopath_core.fleet.replicas import Replica
 from calicopath_core.fleet.store import RecordKind
 from testkit.cases import VirtualCase
 from testkit.gateway_replicas import ANY_REPLICA
@@ -180,6 +181,28 @@
         self.run_scenario(work)
 
 
+class ChangedEntries(VersionCase):
+    def test_the_version_of_the_life_that_sent_the_first_event_counts(self) -> None:
+        async def work(fleet: MixedFleet) -> None:
+            fleet.replicas.stream_gap_s = LONG_GAP_S
+            callers = [ResumingCaller(fleet=fleet, number=item) for item in range(STREAMS_PER_BOX)]
+            for caller in callers:
+                caller.send('box-3')
+            await asyncio.sleep(LONG_GAP_S / 2)
+            # A new life of the same identifier has other software.
+            entry = fleet.store.records[RecordKind.REPLICA]['engine-v1-0']
+            assert isinstance(entry, Replica)
+            changed = entry._replace(version='v2', started_ms=1.0)
+            fleet.store.write(RecordKind.REPLICA, entry.id, changed)
+            await asyncio.sleep(2 * LONG_GAP_S)
+            fleet.kill('box-3')
+            await asyncio.sleep(0.1)
+            await asyncio.gather(*(caller.resume('box-1', 'box-2') for caller in callers))
+            self.check(callers)
+
+        self.run_scenario(work)
+
+
 class Shown(VersionCase):
     def test_a_box_shows_its_callers_streams_by_version(self) -> None:
         async def work(fleet: MixedFleet) -> None:
@@ -310,9 +333,10 @@
 
 
 def ignore_versions(pool: EnginePool) -> None:
-    """Let a scheduler choose as one of a build that knows no versions."""
+    """Let a scheduler choose like one that knows no versions, in the worst case."""
 
     def engines_for(job: Job) -> list[Engine]:
-        return [item for name, item in pool.engines.items() if name not in job.place.exclude]
+        allowed = [item for name, item in pool.engines.items() if name not in job.place.exclude]
+        return [item for item in allowed if item.replica.version != job.place.version] or allowed
 
     pool.engines_for = engines_for  # type: ignore[method-assign]
--- a/tools/mutants/catalogue.py
+++ b/tools/mutants/catalogue.py
@@ -7,6 +7,7 @@
 from tools.mutants.notices import NOTICE_MUTANTS
 from tools.mutants.partitions import PARTITION_MUTANTS
 from tools.mutants.restored import RESTORED_MUTANTS
+from tools.mutants.versions import VERSION_MUTANTS
 
 CRASHES = f'{CORE}/crashes/tests/ledger_tests.py'
 CRASHING = 'packages/daemon/calicopathd/gateway/tests/crashing_tests.py'
@@ -279,4 +280,5 @@
     *LIMIT_MUTANTS,
     *RESTORED_MUTANTS,
     *PARTITION_MUTANTS,
+    *VERSION_MUTANTS,
 )
