--- a/packages/core/calicopath_core/versions/directory.py
+++ b/packages/core/calicopath_core/versions/directory.py
@@ -43,6 +43,10 @@
 """How long a new scheduler, or a box that has just started, does not deny that there is a record:
 until then the other boxes notice the change and send theirs. Queries are repeated meanwhile."""
 
+QUERY_TIMEOUT_S = 0.25
+"""How long an answer to a query may take before the query is repeated; the scheduler may have
+changed."""
+
 MAX_QUERIES = 4
 """Queries for one lookup: a scheduler that has just crashed is replaced in the time that they take,
 and callers leave after a gap of 2 s."""
