--- a/review/3/case.py
+++ b/review/3/case.py
@@ -18,7 +18,7 @@
 SERVES_ON_S = DRAIN_S + 1.5
 ROUNDS = 10
 CLIENTS, PAUSE_S = 8, 0.1
-CUT_BEFORE_S = 0.02
+CUT_BEFORE_S = 0.1
 
 
 class Replica:
