Log and count what ended an answer, and why it was not sent again

Cause: lines 601 and 604 did not tell a silent replica from a box that stood still, named broken HTTP and error answers 'silent', called our own stop 'caller-left', and did not say whether attempts, sends, the budget or the scheduler forbade a retry.

Logic as before, but for one thing: an error of a replica is passed on, not tried again, once the deadline has passed.

--- a/packages/core/calicopath_core/backends/base.py
+++ b/packages/core/calicopath_core/backends/base.py
@@ -69,6 +69,18 @@
     """Report that the connection broke during a call: the endpoint may have crashed."""
 
 
+class SilentReplica(MayHaveRun):
+    """Report that nothing came in time, although the connection is open.
+
+    `late_s` is how much later than due this box noticed: it was busy or stood still meanwhile, and
+    what the endpoint sent may not have been read yet.
+    """
+
+    def __init__(self, message: str, *, late_s: float = 0.0) -> None:
+        super().__init__(message)
+        self.late_s = late_s
+
+
 class WrongAnswer(MayHaveRun):
     """Report an answer that is invalid or belongs to another call."""
 
--- a/packages/core/calicopath_core/exchanges/context.py
+++ b/packages/core/calicopath_core/exchanges/context.py
@@ -2,12 +2,20 @@
 
 from __future__ import annotations
 
+import enum
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, NamedTuple
 
-from calicopath_core.backends.base import ConnectionBroken, Declined, NotStarted, WrongAnswer
+from calicopath_core.backends.base import (
+    ConnectionBroken,
+    Declined,
+    NotStarted,
+    SilentReplica,
+    WrongAnswer,
+)
 from calicopath_core.exceptions import CalicopathError
 from calicopath_core.exchanges.content import content_of
+from calicopath_core.fleet.notices import Exclusion
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -17,9 +25,9 @@
     from calicopath_core.exchanges.balancer import Balancer
     from calicopath_core.exchanges.budget import RetryBudgets
     from calicopath_core.exchanges.messages import Exchange, ReplicaClient
+    from calicopath_core.exchanges.retries import RetryRefusal
     from calicopath_core.fleet.deployment import Deployment, DeploymentView, Route
     from calicopath_core.fleet.gate import CallGate
-    from calicopath_core.fleet.notices import Exclusion
     from calicopath_core.fleet.replicas import Replica, ReplicaTable
     from calicopath_core.scheduling.client import SchedulerClient
     from calicopath_core.scheduling.election import Election
@@ -48,6 +56,27 @@
         self.retry_after_s = retry_after_s
 
 
+class EndedBy(enum.StrEnum):
+    """Name what ended an exchange."""
+
+    REPLICA = 'replica'
+    CALLER = 'caller'
+    STOP = 'stop'
+    DEADLINE = 'deadline'
+    SILENCE = 'silence'
+    GATEWAY = 'gateway'
+
+
+READY = 'ready'
+"""State of a replica that gets new work."""
+
+SILENT = 'silent'
+"""Kind of the failure of a replica that sent nothing in time."""
+
+CALLER_LEFT = 'caller-left'
+"""Message with which the task of an exchange is cancelled when its caller disconnects."""
+
+
 def failure_kind(error: Exception) -> str:
     """Return how an attempt failed, as one word for logs and metrics."""
     if isinstance(error, ConnectionBroken):
@@ -58,7 +87,7 @@
         return 'unreached'
     if isinstance(error, WrongAnswer):
         return 'wrong'
-    return 'silent'
+    return SILENT if isinstance(error, SilentReplica) else 'failed'
 
 
 class ExchangeState:
@@ -97,6 +126,9 @@
         self.status = 0
         self.outcome = ''
         self.detail = ''
+        self.retry_refused: RetryRefusal | None = None
+        self.ended_by: EndedBy | None = None
+        self.last_failure = ''
 
     def expired(self, now: float) -> bool:
         """Return whether the deadline has passed."""
@@ -155,11 +187,13 @@
         error: Exception,
         left_s: float,
         *,
+        replica_state: str,
         answered: bool = False,
     ) -> None:
         """Handle an attempt without a complete answer.
 
-        `left_s` is the time to the deadline; `answered` tells that this replica sent events.
+        `left_s` is the time to the deadline; `replica_state` is what this box knows of the replica;
+        `answered` tells that it sent events.
         """
 
     @abstractmethod
@@ -209,6 +243,13 @@
     raise RefusedExchange(STATUS_UNAVAILABLE, CRASHES_REPLICAS, retry_after_s=wait_s)
 
 
+def replica_state(context: ExchangeContext, replica_id: str) -> str:
+    """Return what this box knows of a replica: why it gets no new work, or `ready`."""
+    known = context.replicas.replicas.get(replica_id)
+    exclusion = Exclusion.GONE if known is None else context.replicas.exclusion_of(known)
+    return READY if exclusion is None else exclusion.value
+
+
 class ExchangeContext(NamedTuple):
     """Hold the services that all exchanges of a box share."""
 
--- a/packages/core/calicopath_core/exchanges/executor.py
+++ b/packages/core/calicopath_core/exchanges/executor.py
@@ -6,10 +6,13 @@
 from typing import TYPE_CHECKING
 
 from calicopath_core.exchanges.context import (
+    CALLER_LEFT,
     SHORT_RETRY_AFTER_S,
+    SILENT,
     STATUS_NOT_FOUND,
     STATUS_UNAUTHORIZED,
     STATUS_UNAVAILABLE,
+    EndedBy,
     ExchangeState,
     RefusedExchange,
     check_not_blocked,
@@ -45,13 +48,17 @@
             send_refusal(state, sink, refusal)
             if state is None:
                 self.context.observer.on_refused(exchange, refusal)
-        except BaseException:
+        except BaseException as error:
             if state is not None and not state.outcome:
-                state.outcome = 'caller-left'
+                has_left = CALLER_LEFT in error.args
+                state.outcome = CALLER_LEFT if has_left else 'stopped'
+                state.ended_by = EndedBy.CALLER if has_left else EndedBy.STOP
             sink.abort()
             raise
         finally:
             if state is not None:
+                if state.ended_by is None:
+                    state.ended_by = ended_by(state, self.context.clock.monotonic())
                 took_s = self.context.clock.monotonic() - exchange.received_at
                 self.context.observer.on_ended(state, took_s)
 
@@ -80,6 +87,17 @@
         )
 
 
+def ended_by(state: ExchangeState, now: float) -> EndedBy:
+    """Return what ended an exchange whose caller is still there."""
+    if state.outcome in ('answered', 'failed-by-replica'):
+        return EndedBy.REPLICA
+    if state.expired(now):
+        return EndedBy.DEADLINE
+    if not state.may_have_run or not state.last_failure:
+        return EndedBy.GATEWAY
+    return EndedBy.SILENCE if state.last_failure == SILENT else EndedBy.REPLICA
+
+
 def priority_of(route: Route, workspace: Workspace | None) -> int:
     """Return a request's priority, 0 first: the workspace's comes before the route's."""
     if workspace is None or workspace.priority is None:
--- a/packages/core/calicopath_core/exchanges/plain.py
+++ b/packages/core/calicopath_core/exchanges/plain.py
@@ -9,8 +9,8 @@
     BackendError,
     ConnectionLimitReached,
     Declined,
-    MayHaveRun,
     NotStarted,
+    SilentReplica,
     WrongAnswer,
 )
 from calicopath_core.crashes.probes import ReplicaCrashProbe
@@ -21,9 +21,12 @@
     STATUS_UNAVAILABLE,
     RefusedExchange,
     check_not_blocked,
+    failure_kind,
+    replica_state,
 )
 from calicopath_core.exchanges.endings import check_whole
 from calicopath_core.exchanges.messages import OutboundRequest
+from calicopath_core.exchanges.retries import RetryRefusal, try_spend_retry
 from calicopath_core.fleet.notices import ReplicaExcluded
 
 if TYPE_CHECKING:
@@ -31,9 +34,6 @@
     from calicopath_core.exchanges.messages import AnswerHead, ReplicaAnswer, ReplySink
     from calicopath_core.fleet.replicas import Replica
 
-MAX_SENDS = 4
-"""Most replicas that one request is sent to, including those that decline it."""
-
 ATTEMPT_TIMEOUT_FACTOR = 8.0
 MIN_ATTEMPT_TIMEOUT_S = 0.25
 """Timeout of an attempt that may be repeated elsewhere: this multiple of the replica's average
@@ -75,14 +75,20 @@
             context.observer.on_replica_skipped(state, replica.id, error.exclusion)
             continue
         except BackendError as error:
+            state.last_failure = failure_kind(error)
             left_s = state.deadline_at - context.clock.monotonic()
-            context.observer.on_attempt_failed(state, replica.id, error, left_s)
+            context.observer.on_attempt_failed(
+                state,
+                replica.id,
+                error,
+                left_s,
+                replica_state=replica_state(context, replica.id),
+            )
             await check_for_crash(context, state, replica, error)
             check_retry_allowed(context, state, error)
             continue
         context.crashes.on_survived(state.content, state.service)
-        retry = answer.head.status >= STATUS_SERVER_ERROR and try_spend_retry(context, state)
-        if retry:
+        if answer.head.status >= STATUS_SERVER_ERROR and may_retry(context, state):
             continue
         state.status = answer.head.status
         state.outcome = 'answered' if answer.head.success else 'failed-by-replica'
@@ -179,16 +185,12 @@
     return max(SHORT_RETRY_AFTER_S, context.gate.earliest_available_in_s(state.service))
 
 
-def try_spend_retry(context: ExchangeContext, state: ExchangeState) -> bool:
+def may_retry(context: ExchangeContext, state: ExchangeState) -> bool:
     """Return whether a request may be sent again, and spend one retry of the budget if so."""
-    if state.sends >= MAX_SENDS or not state.may_run_again():
-        return False
     if all(item.id in state.excluded_replicas for item in context.gate.usable(state.service)):
+        state.retry_refused = RetryRefusal.NO_REPLICA
         return False
-    now = context.clock.monotonic()
-    return context.retry_budgets.for_service(state.service).try_spend(
-        now, context.election.box_count()
-    )
+    return try_spend_retry(context, state) is None
 
 
 def check_retry_allowed(
@@ -196,7 +198,7 @@
 ) -> None:
     """Return if the request may be sent again; else raise `RefusedExchange`."""
     now = context.clock.monotonic()
-    if not state.expired(now) and try_spend_retry(context, state):
+    if may_retry(context, state):
         return
     if state.may_have_run:
         if state.expired(now):
@@ -227,7 +229,9 @@
         state.may_have_run = True
         state.runs += 1
         stats.on_failure(context.clock.monotonic())
-        raise MayHaveRun(f'{replica.id} did not answer within {timeout_s:.3f} s') from error
+        late_s = context.clock.monotonic() - started_at - timeout_s
+        text = f'{replica.id} did not answer within {timeout_s:.3f} s'
+        raise SilentReplica(text, late_s=late_s) from error
     except (ReplicaExcluded, ConnectionLimitReached):
         raise
     except NotStarted:
--- a/packages/core/calicopath_core/exchanges/streams.py
+++ b/packages/core/calicopath_core/exchanges/streams.py
@@ -12,6 +12,7 @@
     Declined,
     MayHaveRun,
     NotStarted,
+    SilentReplica,
 )
 from calicopath_core.exchanges.context import (
     SHORT_RETRY_AFTER_S,
@@ -20,11 +21,14 @@
     STATUS_UNAVAILABLE,
     RefusedExchange,
     check_not_blocked,
+    failure_kind,
+    replica_state,
 )
 from calicopath_core.exchanges.endings import STREAM_END_WATCH_S, check_whole
 from calicopath_core.exchanges.events import EventSplitter
 from calicopath_core.exchanges.messages import OutboundRequest
 from calicopath_core.exchanges.plain import check_for_crash, read_all
+from calicopath_core.exchanges.retries import RetryRefusal, try_spend_retry
 from calicopath_core.fleet.notices import Exclusion, ReplicaExcluded
 from calicopath_core.scheduling.client import PlacementRejected
 from calicopath_core.scheduling.messages import VERSION_GONE, PhaseWork, PlaceJob, Prompt
@@ -36,9 +40,6 @@
     from calicopath_core.fleet.replicas import Replica
     from calicopath_core.scheduling.messages import Placed
 
-MAX_SENDS = 4
-"""Most engines that one request is sent to, including those that decline it."""
-
 MAX_SKIPPED_REPLICAS = 4
 """Most engines that the scheduler may choose for one request although this box must not call them;
 then the request is refused. Each placement request lists the engines skipped so far."""
@@ -129,11 +130,13 @@
                 failed = is_at_fault and not self.context.is_partitioned()
                 raise
         except BackendError as error:
+            self.state.last_failure = failure_kind(error)
             self.context.observer.on_attempt_failed(
                 self.state,
                 placed.replica,
                 error,
                 self.left_s(),
+                replica_state=replica_state(self.context, placed.replica),
                 answered=self.first_event_received,
             )
             self.check_retry_allowed(error)
@@ -185,6 +188,7 @@
             async with asyncio.timeout(self.left_s()):
                 return await self.context.scheduler.place(request)
         except PlacementRejected as error:
+            self.state.retry_refused = RetryRefusal.SCHEDULER if self.state.sends else None
             if error.reason == VERSION_GONE and not self.state.may_have_run:
                 raise RefusedExchange(STATUS_UNAVAILABLE, VERSION_GONE) from error
             raise self.refusal(error.reason, error.retry_after_s) from error
@@ -284,6 +288,7 @@
             needs_verified_connection=not state.route.repeatable,
         )
         timeout_s = self.first_event_timeout_s(placed)
+        started_at = self.context.clock.monotonic()
         try:
             async with asyncio.timeout(timeout_s):
                 return await self.context.replica_client.send(outbound)
@@ -293,7 +298,9 @@
             state.may_have_run = True
             state.runs += 1
             if isinstance(error, TimeoutError):
-                raise MayHaveRun(f'{replica.id} sent no head within {timeout_s:.3f} s') from error
+                late_s = self.context.clock.monotonic() - started_at - timeout_s
+                text = f'{replica.id} sent no head within {timeout_s:.3f} s'
+                raise SilentReplica(text, late_s=late_s) from error
             raise
 
     def first_event_timeout_s(self, placed: Placed) -> float:
@@ -355,12 +362,15 @@
             )
 
     async def read(self, answer: ReplicaAnswer, timeout_s: float) -> bytes | None:
-        """Return the next bytes of a stream; raise `MayHaveRun` if none come in time."""
+        """Return the next bytes of a stream; raise `SilentReplica` if none come in time."""
+        timeout_s = min(timeout_s, self.left_s())
+        started_at = self.context.clock.monotonic()
         try:
-            async with asyncio.timeout(min(timeout_s, self.left_s())):
+            async with asyncio.timeout(timeout_s):
                 return await answer.read()
         except TimeoutError as error:
-            raise MayHaveRun(f'no event came within {timeout_s:.3f} s') from error
+            late_s = self.context.clock.monotonic() - started_at - timeout_s
+            raise SilentReplica(f'no event came within {timeout_s:.3f} s', late_s=late_s) from error
 
     async def forward(self, answer: ReplicaAnswer, events: bytes) -> None:
         """Send complete events to the caller, preceded by the answer's head the first time."""
@@ -386,12 +396,9 @@
 
     def check_retry_allowed(self, error: BackendError) -> None:
         """Return if the request may be sent again; else raise `RefusedExchange`."""
-        state = self.state
-        check_not_blocked(self.context, state)
-        now = self.context.clock.monotonic()
-        allowed = not state.expired(now) and state.sends < MAX_SENDS and state.may_run_again()
-        budget = self.context.retry_budgets.for_service(state.service)
-        if allowed and budget.try_spend(now, self.context.election.box_count()):
+        check_not_blocked(self.context, self.state)
+        refusal = try_spend_retry(self.context, self.state)
+        if refusal is None:
             return
-        reason = 'deadline-passed' if state.expired(now) else 'engine-failed'
+        reason = 'deadline-passed' if refusal is RetryRefusal.DEADLINE else 'engine-failed'
         raise self.refusal(reason, None) from error
--- a/packages/daemon/calicopathd/gateway/connection.py
+++ b/packages/daemon/calicopathd/gateway/connection.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from calicopath_core.exchanges.context import CALLER_LEFT
 from calicopathd.gateway.requests import RawRequest
 from calicopathd.gateway.responder import Responder, ResponseChannel
 
@@ -274,4 +275,4 @@
         self.server.connections.discard(self)
         self.queued_requests.clear()
         if self.task is not None:
-            self.task.cancel()
+            self.task.cancel(CALLER_LEFT)
--- a/packages/daemon/calicopathd/gateway/metrics.py
+++ b/packages/daemon/calicopathd/gateway/metrics.py
@@ -23,6 +23,10 @@
         self.attempts_failed = self.counter(
             'attempts_failed_total', 'Failed attempts by service and failure.'
         )
+        self.answers_lost = self.counter(
+            'answers_lost_total',
+            'Requests that may have run and were not answered, by kind and what ended them.',
+        )
         self.streams_resumed = self.counter(
             'streams_resumed_total',
             'Streams that a replica continued, by who resumed them and whose version it has.',
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from calicopath_core.backends.base import SilentReplica
 from calicopath_core.exchanges.context import ExchangeObserver, failure_kind
 from calicopath_core.fleet.feed import FeedObserver
 from calicopath_core.fleet.leaving import OWN
@@ -55,6 +56,9 @@
         received_at = state.exchange.received_at
         first_s = state.first_byte_at - received_at if state.first_byte_at is not None else None
         self.metrics.on_exchange(state.route.kind, state.outcome, took_s, first_s)
+        if state.may_have_run and state.outcome != 'answered':
+            ended_by = state.ended_by.value if state.ended_by is not None else ''
+            self.metrics.answers_lost.inc({'kind': state.route.kind.value, 'by': ended_by})
         events.emit(
             log,
             events.EXCHANGE_ENDED,
@@ -66,6 +70,8 @@
             outcome=state.outcome,
             status=state.status,
             detail=state.detail,
+            ended_by=state.ended_by,
+            retry_refused=state.retry_refused,
             parts=state.shared_parts,
             replicas=state.tried_replicas,
             versions=state.tried_versions,
@@ -95,6 +101,7 @@
         error: Exception,
         left_s: float,
         *,
+        replica_state: str,
         answered: bool = False,
     ) -> None:
         """Log and count an attempt that gave no complete response."""
@@ -113,6 +120,8 @@
             may_have_run=state.may_have_run,
             sends=state.sends,
             left_ms=round(left_s * 1000),
+            late_ms=round(error.late_s * 1000) if isinstance(error, SilentReplica) else 0,
+            replica_state=replica_state,
             error=str(error),
         )
 
