Answers that end too soon: tests and a soak drill that fail on this code

Fakes learn replicas that fall silent for a moment and go on, and replicas that leave without notice after their last answer; the virtual loop can stand still; the soak plays both beside changes of the configuration (--only answers-underway), with a check of its own.

--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 	$(PY) -m tools.soak --only box-partition --seeds 3,4 --seconds 10 $(KNOWN)
 	$(PY) -m tools.soak --only kill-boxes --seeds 1,2 --seconds 10 $(KNOWN)
 	$(PY) -m tools.soak --only crash-part --seeds 2,4 --seconds 10 $(KNOWN)
+	$(PY) -m tools.soak --only answers-underway --seeds 2,3 --seconds 8 $(KNOWN)
 
 mutants: setup
 	$(PY) -m tools.mutants
--- a/testkit/crashing.py
+++ b/testkit/crashing.py
@@ -111,7 +111,6 @@
         self.resetting_targets: set[str] = set()
         self.crashing_bodies: set[bytes] = set()
         self.crashing_parts: set[str] = set()
-        self.are_streams_unframed = False
         self.arrivals: list[Arrival] = []
         self.crashes: list[Arrival] = []
         self.crash_events: dict[str, asyncio.Event] = {}
--- a/testkit/fake_endpoints.py
+++ b/testkit/fake_endpoints.py
@@ -41,6 +41,8 @@
     from calicopath_core.structure.endpoints import Endpoint
 
 HANG_S = 3600.0
+PAUSE_S = 0.9
+"""Length of the silence of an endpoint that goes on."""
 
 CRASH_AFTER_S = 0.03
 RESTART_AFTER_S = 1.0
@@ -55,6 +57,7 @@
     RESET_BEFORE = 'connection lost before the call ran'
     RESET_AFTER = 'connection lost after the call ran'
     HANG = 'no answer after the call ran'
+    PAUSE = 'silent for a moment, then goes on'
     WRONG_IDENTITY = "answer with another call's identity"
     CUT = 'stream ends half-way'
     GAP = 'stream leaves a token out'
@@ -249,6 +252,8 @@
         target = self.fleet[endpoint.name]
         fault = target.fault(str(call.id))
         raise_fault_before_run(fault)
+        if fault is Fault.PAUSE:
+            await asyncio.sleep(PAUSE_S)
         if endpoint.kind is StageKind.SERVICE:
             # A plain service finishes a started call even if its caller crashes or disconnects.
             await asyncio.shield(asyncio.ensure_future(self.serve(target, call)))
@@ -311,6 +316,8 @@
                     raise MayHaveRun('connection lost')
                 if number == middle and fault is Fault.HANG:
                     await asyncio.sleep(HANG_S)
+                if number == middle and fault is Fault.PAUSE:
+                    await asyncio.sleep(PAUSE_S)
                 if number == middle and fault is Fault.SHORT:
                     break
                 if number == middle and fault is Fault.GAP:
--- a/testkit/gateway_replicas.py
+++ b/testkit/gateway_replicas.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import itertools
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from calicopath_core.backends.base import (
     ConnectionLimitReached,
@@ -105,8 +105,21 @@
             self.live_results.pop(handle, None)
 
 
+class Pause(NamedTuple):
+    """Describe a silence of a sound replica: the events before it, and its length in seconds."""
+
+    after: int
+    duration_s: float
+
+
+NO_PAUSE = Pause(0, 0.0)
+
+
 class FakeStream(ReplicaAnswer):
-    """Stream events, and break after `break_after` of them (`None`: never)."""
+    """Stream events, and break after `break_after` of them (`None`: never).
+
+    The stream falls silent for the `pause` and goes on.
+    """
 
     def __init__(
         self,
@@ -115,7 +128,10 @@
         outbound: OutboundRequest,
         status: int,
         break_after: int | None,
+        pause: Pause = NO_PAUSE,
     ) -> None:
+        self.pause = pause
+        self.ends_with_connection = engine.are_streams_unframed
         self.engine = engine
         self.outbound = outbound
         self.next_id = int(outbound.last_event_id or 0) + 1
@@ -128,6 +144,8 @@
     async def read(self) -> bytes | None:
         """Return the next event."""
         await asyncio.sleep(self.engine.stream_gap_s)
+        if self.sent == self.pause.after:
+            await asyncio.sleep(self.pause.duration_s)
         if self.break_after is not None and self.sent >= self.break_after:
             if self.break_after == HANGS_BEFORE_EVENTS:
                 await asyncio.sleep(3600)
@@ -183,6 +201,8 @@
         self.sent: list[OutboundRequest] = []
         self.faults: dict[str, list[str]] = {}
         self.runs: dict[str, int] = {}
+        self.are_streams_unframed = False
+        self.closed_ports: set[str] = set()
         self.running: set[str] = set()
         self.loads: dict[str, LoadReport] = {}
         self.stream_gap_s = EVENT_GAP_S
@@ -208,19 +228,36 @@
             await asyncio.sleep(3600)
         if fault == 'busy':
             await asyncio.sleep(BUSY_S)
+        if fault.startswith('late:'):
+            await asyncio.sleep(float(fault.partition(':')[2]))
         if fault == 'error':
             return FakeBody(head=AnswerHead(500, (), False, None), body=b'no')
         if outbound.replica.service == 'engine':
             self.running.add(call_id)
             after = int(fault.partition(':')[2]) if fault.startswith('break') else None
-            return FakeStream(engine=self, outbound=outbound, status=200, break_after=after)
+            return FakeStream(
+                engine=self,
+                outbound=outbound,
+                status=200,
+                break_after=after,
+                pause=pause_of(fault),
+            )
         load = self.loads.get(outbound.replica.id)
         return FakeBody(head=AnswerHead(200, (), False, load), body=call_id.encode())
 
     async def probe(self, replica: Replica, watch_s: float) -> ProbeResult:
-        """Return `OPEN`: the faults here break connections, the replicas keep running."""
+        """Return `OPEN` unless the port is closed: the faults here only break connections."""
         await asyncio.sleep(0.001)
-        return ProbeResult.OPEN
+        return ProbeResult.REFUSED if replica.id in self.closed_ports else ProbeResult.OPEN
+
+
+def pause_of(fault: str) -> Pause:
+    """Return the silence that a fault `pause:EVENTS:SECONDS` describes, none for other faults."""
+    name, _, values = fault.partition(':')
+    if name != 'pause':
+        return NO_PAUSE
+    after, _, duration_s = values.partition(':')
+    return Pause(int(after), float(duration_s))
 
 
 class FakeSink(ReplySink):
--- a/testkit/virtual.py
+++ b/testkit/virtual.py
@@ -47,6 +47,10 @@
         """Return virtual seconds since the loop was created."""
         return self.virtual_selector.now
 
+    def stand_still(self, seconds: float) -> None:
+        """Advance the time without running anything, as if the process stood still."""
+        self.virtual_selector.now += seconds
+
 
 class VirtualClock(Clock):
     """Return virtual time; `wall_error_s` is the error of the wall clock."""
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -23,6 +23,7 @@
     resume_stream,
 )
 from tools.soak.schedule import FaultKind, Step, draw_steps
+from tools.soak.underway import find_lost_answers
 from tools.soak.world import FAILURE_DOMAINS, REPLICA_COUNT, World
 
 if TYPE_CHECKING:
@@ -307,6 +308,7 @@
             *checks.find_runs_after_leaving_notice(self.records, world.runs, steps),
             *find_mixed_versions(self.records),
             *find_lost_streams(self.records, self.plan.only),
+            *find_lost_answers(self.records, self.plan.only, CALLER_DEADLINE_S),
             *find_limit_violations(
                 self.records,
                 world.limit_periods,
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -35,6 +35,7 @@
     BOX_PARTITION = 'box-partition'
     KILL_BOXES = 'kill-boxes'
     CRASH_PART = 'crash-part'
+    UNDERWAY = 'answers-underway'
 
 
 class LinkMode(enum.Enum):
@@ -78,6 +79,7 @@
         FaultKind.BOX_PARTITION,
         FaultKind.KILL_BOXES,
         FaultKind.CRASH_PART,
+        FaultKind.UNDERWAY,
     }
 )
 """What is drawn apart, so that what else a seed means stays as it was before these came."""
@@ -140,6 +142,14 @@
 PARTITION_MODES = (LinkMode.RESET, LinkMode.SILENT, LinkMode.PASS)
 """Resets or silences all connections to replicas, or refuses only new ones."""
 
+MEAN_SILENCE_GAP_S = 1.2
+MIN_SILENCE_S = 0.8
+MAX_SILENCE_S = 1.7
+"""The mean time between two steps, and for how long replicas are silent: a second or so."""
+
+SILENCE_MODES = (LinkMode.SILENT, LinkMode.BLOCK_RESPONSES, LinkMode.PASS)
+"""All replicas of a service fall silent, one of them does, or one leaves without notice."""
+
 MAX_SERIES_STEPS = 4
 """Changes of one kind that may come right after each other."""
 
@@ -196,6 +206,7 @@
     steps += draw_partitions(seed, seconds=seconds, boxes=boxes)
     steps += draw_kills(seed, seconds=seconds, boxes=boxes)
     steps += draw_crash_parts(seed, seconds=seconds)
+    steps += draw_underway(seed, seconds=seconds)
     return sorted(steps, key=lambda step: step.at_s)
 
 
@@ -331,6 +342,19 @@
     return steps
 
 
+def draw_underway(seed: int, *, seconds: float) -> list[Step]:
+    """Return when replicas fall silent, or leave without notice, as configurations change."""
+    rng = random.Random(f'answers of {seed}')
+    steps: list[Step] = []
+    at_s = rng.expovariate(1 / MEAN_SILENCE_GAP_S)
+    while at_s < seconds:
+        for_s = round(rng.uniform(MIN_SILENCE_S, MAX_SILENCE_S), 3)
+        target, mode = rng.randrange(1_000_000), rng.choice(SILENCE_MODES)
+        steps.append(Step(round(at_s, 3), FaultKind.UNDERWAY, target, for_s, mode))
+        at_s += rng.expovariate(1 / MEAN_SILENCE_GAP_S)
+    return steps
+
+
 def is_calm(
     steps: list[Step], start_s: float, end_s: float, *, ignored: Step | None = None
 ) -> bool:
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -47,6 +47,9 @@
 MAX_PORT_ATTEMPTS = 5
 """How often a box is given other ports when somebody took one before it listened."""
 
+DRAIN_S = 2.0
+"""How long a replica serves on after the store has taken that it leaves."""
+
 STORE_DOWN_STATUS = 503
 MAX_STORE_DOWN_S = 2.0
 MAX_REWRITE_DELAY_S = 1.0
@@ -288,10 +291,44 @@
                 # Callers send these; replicas that run a crash request end by themselves.
                 pass
             case FaultKind.CONFIG_CHANGE:
-                self.config_version += 1
-                self.store.put(
-                    names.CONFIG_KIND, names.CONFIG_NAME, soak_config(self.config_version)
-                )
+                self.change_config()
+            case FaultKind.UNDERWAY:
+                await self.disturb_answers(step)
+
+    def change_config(self) -> None:
+        """Put a configuration with another route."""
+        self.config_version += 1
+        self.store.put(names.CONFIG_KIND, names.CONFIG_NAME, soak_config(self.config_version))
+
+    async def disturb_answers(self, step: Step) -> None:
+        """Have replicas of a service fall silent, or one leave, while a configuration changes."""
+        slots = [slot for slot in self.slots if slot.service == SERVICES[step.target % 3]]
+        one = slots[step.target // 3 % len(slots)]
+        self.change_config()
+        if step.link_mode is LinkMode.PASS:
+            await self.leave_without_notice(step, one)
+            return
+        silent = slots if step.link_mode is LinkMode.SILENT else [one]
+        for slot in silent:
+            if slot.replica is not None:
+                slot.replica.silent_until = self.now() + step.duration_s
+        await asyncio.sleep(step.duration_s)
+
+    async def leave_without_notice(self, step: Step, slot: ReplicaSlot) -> None:
+        """Have a replica's entry go, and the replica after it has answered all requests."""
+        async with slot.lock:
+            leaving = slot.replica
+            assert leaving is not None
+            self.store.delete(names.REPLICA_KIND, leaving.name)
+            await asyncio.sleep(DRAIN_S + step.duration_s)
+            while not leaving.has_crashed and leaving.runs_in_progress:
+                await asyncio.sleep(0.0)
+            if not leaving.has_crashed:
+                slot.link.shut_down()
+                await slot.stack.aclose()
+                await asyncio.sleep(RESTART_DELAY_S)
+                await self.start_replica(slot)
+                await slot.link.reopen()
 
     async def kill_boxes(self, step: Step) -> None:
         """Kill as many boxes at the same moment as the step's target says."""
