An answer is let go only for a better one: silence suspects, it does not end

What callers saw: streams were cut, and repeatable requests failed with 502, before their deadline, although their replica went on a moment later; callers took the streams up at another box.

Cause: after 1.2 s without an event, 2 s without a head, or eight times the usual latency the box closed the replica's connection, and only then asked whether another attempt is allowed. Attempts, the retry budget (two or three in ten seconds per box), the scheduler or the other replica could say no. A class of fault: a timeout taken for proof. With it: timers of a box that stood still ran before it had read its sockets.

Why it works: streams.py keeps the silent answer while another engine is asked, and follows the one that goes on first; the old one ends once the other has sent its head, so that two runs do not go on together. plain.py waits for both and takes the first answer. Nothing but the replica, the caller, the deadline or our stop ends an answer. A retry that was not sent is returned to the budget. What has arrived is read before a time counts as over.

--- a/packages/core/calicopath_core/exchanges/budget.py
+++ b/packages/core/calicopath_core/exchanges/budget.py
@@ -41,6 +41,11 @@
         self.retries.append(now)
         return True
 
+    def refund(self) -> None:
+        """Return the retry that was spent last."""
+        if self.retries:
+            self.retries.pop()
+
 
 class RetryBudgets:
     """Hold one retry budget per service."""
--- a/packages/core/calicopath_core/exchanges/context.py
+++ b/packages/core/calicopath_core/exchanges/context.py
@@ -151,9 +151,9 @@
         self.sends += 1
         self.sent_at = now
 
-    def on_send_cancelled(self) -> None:
-        """Undo the last `on_send`, because the request was not sent."""
-        self.tried_replicas.pop()
+    def on_send_cancelled(self, replica: str) -> None:
+        """Undo `on_send` for a replica, because the request was not sent."""
+        self.tried_replicas.remove(replica)
         self.sends -= 1
 
     @property
--- a/packages/core/calicopath_core/exchanges/messages.py
+++ b/packages/core/calicopath_core/exchanges/messages.py
@@ -99,7 +99,7 @@
     async def read(self) -> bytes | None:
         """Return the next bytes of the body, `None` at its end.
 
-        Raise `MayHaveRun` if the connection breaks first.
+        Raise `MayHaveRun` if the connection breaks first. A read that is cancelled loses nothing.
         """
 
     @abstractmethod
--- a/packages/core/calicopath_core/exchanges/plain.py
+++ b/packages/core/calicopath_core/exchanges/plain.py
@@ -5,15 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from calicopath_core.backends.base import (
-    BackendError,
-    ConnectionLimitReached,
-    Declined,
-    NotStarted,
-    SilentReplica,
-    WrongAnswer,
-)
-from calicopath_core.crashes.probes import ReplicaCrashProbe
+from calicopath_core.backends.base import BackendError, SilentReplica
 from calicopath_core.exchanges.context import (
     SHORT_RETRY_AFTER_S,
     STATUS_BAD_GATEWAY,
@@ -21,23 +13,30 @@
     STATUS_UNAVAILABLE,
     RefusedExchange,
     check_not_blocked,
-    failure_kind,
-    replica_state,
 )
-from calicopath_core.exchanges.endings import check_whole
-from calicopath_core.exchanges.messages import OutboundRequest
-from calicopath_core.exchanges.retries import RetryRefusal, try_spend_retry
+from calicopath_core.exchanges.plain_attempts import (
+    STATUS_SERVER_ERROR,
+    CompleteAnswer,
+    PlainAttempt,
+)
+from calicopath_core.exchanges.retries import RetryRefusal, refund_retry, try_spend_retry
+from calicopath_core.exchanges.waiting import (
+    UNREAD_GRACE_S,
+    cancel_and_wait,
+    time_limit,
+    wait_until,
+)
 from calicopath_core.fleet.notices import ReplicaExcluded
 
 if TYPE_CHECKING:
     from calicopath_core.exchanges.context import ExchangeContext, ExchangeState
-    from calicopath_core.exchanges.messages import AnswerHead, ReplicaAnswer, ReplySink
+    from calicopath_core.exchanges.messages import ReplySink
     from calicopath_core.fleet.replicas import Replica
 
 ATTEMPT_TIMEOUT_FACTOR = 8.0
 MIN_ATTEMPT_TIMEOUT_S = 0.25
-"""Timeout of an attempt that may be repeated elsewhere: this multiple of the replica's average
-latency, but at least the minimum."""
+"""A replica counts as slow after this multiple of its average latency, but at least the minimum; a
+request that may be repeated is then sent to another one too."""
 
 MAX_PERMIT_WAIT_RATIO = 0.5
 """Part of the time left that a request may wait for a permit. Under overload waits grow to this
@@ -49,16 +48,6 @@
 MAX_RETRY_AFTER_JITTER = 1.5
 """Upper bound of the random factor on the time to the next permit in `Retry-After`."""
 
-STATUS_SERVER_ERROR = 500
-
-
-class CompleteAnswer:
-    """Hold an answer whose body was read to its end."""
-
-    def __init__(self, *, head: AnswerHead, body: bytes) -> None:
-        self.head = head
-        self.body = body
-
 
 async def serve_plain(context: ExchangeContext, state: ExchangeState, sink: ReplySink) -> None:
     """Send a request to one replica after another until one gives a complete answer."""
@@ -68,23 +57,11 @@
         if replica is None:
             continue
         try:
-            answer = await attempt(context, state, replica)
+            answer = await PlainCall(context=context, state=state).run(replica)
         except ReplicaExcluded as error:
-            state.on_send_cancelled()
-            state.skipped_replicas.append(replica.id)
-            context.observer.on_replica_skipped(state, replica.id, error.exclusion)
+            skip_replica(context, state, error)
             continue
         except BackendError as error:
-            state.last_failure = failure_kind(error)
-            left_s = state.deadline_at - context.clock.monotonic()
-            context.observer.on_attempt_failed(
-                state,
-                replica.id,
-                error,
-                left_s,
-                replica_state=replica_state(context, replica.id),
-            )
-            await check_for_crash(context, state, replica, error)
             check_retry_allowed(context, state, error)
             continue
         context.crashes.on_survived(state.content, state.service)
@@ -96,24 +73,105 @@
         return
 
 
-async def check_for_crash(
-    context: ExchangeContext,
-    state: ExchangeState,
-    replica: Replica,
-    error: BackendError,
-    *,
-    answered: bool = False,
-) -> None:
-    """Probe whether a replica has crashed and report it, before the request is sent again."""
-    ran = not isinstance(error, NotStarted | WrongAnswer)
-    if ran and not state.expired(context.clock.monotonic()):
-        probe = ReplicaCrashProbe(
-            prober=context.replica_client, replicas=context.replicas, replica=replica
-        )
-        contents = [state.content]
-        await context.crashes.on_failed(
-            contents, state.service, probe, error, run_started_at=state.sent_at, answered=answered
-        )
+def skip_replica(context: ExchangeContext, state: ExchangeState, error: ReplicaExcluded) -> None:
+    """Record that a replica was chosen and nothing was sent to it."""
+    state.on_send_cancelled(error.replica.id)
+    state.skipped_replicas.append(error.replica.id)
+    context.observer.on_replica_skipped(state, error.replica.id, error.exclusion)
+
+
+class PlainCall:
+    """Get one complete answer from a replica, or from another one if the first is slow.
+
+    A slow replica is only suspected: its answer is waited for beside that of the other one.
+    """
+
+    def __init__(self, *, context: ExchangeContext, state: ExchangeState) -> None:
+        self.context = context
+        self.state = state
+        self.attempts: list[PlainAttempt] = []
+        self.tasks: list[asyncio.Task[CompleteAnswer]] = []
+
+    async def run(self, replica: Replica) -> CompleteAnswer:
+        """Return the first complete answer; raise the error of the last attempt that failed."""
+        slow_at = self.slow_at(replica)
+        first = self.new_attempt(replica)
+        if slow_at >= self.state.deadline_at:
+            try:
+                async with time_limit(self.context.clock, self.state.deadline_at):
+                    return await first.run()
+            except TimeoutError as error:
+                raise self.give_up([first]) from error
+        try:
+            self.tasks.append(asyncio.create_task(first.run()))
+            late_s = await wait_until(self.context.clock, self.tasks[0], slow_at)
+            if not first.is_over and not self.state.expired(self.context.clock.monotonic()):
+                await self.call_other(first, late_s)
+            return await self.first_answer()
+        finally:
+            for task in self.tasks:
+                await cancel_and_wait(task)
+
+    def new_attempt(self, replica: Replica) -> PlainAttempt:
+        """Return a new attempt, which counts as sent."""
+        attempt = PlainAttempt(context=self.context, state=self.state, replica=replica)
+        self.attempts.append(attempt)
+        return attempt
+
+    def slow_at(self, replica: Replica) -> float:
+        """Return when a replica counts as slow, in monotonic seconds.
+
+        A request that may not run again is waited for until its deadline.
+        """
+        state = self.state
+        if not state.route.repeatable or state.runs + 1 >= state.route.max_attempts:
+            return state.deadline_at
+        latency_s = self.context.balancer.stats_of(replica).latency_s
+        patience_s = max(MIN_ATTEMPT_TIMEOUT_S, ATTEMPT_TIMEOUT_FACTOR * latency_s)
+        return min(state.deadline_at, self.context.clock.monotonic() + patience_s)
+
+    async def call_other(self, slow: PlainAttempt, late_s: float) -> None:
+        """Start an attempt at another replica if one may be called at once."""
+        context, state = self.context, self.state
+        await slow.suspect(SilentReplica(f'{slow.replica.id} is slow', late_s=late_s))
+        if not may_retry(context, state):
+            return
+        now = context.clock.monotonic()
+        other = context.balancer.choose(state.service, state.excluded_replicas, now)
+        if other is None or context.gate.limits.limit_of(other) is not None:
+            refund_retry(context, state)
+            return
+        self.tasks.append(asyncio.create_task(self.new_attempt(other).run()))
+
+    async def first_answer(self) -> CompleteAnswer:
+        """Return the first answer that is no error of its replica, or what came last.
+
+        Raise `SilentReplica` if none came before the deadline.
+        """
+        pending = set(self.tasks)
+        last: asyncio.Task[CompleteAnswer] | None = None
+        while pending:
+            left_s = max(0.0, self.state.deadline_at - self.context.clock.monotonic())
+            done, pending = await asyncio.wait(
+                pending, timeout=left_s + UNREAD_GRACE_S, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not done:
+                raise self.give_up([item for item in self.attempts if not item.is_over])
+            for task in done:
+                is_answer = task.exception() is None
+                if is_answer and task.result().head.status < STATUS_SERVER_ERROR:
+                    return task.result()
+                last = task if is_answer or last is None else last
+        assert last is not None
+        return last.result()
+
+    def give_up(self, attempts: list[PlainAttempt]) -> SilentReplica:
+        """Record attempts that were not answered before the deadline and return the error."""
+        error = SilentReplica('no answer before the deadline')
+        for attempt in attempts:
+            attempt.stats.on_failure(self.context.clock.monotonic())
+            attempt.log_failure(error)
+        return error
 
 
 async def choose_with_room(context: ExchangeContext, state: ExchangeState) -> Replica | None:
@@ -207,85 +265,3 @@
     raise RefusedExchange(
         STATUS_UNAVAILABLE, 'endpoints-declined', retry_after_s=min_retry_after_s(context, state)
     ) from error
-
-
-async def attempt(
-    context: ExchangeContext, state: ExchangeState, replica: Replica
-) -> CompleteAnswer:
-    """Send a request to one replica, read the complete answer and update the statistics."""
-    started_at = context.clock.monotonic()
-    stats = context.balancer.stats_of(replica)
-    stats.in_flight += 1
-    state.on_send(replica.id, started_at)
-    timeout_s = state.deadline_at - started_at
-    if state.route.repeatable and state.runs + 1 < state.route.max_attempts:
-        timeout_s = min(
-            timeout_s, max(MIN_ATTEMPT_TIMEOUT_S, ATTEMPT_TIMEOUT_FACTOR * stats.latency_s)
-        )
-    try:
-        async with asyncio.timeout(max(0.0, timeout_s)):
-            answer = await call_replica(context, state, replica)
-    except TimeoutError as error:
-        state.may_have_run = True
-        state.runs += 1
-        stats.on_failure(context.clock.monotonic())
-        late_s = context.clock.monotonic() - started_at - timeout_s
-        text = f'{replica.id} did not answer within {timeout_s:.3f} s'
-        raise SilentReplica(text, late_s=late_s) from error
-    except (ReplicaExcluded, ConnectionLimitReached):
-        raise
-    except NotStarted:
-        stats.on_failure(context.clock.monotonic())
-        raise
-    except BackendError:
-        state.may_have_run = True
-        state.runs += 1
-        stats.on_failure(context.clock.monotonic())
-        raise
-    finally:
-        stats.in_flight -= 1
-    state.may_have_run = True
-    state.runs += 1
-    now = context.clock.monotonic()
-    if answer.head.status >= STATUS_SERVER_ERROR:
-        stats.on_failure(now)
-    else:
-        context.balancer.on_success(replica, now - started_at, now)
-    return answer
-
-
-async def call_replica(
-    context: ExchangeContext, state: ExchangeState, replica: Replica
-) -> CompleteAnswer:
-    """Make one call and read its answer; raise `Declined` if the replica declined it."""
-    now = context.clock.monotonic()
-    outbound = OutboundRequest(
-        exchange=state.exchange,
-        replica=replica,
-        deadline_s=state.deadline_at - now,
-        workspace=state.workspace,
-        priority=state.priority,
-        inputs=(),
-        last_event_id=state.exchange.last_event_id,
-        needs_verified_connection=not state.route.repeatable,
-    )
-    answer = await context.replica_client.send(outbound)
-    try:
-        if answer.head.load is not None:
-            context.balancer.on_report(replica, answer.head.load, context.clock.monotonic())
-        body = await read_all(answer)
-        await check_whole(context, replica, answer)
-    finally:
-        answer.close()
-    if answer.head.declined:
-        text = f'{replica.id} declined with {answer.head.status}'
-        raise Declined(text, turned_away=answer.head.turned_away)
-    return CompleteAnswer(head=answer.head, body=body)
-
-
-async def read_all(answer: ReplicaAnswer) -> bytes:
-    """Return the complete body of an answer."""
-    parts = []
-    while (data := await answer.read()) is not None:
-        parts.append(data)
-    return b''.join(parts)
--- a/packages/core/calicopath_core/exchanges/retries.py
+++ b/packages/core/calicopath_core/exchanges/retries.py
@@ -39,6 +39,11 @@
     return refusal
 
 
+def refund_retry(context: ExchangeContext, state: ExchangeState) -> None:
+    """Return a retry to the budget that was spent and not sent."""
+    context.retry_budgets.for_service(state.service).refund()
+
+
 def retry_refusal(state: ExchangeState, now: float) -> RetryRefusal | None:
     """Return what forbids a retry apart from the budget, or `None`."""
     if state.expired(now):
--- a/packages/core/calicopath_core/exchanges/streams.py
+++ b/packages/core/calicopath_core/exchanges/streams.py
@@ -1,19 +1,16 @@
-"""Forward a stream of events, and resume it at another engine if it breaks."""
+"""Forward a stream of events, and resume it at another engine if it breaks.
+
+An engine that is silent is only suspected. Its answer is kept while another engine is asked to go
+on, and ends once that one has accepted the rest.
+"""
 
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
-
-from calicopath_core.backends.base import (
-    BackendError,
-    ConnectionBroken,
-    ConnectionLimitReached,
-    Declined,
-    MayHaveRun,
-    NotStarted,
-    SilentReplica,
-)
+import contextlib
+from typing import TYPE_CHECKING, NamedTuple
+
+from calicopath_core.backends.base import BackendError, MayHaveRun, SilentReplica
 from calicopath_core.exchanges.context import (
     SHORT_RETRY_AFTER_S,
     STATUS_BAD_GATEWAY,
@@ -21,14 +18,11 @@
     STATUS_UNAVAILABLE,
     RefusedExchange,
     check_not_blocked,
-    failure_kind,
-    replica_state,
 )
-from calicopath_core.exchanges.endings import STREAM_END_WATCH_S, check_whole
-from calicopath_core.exchanges.events import EventSplitter
-from calicopath_core.exchanges.messages import OutboundRequest
-from calicopath_core.exchanges.plain import check_for_crash, read_all
-from calicopath_core.exchanges.retries import RetryRefusal, try_spend_retry
+from calicopath_core.exchanges.plain_attempts import read_all
+from calicopath_core.exchanges.retries import RetryRefusal, refund_retry, try_spend_retry
+from calicopath_core.exchanges.stream_attempts import StreamAttempt
+from calicopath_core.exchanges.waiting import cancel_and_wait, wait_until
 from calicopath_core.fleet.notices import Exclusion, ReplicaExcluded
 from calicopath_core.scheduling.client import PlacementRejected
 from calicopath_core.scheduling.messages import VERSION_GONE, PhaseWork, PlaceJob, Prompt
@@ -36,7 +30,7 @@
 
 if TYPE_CHECKING:
     from calicopath_core.exchanges.context import ExchangeContext, ExchangeState
-    from calicopath_core.exchanges.messages import ReplicaAnswer, ReplySink
+    from calicopath_core.exchanges.messages import ReplySink
     from calicopath_core.fleet.replicas import Replica
     from calicopath_core.scheduling.messages import Placed
 
@@ -44,22 +38,20 @@
 """Most engines that the scheduler may choose for one request although this box must not call them;
 then the request is refused. Each placement request lists the engines skipped so far."""
 
-FIRST_EVENT_TIMEOUT_S = 2.0
-FIRST_EVENT_COST_FACTOR = 3.0
-"""Timeout for the first event of a resumable stream: this, plus this multiple of the duration that
-the scheduler expects."""
-
-EVENT_GAP_TIMEOUT_S = 1.2
-"""Timeout for the next event of a resumable stream. Clients count a gap of 0.5 s as late and give
-up after about 4 s."""
-
 MAX_PERMIT_WAIT_S = 0.2
 """Longest wait for a permit that the scheduler did not grant with the placement."""
 
 VERSION_UNKNOWN = 'version-unknown'
 """Refusal reason for a stream of which nobody knows which version began it."""
 
-STATUS_CONFLICT = 409
+NO_EVENTS = b''
+
+
+class Received(NamedTuple):
+    """Hold the next events, `None` for the end, and the attempt that is followed from now on."""
+
+    attempt: StreamAttempt
+    events: bytes | None
 
 
 class Stream:
@@ -69,20 +61,35 @@
         self.context = context
         self.state = state
         self.sink = sink
-        self.splitter = EventSplitter()
-        self.splitter.last_event_id = state.exchange.last_event_id
+        self.last_event_id = state.exchange.last_event_id
+        self.last_event_at = state.exchange.received_at
         self.head_sent = False
-        self.first_event_received = False
         self.begun_by: str | None = None
         self.version_source = 'own'
-        self.reported_pace: float | None = None
+        self.recorded: StreamAttempt | None = None
 
     async def serve(self) -> None:
         """Place and run the stream until it is complete or can't be resumed."""
         if self.state.exchange.continues_stream:
             await self.find_version()
-        while not await self.attempt():
-            pass
+        attempt = await self.place()
+        try:
+            while True:
+                try:
+                    attempt, events = await self.receive(attempt)
+                    if events is None:
+                        await self.end(attempt)
+                        return
+                    await self.forward(attempt, events)
+                except ReplicaExcluded as error:
+                    self.skip_attempt(attempt, error.exclusion)
+                    attempt = await self.place()
+                except BackendError as error:
+                    await attempt.fail(error)
+                    self.check_retry_allowed(error)
+                    attempt = await self.place()
+        finally:
+            attempt.close()
 
     async def find_version(self) -> None:
         """Find the version that began the caller's stream; raise `RefusedExchange` if unknown.
@@ -101,49 +108,129 @@
             raise RefusedExchange(STATUS_UNAVAILABLE, VERSION_UNKNOWN)
         self.begun_by, self.version_source = found
 
-    async def attempt(self) -> bool:
-        """Place the request once and run it there; return whether the exchange is over."""
-        job = self.context.new_job_id()
-        failed = turned_away = False
-        self.reported_pace = None
+    async def receive(self, attempt: StreamAttempt) -> Received:
+        """Return what comes next, from another engine if a silent one does not go on first.
+
+        Raise `BackendError` if the stream breaks, and `SilentReplica` at the deadline.
+        """
+        due_at = self.silent_at(attempt)
+        if attempt.answer is not None:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(max(0.0, due_at - self.context.clock.monotonic())):
+                    return Received(attempt, await attempt.next_events())
+        reading = asyncio.create_task(attempt.next_events())
         try:
-            placed = await self.place(job)
-            replica = self.context.replicas.replicas.get(placed.replica)
-            exclusion = self.exclusion_of(replica)
-            if replica is None or exclusion is not None:
-                # This box knows of an exclusion that the scheduler missed; nothing was sent.
-                return self.skip_replica(placed, exclusion or Exclusion.GONE)
-            await self.take_permit(placed, replica)
-            check_not_blocked(self.context, self.state)
-            try:
-                return await self.run(job, placed, replica)
-            except ReplicaExcluded as error:
-                self.state.on_send_cancelled()
-                return self.skip_replica(placed, error.exclusion)
-            except BackendError as error:
-                turned_away = isinstance(error, Declined) and error.turned_away
-                await check_for_crash(
-                    self.context, self.state, replica, error, answered=self.first_event_received
-                )
-                # The probe has shown by now whether this box reaches any replica.
-                is_at_fault = not isinstance(error, Declined | ConnectionLimitReached)
-                failed = is_at_fault and not self.context.is_partitioned()
-                raise
-        except BackendError as error:
-            self.state.last_failure = failure_kind(error)
-            self.context.observer.on_attempt_failed(
-                self.state,
-                placed.replica,
-                error,
-                self.left_s(),
-                replica_state=replica_state(self.context, placed.replica),
-                answered=self.first_event_received,
+            while True:
+                late_s = await wait_until(self.context.clock, reading, due_at)
+                if reading.done():
+                    return Received(attempt, reading.result())
+                error = SilentReplica(f'no event came from {attempt.replica.id}', late_s=late_s)
+                if self.state.expired(self.context.clock.monotonic()):
+                    raise error
+                await attempt.suspect(error)
+                other = await self.find_other(attempt, reading)
+                if other is not None:
+                    return other
+                due_at = self.silent_at(attempt)
+        finally:
+            await cancel_and_wait(reading)
+
+    def silent_at(self, attempt: StreamAttempt) -> float:
+        """Return when an engine counts as silent, in monotonic seconds.
+
+        A stream that can't be resumed is waited for until its deadline.
+        """
+        if not self.state.route.repeatable:
+            return self.state.deadline_at
+        now = self.context.clock.monotonic()
+        return min(self.state.deadline_at, now + attempt.silence_timeout_s)
+
+    async def find_other(
+        self, attempt: StreamAttempt, reading: asyncio.Task[bytes | None]
+    ) -> Received | None:
+        """Ask another engine to go on while a silent one is still read, and return who goes on.
+
+        Return `None` if there is no other engine; the silent one may have failed meanwhile.
+        """
+        if self.retry_refusal() is not None:
+            return None
+        opening = asyncio.create_task(self.open_other())
+        try:
+            await asyncio.wait(
+                {reading, opening}, timeout=self.left_s(), return_when=asyncio.FIRST_COMPLETED
             )
-            self.check_retry_allowed(error)
-            return False
+            if reading.done() and not opening.done():
+                error = reading.exception()
+                if error is None:
+                    return Received(attempt, reading.result())
+                if isinstance(error, BackendError):
+                    await attempt.fail(error)
+                await asyncio.wait({opening}, timeout=self.left_s())
+            other = opening.result() if opening.done() else None
+            if other is None:
+                return None
+            attempt.close(failed=not self.context.is_partitioned())
+            return Received(other, NO_EVENTS)
+        finally:
+            await cancel_and_wait(opening)
+
+    async def open_other(self) -> StreamAttempt | None:
+        """Return an attempt at another engine once that has accepted the rest of the stream.
+
+        Return `None` if no engine does.
+        """
+        attempt: StreamAttempt | None = None
+        is_open = False
+        sends = self.state.sends
+        try:
+            attempt = await self.place()
+            await attempt.send()
+            if not attempt.received.head.success:
+                raise MayHaveRun(f'the engine answered {attempt.received.head.status}')
+            is_open = True
+        except RefusedExchange:
+            return None
+        except ReplicaExcluded as error:
+            assert attempt is not None
+            self.skip_attempt(attempt, error.exclusion)
+            return None
+        except BackendError as error:
+            assert attempt is not None
+            await attempt.fail(error)
+            return None
         finally:
-            self.context.scheduler.report_ended(
-                job, failed=failed, turned_away=turned_away, pace=self.reported_pace
+            if attempt is not None and not is_open:
+                attempt.close()
+            if self.state.sends == sends:
+                refund_retry(self.context, self.state)
+        return attempt
+
+    async def place(self) -> StreamAttempt:
+        """Place the stream at an engine that this box may call; raise `RefusedExchange`."""
+        while True:
+            job = self.context.new_job_id()
+            is_placed = False
+            try:
+                placed = await self.ask_scheduler(job)
+                replica = self.context.replicas.replicas.get(placed.replica)
+                exclusion = self.exclusion_of(replica)
+                if replica is None or exclusion is not None:
+                    # This box knows of an exclusion that the scheduler missed; nothing was sent.
+                    self.skip_replica(placed.replica, exclusion or Exclusion.GONE)
+                    continue
+                await self.take_permit(placed, replica)
+                check_not_blocked(self.context, self.state)
+                is_placed = True
+            finally:
+                if not is_placed:
+                    self.context.scheduler.report_ended(job, failed=False)
+            return StreamAttempt(
+                context=self.context,
+                state=self.state,
+                job=job,
+                placed=placed,
+                replica=replica,
+                last_event_id=self.last_event_id,
             )
 
     def exclusion_of(self, replica: Replica | None) -> Exclusion | None:
@@ -170,18 +257,20 @@
                 [replica], wait_s=MAX_PERMIT_WAIT_S, priority=self.state.priority
             )
 
-    def skip_replica(self, placed: Placed, exclusion: Exclusion) -> bool:
-        """Record a skipped engine so that another is chosen; return `False`.
+    def skip_attempt(self, attempt: StreamAttempt, exclusion: Exclusion) -> None:
+        """Undo an attempt that was not sent, so that another engine is chosen."""
+        attempt.close()
+        self.state.on_send_cancelled(attempt.replica.id)
+        self.skip_replica(attempt.replica.id, exclusion)
 
-        Raise `RefusedExchange` after too many skipped engines.
-        """
-        self.context.observer.on_replica_skipped(self.state, placed.replica, exclusion)
-        self.state.skipped_replicas.append(placed.replica)
+    def skip_replica(self, replica: str, exclusion: Exclusion) -> None:
+        """Record a skipped engine; raise `RefusedExchange` after too many of them."""
+        self.context.observer.on_replica_skipped(self.state, replica, exclusion)
+        self.state.skipped_replicas.append(replica)
         if len(self.state.skipped_replicas) > MAX_SKIPPED_REPLICAS:
             raise self.refusal('no-endpoint', None)
-        return False
 
-    async def place(self, job: str) -> Placed:
+    async def ask_scheduler(self, job: str) -> Placed:
         """Ask the scheduler for an engine; raise `RefusedExchange` if there is none."""
         request = self.placement_request(job)
         try:
@@ -209,7 +298,9 @@
     def placement_request(self, job: str) -> PlaceJob:
         """Return the message that asks the scheduler for an engine."""
         state, exchange = self.state, self.state.exchange
-        spent_s = self.context.clock.monotonic() - exchange.received_at
+        now = self.context.clock.monotonic()
+        # A caller waits as long for the next event as for the first one.
+        patience_s = state.route.first_event_timeout_s - (now - self.last_event_at)
         counts = exchange.piece_counts
         phases = tuple(
             PhaseWork(phase.service, phase.needs, phase.result_bytes, counts[number])
@@ -223,8 +314,8 @@
             call_id=exchange.call_id,
             piece_key=exchange.piece_key,
             priority=state.priority,
-            objective_s=state.route.objective_s - spent_s,
-            deadline_s=min(self.left_s(), state.route.first_event_timeout_s - spent_s),
+            objective_s=state.route.objective_s - (now - exchange.received_at),
+            deadline_s=min(self.left_s(), patience_s),
             service=state.service,
             phases=phases,
             prompt=exchange.prompt or Prompt('', (), 0, 0),
@@ -253,146 +344,68 @@
         """Return the seconds until the exchange's deadline, at least 0."""
         return max(0.0, self.state.deadline_at - self.context.clock.monotonic())
 
-    async def run(self, job: str, placed: Placed, replica: Replica) -> bool:
-        """Send the request to an engine and forward its events; return whether it is over."""
-        state = self.state
-        state.on_send(replica.id, self.context.clock.monotonic())
-        state.tried_versions.append(replica.version)
-        self.first_event_received = False
-        answer = await self.send(placed, replica)
-        self.reported_pace = answer.head.load.pace if answer.head.load is not None else None
-        try:
-            if answer.head.declined:
-                text = f'{replica.id} declined with {answer.head.status}'
-                raise Declined(text, turned_away=answer.head.turned_away)
-            state.may_have_run = True
-            state.runs += 1
-            if not answer.head.success:
-                return await self.forward_failure(answer)
-            await self.forward_events(job, placed, replica, answer)
-            return True
-        finally:
-            answer.close()
-
-    async def send(self, placed: Placed, replica: Replica) -> ReplicaAnswer:
-        """Send the request and return the answer once its head has come."""
-        state = self.state
-        outbound = OutboundRequest(
-            exchange=state.exchange,
-            replica=replica,
-            deadline_s=self.left_s(),
-            workspace=state.workspace,
-            priority=state.priority,
-            inputs=placed.inputs,
-            last_event_id=self.splitter.last_event_id,
-            needs_verified_connection=not state.route.repeatable,
-        )
-        timeout_s = self.first_event_timeout_s(placed)
-        started_at = self.context.clock.monotonic()
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await self.context.replica_client.send(outbound)
-        except NotStarted:
-            raise
-        except (BackendError, TimeoutError) as error:
-            state.may_have_run = True
-            state.runs += 1
-            if isinstance(error, TimeoutError):
-                late_s = self.context.clock.monotonic() - started_at - timeout_s
-                text = f'{replica.id} sent no head within {timeout_s:.3f} s'
-                raise SilentReplica(text, late_s=late_s) from error
-            raise
-
-    def first_event_timeout_s(self, placed: Placed) -> float:
-        """Return the timeout for the first event, in seconds."""
-        if not self.state.route.repeatable:
-            return self.left_s()
-        return min(self.left_s(), FIRST_EVENT_TIMEOUT_S + FIRST_EVENT_COST_FACTOR * placed.cost_s)
-
-    async def forward_failure(self, answer: ReplicaAnswer) -> bool:
-        """Forward an engine's error answer; raise `MayHaveRun` if the stream has begun."""
-        body = await read_all(answer)
-        if self.head_sent:
-            raise MayHaveRun(f'the engine answered {answer.head.status} to a resumed stream')
-        self.state.status = answer.head.status
-        self.state.outcome = 'failed-by-replica'
-        self.context.crashes.on_survived(self.state.content, self.state.service)
-        self.sink.respond(answer.head.status, answer.head.headers, body)
-        return True
-
-    async def forward_events(
-        self, job: str, placed: Placed, replica: Replica, answer: ReplicaAnswer
-    ) -> None:
-        """Forward complete events as they come."""
-        timeout_s = self.first_event_timeout_s(placed)
-        self.splitter.buffer = b''
-        while True:
-            data = await self.read(answer, timeout_s)
-            if data is None:
-                break
-            events = self.splitter.feed(data)
-            if not events:
-                continue
-            if not self.first_event_received:
-                self.first_event_received = True
-                self.context.crashes.on_answer_began(self.state.content, self.state.service)
-                self.record_version(replica)
-                self.context.scheduler.report_started(job, self.reported_pace)
-                # By the end of the stream the report would be out of date.
-                self.reported_pace = None
-                timeout_s = EVENT_GAP_TIMEOUT_S if self.state.route.repeatable else self.left_s()
-            await self.forward(answer, events)
-        if self.splitter.buffer:
-            raise ConnectionBroken('the stream ended inside an event')
-        await check_whole(self.context, replica, answer, watch_s=STREAM_END_WATCH_S)
-        self.finish(answer)
-
-    def record_version(self, replica: Replica) -> None:
-        """Record the version of the replica that sends the next events."""
+    def record_version(self, attempt: StreamAttempt) -> None:
+        """Record the version of the engine that sends the next events."""
         state = self.state
+        self.recorded = attempt
         if self.begun_by is None:
-            self.begun_by = replica.version
+            self.begun_by = attempt.replica.version
         else:
             self.context.observer.on_stream_resumed(
-                state, replica, self.begun_by, self.version_source
+                state, attempt.replica, self.begun_by, self.version_source
             )
         if not self.head_sent and state.route.resumable:
             self.context.versions.on_begun(
                 state.service, state.workspace, state.exchange.call_id, self.begun_by
             )
 
-    async def read(self, answer: ReplicaAnswer, timeout_s: float) -> bytes | None:
-        """Return the next bytes of a stream; raise `SilentReplica` if none come in time."""
-        timeout_s = min(timeout_s, self.left_s())
-        started_at = self.context.clock.monotonic()
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await answer.read()
-        except TimeoutError as error:
-            late_s = self.context.clock.monotonic() - started_at - timeout_s
-            raise SilentReplica(f'no event came within {timeout_s:.3f} s', late_s=late_s) from error
-
-    async def forward(self, answer: ReplicaAnswer, events: bytes) -> None:
+    async def forward(self, attempt: StreamAttempt, events: bytes) -> None:
         """Send complete events to the caller, preceded by the answer's head the first time."""
+        if not events:
+            return
+        if self.recorded is not attempt:
+            self.record_version(attempt)
+        self.last_event_id = attempt.splitter.last_event_id
+        self.last_event_at = self.context.clock.monotonic()
         if not self.head_sent:
             self.head_sent = True
-            self.state.first_byte_at = self.context.clock.monotonic()
-            self.state.status = answer.head.status
-            self.sink.begin(answer.head.status, answer.head.headers)
+            self.state.first_byte_at = self.last_event_at
+            self.state.status = attempt.received.head.status
+            self.sink.begin(attempt.received.head.status, attempt.received.head.headers)
         await self.sink.send(events)
 
-    def finish(self, answer: ReplicaAnswer) -> None:
-        """End the caller's answer as complete."""
-        self.context.versions.on_answered(
-            self.state.service, self.state.workspace, self.state.exchange.call_id
-        )
-        self.state.outcome = 'answered'
+    async def end(self, attempt: StreamAttempt) -> None:
+        """End the caller's answer as complete, or forward an engine's error answer.
+
+        Raise `MayHaveRun` if that comes after the stream has begun.
+        """
+        head = attempt.received.head
+        if not head.success:
+            body = await read_all(attempt.received)
+            if self.head_sent:
+                raise MayHaveRun(f'the engine answered {head.status} to a resumed stream')
+            self.state.outcome = 'failed-by-replica'
+        else:
+            body = b''
+            self.state.outcome = 'answered'
+            self.context.versions.on_answered(
+                self.state.service, self.state.workspace, self.state.exchange.call_id
+            )
         self.context.crashes.on_survived(self.state.content, self.state.service)
-        if not self.head_sent:
-            self.state.status = answer.head.status
-            self.sink.respond(answer.head.status, answer.head.headers, b'')
+        if self.head_sent:
+            self.sink.finish()
             return
-        self.sink.finish()
+        self.state.status = head.status
+        self.sink.respond(head.status, head.headers, body)
+
+    def retry_refusal(self) -> RetryRefusal | None:
+        """Spend a retry of the budget and return `None`, or return what forbids the retry."""
+        try:
+            check_not_blocked(self.context, self.state)
+        except RefusedExchange:
+            self.state.retry_refused = RetryRefusal.BLOCKED
+            return RetryRefusal.BLOCKED
+        return try_spend_retry(self.context, self.state)
 
     def check_retry_allowed(self, error: BackendError) -> None:
         """Return if the request may be sent again; else raise `RefusedExchange`."""
--- a/packages/core/calicopath_core/fleet/notices.py
+++ b/packages/core/calicopath_core/fleet/notices.py
@@ -58,6 +58,7 @@
 
     def __init__(self, replica: Replica, exclusion: Exclusion) -> None:
         super().__init__(f'replica {replica.id} must not be called: {exclusion.value}')
+        self.replica = replica
         self.exclusion = exclusion
 
 
--- a/testkit/gateway_replicas.py
+++ b/testkit/gateway_replicas.py
@@ -137,15 +137,14 @@
         self.next_id = int(outbound.last_event_id or 0) + 1
         self.break_after = break_after
         self.sent = 0
+        self.due_at: float | None = None
         self.closed = False
         load = engine.loads.get(outbound.replica.id)
         self.head = AnswerHead(status, (('X-Replica', outbound.replica.id),), False, load)
 
     async def read(self) -> bytes | None:
         """Return the next event."""
-        await asyncio.sleep(self.engine.stream_gap_s)
-        if self.sent == self.pause.after:
-            await asyncio.sleep(self.pause.duration_s)
+        await self.wait_until_due()
         if self.break_after is not None and self.sent >= self.break_after:
             if self.break_after == HANGS_BEFORE_EVENTS:
                 await asyncio.sleep(3600)
@@ -159,6 +158,15 @@
         self.sent += 1
         return data
 
+    async def wait_until_due(self) -> None:
+        """Wait until the next event is due; a wait that is cancelled goes on with the next read."""
+        now = asyncio.get_running_loop().time()
+        if self.due_at is None:
+            pause_s = self.pause.duration_s if self.sent == self.pause.after else 0.0
+            self.due_at = now + self.engine.stream_gap_s + pause_s
+        await asyncio.sleep(self.due_at - now)
+        self.due_at = None
+
     def close(self) -> None:
         """Close the stream and stop its run."""
         self.closed = True
