An answer that ends with its connection: ask for the incarnation, not for the port

Cause: check_whole asked whether a connection to the replica's address opens. That says nothing about the process that sent the answer.

Change: a second connection, taken from the idle ones or opened while the answer is underway, is open at the end only if that process runs; sockets are read once more after the timer. A replica whose entry went while it still answered has left, as one that said so. Without either it is asked under its identifier, which each start has of its own. What is not proved is cut.

--- a/packages/clients/calicopath_clients/http1/answers.py
+++ b/packages/clients/calicopath_clients/http1/answers.py
@@ -47,6 +47,11 @@
         self.error: Exception | None = None
         self.changed = asyncio.Event()
 
+    @property
+    def is_over(self) -> bool:
+        """Tell whether nothing more will be received."""
+        return self.is_complete or self.error is not None
+
     def on_head(self) -> None:
         """Complete the head after the last header."""
         if not self.head.done():
--- a/packages/clients/calicopath_clients/http1/pool.py
+++ b/packages/clients/calicopath_clients/http1/pool.py
@@ -47,6 +47,10 @@
 """Most idle connections to one server; bounds descriptors here and connections there."""
 
 
+BODILESS_STATUSES = (204, 304)
+"""Statuses of responses that never have a body."""
+
+
 def no_check() -> None:
     """Allow every call."""
 
@@ -77,6 +81,12 @@
         self.inbound = inbound
         self.head = head
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Tell whether only the end of the connection ends the body."""
+        has_body = not self.connection.no_body and self.head.status not in BODILESS_STATUSES
+        return has_body and not self.head.has_framing
+
     async def read(self) -> bytes | None:
         """Return the next bytes of the body, `None` at its end."""
         data = await self.inbound.read()
@@ -141,9 +151,7 @@
         available, just before the first byte is sent; if it raises `NotStarted`, nothing is sent.
         Raise `NotStarted` if the request was not sent, `MayHaveRun` if no response came.
         """
-        connection = self.take_idle(address, DEFAULT_MAX_IDLE_S if not fresh else FRESH_MAX_IDLE_S)
-        if connection is None:
-            connection = await self.connect(address)
+        connection = await self.take_or_connect(address, fresh=fresh)
         try:
             check()
         except NotStarted:
@@ -165,7 +173,12 @@
             pool=self, address=address, connection=connection, inbound=inbound, head=response_head
         )
 
-    def take_idle(self, address: str, max_idle_s: float) -> Connection | None:
+    async def take_or_connect(self, address: str, *, fresh: bool = False) -> Connection:
+        """Return an idle connection, or a new one; raise `NotStarted` if none can be opened."""
+        max_idle_s = FRESH_MAX_IDLE_S if fresh else DEFAULT_MAX_IDLE_S
+        return self.take_idle(address, max_idle_s) or await self.connect(address)
+
+    def take_idle(self, address: str, max_idle_s: float = DEFAULT_MAX_IDLE_S) -> Connection | None:
         """Return the reusable idle connection used last, or `None`; close those tried first."""
         now = self.now()
         idle = self.idle_connections.get(address, [])
--- a/packages/core/calicopath_core/exchanges/endings.py
+++ b/packages/core/calicopath_core/exchanges/endings.py
@@ -4,29 +4,45 @@
 
 from typing import TYPE_CHECKING
 
-from calicopath_core.backends.base import ConnectionBroken, ProbeResult
+from calicopath_core.backends.base import ConnectionBroken
 
 if TYPE_CHECKING:
     from calicopath_core.exchanges.context import ExchangeContext
     from calicopath_core.exchanges.messages import ReplicaAnswer
     from calicopath_core.fleet.replicas import Replica
 
-STREAM_END_WATCH_S = 0.05
-"""How long a replica is watched after the end of a stream: an exiting process closes its
-connections and its port one after the other."""
+END_WATCH_S = 0.05
+"""How long a replica is watched after the end of an answer."""
 
 
-async def check_whole(
-    context: ExchangeContext, replica: Replica, answer: ReplicaAnswer, *, watch_s: float = 0.0
-) -> None:
-    """Raise `ConnectionBroken` unless a replica that ended its answer by closing still runs.
+async def check_whole(context: ExchangeContext, replica: Replica, answer: ReplicaAnswer) -> None:
+    """Raise `ConnectionBroken` unless an answer that ended with its connection is proved whole.
 
     The kernel closes the connections of a crashed replica, which looks like the end of an answer
     that has neither a length nor chunks. One that leaves closes them too, after its answers.
     """
     if not answer.ends_with_connection or not answer.head.success:
         return
-    if context.replicas.is_leaving(replica):
+    # What is known of its leaving now was known before it closed the connection.
+    if context.replicas.is_leaving(replica) or has_lost_entry(context, replica):
         return
-    if await context.replica_client.probe(replica, watch_s) is not ProbeResult.OPEN:
-        raise ConnectionBroken(f'{replica.id} does not accept connections after its answer ended')
+    runs = await answer.sender_runs(END_WATCH_S)
+    if runs is None:
+        runs = await context.replica_client.identify(replica, health_path_of(context, replica))
+    if not runs:
+        raise ConnectionBroken(f'{replica.id} is not seen to run after its answer')
+
+
+def health_path_of(context: ExchangeContext, replica: Replica) -> str | None:
+    """Return the path of a plain replica's health answer, `None` for an engine."""
+    deployment = context.view.current
+    spec = deployment.services.get(replica.service) if deployment is not None else None
+    return spec.health_path if spec is not None and spec.engine is None else None
+
+
+def has_lost_entry(context: ExchangeContext, replica: Replica) -> bool:
+    """Tell whether a replica left without notice: its entry went while it still answered.
+
+    The entry of a crashed replica goes only after its connections have broken.
+    """
+    return replica.id not in context.replicas.replicas
--- a/packages/core/calicopath_core/exchanges/messages.py
+++ b/packages/core/calicopath_core/exchanges/messages.py
@@ -102,6 +102,14 @@
         Raise `MayHaveRun` if the connection breaks first. A read that is cancelled loses nothing.
         """
 
+    async def sender_runs(self, watch_s: float) -> bool | None:
+        """Return whether the process that sent the answer runs on after its end, `None` if unknown.
+
+        Needed only if the answer ends with its connection. The process is watched for `watch_s`
+        seconds, since one that exits closes its connections one after the other.
+        """
+        return None
+
     @abstractmethod
     def close(self) -> None:
         """Release the answer; close its connection if the body was not read to its end."""
@@ -123,6 +131,10 @@
 class ReplicaClient(ReplicaProber):
     """Send requests to replicas."""
 
+    async def identify(self, replica: Replica, health_path: str | None) -> bool:
+        """Return whether a replica answers under its own identifier, and not another one."""
+        return False
+
     @abstractmethod
     async def send(self, outbound: OutboundRequest) -> ReplicaAnswer:
         """Send a request and return its answer once the head has come.
--- a/packages/core/calicopath_core/exchanges/stream_attempts.py
+++ b/packages/core/calicopath_core/exchanges/stream_attempts.py
@@ -14,7 +14,7 @@
     SilentReplica,
 )
 from calicopath_core.exchanges.context import failure_kind, replica_state
-from calicopath_core.exchanges.endings import STREAM_END_WATCH_S, check_whole
+from calicopath_core.exchanges.endings import check_whole
 from calicopath_core.exchanges.events import EventSplitter
 from calicopath_core.exchanges.messages import OutboundRequest
 from calicopath_core.exchanges.plain_attempts import check_for_crash
@@ -142,7 +142,7 @@
                 return events
         if self.splitter.buffer:
             raise ConnectionBroken('the stream ended inside an event')
-        await check_whole(self.context, self.replica, answer, watch_s=STREAM_END_WATCH_S)
+        await check_whole(self.context, self.replica, answer)
         return None
 
     def on_events(self) -> None:
--- a/testkit/gateway_replicas.py
+++ b/testkit/gateway_replicas.py
@@ -158,6 +158,10 @@
         self.sent += 1
         return data
 
+    async def sender_runs(self, watch_s: float) -> bool | None:
+        """Return whether the engine's port is open after its answer."""
+        return await self.engine.probe(self.outbound.replica, watch_s) is ProbeResult.OPEN
+
     async def wait_until_due(self) -> None:
         """Wait until the next event is due; a wait that is cancelled goes on with the next read."""
         now = asyncio.get_running_loop().time()
