A cut watch or one failed call is no outage of the store

Cause: each failed call counted as an outage, and after an outage a missing entry is kept for the two seconds in which entries that lapsed may come back.

Change: a call that is cut, reset or refused is made again after 0.02 and 0.08 s; only a store that has failed for 0.4 s, or a call without an answer, counts as away.

--- a/packages/core/calicopath_core/fleet/feed.py
+++ b/packages/core/calicopath_core/fleet/feed.py
@@ -8,7 +8,14 @@
 from typing import TYPE_CHECKING
 
 from calicopath_core.fleet.contact import StoreContact
-from calicopath_core.fleet.store import FleetStoreError, HistoryLost, Listing, RecordKind
+from calicopath_core.fleet.store import (
+    FleetStoreError,
+    HistoryLost,
+    Listing,
+    RecordKind,
+    StoreOutdated,
+    StoreSilent,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -22,6 +29,14 @@
 box notices that the store is back, and what changed meanwhile, in under 2 s. Users expect a box to
 be in contact within 3 s of the store's return and a change in force within 2 s."""
 
+QUICK_RETRIES_S = (0.02, 0.08)
+"""How long to wait before a call that was cut, reset or refused is made again. Only if all of these
+fail too does the store count as away."""
+
+MIN_OUTAGE_S = 0.4
+"""How long the store must fail before entries may have lapsed because of it: far less than the
+three heartbeats after which they do."""
+
 RELAY_CHECK_INTERVAL_S = 0.2
 """How often a box that uses a relay checks whether the relay is still usable."""
 
@@ -128,6 +143,7 @@
         self.contact_at: float | None = None
         self.failing_since: float | None = None
         self.steady_since = 0.0
+        self.is_retrying = False
         self.must_list = False
         self.has_listed = False
         self.calls = 0
@@ -151,6 +167,7 @@
             try:
                 changed = await self.step()
                 failures = 0
+                self.is_retrying = False
                 losses = losses if self.has_listed else 0
                 await asyncio.sleep(BATCH_DELAY_S[self.kind] if changed else 0.0)
             except HistoryLost:
@@ -160,8 +177,14 @@
                 losses += 1
                 await self.wait_after_history_loss(losses)
             except FleetStoreError as error:
-                self.on_failure(error)
                 failures += 1
+                is_certain = isinstance(error, StoreSilent | StoreOutdated)
+                self.is_retrying = failures <= len(QUICK_RETRIES_S) and not is_certain
+                if self.is_retrying:
+                    # A store that answers the next call was not away: entries have not lapsed.
+                    await asyncio.sleep(QUICK_RETRIES_S[failures - 1])
+                    continue
+                self.on_failure(error)
                 await self.policy.back_off(self.kind, failures)
 
     async def step(self) -> bool:
@@ -174,9 +197,8 @@
             self.apply_listing(listing)
             return False
         since = self.position
-        wait_s = (
-            PROBE_WAIT_S if self.failing_since is not None else self.policy.watch_wait_s(self.kind)
-        )
+        is_probe = self.is_retrying or self.failing_since is not None
+        wait_s = PROBE_WAIT_S if is_probe else self.policy.watch_wait_s(self.kind)
         found = await self.store.watch(self.kind, since.revision, wait_s)
         self.on_contact()
         self.apply_watch_result(since, found)
@@ -197,7 +219,7 @@
         later era requires a new list.
         """
         if found.position.era < since.era:
-            raise FleetStoreError(f'store answered with era {found.position.era} after {since.era}')
+            raise StoreOutdated(f'store answered with era {found.position.era} after {since.era}')
         if found.position.era > since.era:
             self.must_list = True
             return
@@ -260,8 +282,8 @@
     def on_contact(self) -> None:
         """Record that the store answered."""
         if self.failing_since is not None:
+            self.report_outage(self.failing_since)
             self.clear_failure()
-            self.handler.on_disrupted()
         self.contact_at = self.clock.monotonic()
 
     def clear_failure(self) -> None:
@@ -275,7 +297,15 @@
 
     def on_failure(self, error: FleetStoreError) -> None:
         """Record that the store did not answer."""
-        self.handler.on_disrupted()
         if self.failing_since is None:
             self.failing_since = self.clock.monotonic()
             self.observer.on_contact_lost(self.kind, error)
+        if isinstance(error, StoreSilent | StoreOutdated):
+            self.handler.on_disrupted()
+        else:
+            self.report_outage(self.failing_since)
+
+    def report_outage(self, failing_since: float) -> None:
+        """Report a disruption if the store has failed for so long that entries may have lapsed."""
+        if self.clock.monotonic() - failing_since >= MIN_OUTAGE_S:
+            self.handler.on_disrupted()
--- a/packages/core/calicopath_core/fleet/store.py
+++ b/packages/core/calicopath_core/fleet/store.py
@@ -54,6 +54,14 @@
     """Report a failed store call; a failed write may still have been applied."""
 
 
+class StoreSilent(FleetStoreError):
+    """Report a store call that was not answered in time."""
+
+
+class StoreOutdated(FleetStoreError):
+    """Report an answer of a state of the store that is older than the one known."""
+
+
 class HistoryLost(FleetStoreError):
     """Report that the store no longer has the changes since a revision."""
 
--- a/testkit/gateway_store.py
+++ b/testkit/gateway_store.py
@@ -15,6 +15,7 @@
     Listing,
     Record,
     RecordKind,
+    StoreSilent,
 )
 from calicopath_core.versions.keeping import StoredStreams
 
@@ -151,12 +152,23 @@
         self.cut = False
         self.silent = False
         self.silent_watches: set[RecordKind] = set()
+        self.failing_calls = 0
+        self.watch_cuts = asyncio.Event()
         self.blocked_unreadable = False
         self.calls = 0
 
+    def cut_watches(self) -> None:
+        """Cut the waiting watches of this box, as a sound store may."""
+        cuts, self.watch_cuts = self.watch_cuts, asyncio.Event()
+        cuts.set()
+        self.store.wake_watches()
+
     def check_reachable(self) -> None:
-        """Count a call; raise `FleetStoreError` if the store is unreachable."""
+        """Count a call; raise `FleetStoreError` if the store is unreachable or fails the call."""
         self.calls += 1
+        if self.failing_calls:
+            self.failing_calls -= 1
+            raise FleetStoreError('the store answered 503')
         if self.cut or self.store.down:
             raise FleetStoreError('cut off')
 
@@ -164,7 +176,7 @@
         """Time out a call, as with a silent store."""
         self.calls += 1
         await asyncio.sleep(wait_s + CALL_TIMEOUT_S)
-        raise FleetStoreError('silent')
+        raise StoreSilent('silent')
 
     async def wait_on_silent_watch(self, wait_s: float) -> None:
         """Wait without changes until the watch is ended or times out."""
@@ -187,12 +199,13 @@
     async def watch(self, kind: RecordKind, revision: int, wait_s: float) -> Changes:
         """Return the changes after a revision, waiting up to `wait_s` for one."""
         self.check_reachable()
+        cuts = self.watch_cuts
         began = asyncio.get_running_loop().time()
         ends_at = asyncio.get_running_loop().time() + wait_s
         while True:
             if self.store.watches_silent:
                 await self.wait_on_silent_watch(wait_s)
-            if self.store.down:
+            if self.store.down or cuts.is_set():
                 raise FleetStoreError('reset')
             if not self.store.compacted_revision <= revision <= self.store.revision:
                 raise HistoryLost(kind.value)
