An answer belongs to a call by its identifier, never by its place

Cause: stage calls carried no identifier, any answer was taken for theirs, and the connection was used on, so that all later calls on it were off by one.

Change: a stage call carries the identifier of one of its requests that its connection has not carried yet, and an answer that repeats another one is skipped; the connection is then not used again. A replica that has repeated identifiers once must go on doing so. Where it does not, results that were received before show a copy. An answer that is not understood closes its connection.

--- a/packages/clients/calicopath_clients/http1/connections.py
+++ b/packages/clients/calicopath_clients/http1/connections.py
@@ -45,6 +45,7 @@
         self.current: InboundResponse | None = None
         self.accepts: Callable[[ResponseHead], bool] = lambda head: True
         self.skipped_responses = 0
+        self.used_identifiers: set[str] = set()
         self.is_clean = True
         self.is_closed = False
         self.is_kept_alive = True
--- a/packages/clients/calicopath_clients/http1/pool.py
+++ b/packages/clients/calicopath_clients/http1/pool.py
@@ -21,6 +21,7 @@
     from calicopath_clients.http1.answers import InboundResponse, ResponseHead
     from calicopath_clients.http1.connections import Connection
     from calicopath_clients.http1.connectors import Connector
+    from calicopath_clients.http1.identities import CallIdentity
 
 CONNECT_TIMEOUT_S = 1.2
 """A lost SYN packet is sent again after 1 s, so this allows for one loss."""
@@ -51,6 +52,11 @@
 """Statuses of responses that never have a body."""
 
 
+def accept_any(head: ResponseHead) -> bool:
+    """Return `True`: the server sends one answer for each call."""
+    return True
+
+
 def no_check() -> None:
     """Allow every call."""
 
@@ -100,6 +106,11 @@
             parts.append(data)
         return b''.join(parts)
 
+    def reject(self) -> None:
+        """Close the connection: its answer was not that of the call."""
+        self.connection.is_clean = False
+        self.close()
+
     def close(self) -> None:
         """Return the connection to the pool, which closes it if the response is incomplete."""
         self.pool.release(self.address, self.connection)
@@ -140,18 +151,28 @@
         head: RequestHead,
         body: bytes,
         *,
-        accepts: Callable[[ResponseHead], bool] = lambda head: True,
+        accepts: Callable[[ResponseHead], bool] = accept_any,
+        identity: CallIdentity | None = None,
         fresh: bool = False,
         check: Callable[[], None] = no_check,
     ) -> Call:
         """Send a request and return the call once the head of its response was received.
 
-        `accepts` tells from a response head whether it belongs to this call. `fresh` restricts
+        `accepts` tells from a response head whether it belongs to this call; an `identity` does so
+        for calls whose server may send an answer twice. `fresh` restricts
         reuse to connections that were used shortly before. `check` runs when a connection is
         available, just before the first byte is sent; if it raises `NotStarted`, nothing is sent.
         Raise `NotStarted` if the request was not sent, `MayHaveRun` if no response came.
         """
         connection = await self.take_or_connect(address, fresh=fresh)
+        if identity is not None and not identity.choose(connection.used_identifiers):
+            # A copy of the answer to an earlier call on it could not be told apart.
+            connection.abort()
+            connection = await self.connect(address)
+            identity.choose(connection.used_identifiers)
+        if identity is not None:
+            head = head._replace(headers=(*head.headers, *identity.extra_headers))
+            accepts = identity.accepts
         try:
             check()
         except NotStarted:
