A stopping box waits until callers have read their answers

Cause: the stop waited until no request was in progress. The answer was in the write buffer of its connection then, and ended with the process.

Change: a connection with unsent bytes is busy; the stop waits for it within the grace time.

Evidence: the new test, with 16 MB and a caller that reads late, failed before and passes; 31 tests of server, forwarding and paths pass. Not played as a process with 6 MB.

--- a/packages/daemon/calicopathd/gateway/connection.py
+++ b/packages/daemon/calicopathd/gateway/connection.py
@@ -74,6 +74,12 @@
         self.writable.set()
         self.refused = False
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request is being received, or a part of an answer is not sent yet."""
+        unsent = self.transport.get_write_buffer_size() if self.transport is not None else 0
+        return self.incoming is not None or unsent > 0
+
     @property
     def closing(self) -> bool:
         """Return whether the connection closes after the response."""
--- a/packages/daemon/calicopathd/gateway/run.py
+++ b/packages/daemon/calicopathd/gateway/run.py
@@ -202,11 +202,12 @@
         await asyncio.sleep(min(LOAD_BALANCER_DELAY_S, grace_s / 2))
         self.exchange_server.close_idle()
         remaining_s = grace_s - (self.box.clock.monotonic() - started_at)
-        if not await self.exchange_server.wait_idle(max(0.0, remaining_s - REFUSE_MARGIN_S)):
+        await self.exchange_server.wait_idle(max(0.0, remaining_s - REFUSE_MARGIN_S))
+        if self.exchange_server.in_progress:
             events.emit(log, events.GATEWAY_REFUSING, in_progress=self.exchange_server.in_progress)
             self.box.client.reject_waiting()
             self.box.notices.permits.refuse_pending()
-            await self.exchange_server.wait_idle(REFUSE_MARGIN_S)
+        await self.exchange_server.wait_idle(REFUSE_MARGIN_S)
         remaining_s = grace_s - (self.box.clock.monotonic() - started_at)
         await self.box.forwarding.wait_idle(max(0.0, remaining_s))
         await self.withdraw()
--- a/packages/daemon/calicopathd/gateway/server.py
+++ b/packages/daemon/calicopathd/gateway/server.py
@@ -56,9 +56,13 @@
                 connection.close()
 
     async def wait_idle(self, timeout_s: float) -> bool:
-        """Wait until no request is in progress; return whether that happened within the time."""
+        """Wait until no request is in progress and callers have read their answers.
+
+        Return whether that happened within the time.
+        """
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
-                while self.in_progress or any(item.incoming for item in self.connections):
+                while self.in_progress or any(item.is_busy for item in self.connections):
                     await asyncio.sleep(0.02)
-        return self.in_progress == 0
+                return True
+        return False
--- a/packages/daemon/calicopathd/gateway/tests/server_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/server_tests.py
@@ -21,6 +21,8 @@
 
 LIMITS = ClientLimits(header_bytes=400, body_bytes=100, header_s=0.1, idle_s=0.3)
 OK = b'HTTP/1.1 200 OK'
+BIG_BODY = b'x' * 16_000_000
+"""More than the kernel buffers for a caller that does not read."""
 
 
 class Echo(RequestHandler):
@@ -41,6 +43,9 @@
                 raise
         if request.target == '/slow':
             await asyncio.sleep(0.05)
+        if request.target == '/big':
+            responder.respond(200, (), BIG_BODY)
+            return
         if request.target == '/cut':
             responder.start(200, ())
             await responder.send(b'part')
@@ -210,6 +215,23 @@
         self.assertNotIn(b'0\r\n\r\n', found)
         self.assertIn(found.partition(b'\r\n\r\n')[2], (b'', b'4\r\npart\r\n'))
 
+    # The process ended as soon as no request was in progress, with answers in its buffers.
+    def test_a_stop_does_not_cut_an_answer_that_its_caller_reads_slowly(self) -> None:
+        async def work(server: HttpServer, port: int) -> bytes:
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(b'POST /big HTTP/1.1\r\nContent-Length: 0\r\n\r\n')
+            found = await reader.readuntil(b'\r\n\r\n')
+            server.start_closing()
+            server.close_idle()
+            self.assertFalse(await server.wait_idle(0.1))
+            stopping = asyncio.create_task(server.wait_idle(10))
+            found = await reader.readexactly(len(BIG_BODY))
+            self.assertTrue(await stopping)
+            writer.close()
+            return found
+
+        self.assertEqual(BIG_BODY, self.run_scenario(work)[0])
+
     def test_a_stop_lets_requests_end_and_tells_connections_to_close(self) -> None:
         async def work(server: HttpServer, port: int) -> bytes:
             reader, writer = await asyncio.open_connection('127.0.0.1', port)
