A begun stream that breaks may use retries that new requests may not

What callers saw: a stream whose engine crashed was cut as the retries of new requests had used up the budget of the box, half of its share.

Evidence: the new test fails without the larger share and passes with it.

--- a/packages/core/calicopath_core/exchanges/budget.py
+++ b/packages/core/calicopath_core/exchanges/budget.py
@@ -8,6 +8,10 @@
 USABLE_BUDGET_RATIO = 0.5
 """Part of the fleet's budget that is used; a restarted box loses its count of retries."""
 
+BEGUN_BUDGET_RATIO = 0.75
+"""The same for streams whose caller has received a part of the answer: if one of them is not
+resumed, that part is lost too."""
+
 
 class BudgetTerms(NamedTuple):
     """Define the fleet's budget: retries in `window_s` <= `ratio` x requests + `slack`."""
@@ -29,14 +33,18 @@
         """Count a request."""
         self.requests.append(now)
 
-    def try_spend(self, now: float, boxes: int) -> bool:
-        """Spend one retry if this box's share allows it; `boxes` share the slack evenly."""
+    def try_spend(self, now: float, boxes: int, *, has_begun: bool = False) -> bool:
+        """Spend one retry if this box's share allows it; `boxes` share the slack evenly.
+
+        `has_begun` tells that the caller has received a part of the answer.
+        """
         window_start = now - self.terms.window_s
         for times in (self.requests, self.retries):
             while times and times[0] <= window_start:
                 times.popleft()
         share = self.terms.ratio * len(self.requests) + self.terms.slack / max(1, boxes)
-        if len(self.retries) + 1 > USABLE_BUDGET_RATIO * share:
+        ratio = BEGUN_BUDGET_RATIO if has_begun else USABLE_BUDGET_RATIO
+        if len(self.retries) + 1 > ratio * share:
             return False
         self.retries.append(now)
         return True
--- a/packages/core/calicopath_core/exchanges/executor.py
+++ b/packages/core/calicopath_core/exchanges/executor.py
@@ -30,8 +30,9 @@
 class ExchangeExecutor:
     """Serve exchanges, each by the deployment that is in force when it arrives."""
 
-    def __init__(self, *, context: ExchangeContext) -> None:
+    def __init__(self, *, context: ExchangeContext, stream_type: type[Stream] = Stream) -> None:
         self.context = context
+        self.stream_type = stream_type
 
     async def serve(self, exchange: Exchange, sink: ReplySink) -> None:
         """Answer an exchange and report its outcome to the observer."""
@@ -41,7 +42,7 @@
             check_not_blocked(self.context, state)
             self.context.retry_budgets.for_service(state.service).on_request(exchange.received_at)
             if state.route.streaming:
-                await Stream(context=self.context, state=state, sink=sink).serve()
+                await self.stream_type(context=self.context, state=state, sink=sink).serve()
             else:
                 await serve_plain(self.context, state, sink)
         except RefusedExchange as refusal:
--- a/packages/core/calicopath_core/exchanges/retries.py
+++ b/packages/core/calicopath_core/exchanges/retries.py
@@ -33,7 +33,8 @@
     refusal = retry_refusal(state, now)
     if refusal is None:
         budget = context.retry_budgets.for_service(state.service)
-        if not budget.try_spend(now, context.election.box_count()):
+        has_begun = state.first_byte_at is not None
+        if not budget.try_spend(now, context.election.box_count(), has_begun=has_begun):
             refusal = RetryRefusal.BUDGET
     state.retry_refused = refusal
     return refusal
--- a/packages/daemon/calicopathd/gateway/tests/underway_answers_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/underway_answers_tests.py
@@ -8,6 +8,7 @@
 from calicopath_core.exchanges.budget import BudgetTerms
 from calicopath_core.fleet.store import RecordKind
 from calicopathd.gateway.tests.exchanges_tests import ALL_EVENTS, BOTH_ENGINES, ExchangeCase, now
+from testkit.gateway_replicas import ANY_REPLICA
 from testkit.gateway_world import EVENTS, exchange
 from testkit.virtual import VirtualLoop
 
@@ -109,6 +110,23 @@
 
         self.play_work(work)
 
+    # Retries of new requests had used up the budget when the engine of a begun stream crashed.
+    def test_a_begun_stream_that_breaks_is_resumed_although_new_requests_used_the_budget(
+        self,
+    ) -> None:
+        async def work(fleet: GatewayFleet) -> None:
+            budgets = fleet.boxes['box-0'].box.executor.context.retry_budgets
+            budgets.set_terms(BudgetTerms(0.0, 4.0, 10.0))
+            budget = budgets.for_service('engine')
+            while budget.try_spend(now(), 1):
+                pass
+            fleet.replicas.faults = {ANY_REPLICA: ['break:2']}
+            sink = fleet.serve('box-0', exchange(1, 'draft', now(), piece_counts=()))
+            await fleet.settle()
+            self.assert_whole(sink)
+
+        self.play_work(work)
+
     # A replica whose entry went without notice closed its port after its last answer.
     def test_a_whole_stream_is_not_cut_if_its_engine_left_without_notice_after_it(self) -> None:
         async def work(fleet: GatewayFleet) -> None:
