--- a/bench/underway.py
+++ b/bench/underway.py
@@ -87,16 +87,22 @@
 
 
 class Result(NamedTuple):
-    """Count the streams that ended whole, and the runs that engines began."""
+    """Count the streams that ended whole or were cut, and the runs that engines began."""
 
     streams: int
     whole: int
+    cut: int
     runs: int
     mean_s: float
 
 
-async def play(way: type[Stream], boxes: int, share: float, silence_s: float) -> Result:
-    """Serve streams while engines fall silent after their second event."""
+async def play(
+    way: type[Stream], boxes: int, share: float, silence_s: float, *, decline: bool
+) -> Result:
+    """Serve streams while engines fall silent after their second event.
+
+    With `decline` engines turn away what is sent to them to go on.
+    """
     fleet = GatewayFleet(count=boxes)
     for item in fleet.boxes.values():
         item.box.executor.stream_type = way
@@ -117,6 +123,7 @@
     for number in range(streams):
         is_silent = int((number + 1) * share) > int(number * share)
         faults.append(f'pause:2:{silence_s}' if is_silent else 'none')
+    faults += ['declined'] * streams if decline else []
     fleet.replicas.faults = {ANY_REPLICA: faults}
     sinks, ended_after = [], []
 
@@ -135,9 +142,23 @@
     whole = sum(
         sink.state == 'whole' and sink.event_ids == list(range(1, EVENTS + 1)) for sink in sinks
     )
+    cut = sum(sink.state == 'cut' for sink in sinks)
     runs = sum(fleet.replicas.runs.values())
     await fleet.stop()
-    return Result(streams, whole, runs, sum(ended_after) / len(ended_after))
+    return Result(streams, whole, cut, runs, sum(ended_after) / len(ended_after))
+
+
+def compare(boxes: int, share: float, silence_s: float, *, decline: bool) -> None:
+    """Print a line for each way."""
+    others = ', others decline' if decline else ''
+    for name, way in WAYS.items():
+        found = run_virtual(play(way, boxes, share, silence_s, decline=decline))
+        print(
+            f'{boxes} boxes, {share:.0%} silent for {silence_s:g} s{others}, {name}: '
+            f'{found.whole} of {found.streams} whole, {found.cut} cut, '
+            f'{found.runs - found.streams} runs more, mean {found.mean_s:.2f} s',
+            flush=True,
+        )
 
 
 def main() -> None:
@@ -147,14 +168,8 @@
     for boxes in BOXES:
         for share in SILENT_SHARES:
             for silence_s in SILENCES_S:
-                for name, way in WAYS.items():
-                    found = run_virtual(play(way, boxes, share, silence_s))
-                    print(
-                        f'{boxes} boxes, {share:.0%} silent for {silence_s:g} s, {name}: '
-                        f'{found.whole} of {found.streams} whole, '
-                        f'{found.runs - found.streams} runs more, mean {found.mean_s:.2f} s',
-                        flush=True,
-                    )
+                compare(boxes, share, silence_s, decline=False)
+            compare(boxes, share, SILENCES_S[1], decline=True)
 
 
 if __name__ == '__main__':
--- a/tools/mutants/catalogue.py
+++ b/tools/mutants/catalogue.py
@@ -8,6 +8,7 @@
 from tools.mutants.notices import NOTICE_MUTANTS
 from tools.mutants.partitions import PARTITION_MUTANTS
 from tools.mutants.restored import RESTORED_MUTANTS
+from tools.mutants.underway import UNDERWAY_MUTANTS
 from tools.mutants.versions import VERSION_MUTANTS
 
 CRASHES = f'{CORE}/crashes/tests/ledger_tests.py'
@@ -252,8 +253,9 @@
     Mutant(
         'each send asks',
         f'{CORE}/exchanges/streams.py',
-        '            check_not_blocked(self.context, self.state)',
-        '            pass',
+        '                check_not_blocked(self.context, self.state)\n'
+        '                is_placed = True',
+        '                is_placed = True',
         f'{CRASHING}::Crashing',
     ),
     Mutant(
@@ -283,4 +285,5 @@
     *PARTITION_MUTANTS,
     *CRASH_PART_MUTANTS,
     *VERSION_MUTANTS,
+    *UNDERWAY_MUTANTS,
 )
--- a/tools/mutants/crash_parts.py
+++ b/tools/mutants/crash_parts.py
@@ -77,8 +77,8 @@
     Mutant(
         'a crash is not the end of an answer',
         f'{CORE}/exchanges/endings.py',
-        'if await context.replica_client.probe(replica, watch_s) is not ProbeResult.OPEN:',
-        'if False:',
+        '    if not runs:',
+        '    if False:',
         f'{GATEWAY}/unframed_tests.py::Unframed',
     ),
     Mutant(
--- a/tools/mutants/partitions.py
+++ b/tools/mutants/partitions.py
@@ -72,7 +72,7 @@
     ),
     Mutant(
         'partitions',
-        f'{CORE}/exchanges/streams.py',
+        f'{CORE}/exchanges/stream_attempts.py',
         'failed = is_at_fault and not self.context.is_partitioned()',
         'failed = is_at_fault',
         FLEET_TESTS,
--- a/tools/mutants/versions.py
+++ b/tools/mutants/versions.py
@@ -32,8 +32,8 @@
     Mutant(
         'versions',
         f'{CORE}/exchanges/streams.py',
-        'self.begun_by = replica.version',
-        'self.begun_by = self.context.replicas.replicas[replica.id].version',
+        'self.begun_by = attempt.replica.version',
+        'self.begun_by = self.context.replicas.replicas[attempt.replica.id].version',
         f'{TESTS}::ChangedEntries',
     ),
     Mutant(
