--- a/packages/daemon/calicopathd/gateway/tests/underway_answers_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/underway_answers_tests.py
@@ -5,9 +5,18 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from structlog.testing import capture_logs
+
 from calicopath_core.exchanges.budget import BudgetTerms
 from calicopath_core.fleet.store import RecordKind
-from calicopathd.gateway.tests.exchanges_tests import ALL_EVENTS, BOTH_ENGINES, ExchangeCase, now
+from calicopathd import events
+from calicopathd.gateway.tests.exchanges_tests import (
+    ALL_EVENTS,
+    BOTH_DESKS,
+    BOTH_ENGINES,
+    ExchangeCase,
+    now,
+)
 from testkit.gateway_replicas import ANY_REPLICA
 from testkit.gateway_world import EVENTS, exchange
 from testkit.virtual import VirtualLoop
@@ -160,6 +169,23 @@
             for sink in sinks:
                 self.assert_whole(sink)
 
+        with capture_logs() as lines:
+            self.play_work(work)
+        numbers = [line['event_number'] for line in lines]
+        self.assertNotIn(events.ATTEMPT_FAILED.number, numbers)
+
+    # An answer that had come in time was dropped, since the deadline was noticed first.
+    def test_an_answer_in_time_is_not_lost_if_its_box_stands_still_past_the_deadline(self) -> None:
+        async def work(fleet: GatewayFleet) -> None:
+            fleet.replicas.faults = {name: ['late:0.8'] for name in BOTH_DESKS}
+            sink = fleet.serve('box-0', exchange(1, 'pay', now()))
+            await asyncio.sleep(0.5)
+            loop = asyncio.get_running_loop()
+            assert isinstance(loop, VirtualLoop)
+            loop.stand_still(1.0)
+            await fleet.settle()
+            self.assertEqual((200, b'call-1'), (sink.status, sink.body))
+
         self.play_work(work)
 
     # What one replica answers must not be waited for longer than its caller does.
--- a/tools/soak/overload.py
+++ b/tools/soak/overload.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from tools.soak.records import RequestKind
-from tools.soak.schedule import FaultKind
+from tools.soak.schedule import FaultKind, LinkMode, chosen_replica
 from tools.soak.world import FAILURE_DOMAINS, REPLICA_COUNT, SERVICES
 
 if TYPE_CHECKING:
@@ -111,6 +111,9 @@
             disturbed.update(range(step.target, REPLICA_COUNT, len(FAILURE_DOMAINS)))
         elif step.kind.value.startswith('replica'):
             disturbed.add(step.target)
+        elif step.kind is FaultKind.UNDERWAY and step.link_mode is not LinkMode.SILENT:
+            # One replica leaves, or is silent; if all are silent, it is for less than two seconds.
+            disturbed.add(chosen_replica(step.target))
     return any(
         disturbed.issuperset(range(service, REPLICA_COUNT, len(SERVICES)))
         for service in range(len(SERVICES))
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -142,6 +142,10 @@
 PARTITION_MODES = (LinkMode.RESET, LinkMode.SILENT, LinkMode.PASS)
 """Resets or silences all connections to replicas, or refuses only new ones."""
 
+SERVICE_COUNT = 3
+REPLICAS_PER_SERVICE = 3
+"""Replicas are numbered so that the services take turns."""
+
 MEAN_SILENCE_GAP_S = 1.2
 MIN_SILENCE_S = 0.8
 MAX_SILENCE_S = 1.7
@@ -355,6 +359,12 @@
     return steps
 
 
+def chosen_replica(target: int) -> int:
+    """Return the number of the one replica that an `UNDERWAY` step chooses by its target."""
+    service, place = target % SERVICE_COUNT, target // SERVICE_COUNT % REPLICAS_PER_SERVICE
+    return service + place * SERVICE_COUNT
+
+
 def is_calm(
     steps: list[Step], start_s: float, end_s: float, *, ignored: Step | None = None
 ) -> bool:
--- a/tools/soak/tests/overload_tests.py
+++ b/tools/soak/tests/overload_tests.py
@@ -11,6 +11,7 @@
     LoadPeriod,
     find_lasting_overloads,
     find_runs_after_refusal,
+    has_disturbed_service,
 )
 from tools.soak.records import RequestKind, RequestRecord
 from tools.soak.schedule import FaultKind, LinkMode, Step
@@ -75,6 +76,13 @@
         self.assertEqual([], find_lasting_overloads([asked()], [PERIOD], steps))
         self.assertEqual(1, len(find_lasting_overloads([asked()], [PERIOD], steps[:-1])))
 
+    def test_replicas_that_leave_without_notice_count_as_touched(self) -> None:
+        leaving = step(FaultKind.UNDERWAY, 896989)
+        others = [step(FaultKind.REPLICA_LEAVES, number) for number in (1, 7)]
+        self.assertTrue(has_disturbed_service([leaving, *others], 0.0, 9.0))
+        silent = leaving._replace(link_mode=LinkMode.SILENT)
+        self.assertFalse(has_disturbed_service([silent, *others], 0.0, 9.0))
+
     def test_a_failure_domain_that_is_out_excuses_it_only_together_with_the_others(self) -> None:
         steps = [step(FaultKind.EVACUATION, number) for number in range(len(FAILURE_DOMAINS))]
         self.assertEqual([], find_lasting_overloads([asked()], [PERIOD], steps))
