A slow request that is blocked by now is not sent beside itself

Change: both kinds of attempts beside a running one ask first whether the request is blocked. A test more of a box that stands still; the fake's closed streams bring nothing.

--- a/bench/underway.py
+++ b/bench/underway.py
@@ -14,6 +14,7 @@
 
 from calicopath_core.backends.base import SilentReplica
 from calicopath_core.exchanges.context import RefusedExchange
+from calicopath_core.exchanges.retries import try_spend_hedge
 from calicopath_core.exchanges.streams import NO_EVENTS, Received, Stream
 from calicopath_core.fleet.deployment import RouteKind, Workspace
 from calicopath_core.fleet.replicas import Replica
@@ -54,7 +55,7 @@
         self, attempt: StreamAttempt, reading: asyncio.Task[bytes | None]
     ) -> Received | None:
         """Place the rest, then end the silent attempt."""
-        if self.retry_refusal() is not None:
+        if try_spend_hedge(self.context, self.state) is not None:
             return None
         try:
             other = await self.place()
--- a/packages/core/calicopath_core/exchanges/plain.py
+++ b/packages/core/calicopath_core/exchanges/plain.py
@@ -19,7 +19,12 @@
     CompleteAnswer,
     PlainAttempt,
 )
-from calicopath_core.exchanges.retries import RetryRefusal, refund_retry, try_spend_retry
+from calicopath_core.exchanges.retries import (
+    RetryRefusal,
+    refund_retry,
+    try_spend_hedge,
+    try_spend_retry,
+)
 from calicopath_core.fleet.notices import ReplicaExcluded
 from calicopath_core.waiting import (
     UNREAD_GRACE_S,
@@ -134,7 +139,7 @@
         """Start an attempt at another replica if one may be called at once."""
         context, state = self.context, self.state
         await slow.suspect(SilentReplica(f'{slow.replica.id} is slow', late_s=late_s))
-        if not may_retry(context, state):
+        if try_spend_hedge(context, state) is not None:
             return
         now = context.clock.monotonic()
         other = context.balancer.choose(state.service, state.excluded_replicas, now)
--- a/packages/core/calicopath_core/exchanges/retries.py
+++ b/packages/core/calicopath_core/exchanges/retries.py
@@ -40,6 +40,17 @@
     return refusal
 
 
+def try_spend_hedge(context: ExchangeContext, state: ExchangeState) -> RetryRefusal | None:
+    """Do the same for a request that goes on running beside the retry.
+
+    One that is blocked for crashing replicas is not sent again, and its answer is waited for.
+    """
+    if context.crashes.blocked_s(state.content, state.services) is not None:
+        state.retry_refused = RetryRefusal.BLOCKED
+        return RetryRefusal.BLOCKED
+    return try_spend_retry(context, state)
+
+
 def refund_retry(context: ExchangeContext, state: ExchangeState) -> None:
     """Return a retry to the budget that was spent and not sent."""
     context.retry_budgets.for_service(state.service).refund()
--- a/packages/core/calicopath_core/exchanges/streams.py
+++ b/packages/core/calicopath_core/exchanges/streams.py
@@ -20,7 +20,12 @@
     check_not_blocked,
 )
 from calicopath_core.exchanges.plain_attempts import read_all
-from calicopath_core.exchanges.retries import RetryRefusal, refund_retry, try_spend_retry
+from calicopath_core.exchanges.retries import (
+    RetryRefusal,
+    refund_retry,
+    try_spend_hedge,
+    try_spend_retry,
+)
 from calicopath_core.exchanges.stream_attempts import StreamAttempt
 from calicopath_core.fleet.notices import Exclusion, ReplicaExcluded
 from calicopath_core.scheduling.client import PlacementRejected
@@ -152,7 +157,7 @@
 
         Return `None` if there is no other engine; the silent one may have failed meanwhile.
         """
-        if self.retry_refusal() is not None:
+        if try_spend_hedge(self.context, self.state) is not None:
             return None
         opening = asyncio.create_task(self.open_other())
         try:
@@ -398,15 +403,6 @@
         self.state.status = head.status
         self.sink.respond(head.status, head.headers, body)
 
-    def retry_refusal(self) -> RetryRefusal | None:
-        """Spend a retry of the budget and return `None`, or return what forbids the retry."""
-        try:
-            check_not_blocked(self.context, self.state)
-        except RefusedExchange:
-            self.state.retry_refused = RetryRefusal.BLOCKED
-            return RetryRefusal.BLOCKED
-        return try_spend_retry(self.context, self.state)
-
     def check_retry_allowed(self, error: BackendError) -> None:
         """Return if the request may be sent again; else raise `RefusedExchange`."""
         check_not_blocked(self.context, self.state)
--- a/packages/daemon/calicopathd/gateway/tests/underway_answers_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/underway_answers_tests.py
@@ -174,6 +174,20 @@
         numbers = [line['event_number'] for line in lines]
         self.assertNotIn(events.ATTEMPT_FAILED.number, numbers)
 
+    # A second replica was asked for an answer that had come while the box stood still.
+    def test_a_replica_is_not_suspected_if_its_box_stands_still(self) -> None:
+        async def work(fleet: GatewayFleet) -> None:
+            fleet.replicas.faults = {name: ['late:0.1'] for name in BOTH_DESKS}
+            fleet.serve('box-0', exchange(1, 'read', now()))
+            await asyncio.sleep(0.05)
+            loop = asyncio.get_running_loop()
+            assert isinstance(loop, VirtualLoop)
+            loop.stand_still(0.5)
+            await fleet.settle()
+            self.assertEqual(1, len(fleet.replicas.sent))
+
+        self.play_work(work)
+
     # An answer that had come in time was dropped, since the deadline was noticed first.
     def test_an_answer_in_time_is_not_lost_if_its_box_stands_still_past_the_deadline(self) -> None:
         async def work(fleet: GatewayFleet) -> None:
--- a/testkit/gateway_replicas.py
+++ b/testkit/gateway_replicas.py
@@ -144,9 +144,9 @@
 
     async def read(self) -> bytes | None:
         """Return the next event."""
+        await self.wait_until_due()
         if self.closed:
             raise MayHaveRun('the connection was closed')
-        await self.wait_until_due()
         if self.break_after is not None and self.sent >= self.break_after:
             if self.break_after == HANGS_BEFORE_EVENTS:
                 await asyncio.sleep(3600)
