--- a/packages/clients/calicopath_clients/http1/connections.py
+++ b/packages/clients/calicopath_clients/http1/connections.py
@@ -9,6 +9,7 @@
 import httptools
 
 from calicopath_clients.http1.answers import PAUSE_BYTES, InboundResponse
+from calicopath_clients.http1.identities import MAX_IDENTIFIERS, RecentNames
 from calicopath_core.backends.base import ConnectionBroken, MayHaveRun
 
 if TYPE_CHECKING:
@@ -45,7 +46,7 @@
         self.current: InboundResponse | None = None
         self.accepts: Callable[[ResponseHead], bool] = lambda head: True
         self.skipped_responses = 0
-        self.used_identifiers: set[str] = set()
+        self.used_identifiers = RecentNames(count=MAX_IDENTIFIERS)
         self.is_clean = True
         self.is_closed = False
         self.is_kept_alive = True
--- a/packages/clients/calicopath_clients/http1/identities.py
+++ b/packages/clients/calicopath_clients/http1/identities.py
@@ -14,7 +14,25 @@
     from calicopath_clients.http1.answers import ResponseHead
 
 MAX_IDENTIFIERS = 512
-"""Identifiers that one connection carries before it is replaced; bounds its memory."""
+"""Least number of identifiers that are remembered for one connection, the latest ones."""
+
+
+class RecentNames:
+    """Remember the latest names, at least `count` and fewer than twice as many."""
+
+    def __init__(self, *, count: int) -> None:
+        self.count = count
+        self.newer: set[str] = set()
+        self.older: set[str] = set()
+
+    def __contains__(self, name: str) -> bool:
+        return name in self.newer or name in self.older
+
+    def add(self, name: str) -> None:
+        """Add a name, and forget the older half once the newer one is full."""
+        self.newer.add(name)
+        if len(self.newer) >= self.count:
+            self.older, self.newer = self.newer, set()
 
 
 class CallIdentity:
@@ -38,19 +56,19 @@
         self.echoes = echoes
         self.chosen = candidates[0]
 
-    def choose(self, used: set[str]) -> bool:
+    def choose(self, used: RecentNames) -> bool:
         """Choose an identifier that a connection has not carried; return whether there is one."""
-        free = [item for item in self.candidates if item not in used]
-        if not free or len(used) >= MAX_IDENTIFIERS:
-            return False
-        self.chosen = free[0]
-        used.add(self.chosen)
-        return True
+        for candidate in self.candidates:
+            if candidate not in used:
+                self.chosen = candidate
+                used.add(candidate)
+                return True
+        return False
 
     @property
-    def extra_headers(self) -> tuple[tuple[str, str], ...]:
-        """Return the header that has to be added to the request."""
-        return () if self.is_sent else ((self.header, self.chosen),)
+    def sent_header(self) -> tuple[str, str]:
+        """Return the header that has to be added to the request unless it is sent already."""
+        return (self.header, self.chosen)
 
     def accepts(self, head: ResponseHead) -> bool:
         """Return whether an answer belongs to the call."""
@@ -64,7 +82,7 @@
     def __init__(self, *, header: str) -> None:
         super().__init__(header=header, candidates=('',), is_sent=True)
 
-    def choose(self, used: set[str]) -> bool:
+    def choose(self, used: RecentNames) -> bool:
         """Return `True`: the call carries nothing that could be repeated."""
         return True
 
--- a/packages/clients/calicopath_clients/http1/pool.py
+++ b/packages/clients/calicopath_clients/http1/pool.py
@@ -171,8 +171,9 @@
             connection = await self.connect(address)
             identity.choose(connection.used_identifiers)
         if identity is not None:
-            head = head._replace(headers=(*head.headers, *identity.extra_headers))
             accepts = identity.accepts
+            if not identity.is_sent:
+                head = head._replace(headers=(*head.headers, identity.sent_header))
         try:
             check()
         except NotStarted:
--- a/tools/mutants/underway.py
+++ b/tools/mutants/underway.py
@@ -86,7 +86,7 @@
     Mutant(
         'a result is received once',
         'platform/calicopath_platform/replicas.py',
-        'if any(handle in self.received_handles for handle in handles):',
+        'if item.handle in received:',
         'if False:',
         SURPLUS,
     ),
