A leaving replica's end proves no whole answer that may be asked for again

Cause: that a replica leaves was taken for proof that it ends after its last answer.

Change: the second connection is asked first; if the process has ended, a stream that may be resumed or a safe request goes on elsewhere after what has come.

Evidence: the new test failed before (whole after 2 of 6 events) and passes.

--- a/packages/core/calicopath_core/exchanges/endings.py
+++ b/packages/core/calicopath_core/exchanges/endings.py
@@ -15,21 +15,24 @@
 """How long a replica is watched after the end of an answer."""
 
 
-async def check_whole(context: ExchangeContext, replica: Replica, answer: ReplicaAnswer) -> None:
+async def check_whole(
+    context: ExchangeContext, replica: Replica, answer: ReplicaAnswer, *, repeatable: bool
+) -> None:
     """Raise `ConnectionBroken` unless an answer that ended with its connection is proved whole.
 
     The kernel closes the connections of a crashed replica, which looks like the end of an answer
-    that has neither a length nor chunks. One that leaves closes them too, after its answers.
+    that has neither a length nor chunks. One that leaves closes them too, after its answers, or in
+    the midst of one: an answer that is `repeatable` is then asked for elsewhere, and goes on there
+    if something is missing.
     """
     if not answer.ends_with_connection or not answer.head.success:
         return
     # What is known of its leaving now was known before it closed the connection.
-    if context.replicas.is_leaving(replica) or has_lost_entry(context, replica):
-        return
+    has_left = context.replicas.is_leaving(replica) or has_lost_entry(context, replica)
     runs = await answer.sender_runs(END_WATCH_S)
-    if runs is None:
+    if runs is None and not has_left:
         runs = await context.replica_client.identify(replica, health_path_of(context, replica))
-    if not runs:
+    if not runs and (repeatable or not has_left):
         raise ConnectionBroken(f'{replica.id} is not seen to run after its answer')
 
 
--- a/packages/core/calicopath_core/exchanges/plain_attempts.py
+++ b/packages/core/calicopath_core/exchanges/plain_attempts.py
@@ -144,7 +144,7 @@
         if answer.head.load is not None:
             context.balancer.on_report(replica, answer.head.load, context.clock.monotonic())
         body = await read_all(answer)
-        await check_whole(context, replica, answer)
+        await check_whole(context, replica, answer, repeatable=state.route.repeatable)
     finally:
         answer.close()
     if answer.head.declined:
--- a/packages/core/calicopath_core/exchanges/stream_attempts.py
+++ b/packages/core/calicopath_core/exchanges/stream_attempts.py
@@ -142,7 +142,8 @@
                 return events
         if self.splitter.buffer:
             raise ConnectionBroken('the stream ended inside an event')
-        await check_whole(self.context, self.replica, answer)
+        repeatable = self.state.route.repeatable
+        await check_whole(self.context, self.replica, answer, repeatable=repeatable)
         return None
 
     def on_events(self) -> None:
--- a/packages/daemon/calicopathd/gateway/tests/underway_answers_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/underway_answers_tests.py
@@ -149,6 +149,23 @@
 
         self.play_work(work)
 
+    # A replica that had said that it leaves ended in the midst of an answer.
+    def test_a_resumable_stream_goes_on_elsewhere_if_its_leaving_engine_ends_it_too_soon(
+        self,
+    ) -> None:
+        async def work(fleet: GatewayFleet) -> None:
+            fleet.replicas.are_streams_unframed = True
+            fleet.replicas.faults = {ANY_REPLICA: ['end:2']}
+            sink = fleet.serve('box-0', exchange(1, 'draft', now(), piece_counts=()))
+            await asyncio.sleep(0.03)
+            engine = fleet.replicas.sent[0].replica.id
+            fleet.store.write(RecordKind.REPLICA, engine, None)
+            fleet.replicas.closed_ports.add(engine)
+            await fleet.settle()
+            self.assert_whole(sink)
+
+        self.play_work(work)
+
     # Timers of a box that stood still ran before it had read what its replicas had sent.
     def test_streams_are_not_cut_if_their_box_stands_still(self) -> None:
         async def work(fleet: GatewayFleet) -> None:
--- a/testkit/gateway_replicas.py
+++ b/testkit/gateway_replicas.py
@@ -118,7 +118,8 @@
 class FakeStream(ReplicaAnswer):
     """Stream events, and break after `break_after` of them (`None`: never).
 
-    The stream falls silent for the `pause` and goes on.
+    It ends, as a whole one does, after `end_after` events if that is set. The stream falls silent
+    for the `pause` and goes on.
     """
 
     def __init__(
@@ -129,8 +130,10 @@
         status: int,
         break_after: int | None,
         pause: Pause = NO_PAUSE,
+        end_after: int | None = None,
     ) -> None:
         self.pause = pause
+        self.end_after = end_after
         self.ends_with_connection = engine.are_streams_unframed
         self.engine = engine
         self.outbound = outbound
@@ -151,7 +154,7 @@
             if self.break_after == HANGS_BEFORE_EVENTS:
                 await asyncio.sleep(3600)
             raise MayHaveRun('broken')
-        if self.next_id > EVENTS:
+        if self.next_id > EVENTS or self.sent == self.end_after:
             self.engine.running.discard(self.outbound.exchange.call_id)
             return None
         version = self.outbound.replica.version
@@ -255,6 +258,7 @@
                 status=200,
                 break_after=after,
                 pause=pause_of(fault),
+                end_after=int(fault.partition(':')[2]) if fault.startswith('end:') else None,
             )
         load = self.loads.get(outbound.replica.id)
         return FakeBody(head=AnswerHead(200, (), False, load), body=call_id.encode())
--- a/tools/mutants/crash_parts.py
+++ b/tools/mutants/crash_parts.py
@@ -77,7 +77,7 @@
     Mutant(
         'a crash is not the end of an answer',
         f'{CORE}/exchanges/endings.py',
-        '    if not runs:',
+        '    if not runs and (repeatable or not has_left):',
         '    if False:',
         f'{GATEWAY}/unframed_tests.py::Unframed',
     ),
