--- a/packages/core/calicopath_core/exchanges/plain_attempts.py
+++ b/packages/core/calicopath_core/exchanges/plain_attempts.py
@@ -90,14 +90,27 @@
 
     def log_failure(self, error: BackendError) -> None:
         """Report an attempt without a complete answer to the observer."""
-        self.state.last_failure = failure_kind(error)
-        self.context.observer.on_attempt_failed(
-            self.state,
-            self.replica.id,
-            error,
-            self.state.deadline_at - self.context.clock.monotonic(),
-            replica_state=replica_state(self.context, self.replica.id),
-        )
+        log_failure(self.context, self.state, self.replica, error)
+
+
+def log_failure(
+    context: ExchangeContext,
+    state: ExchangeState,
+    replica: Replica,
+    error: BackendError,
+    *,
+    answered: bool = False,
+) -> None:
+    """Record an attempt without a complete answer; `answered` tells that a part of it came."""
+    state.last_failure = failure_kind(error)
+    context.observer.on_attempt_failed(
+        state,
+        replica.id,
+        error,
+        max(0.0, state.deadline_at - context.clock.monotonic()),
+        replica_state=replica_state(context, replica.id),
+        answered=answered,
+    )
 
 
 async def check_for_crash(
--- a/packages/core/calicopath_core/exchanges/stream_attempts.py
+++ b/packages/core/calicopath_core/exchanges/stream_attempts.py
@@ -13,11 +13,10 @@
     NotStarted,
     SilentReplica,
 )
-from calicopath_core.exchanges.context import failure_kind, replica_state
 from calicopath_core.exchanges.endings import check_whole
 from calicopath_core.exchanges.events import EventSplitter
 from calicopath_core.exchanges.messages import OutboundRequest
-from calicopath_core.exchanges.plain_attempts import check_for_crash
+from calicopath_core.exchanges.plain_attempts import check_for_crash, log_failure
 
 if TYPE_CHECKING:
     from calicopath_core.exchanges.context import ExchangeContext, ExchangeState
@@ -189,15 +188,7 @@
 
     def log_failure(self, error: BackendError) -> None:
         """Report a failure to the observer."""
-        self.state.last_failure = failure_kind(error)
-        self.context.observer.on_attempt_failed(
-            self.state,
-            self.replica.id,
-            error,
-            max(0.0, self.state.deadline_at - self.context.clock.monotonic()),
-            replica_state=replica_state(self.context, self.replica.id),
-            answered=self.has_events,
-        )
+        log_failure(self.context, self.state, self.replica, error, answered=self.has_events)
 
     def close(self, *, failed: bool = False, turned_away: bool = False) -> None:
         """Release the connection and report the end of the run to the scheduler, once."""
