--- a/packages/clients/calicopath_clients/http1/witnesses.py
+++ b/packages/clients/calicopath_clients/http1/liveness.py
@@ -23,7 +23,7 @@
 POLL_S = 0.01
 
 
-class Witness:
+class LivenessConnection:
     """Hold a second connection to the server of an answer without length or chunks."""
 
     def __init__(self, *, pool: HttpPool, address: str, inbound: InboundResponse) -> None:
--- a/tools/mutants/underway.py
+++ b/tools/mutants/underway.py
@@ -57,14 +57,14 @@
     ),
     Mutant(
         'a second connection tells whether a process runs',
-        f'{CLIENTS}/witnesses.py',
+        f'{CLIENTS}/liveness.py',
         'return not self.is_lost',
         'return True',
         ENDINGS,
     ),
     Mutant(
         'sockets are read after the watch',
-        f'{CLIENTS}/witnesses.py',
+        f'{CLIENTS}/liveness.py',
         '        await asyncio.sleep(READ_PASS_S)\n        return not self.is_lost',
         '        return not self.is_lost',
         ENDINGS,
