A stream without a head at its deadline may have run

Evidence: the new test gets 503 without the line and 504 with it, on a route that may be repeated and on one that may not.

--- a/packages/core/calicopath_core/exchanges/streams.py
+++ b/packages/core/calicopath_core/exchanges/streams.py
@@ -131,6 +131,7 @@
                     return Received(attempt, reading.result())
                 error = SilentReplica(f'no event came from {attempt.replica.id}', late_s=late_s)
                 if self.state.expired(self.context.clock.monotonic()):
+                    attempt.count_run()
                     raise error
                 await attempt.suspect(error)
                 other = await self.find_other(attempt, reading)
--- a/packages/daemon/calicopathd/gateway/tests/underway_answers_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/underway_answers_tests.py
@@ -215,6 +215,19 @@
 
         self.play_work(work)
 
+    # A request that its replica had got was called not run when no head had come by its deadline.
+    def test_a_stream_without_a_head_at_its_deadline_is_not_called_not_run(self) -> None:
+        async def work(fleet: GatewayFleet) -> None:
+            fleet.replicas.faults = {name: ['dark'] for name in BOTH_ENGINES}
+            for number, route in enumerate(('letter', 'draft')):
+                sink = fleet.serve(
+                    'box-0', exchange(number, route, now(), piece_counts=(), deadline_s=1.0)
+                )
+                await fleet.settle()
+                self.assertEqual(504, sink.status)
+
+        self.play_work(work)
+
     # What one replica answers must not be waited for longer than its caller does.
     def test_a_replica_that_stays_silent_is_left_at_the_deadline(self) -> None:
         async def work(fleet: GatewayFleet) -> None:
