A removal that is held back is logged and counted

Whether a late removal was read late or read in time and held could not be told from the logs: only the end of a hold was logged (802), and only if it expired. Event 817 and removals_held_total name each hold and its length; a count that grows while the store is well shows a single failed call taken for an outage.

Test: the table's test of a missing entry now checks what it reports.

--- a/packages/core/calicopath_core/fleet/replicas.py
+++ b/packages/core/calicopath_core/fleet/replicas.py
@@ -43,7 +43,8 @@
     `leaving` holds the replicas that announced in answers that they leave, whatever their entries
     say. `on_draining` is called for each replica whose entry starts or stops reporting that it
     drains. A replica never cancels a drain within one incarnation, so an entry that does is
-    outdated.
+    outdated. `on_removal_held` is called with a replica whose removal is delayed and for how long,
+    in seconds.
     """
 
     def __init__(
@@ -51,9 +52,11 @@
         *,
         leaving: LeavingReplicas | None = None,
         on_draining: Callable[[Replica], None] = lambda replica: None,
+        on_removal_held: Callable[[Replica, float], None] = lambda replica, held_s: None,
     ) -> None:
         self.leaving = leaving
         self.on_draining = on_draining
+        self.on_removal_held = on_removal_held
         if leaving is not None:
             leaving.listeners.append(self.changed)
         self.replicas: dict[str, Replica] = {}
@@ -115,6 +118,7 @@
         until = self.removal_due_at(now)
         if until > now and not self.is_leaving_or_replaced(self.replicas[replica_id]):
             self.pending_removals[replica_id] = until
+            self.on_removal_held(self.replicas[replica_id], until - now)
             return
         del self.replicas[replica_id]
         self.changed()
--- a/packages/core/calicopath_core/fleet/tests/replicas_tests.py
+++ b/packages/core/calicopath_core/fleet/tests/replicas_tests.py
@@ -27,8 +27,11 @@
     def test_one_that_is_missing_when_the_store_is_back_is_held_until_it_may_be_back_too(
         self,
     ) -> None:
+        held: list[tuple[str, float]] = []
+        self.table.on_removal_held = lambda replica, held_s: held.append((replica.id, held_s))
         self.table.on_disrupted(1.0)
         self.table.remove('i-1', 1.5)
+        self.assertEqual([('i-1', RETURN_GRACE_S - 0.5)], held)
         self.assertEqual(['i-1', 'i-2'], self.usable())
         self.assertEqual([], self.table.expire(0.9 + RETURN_GRACE_S))
         self.assertEqual(['i-1'], self.table.expire(1.0 + RETURN_GRACE_S))
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -330,6 +330,12 @@
 REPLICAS_REACHABLE = Event(
     816, 'info', 'replicas reachable', 'A connection to a replica opens from this box again.'
 )
+REMOVAL_HELD = Event(
+    817,
+    'info',
+    'removal held',
+    'An entry is gone that may have lapsed while the store was away; its replica stays in use.',
+)
 OBJECT_BAD = Event(806, 'error', 'object bad', 'An object of the store could not be parsed.')
 
 
--- a/packages/daemon/calicopathd/gateway/metrics.py
+++ b/packages/daemon/calicopathd/gateway/metrics.py
@@ -74,6 +74,9 @@
         self.replicas_skipped = self.counter(
             'replicas_passed_over_total', 'Replicas chosen for requests that must not get them.'
         )
+        self.removals_held = self.counter(
+            'removals_held_total', 'Removals of replicas delayed after an outage, by service.'
+        )
         self.replica_connects = self.counter(
             'replica_connects_total', 'Attempts to connect to replicas by result.'
         )
--- a/packages/daemon/calicopathd/gateway/notices.py
+++ b/packages/daemon/calicopathd/gateway/notices.py
@@ -52,7 +52,11 @@
         on_backoff: Callable[[Replica], None],
     ) -> None:
         self.leaving = LeavingReplicas(clock=clock, observer=observer)
-        self.replicas = ReplicaTable(leaving=self.leaving, on_draining=observer.on_draining)
+        self.replicas = ReplicaTable(
+            leaving=self.leaving,
+            on_draining=observer.on_draining,
+            on_removal_held=observer.on_removal_held,
+        )
         self.permits = PermitClient(
             clock=clock, own_address=own_address, issuer_address=issuer_address, send=send
         )
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -522,6 +522,11 @@
         event = events.REPLICA_DRAINING if replica.draining else events.DRAINING_REVOKED
         events.emit(log, event, replica=replica.id, service=replica.service)
 
+    def on_removal_held(self, replica: Replica, held_s: float) -> None:
+        """Log and count a removal that is delayed, since the entry may have lapsed in an outage."""
+        self.metrics.removals_held.inc({'service': replica.service})
+        events.emit(log, events.REMOVAL_HELD, replica=replica.id, held_s=round(held_s, 3))
+
     def on_bad_object(self, name: str, error: Exception) -> None:
         """Log and count a store object that can't be decoded."""
         self.metrics.bad_objects.inc({'kind': name.partition('/')[0]})
