Removals wait for the store's grace only after an outage of the store

Cause: a feed took its own failures for an outage of the store. The call made again after a cut was a waiting watch too (0.1 s), so that a series cut it as well; 0.4 s of that, one call without an answer or one answer of an earlier era counted as an outage, and removals were then held for the 2 s in which lapsed entries come back. Relays told their subscribers the same.

Evidence: event 817 named each hold; its replica's removal had been read in time.

Change: an outage is judged from all calls of a box and from what relays report (fleet/availability.py): only if the store answered none of them for 1.5 heartbeats, within the three after which entries lapse, may entries have lapsed. The call after a failure asks for an answer at once, and a watch that is cut three times in a row gives way to polls each 0.5 s. While other calls are answered, pauses after failures stay short.

Why it works: entries lapse only if replicas cannot renew them for three heartbeats; a store that answers anybody in between is not away.

--- a/packages/core/calicopath_core/fleet/feed.py
+++ b/packages/core/calicopath_core/fleet/feed.py
@@ -21,21 +21,32 @@
     from collections.abc import Iterable
 
     from calicopath_core.clock import Clock
+    from calicopath_core.fleet.availability import StoreAvailability
     from calicopath_core.fleet.positions import Position
     from calicopath_core.fleet.store import Change, Changes, FleetStore, Record
 
-PROBE_WAIT_S = 0.1
-"""How long a watch waits while the store fails. A call that hangs is detected within 0.9 s, so a
-box notices that the store is back, and what changed meanwhile, in under 2 s. Users expect a box to
-be in contact within 3 s of the store's return and a change in force within 2 s."""
+PROBE_WAIT_S = 0.001
+"""How long a watch waits while calls fail: the shortest time that the store takes, so that its
+answer comes at once and cannot be cut while it waits. A call that hangs is detected within 0.8 s,
+so a box notices that the store is back, and what changed meanwhile, in under 2 s. Users expect a
+box to be in contact within 3 s of the store's return and a change in force within 2 s."""
 
 QUICK_RETRIES_S = (0.02, 0.08)
 """How long to wait before a call that was cut, reset or refused is made again. Only if all of these
-fail too does the store count as away."""
+fail too does the feed count as failing."""
 
-MIN_OUTAGE_S = 0.4
-"""How long the store must fail before entries may have lapsed because of it: far less than the
-three heartbeats after which they do."""
+OVERDUE_S = 0.1
+"""How long after the end of its wait a call counts as overdue: a store that had answered until then
+would have answered it."""
+
+MAX_CUT_WATCHES = 2
+POLL_INTERVAL_S = 0.5
+"""After how many cut watches in a row the feed polls instead, and how often. Each watch that is cut
+costs two calls, and a removal must be in force 2 s after it was acknowledged."""
+
+MAX_FAILURES_BESIDE_ANSWERS = 2
+"""By how many failures in a row the pause between calls grows while the store answers other calls
+of the box. A change must be in force in time although some calls fail."""
 
 RELAY_CHECK_INTERVAL_S = 0.2
 """How often a box that uses a relay checks whether the relay is still usable."""
@@ -131,6 +142,7 @@
         observer: FeedObserver,
         handler: FeedHandler,
         policy: FollowPolicy,
+        availability: StoreAvailability,
     ) -> None:
         self.store = store
         self.kind = kind
@@ -138,11 +150,14 @@
         self.observer = observer
         self.handler = handler
         self.policy = policy
+        self.availability = availability
         self.position: Position | None = None
         self.records: dict[str, Record] = {}
         self.contact_at: float | None = None
         self.failing_since: float | None = None
-        self.steady_since = 0.0
+        self.call_started_at = 0.0
+        self.answer_due_at = 0.0
+        self.cut_watches = 0
         self.is_retrying = False
         self.must_list = False
         self.has_listed = False
@@ -169,8 +184,10 @@
                 failures = 0
                 self.is_retrying = False
                 losses = losses if self.has_listed else 0
-                await asyncio.sleep(BATCH_DELAY_S[self.kind] if changed else 0.0)
+                await asyncio.sleep(self.pause_s(changed=changed))
             except HistoryLost:
+                self.availability.on_answer(self.clock.monotonic())
+                self.cut_watches = 0
                 # Entries did not lapse because of the loss, so records missing from the list are
                 # gone.
                 self.must_list = True
@@ -178,32 +195,65 @@
                 await self.wait_after_history_loss(losses)
             except FleetStoreError as error:
                 failures += 1
+                self.availability.on_failure(self.unanswered_since())
                 is_certain = isinstance(error, StoreSilent | StoreOutdated)
                 self.is_retrying = failures <= len(QUICK_RETRIES_S) and not is_certain
                 if self.is_retrying:
-                    # A store that answers the next call was not away: entries have not lapsed.
                     await asyncio.sleep(QUICK_RETRIES_S[failures - 1])
                     continue
                 self.on_failure(error)
-                await self.policy.back_off(self.kind, failures)
+                await self.policy.back_off(self.kind, self.counted_failures(failures))
 
     async def step(self) -> bool:
         """Make one call and pass on its result; return whether it brought changes."""
         self.calls += 1
         self.has_listed = self.position is None or self.must_list
+        self.call_started_at = self.answer_due_at = self.clock.monotonic()
         if self.position is None or self.must_list:
             listing = await self.store.list(self.kind)
             self.on_contact()
             self.apply_listing(listing)
             return False
         since = self.position
-        is_probe = self.is_retrying or self.failing_since is not None
-        wait_s = PROBE_WAIT_S if is_probe else self.policy.watch_wait_s(self.kind)
-        found = await self.store.watch(self.kind, since.revision, wait_s)
+        found = await self.watch(since)
         self.on_contact()
         self.apply_watch_result(since, found)
         return bool(found.changes)
 
+    async def watch(self, since: Position) -> Changes:
+        """Make a watch; count those in a row that were made to wait and failed.
+
+        Raise `FleetStoreError`, also if the answer is of an earlier era than the watch.
+        """
+        is_probe = self.is_retrying or self.failing_since is not None
+        wait_s = PROBE_WAIT_S if is_probe else self.policy.watch_wait_s(self.kind)
+        self.answer_due_at += wait_s
+        self.cut_watches += not is_probe
+        found = await self.store.watch(self.kind, since.revision, wait_s)
+        if not is_probe:
+            self.cut_watches = 0
+        if found.position.era < since.era:
+            raise StoreOutdated(f'store answered with era {found.position.era} after {since.era}')
+        return found
+
+    def pause_s(self, *, changed: bool) -> float:
+        """Return how long to wait before the next call after one that was answered."""
+        if self.cut_watches > MAX_CUT_WATCHES:
+            return POLL_INTERVAL_S
+        return BATCH_DELAY_S[self.kind] if changed else 0.0
+
+    def counted_failures(self, failures: int) -> int:
+        """Return for how many failures in a row to back off: few while other calls are answered."""
+        if self.availability.answers(self.clock.monotonic()):
+            return min(failures, MAX_FAILURES_BESIDE_ANSWERS)
+        return failures
+
+    def unanswered_since(self) -> float:
+        """Return since when the store may not have answered, as the failed call shows."""
+        now = self.clock.monotonic()
+        is_overdue = now > self.answer_due_at + OVERDUE_S
+        return self.call_started_at if is_overdue else now
+
     async def wait_after_history_loss(self, losses: int) -> None:
         """Wait before listing all records again; `losses` counts losses in a row."""
         assert self.position is not None
@@ -218,8 +268,6 @@
         The result lacks changes of a later era whose revisions are not above that of `since`, so a
         later era requires a new list.
         """
-        if found.position.era < since.era:
-            raise StoreOutdated(f'store answered with era {found.position.era} after {since.era}')
         if found.position.era > since.era:
             self.must_list = True
             return
@@ -265,7 +313,12 @@
     def apply_update(
         self, since: Position | None, position: Position, changes: list[Change]
     ) -> None:
-        """Apply a relay's update: the changes after `since`, or all records if it is `None`."""
+        """Apply a relay's update: the changes after `since`, or all records if it is `None`.
+
+        The relay may be the first that a store answers which has been away.
+        """
+        if self.failing_since is not None:
+            self.availability.report_if_away(self.clock.monotonic())
         if since is None:
             records = {change.name: change.record for change in changes if change.record}
             self.apply_listing(Listing(records, position))
@@ -277,35 +330,27 @@
         now = self.clock.monotonic()
         age_s = math.inf if self.contact_at is None else now - self.contact_at
         failing_s = 0.0 if self.failing_since is None else now - self.failing_since
-        return StoreContact(age_s, failing_s, now - self.steady_since)
+        return StoreContact(age_s, failing_s, self.availability.steady_s(now))
 
     def on_contact(self) -> None:
         """Record that the store answered."""
-        if self.failing_since is not None:
-            self.report_outage(self.failing_since)
-            self.clear_failure()
-        self.contact_at = self.clock.monotonic()
+        now = self.clock.monotonic()
+        self.availability.on_answer(now)
+        self.clear_failure()
+        self.contact_at = now
 
     def clear_failure(self) -> None:
         """Record that the store is reached again, directly or through a relay."""
         if self.failing_since is None:
             return
-        now = self.clock.monotonic()
         self.failing_since = None
-        self.steady_since = now
+        now = self.clock.monotonic()
         self.observer.on_contact_restored(self.kind, now - (self.contact_at or now))
 
     def on_failure(self, error: FleetStoreError) -> None:
         """Record that the store did not answer."""
+        now = self.clock.monotonic()
         if self.failing_since is None:
-            self.failing_since = self.clock.monotonic()
+            self.failing_since = now
             self.observer.on_contact_lost(self.kind, error)
-        if isinstance(error, StoreSilent | StoreOutdated):
-            self.handler.on_disrupted()
-        else:
-            self.report_outage(self.failing_since)
-
-    def report_outage(self, failing_since: float) -> None:
-        """Report a disruption if the store has failed for so long that entries may have lapsed."""
-        if self.clock.monotonic() - failing_since >= MIN_OUTAGE_S:
-            self.handler.on_disrupted()
+        self.availability.report_if_away(now)
--- a/packages/core/calicopath_core/fleet/subscription.py
+++ b/packages/core/calicopath_core/fleet/subscription.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -26,6 +27,7 @@
     from collections.abc import Callable, Iterable
 
     from calicopath_core.clock import Clock
+    from calicopath_core.fleet.availability import StoreAvailability
     from calicopath_core.fleet.contact import StoreContact
     from calicopath_core.fleet.feed import RecordFeed
     from calicopath_core.fleet.publisher import Publisher
@@ -66,7 +68,7 @@
         clock: Clock,
         send: Callable[[str, msgspec.Struct], None],
         publisher: Publisher,
-        on_disrupted: Callable[[float], None],
+        availability: StoreAvailability,
         on_bad_update: Callable[[str], None],
         on_relay_changed: Callable[[str | None], None],
         store: FleetStore,
@@ -78,7 +80,7 @@
         self.clock = clock
         self.send = send
         self.publisher = publisher
-        self.on_disrupted = on_disrupted
+        self.availability = availability
         self.on_bad_update = on_bad_update
         self.on_relay_changed = on_relay_changed
         self.relay_selection = RelaySelection(own=own)
@@ -177,11 +179,13 @@
         """Handle a relay's status."""
         now = self.clock.monotonic()
         self.relay_selection.on_status(status, now)
+        if math.isfinite(status.contact.age_s):
+            self.availability.on_answer(now - status.contact.age_s)
         if not all(feed.synced for feed in self.feeds.values()):
             self.subscribe(status.sender)
         relay = self.relay_selection.current_relay(now)
         if relay is not None and relay.contact.steady_s < RETURN_GRACE_S:
-            self.on_disrupted(now - relay.contact.steady_s)
+            self.availability.on_disrupted(now - relay.contact.steady_s)
 
     def on_update(self, update: RelayUpdate) -> None:
         """Apply the records that a relay sent; report an update that cannot be decoded."""
--- a/packages/core/calicopath_core/fleet/tests/restored_feed_tests.py
+++ b/packages/core/calicopath_core/fleet/tests/restored_feed_tests.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from calicopath_core.clock import LoopClock
+from calicopath_core.fleet.availability import StoreAvailability
 from calicopath_core.fleet.feed import FeedObserver, RecordFeed
 from calicopath_core.fleet.positions import Position
 from calicopath_core.fleet.store import (
@@ -53,6 +54,9 @@
             observer=mock.create_autospec(FeedObserver, instance=True),
             handler=self.handler,
             policy=self.policy,
+            availability=StoreAvailability(
+                heartbeat_s=1.2, on_disrupted=lambda until: self.handler.on_disrupted()
+            ),
         )
 
     def run_feed(self, for_s: float) -> None:
--- a/packages/daemon/calicopathd/gateway/following.py
+++ b/packages/daemon/calicopathd/gateway/following.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from calicopath_core.fleet.availability import StoreAvailability
 from calicopath_core.fleet.evacuations import Evacuations
 from calicopath_core.fleet.feed import RecordFeed
 from calicopath_core.fleet.publisher import Publisher
@@ -73,12 +74,15 @@
             entry_ttl_s=settings.replica_entry_ttl_s,
             on_restored=observer.on_restored,
         )
+        self.availability = StoreAvailability(
+            heartbeat_s=settings.replica_heartbeat_s, on_disrupted=replicas.on_disrupted
+        )
         self.subscription = Subscription(
             own=own,
             clock=clock,
             send=send,
             publisher=self.publisher,
-            on_disrupted=replicas.on_disrupted,
+            availability=self.availability,
             on_bad_update=observer.on_bad_message,
             on_relay_changed=observer.on_relay_changed,
             store=store,
@@ -94,6 +98,7 @@
                 observer=observer,
                 handler=self.restore_filter,
                 policy=self.subscription,
+                availability=self.availability,
             )
             for kind in settings.followed_kinds
         }
--- a/testkit/gateway_store.py
+++ b/testkit/gateway_store.py
@@ -20,6 +20,8 @@
 from calicopath_core.versions.keeping import StoredStreams
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from calicopath_core.crashes.keeping import StoredRequest
     from calicopath_core.scheduling.election import BoxAddress
     from calicopath_core.versions.keeping import Versions
@@ -144,7 +146,9 @@
 class FakeStoreClient(FleetStore):
     """Access the store from one box; with `cut` calls fail at once, with `silent` they time out.
 
-    The next watch of a kind in `silent_watches` receives nothing and times out.
+    The next watch of a kind in `silent_watches` receives nothing and times out. `fails` decides for
+    each call whether the store answers 429 or 503. The next `outdated_answers` watches are answered
+    from an earlier era.
     """
 
     def __init__(self, *, store: FakeStore) -> None:
@@ -153,6 +157,8 @@
         self.silent = False
         self.silent_watches: set[RecordKind] = set()
         self.failing_calls = 0
+        self.fails: Callable[[], bool] = lambda: False
+        self.outdated_answers = 0
         self.watch_cuts = asyncio.Event()
         self.blocked_unreadable = False
         self.calls = 0
@@ -172,6 +178,11 @@
         if self.cut or self.store.down:
             raise FleetStoreError('cut off')
 
+    def check_served(self) -> None:
+        """Raise `FleetStoreError` if the store refuses the call."""
+        if self.fails():
+            raise FleetStoreError('the store answered 429')
+
     async def time_out(self, wait_s: float) -> None:
         """Time out a call, as with a silent store."""
         self.calls += 1
@@ -194,11 +205,13 @@
         if self.silent:
             await self.time_out(0.0)
         self.check_reachable()
+        self.check_served()
         return Listing(dict(self.store.records[kind]), self.store.position())
 
     async def watch(self, kind: RecordKind, revision: int, wait_s: float) -> Changes:
         """Return the changes after a revision, waiting up to `wait_s` for one."""
         self.check_reachable()
+        self.check_served()
         cuts = self.watch_cuts
         began = asyncio.get_running_loop().time()
         ends_at = asyncio.get_running_loop().time() + wait_s
@@ -216,6 +229,9 @@
                 await self.time_out(wait_s - (asyncio.get_running_loop().time() - began))
             if found or left_s <= 0:
                 self.check_reachable()
+                if self.outdated_answers:
+                    self.outdated_answers -= 1
+                    return Changes((), Position(self.store.era - 1, revision))
                 return Changes(tuple(found), self.store.position())
             try:
                 async with asyncio.timeout(left_s):
