Answers of replicas and the store are bounded in bytes

What callers saw (own tests against a server that sends bytes without end, 11 forms): a call whose head, framing or body never ends was read, and mostly held in memory, for as long as its caller waited; the release of results for ever.

Cause: the parser of answers counted nothing but unread body bytes. Headers, interim heads, chunk extensions and trailers had no bound, and the calls that read a whole answer had none for the body either.

Change: a connection counts what a call receives (http1/bounds.py): framing by 64 KiB and a share of the body, skipped answers by 1 MiB, the body by what the call can need. Beyond that the call fails as one that may have run (AnswerTooLarge), the connection is closed, and event 624 and a counter name the server and the part. A watch whose answer is too large is replaced by a list. Trailers are dropped, as they were held with the headers.

Why it works: a bound is checked with each read from the socket, of 256 KiB at most, so that memory and the loop see no more than that beyond the bound.

--- a/packages/clients/calicopath_clients/http1/answers.py
+++ b/packages/clients/calicopath_clients/http1/answers.py
@@ -23,6 +23,12 @@
                 return value
         return None
 
+    @property
+    def content_length(self) -> int:
+        """Return the length that the response states, 0 if it states none."""
+        text = self.get('content-length') or ''
+        return int(text) if text.isascii() and text.isdigit() else 0
+
     @property
     def has_framing(self) -> bool:
         """Return whether the response has a length or chunks, and does not end by closing."""
--- a/packages/clients/calicopath_clients/http1/connections.py
+++ b/packages/clients/calicopath_clients/http1/connections.py
@@ -9,13 +9,15 @@
 import httptools
 
 from calicopath_clients.http1.answers import PAUSE_BYTES, InboundResponse
+from calicopath_clients.http1.bounds import MAX_BODY_BYTES, ResponseBounds
 from calicopath_clients.http1.identities import MAX_IDENTIFIERS, RecentNames
-from calicopath_core.backends.base import ConnectionBroken, MayHaveRun
+from calicopath_core.backends.base import AnswerTooLarge, ConnectionBroken, MayHaveRun
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from calicopath_clients.http1.answers import ResponseHead
+    from calicopath_clients.http1.bounds import ExceededBound
 
 UNACKED_TIMEOUT_MS = 2000
 KEEPALIVE_IDLE_S = 1
@@ -28,6 +30,9 @@
 
 FIRST_FINAL_STATUS = 200
 FIRST_ERROR_STATUS = 400
+BODILESS_STATUSES = (204, 304)
+"""Statuses of responses that never have a body."""
+
 MAX_SKIPPED_RESPONSES = 2
 """Most responses to earlier calls that are skipped while a call waits for its own."""
 
@@ -35,6 +40,8 @@
 class Connection(asyncio.Protocol):
     """Send requests and receive their responses; bytes that belong to no call close the connection.
 
+    So do responses that are larger than their call allows (see `http1.bounds`).
+
     `inbound` is the response that the current call waits for, `current` the one being parsed. They
     differ until the head of the parsed response shows that it belongs to the call.
     """
@@ -46,6 +53,7 @@
         self.current: InboundResponse | None = None
         self.accepts: Callable[[ResponseHead], bool] = lambda head: True
         self.skipped_responses = 0
+        self.bounds = ResponseBounds(max_body_bytes=MAX_BODY_BYTES)
         self.used_identifiers = RecentNames(count=MAX_IDENTIFIERS)
         self.is_clean = True
         self.is_closed = False
@@ -59,6 +67,7 @@
         self.is_tunnel = False
         self.may_be_reused = True
         self.on_closed: Callable[[], None] = lambda: None
+        self.on_too_large: Callable[[ExceededBound], None] = lambda exceeded: None
         self.on_lost: Callable[[Exception | None], None] = lambda error: None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -70,7 +79,12 @@
             set_socket_timeouts(sock)
 
     def send(
-        self, chunks: list[bytes], accepts: Callable[[ResponseHead], bool], *, no_body: bool
+        self,
+        chunks: list[bytes],
+        accepts: Callable[[ResponseHead], bool],
+        *,
+        no_body: bool,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> InboundResponse:
         """Send a request and return its response, which is filled as bytes arrive.
 
@@ -81,6 +95,7 @@
         self.accepts = accepts
         self.skipped_responses = 0
         self.no_body = no_body
+        self.bounds = ResponseBounds(max_body_bytes=max_body_bytes)
         self.transport.writelines(chunks)
         return self.inbound
 
@@ -101,6 +116,8 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.fail(MayHaveRun(f'the response is not valid HTTP: {error}'))
             return
+        self.bounds.on_received(len(data))
+        self.check_bounds()
         if (
             self.inbound is not None
             and self.inbound.unread_bytes > PAUSE_BYTES
@@ -110,6 +127,13 @@
             assert self.transport is not None
             self.transport.pause_reading()
 
+    def check_bounds(self) -> None:
+        """Fail the call if its response has become too large."""
+        exceeded = self.bounds.exceeded()
+        if exceeded is not None and self.inbound is not None:
+            self.on_too_large(exceeded)
+            self.fail(AnswerTooLarge(f'{exceeded.part} of over {exceeded.limit} bytes'))
+
     def resume(self) -> None:
         """Resume reading after the buffered body was read."""
         if self.is_reading_paused and not self.is_closed:
@@ -128,7 +152,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header to the response being parsed."""
-        if self.current is None:
+        if self.current is None or self.current.head.done():
+            # A trailer: it has no use here.
             return
         key = name.decode('latin-1')
         self.current.headers.append((key, value.decode('latin-1')))
@@ -148,6 +173,8 @@
         if not self.accepts(current.head.result()):
             self.skip_response()
             return
+        if not self.no_body and current.status not in BODILESS_STATUSES:
+            self.bounds.on_stated_length(current.head.result().content_length)
         self.is_kept_alive = self.parser.should_keep_alive() and self.has_length
         inbound.status, inbound.headers = current.status, current.headers
         inbound.on_head()
@@ -169,9 +196,12 @@
 
     def on_body(self, data: bytes) -> None:
         """Add a part of the body to the response being parsed."""
-        if self.current is not None:
-            self.has_body = True
-            self.current.on_body(data)
+        if self.current is None:
+            self.bounds.on_skipped(len(data))
+            return
+        self.has_body = True
+        self.bounds.on_body(len(data))
+        self.current.on_body(data)
 
     def on_message_complete(self) -> None:
         """Complete the response if it belongs to the call."""
--- a/packages/clients/calicopath_clients/http1/pool.py
+++ b/packages/clients/calicopath_clients/http1/pool.py
@@ -7,6 +7,8 @@
 from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
+from calicopath_clients.http1.bounds import MAX_BODY_BYTES
+from calicopath_clients.http1.connections import BODILESS_STATUSES
 from calicopath_clients.http1.connectors import DirectConnector
 from calicopath_core.backends.base import (
     ConnectionLimitReached,
@@ -19,6 +21,7 @@
     from collections.abc import Callable
 
     from calicopath_clients.http1.answers import InboundResponse, ResponseHead
+    from calicopath_clients.http1.bounds import ExceededBound
     from calicopath_clients.http1.connections import Connection
     from calicopath_clients.http1.connectors import Connector
     from calicopath_clients.http1.identities import CallIdentity
@@ -48,15 +51,15 @@
 """Most idle connections to one server; bounds descriptors here and connections there."""
 
 
-BODILESS_STATUSES = (204, 304)
-"""Statuses of responses that never have a body."""
-
-
 def accept_any(head: ResponseHead) -> bool:
     """Return `True`: the server sends one answer for each call."""
     return True
 
 
+def ignore_too_large(address: str, target: str, exceeded: ExceededBound) -> None:
+    """Report nothing about a response that was too large."""
+
+
 def no_check() -> None:
     """Allow every call."""
 
@@ -127,7 +130,8 @@
     `connection_limit` returns the most connections, in use and idle, to the server at an address.
     `now` returns the time in seconds by which idle time is measured; with a clock that also counts
     the time while the machine is suspended, connections that died meanwhile are not reused.
-    `connector` opens the connections.
+    `connector` opens the connections. `on_too_large` is called with the address of a server whose
+    response was too large, the target of the request and the bound that was exceeded.
     """
 
     def __init__(
@@ -141,6 +145,7 @@
         self.connection_limit = connection_limit
         self.connector = connector or DirectConnector()
         self.now = loop_time
+        self.on_too_large: Callable[[str, str, ExceededBound], None] = ignore_too_large
         self.idle_connections: dict[str, list[Connection]] = {}
         self.open_counts: Counter[str] = Counter()
         self.opened_total = 0
@@ -155,6 +160,7 @@
         identity: CallIdentity | None = None,
         fresh: bool = False,
         check: Callable[[], None] = no_check,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> Call:
         """Send a request and return the call once the head of its response was received.
 
@@ -162,7 +168,8 @@
         for calls whose server may send an answer twice. `fresh` restricts
         reuse to connections that were used shortly before. `check` runs when a connection is
         available, just before the first byte is sent; if it raises `NotStarted`, nothing is sent.
-        Raise `NotStarted` if the request was not sent, `MayHaveRun` if no response came.
+        Raise `NotStarted` if the request was not sent, `MayHaveRun` if no response came. Reading a
+        body of more than `max_body_bytes` raises `AnswerTooLarge`.
         """
         connection = await self.take_or_connect(address, fresh=fresh)
         if identity is not None and not identity.choose(connection.used_identifiers):
@@ -179,8 +186,11 @@
         except NotStarted:
             self.release(address, connection)
             raise
+        connection.on_too_large = partial(self.on_too_large, address, head.target)
         no_body = head.method == 'HEAD'
-        inbound = connection.send([encode_head(head), body], accepts, no_body=no_body)
+        inbound = connection.send(
+            [encode_head(head), body], accepts, no_body=no_body, max_body_bytes=max_body_bytes
+        )
         try:
             response_head = await asyncio.shield(inbound.head)
         except asyncio.CancelledError:
--- a/packages/core/calicopath_core/backends/base.py
+++ b/packages/core/calicopath_core/backends/base.py
@@ -85,6 +85,10 @@
     """Report an answer that is invalid or belongs to another call."""
 
 
+class AnswerTooLarge(WrongAnswer):
+    """Report an answer of more bytes than its call may have; its connection was closed."""
+
+
 class StagePool(ABC):
     """Call encoders, retrievers and rerankers."""
 
--- a/packages/core/calicopath_core/fleet/feed.py
+++ b/packages/core/calicopath_core/fleet/feed.py
@@ -13,6 +13,7 @@
     HistoryLost,
     Listing,
     RecordKind,
+    StoreAnswerTooLarge,
     StoreOutdated,
     StoreSilent,
 )
@@ -195,6 +196,8 @@
                 await self.wait_after_history_loss(losses)
             except FleetStoreError as error:
                 failures += 1
+                # A list has pages, each of which is small.
+                self.must_list = self.must_list or isinstance(error, StoreAnswerTooLarge)
                 self.availability.on_failure(self.unanswered_since())
                 is_certain = isinstance(error, StoreSilent | StoreOutdated)
                 self.is_retrying = failures <= len(QUICK_RETRIES_S) and not is_certain
--- a/packages/core/calicopath_core/fleet/store.py
+++ b/packages/core/calicopath_core/fleet/store.py
@@ -62,6 +62,10 @@
     """Report an answer of a state of the store that is older than the one known."""
 
 
+class StoreAnswerTooLarge(FleetStoreError):
+    """Report an answer of more bytes than any answer of the store should have."""
+
+
 class HistoryLost(FleetStoreError):
     """Report that the store no longer has the changes since a revision."""
 
--- a/packages/core/calicopath_core/fleet/tests/restored_feed_tests.py
+++ b/packages/core/calicopath_core/fleet/tests/restored_feed_tests.py
@@ -17,6 +17,7 @@
     HistoryLost,
     Listing,
     RecordKind,
+    StoreAnswerTooLarge,
 )
 from testkit.cases import VirtualCase
 from testkit.gateway_world import replicas
@@ -112,6 +113,19 @@
         self.assertEqual({ONE.id}, self.names())
         self.assertLess(self.store.watch.call_count, 6)
 
+    # A watch whose answer was too large was made again for ever, with the same answer.
+    def test_changes_that_are_too_many_for_an_answer_are_read_as_a_list(self) -> None:
+        self.set_listings(listing(1, 50, ONE), listing(1, 60, TWO))
+
+        def answer(revision: int) -> Changes:
+            if revision == 50:
+                raise StoreAnswerTooLarge('too large')
+            return Changes((), Position(1, revision))
+
+        self.set_watches(answer)
+        self.run_feed(PAUSE_S)
+        self.assertEqual({TWO.id}, self.names())
+
     def test_an_update_that_begins_in_another_era_is_left_out(self) -> None:
         self.feed.apply_listing(listing(1, 50, ONE))
         self.feed.apply_update(Position(1, 50), Position(2, 60), [Change(ONE.id, None)])
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -330,6 +330,12 @@
 REPLICAS_REACHABLE = Event(
     816, 'info', 'replicas reachable', 'A connection to a replica opens from this box again.'
 )
+ANSWER_TOO_LARGE = Event(
+    624,
+    'warning',
+    'answer too large',
+    'A server sent more bytes than its answer may have; its connection was closed.',
+)
 REMOVAL_HELD = Event(
     817,
     'info',
--- a/packages/daemon/calicopathd/gateway/metrics.py
+++ b/packages/daemon/calicopathd/gateway/metrics.py
@@ -74,6 +74,9 @@
         self.replicas_skipped = self.counter(
             'replicas_passed_over_total', 'Replicas chosen for requests that must not get them.'
         )
+        self.answers_too_large = self.counter(
+            'answers_too_large_total', 'Answers of more bytes than their call may have, by part.'
+        )
         self.removals_held = self.counter(
             'removals_held_total', 'Removals of replicas delayed after an outage, by service.'
         )
--- a/packages/daemon/calicopathd/gateway/observer.py
+++ b/packages/daemon/calicopathd/gateway/observer.py
@@ -19,6 +19,7 @@
 from calicopathd.gateway.versionlog import VersionLog
 
 if TYPE_CHECKING:
+    from calicopath_clients.http1.bounds import ExceededBound
     from calicopath_core.backends.base import BackendError
     from calicopath_core.exchanges.context import ExchangeState, RefusedExchange
     from calicopath_core.exchanges.messages import Exchange
@@ -34,6 +35,9 @@
 
 log = structlog.get_logger(__name__)
 
+MAX_LOGGED_PATH = 64
+"""Longest part of a request's path in a log line."""
+
 
 class GatewayObserver(
     VersionLog,
@@ -522,6 +526,19 @@
         event = events.REPLICA_DRAINING if replica.draining else events.DRAINING_REVOKED
         events.emit(log, event, replica=replica.id, service=replica.service)
 
+    def on_answer_too_large(self, address: str, target: str, exceeded: ExceededBound) -> None:
+        """Log and count an answer of more bytes than its call may have."""
+        self.metrics.answers_too_large.inc({'part': exceeded.part})
+        path = target.partition('?')[0][:MAX_LOGGED_PATH]
+        events.emit(
+            log,
+            events.ANSWER_TOO_LARGE,
+            address=address,
+            path=path,
+            part=exceeded.part,
+            limit_bytes=exceeded.limit,
+        )
+
     def on_removal_held(self, replica: Replica, held_s: float) -> None:
         """Log and count a removal that is delayed, since the entry may have lapsed in an outage."""
         self.metrics.removals_held.inc({'service': replica.service})
