A request that may be repeated leaves every slow replica, not only the first

What callers saw (test in virtual time): with two replicas of a service that bring no whole answer, a request with three attempts waited at the second one until its deadline and ended with 504, while others were free.

Cause: only the first attempt was watched for slowness; the one beside it was waited for like an answer. Bytes without end, or a trickle of them, look the same to it as silence.

Change: the latest attempt is watched each time, while attempts, replicas and the retry budget allow another one. All of them are waited for as before.

Test: test_a_request_that_may_be_repeated_leaves_every_slow_replica; before, two replicas were called instead of three.

--- a/packages/core/calicopath_core/exchanges/plain.py
+++ b/packages/core/calicopath_core/exchanges/plain.py
@@ -96,12 +96,12 @@
         self.state = state
         self.attempts: list[PlainAttempt] = []
         self.tasks: list[asyncio.Task[CompleteAnswer]] = []
+        self.late_s = 0.0
 
     async def run(self, replica: Replica) -> CompleteAnswer:
         """Return the first complete answer; raise the error of the last attempt that failed."""
-        slow_at = self.slow_at(replica)
         first = self.new_attempt(replica)
-        if slow_at >= self.state.deadline_at:
+        if self.slow_at(replica) >= self.state.deadline_at:
             try:
                 async with time_limit(self.context.clock, self.state.deadline_at):
                     return await first.run()
@@ -109,9 +109,9 @@
                 raise self.give_up([first]) from error
         try:
             self.tasks.append(asyncio.create_task(first.run()))
-            late_s = await wait_until(self.context.clock, self.tasks[0], slow_at)
-            if not first.is_over and not self.state.expired(self.context.clock.monotonic()):
-                await self.call_other(first, late_s)
+            while await self.is_slow(self.attempts[-1]):
+                if not await self.call_other(self.attempts[-1]):
+                    break
             return await self.first_answer()
         finally:
             for task in self.tasks:
@@ -124,29 +124,43 @@
         return attempt
 
     def slow_at(self, replica: Replica) -> float:
-        """Return when a replica counts as slow, in monotonic seconds.
+        """Return when the replica called last counts as slow, in monotonic seconds.
 
         A request that may not run again is waited for until its deadline.
         """
         state = self.state
-        if not state.route.repeatable or state.runs + 1 >= state.route.max_attempts:
+        if not state.route.repeatable or state.runs >= state.route.max_attempts:
             return state.deadline_at
         latency_s = self.context.balancer.stats_of(replica).latency_s
         patience_s = max(MIN_ATTEMPT_TIMEOUT_S, ATTEMPT_TIMEOUT_FACTOR * latency_s)
         return min(state.deadline_at, self.context.clock.monotonic() + patience_s)
 
-    async def call_other(self, slow: PlainAttempt, late_s: float) -> None:
-        """Start an attempt at another replica if one may be called at once."""
+    async def is_slow(self, latest: PlainAttempt) -> bool:
+        """Wait for an answer; return whether the latest attempt is slow and another one is due.
+
+        Bytes without a whole answer are no progress: a faulty replica sends them without end.
+        """
+        slow_at = self.slow_at(latest.replica)
+        if slow_at >= self.state.deadline_at:
+            return False
+        self.late_s = await wait_until(self.context.clock, self.tasks[-1], slow_at)
+        has_answer = any(task.done() and task.exception() is None for task in self.tasks)
+        is_expired = self.state.expired(self.context.clock.monotonic())
+        return not (has_answer or is_expired or latest.is_over)
+
+    async def call_other(self, slow: PlainAttempt) -> bool:
+        """Start an attempt at another replica; return whether one could be called at once."""
         context, state = self.context, self.state
-        await slow.suspect(SilentReplica(f'{slow.replica.id} is slow', late_s=late_s))
+        await slow.suspect(SilentReplica(f'{slow.replica.id} is slow', late_s=self.late_s))
         if try_spend_hedge(context, state) is not None:
-            return
+            return False
         now = context.clock.monotonic()
         other = context.balancer.choose(state.service, state.excluded_replicas, now)
         if other is None or context.gate.limits.limit_of(other) is not None:
             refund_retry(context, state)
-            return
+            return False
         self.tasks.append(asyncio.create_task(self.new_attempt(other).run()))
+        return True
 
     async def first_answer(self) -> CompleteAnswer:
         """Return the first answer that is no error of its replica, or what came last.
--- a/packages/daemon/calicopathd/gateway/tests/exchanges_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/exchanges_tests.py
@@ -6,10 +6,20 @@
 from typing import TYPE_CHECKING
 
 from calicopath_core.exchanges.budget import USABLE_BUDGET_RATIO
+from calicopath_core.fleet.deployment import RouteKind
+from calicopath_core.fleet.store import RecordKind
 from testkit.cases import VirtualCase
 from testkit.gateway import GatewayFleet
 from testkit.gateway_replicas import ANY_REPLICA, FakeSink
-from testkit.gateway_world import EVENTS, KEY, RETRY_BUDGET_TERMS, exchange
+from testkit.gateway_world import (
+    EVENTS,
+    KEY,
+    RETRY_BUDGET_TERMS,
+    deployment,
+    exchange,
+    replicas,
+    route,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -236,3 +246,25 @@
             self.assertLessEqual(outbound.deadline_s, 0.7)
 
         self.run_scenario('read', {}, check, deadline_s=0.7, key=KEY)
+
+
+class SlowReplicas(VirtualCase):
+    # Behind a second replica that brought no whole answer either, a request waited until its end.
+    def test_a_request_that_may_be_repeated_leaves_every_slow_replica(self) -> None:
+        async def scenario() -> FakeSink:
+            fleet = GatewayFleet(count=1)
+            others = [item._replace(id=f'{item.id}-2') for item in replicas()[-2:]]
+            for replica in others:
+                fleet.store.write(RecordKind.REPLICA, replica.id, replica)
+            routes = (route('read', RouteKind.SAFE, 'desk', max_attempts=3),)
+            fleet.store.write(RecordKind.DEPLOYMENT, 'main', deployment(2, routes=routes))
+            await fleet.start()
+            fleet.replicas.faults = {ANY_REPLICA: ['dark', 'dark']}
+            sink = fleet.serve('box-0', exchange(1, 'read', now()))
+            await fleet.settle()
+            self.assertEqual(3, len({item.replica.id for item in fleet.replicas.sent}))
+            await fleet.stop()
+            return sink
+
+        sink = self.run_virtual(scenario())
+        self.assertEqual(200, sink.status)
