Answers that are held until they are whole share a bound

Cause: an answer of a plain service is read whole into memory before it is passed on, and nothing bounded that; only the deadline ended it.

Ways weighed: a bound for each answer cuts sound ones, whose length is stated nowhere; passing large answers on as they arrive hands the caller a success that breaks off. Built: one bound for all answers of a box, 15 % of its memory limit; what goes beyond it costs the longest, repeatable ones counting twice (exchanges/buffers.py). It counts as run and goes elsewhere if it may.

Why it works: an answer without end is soon the longest, so that sound ones are cut only if they alone fill the share.

Tests: endless_paths_tests.py (all four of requests failed before, two still did with the bounds of single calls), buffers_tests.py. A sound answer of 25 MB passes at a box of 200 MB.

--- a/packages/core/calicopath_core/exchanges/context.py
+++ b/packages/core/calicopath_core/exchanges/context.py
@@ -24,6 +24,7 @@
     from calicopath_core.crashes.guard import CrashGuard
     from calicopath_core.exchanges.balancer import Balancer
     from calicopath_core.exchanges.budget import RetryBudgets
+    from calicopath_core.exchanges.buffers import AnswerBuffers
     from calicopath_core.exchanges.messages import Exchange, ReplicaClient
     from calicopath_core.exchanges.retries import RetryRefusal
     from calicopath_core.fleet.deployment import Deployment, DeploymentView, Route
@@ -269,3 +270,4 @@
     may_serve: Callable[[], bool]
     is_partitioned: Callable[[], bool]
     failure_domain: str
+    buffers: AnswerBuffers
--- a/packages/core/calicopath_core/exchanges/plain_attempts.py
+++ b/packages/core/calicopath_core/exchanges/plain_attempts.py
@@ -156,7 +156,7 @@
     try:
         if answer.head.load is not None:
             context.balancer.on_report(replica, answer.head.load, context.clock.monotonic())
-        body = await read_all(answer)
+        body = await read_all(context, state, answer)
         await check_whole(context, replica, answer, repeatable=state.route.repeatable)
     finally:
         answer.close()
@@ -166,9 +166,9 @@
     return CompleteAnswer(head=answer.head, body=body)
 
 
-async def read_all(answer: ReplicaAnswer) -> bytes:
-    """Return the complete body of an answer."""
-    parts = []
-    while (data := await answer.read()) is not None:
-        parts.append(data)
-    return b''.join(parts)
+async def read_all(context: ExchangeContext, state: ExchangeState, answer: ReplicaAnswer) -> bytes:
+    """Return the complete body of an answer; raise `AnswerTooLarge` if there is no room for it."""
+    with context.buffers.open(repeatable=state.route.repeatable) as buffer:
+        while (data := await answer.read()) is not None:
+            buffer.add(data)
+        return buffer.take()
--- a/packages/core/calicopath_core/exchanges/streams.py
+++ b/packages/core/calicopath_core/exchanges/streams.py
@@ -387,7 +387,7 @@
         """
         head = attempt.received.head
         if not head.success:
-            body = await read_all(attempt.received)
+            body = await read_all(self.context, self.state, attempt.received)
             if self.head_sent:
                 raise MayHaveRun(f'the engine answered {head.status} to a resumed stream')
             self.state.outcome = 'failed-by-replica'
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -17,6 +17,7 @@
 from calicopath_core.crashes.sharing import CrashSharing
 from calicopath_core.exchanges.balancer import Balancer
 from calicopath_core.exchanges.budget import RetryBudgets
+from calicopath_core.exchanges.buffers import AnswerBuffers
 from calicopath_core.exchanges.context import ExchangeContext
 from calicopath_core.exchanges.executor import ExchangeExecutor
 from calicopath_core.fleet.connection_shares import ConnectionLender, ConnectionShares
@@ -271,6 +272,7 @@
             may_serve=self.may_serve,
             is_partitioned=lambda: self.reachability.is_partitioned,
             failure_domain=self.settings.failure_domain,
+            buffers=AnswerBuffers(max_bytes=self.settings.max_buffered_bytes),
         )
 
     def forwarding_boxes(self) -> list[BoxAddress]:
--- a/packages/daemon/calicopathd/gateway/settings.py
+++ b/packages/daemon/calicopathd/gateway/settings.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from calicopath_core.exchanges.buffers import DEFAULT_MAX_BYTES, MEMORY_SHARE
 from calicopath_core.fleet.store import RecordKind
 from calicopath_core.scheduling.starts import NO_OVERAGE, WarmupTerms
 
@@ -56,8 +57,8 @@
     take to stop before it is killed. `evacuate_s` is the time within which requests must stop
     reaching a failure domain that is taken out, `None` if evacuations are not used. A replica
     renews its entry every `replica_heartbeat_s`. `warmup` limits how far the rate of a cold replica
-    may be exceeded. `promises_returns` allows the overload rule, which tells callers who would be
-    late when to return.
+    may be exceeded. `memory_mb` is the memory limit, `None` if unknown. `promises_returns` allows
+    the overload rule, which tells callers who would be late when to return.
     """
 
     box: str
@@ -78,6 +79,14 @@
     replica_heartbeat_s: float = DEFAULT_HEARTBEAT_S
     warmup: WarmupTerms = NO_OVERAGE
     promises_returns: bool = False
+    memory_mb: float | None = None
+
+    @property
+    def max_buffered_bytes(self) -> int:
+        """Return how many bytes of answers the box may hold until they are whole."""
+        if self.memory_mb is None:
+            return DEFAULT_MAX_BYTES
+        return int(self.memory_mb * 1_000_000 * MEMORY_SHARE)
 
     @property
     def followed_kinds(self) -> tuple[RecordKind, ...]:
