Pieces do not wait for an ejected replica while slow ones are free

What callers saw (own test, 11 of 88 plays of a draft beside a failing stage replica): 503 hopeless after 2.6 s of 3, with a sound replica of the stage idle.

Cause: slow replicas are used only if the others cannot keep up, and a replica that had just failed counted among these others although it gets no calls for 1 to 8 s. A trace of one play shows the pieces of a request sent to the failing replica, back in the queue 9 ms later, and never sent again; the sound one had taken twice the expected 3 ms once.

Change: an ejected replica no longer counts as one that keeps up.

Test: test_a_slow_replica_is_used_while_the_others_are_ejected; before, nothing was sent.

--- a/packages/core/calicopath_core/scheduling/stage_replicas.py
+++ b/packages/core/calicopath_core/scheduling/stage_replicas.py
@@ -70,6 +70,10 @@
         """Tell whether a call takes too long: the replica may be slow or gone."""
         return self.open_calls > 0 and now > self.due_at
 
+    def is_ejected(self, now: float) -> bool:
+        """Tell whether the replica gets no calls for a while, as its last ones have failed."""
+        return self.consecutive_failures > 0 and now < self.unavailable_until
+
     def is_slow(self, now: float) -> bool:
         """Tell whether recent calls took, or work takes now, much longer than expected."""
         name = self.replica.id
--- a/packages/core/calicopath_core/scheduling/stages.py
+++ b/packages/core/calicopath_core/scheduling/stages.py
@@ -154,8 +154,13 @@
         )
 
     def max_quick_backlog(self, now: float) -> int:
-        """Return how many pieces two calls to each replica that is not slow would take."""
-        quick_replicas = sum(not item.is_slow(now) for item in self.available_replicas())
+        """Return how many pieces two calls to each replica that is not slow would take.
+
+        Nothing waits for an ejected one: its next call may fail too.
+        """
+        quick_replicas = sum(
+            not (item.is_slow(now) or item.is_ejected(now)) for item in self.available_replicas()
+        )
         return 2 * quick_replicas * self.spec.batch
 
     def batches(self, now: float, held: Container[PacingClass] = ()) -> Iterator[StageBatch]:
--- a/packages/core/calicopath_core/scheduling/tests/stages_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/stages_tests.py
@@ -280,6 +280,20 @@
         wait(target, job('many', phase(count=20)))
         self.assertIsNotNone(target.next_batch(LATER))
 
+    # Pieces waited for an ejected replica until their requests were refused as hopeless.
+    def test_a_slow_replica_is_used_while_the_others_are_ejected(self) -> None:
+        target = queue(replica('slow'), replica('failing'))
+        target.replicas['slow'].record_duration(2.0, 0.4, 0.0)
+        wait(target, job('one', phase(count=4)))
+        batch = target.next_batch(LATER)
+        assert batch is not None
+        self.assertEqual('failing', batch.target.replica.id)
+        target.on_failed(batch, LATER, full=False)
+        wait(target, job('two', phase(count=4)))
+        batch = target.next_batch(LATER)
+        assert batch is not None
+        self.assertEqual('slow', batch.target.replica.id)
+
     def test_a_slow_replica_is_tried_again(self) -> None:
         target = queue(replica('slow'), replica('quick'))
         target.replicas['slow'].record_duration(2.0, 0.4, 0.0)
