Requests of callers are bounded in every byte that they send

What operators saw (own test): a caller could send empty lines, extensions of chunks, trailers, or bytes behind a refused request without end; 64 MiB of each were read, and trailers kept. Trailers reached replicas as headers.

Cause: the limit of the head was checked only while a head was being received, and a request refused beside one in progress was read on and dropped.

Change: all bytes of a request that are no body share the configured limit of its head, and a share of the body for chunk sizes. A refused connection is not read on while its last answer is made. Trailers are dropped.

--- a/packages/daemon/calicopathd/gateway/connection.py
+++ b/packages/daemon/calicopathd/gateway/connection.py
@@ -23,6 +23,9 @@
 MAX_PIPELINED = 16
 """Pipelined requests of one connection that may wait for the one in progress."""
 
+FRAMING_BYTES_PER_BODY_BYTE = 16
+"""How many bytes of chunk sizes each byte of a body allows: a chunk of one byte takes six."""
+
 MAX_UNSENT_BYTES = 256 * 1024
 """Unsent response bytes above which the sender waits for the caller to read."""
 
@@ -66,7 +69,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.transport: asyncio.Transport | None = None
         self.incoming: IncomingRequest | None = None
-        self.head_bytes = 0
+        self.framing_bytes = 0
         self.queued_requests: list[RawRequest] = []
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -124,15 +127,23 @@
         """Parse received data; refuse malformed requests and too large headers."""
         if self.refused:
             return
-        if self.incoming is None or not self.incoming.head_complete:
-            self.head_bytes += len(data)
+        self.framing_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.refuse(STATUS_BAD_REQUEST, f'invalid HTTP request: {error}')
             return
-        head_pending = self.incoming is not None and not self.incoming.head_complete
-        if head_pending and self.head_bytes > self.server.handler.limits().header_bytes:
+        self.check_framing()
+
+    def check_framing(self) -> None:
+        """Refuse a request with too many bytes that are no body.
+
+        These are its head, empty lines before it, sizes and extensions of chunks, and trailers.
+        """
+        limit = self.server.handler.limits().header_bytes
+        if self.incoming is not None:
+            limit += FRAMING_BYTES_PER_BODY_BYTE * self.incoming.body_size
+        if self.framing_bytes > limit and not self.refused:
             self.refuse(STATUS_HEADER_TOO_LARGE, 'the headers exceed the size limit')
 
     def on_message_begin(self) -> None:
@@ -147,8 +158,8 @@
             self.incoming.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
-        if self.incoming is not None:
+        """Add a header; trailers are dropped."""
+        if self.incoming is not None and not self.incoming.head_complete:
             self.incoming.headers.append((name.decode('latin-1'), value.decode('latin-1')))
 
     def on_headers_complete(self) -> None:
@@ -157,7 +168,7 @@
         if incoming is None:
             return
         incoming.head_complete = True
-        self.head_bytes = 0
+        self.framing_bytes = 0
         size = len(incoming.target) + sum(
             len(name) + len(value) for name, value in incoming.headers
         )
@@ -183,12 +194,14 @@
             return
         incoming.body.append(data)
         incoming.body_size += len(data)
+        self.framing_bytes -= len(data)
         if incoming.body_size > self.server.handler.limits().body_bytes:
             self.refuse(STATUS_TOO_LARGE, 'the body exceeds the size limit')
 
     def on_message_complete(self) -> None:
         """Queue a complete request behind those received before."""
         incoming, self.incoming = self.incoming, None
+        self.framing_bytes = 0
         if incoming is None or self.refused:
             return
         request = RawRequest(
@@ -245,10 +258,16 @@
         self.incoming = None
         self.server.handler.on_bad_request(status, reason)
         if self.task is not None:
+            self.stop_reading()
             return
         responder = Responder(connection=self, keep_alive=False)
         responder.respond(status, (), b'')
 
+    def stop_reading(self) -> None:
+        """Read nothing more: the connection closes after the response in progress."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+
     def write(self, data: bytes) -> None:
         """Write data unless the connection is closed or closing."""
         if self.transport is not None and not self.transport.is_closing():
