Calls of the callers' own interface are bounded in bytes

What operators saw (own test): an answer of a stage pool, a generation or the object API that never ends was read into memory for as long as it came; a line that was too long ended a generation with an error of the library that nobody expected, and interim heads (1xx) were read for ever.

Beyond it the connection is closed and the call counts as one that may have run; a read of the object API counts as unavailable, a write as unknown.

--- a/packages/clients/calicopath_clients/calls.py
+++ b/packages/clients/calicopath_clients/calls.py
@@ -11,6 +11,7 @@
 import aiohttp
 import msgspec
 
+from calicopath_clients.bodies import MAX_STAGE_BYTES, read_body
 from calicopath_core.backends.base import (
     ConnectionBroken,
     Declined,
@@ -107,7 +108,7 @@
     if call.idempotency_key is not None:
         body['idempotency_key'] = call.idempotency_key
     async with open_call(session, f'{endpoint.address}/v1/call', body) as answer:
-        data = await answer.read()
+        data = await read_body(answer, MAX_STAGE_BYTES)
     try:
         decoded = msgspec.json.decode(data)
         answered_id = decoded['call']
--- a/packages/clients/calicopath_clients/engine.py
+++ b/packages/clients/calicopath_clients/engine.py
@@ -10,6 +10,7 @@
 import aiohttp
 import msgspec
 
+from calicopath_clients.bodies import MAX_GENERATION_BYTES, read_lines
 from calicopath_clients.calls import open_call
 from calicopath_core.backends.base import ConnectionBroken, Engine, WrongAnswer
 from calicopath_core.structure.calls import GenerationEnd, Token
@@ -54,7 +55,7 @@
             'prefix': base64.b64encode(call.prefix).decode(),
         }
         async with open_call(self.session, f'{endpoint.address}/v1/generate', body) as answer:
-            while line := await answer.content.readline():
+            async for line in read_lines(answer, MAX_GENERATION_BYTES):
                 if not line.endswith(b'\n'):
                     raise ConnectionBroken(f'{endpoint.name} ended its stream inside a line')
                 yield parse_line(line, endpoint)
--- a/packages/clients/calicopath_clients/platform.py
+++ b/packages/clients/calicopath_clients/platform.py
@@ -8,6 +8,8 @@
 import aiohttp
 import msgspec
 
+from calicopath_clients.bodies import MAX_STORE_BYTES, read_body, read_lines
+from calicopath_core.backends.base import AnswerTooLarge
 from calicopath_core.store import versions
 from calicopath_core.store.base import (
     BoxList,
@@ -31,6 +33,7 @@
 STATUS_NOT_FOUND = 404
 STATUS_OK = 200
 
+READ_ERRORS = (aiohttp.ClientError, TimeoutError, msgspec.DecodeError, AnswerTooLarge)
 CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
@@ -60,8 +63,8 @@
                     return None
                 if response.status != STATUS_OK:
                     raise StoreUnavailable(f'the object API answered {response.status}')
-                return msgspec.json.decode(await response.read())
-        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
+                return msgspec.json.decode(await read_body(response, MAX_STORE_BYTES))
+        except READ_ERRORS as error:
             raise StoreUnavailable(f'the object API cannot be read: {error!r}') from error
 
     async def get(self, key: str) -> StoredObject | None:
@@ -90,10 +93,10 @@
                 data=msgspec.json.encode(value),
                 timeout=self.timeout,
             ) as response:
-                body = await response.read()
+                body = await read_body(response, MAX_STORE_BYTES)
         except CONNECT_ERRORS as error:
             raise StoreUnavailable(f'the object API cannot be reached: {error!r}') from error
-        except (aiohttp.ClientError, TimeoutError) as error:
+        except (aiohttp.ClientError, TimeoutError, AnswerTooLarge) as error:
             raise WriteUnknown(f'the answer to a write was lost: {error!r}') from error
         if response.status == STATUS_CONFLICT:
             raise VersionConflict(f'{key} is no longer at version {expected_version}')
@@ -112,10 +115,10 @@
             ) as response:
                 if response.status != STATUS_OK:
                     raise StoreUnavailable(f'the object API answered {response.status}')
-                while line := await response.content.readline():
+                async for line in read_lines(response):
                     if line.strip():
                         yield to_stored_object(msgspec.json.decode(line))
-        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+        except (aiohttp.ClientError, TimeoutError, ValueError, AnswerTooLarge) as error:
             raise StoreUnavailable(f'the watch ended: {error!r}') from error
 
 
@@ -133,10 +136,10 @@
         """Return the boxes that the platform lists; raise `StoreUnavailable`."""
         try:
             async with self.session.get(f'{self.url}/v1/boxes', timeout=self.timeout) as response:
-                data = msgspec.json.decode(await response.read())
+                data = msgspec.json.decode(await read_body(response, MAX_STORE_BYTES))
                 if response.status != STATUS_OK:
                     raise StoreUnavailable(f'the box list answered {response.status}')
-        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
+        except READ_ERRORS as error:
             raise StoreUnavailable(f'the box list cannot be read: {error!r}') from error
         return [BoxRecord(**item) for item in data['boxes']]
 
