--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,8 @@
 	$(PY) -m tools.soak --only kill-boxes --seeds 1,2 --seconds 10 $(KNOWN)
 	$(PY) -m tools.soak --only crash-part --seeds 2,4 --seconds 10 $(KNOWN)
 	$(PY) -m tools.soak --only answers-underway --seeds 2,3 --seconds 8 $(KNOWN)
+	$(PY) -m tools.soak --only endless-answers --seeds 1,2 --seconds 6 $(KNOWN)
+	$(PY) -m tools.soak --only cut-watches --seeds 1,2 --seconds 6 $(KNOWN)
 
 mutants: setup
 	$(PY) -m tools.mutants
--- a/packages/core/calicopath_core/fleet/contact.py
+++ b/packages/core/calicopath_core/fleet/contact.py
@@ -20,7 +20,7 @@
     """Describe a box's contact with the store, in seconds.
 
     `age_s` is the age of the store's last answer, `failing_s` how long calls have failed since
-    then, 0 if they do not, and `steady_s` how long calls succeeded without a failure before that.
+    then, 0 if they do not, and `steady_s` how long ago the last outage of the store ended.
     """
 
     age_s: float = 0.0
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -13,6 +13,11 @@
 from calicopath_platform.tests.soak_replicas import soak_request
 from tools.soak import checks, crash_parts, crash_requests, overload
 from tools.soak.callers import CallerConnection, CallerRequest, send_request
+from tools.soak.endless import (
+    BoxMemory,
+    find_arrivals_after_removal,
+    find_unserved_beside_endless,
+)
 from tools.soak.limits import find_limit_violations
 from tools.soak.partitions import find_unserved_callers
 from tools.soak.records import RequestKind, RequestRecord
@@ -87,6 +92,7 @@
         self.crash_request_numbers = itertools.count(1)
         self.overload_numbers = itertools.count(1)
         self.load_periods: list[LoadPeriod] = []
+        self.memory = BoxMemory()
 
     async def run(self) -> Verdict:
         """Play it and judge."""
@@ -104,6 +110,7 @@
             problems = await self.check_boxes_serve('before the faults')
             offset = self.world.now()
             steps = [step._replace(at_s=step.at_s + offset) for step in steps]
+            sampling = asyncio.create_task(self.memory.sample(self.world.boxes))
             callers = [
                 asyncio.create_task(self.run_caller(number)) for number in range(plan.callers)
             ]
@@ -112,6 +119,7 @@
             problems += await self.check_boxes_serve('after the faults')
             problems += await self.check_boxes_recorded()
             await asyncio.gather(*callers)
+            sampling.cancel()
             problems += self.find_problems(steps)
         finally:
             await self.world.close()
@@ -309,6 +317,13 @@
             *find_mixed_versions(self.records),
             *find_lost_streams(self.records, self.plan.only),
             *find_lost_answers(self.records, self.plan.only, CALLER_DEADLINE_S),
+            *find_unserved_beside_endless(self.records, steps, self.plan.only),
+            *find_arrivals_after_removal(
+                [item for life in world.incarnations for item in life.arrivals],
+                world.removed_at,
+                self.plan.only,
+            ),
+            *self.memory.find_large_boxes(),
             *find_limit_violations(
                 self.records,
                 world.limit_periods,
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -36,6 +36,8 @@
     KILL_BOXES = 'kill-boxes'
     CRASH_PART = 'crash-part'
     UNDERWAY = 'answers-underway'
+    ENDLESS = 'endless-answers'
+    WATCH_CUTS = 'cut-watches'
 
 
 class LinkMode(enum.Enum):
@@ -80,6 +82,8 @@
         FaultKind.KILL_BOXES,
         FaultKind.CRASH_PART,
         FaultKind.UNDERWAY,
+        FaultKind.ENDLESS,
+        FaultKind.WATCH_CUTS,
     }
 )
 """What is drawn apart, so that what else a seed means stays as it was before these came."""
@@ -154,6 +158,16 @@
 SILENCE_MODES = (LinkMode.SILENT, LinkMode.BLOCK_RESPONSES, LinkMode.PASS)
 """All replicas of a service fall silent, one of them does, or one leaves without notice."""
 
+MEAN_ENDLESS_GAP_S = 1.0
+MIN_ENDLESS_S = 1.0
+MAX_ENDLESS_S = 4.0
+"""The mean time between two replicas whose answers don't end, and how long one sends such."""
+
+MEAN_CUTS_GAP_S = 1.0
+MIN_CUTS_S = 1.5
+MAX_CUTS_S = 4.0
+"""The mean time between two series of cut watches, and how long one is."""
+
 MAX_SERIES_STEPS = 4
 """Changes of one kind that may come right after each other."""
 
@@ -211,6 +225,8 @@
     steps += draw_kills(seed, seconds=seconds, boxes=boxes)
     steps += draw_crash_parts(seed, seconds=seconds)
     steps += draw_underway(seed, seconds=seconds)
+    steps += draw_endless(seed, seconds=seconds)
+    steps += draw_watch_cuts(seed, seconds=seconds)
     return sorted(steps, key=lambda step: step.at_s)
 
 
@@ -359,8 +375,34 @@
     return steps
 
 
+def draw_endless(seed: int, *, seconds: float) -> list[Step]:
+    """Return when a replica sends bytes without end; one at a time does."""
+    rng = random.Random(f'endless of {seed}')
+    steps: list[Step] = []
+    at_s = rng.expovariate(1 / MEAN_ENDLESS_GAP_S)
+    while at_s < seconds:
+        for_s = round(rng.uniform(MIN_ENDLESS_S, MAX_ENDLESS_S), 3)
+        target = rng.randrange(1_000_000)
+        steps.append(Step(round(at_s, 3), FaultKind.ENDLESS, target, for_s, LinkMode.PASS))
+        at_s += for_s + rng.expovariate(1 / MEAN_ENDLESS_GAP_S)
+    return steps
+
+
+def draw_watch_cuts(seed: int, *, seconds: float) -> list[Step]:
+    """Return when the store cuts waiting watches in a series, and a replica leaves meanwhile."""
+    rng = random.Random(f'cuts of {seed}')
+    steps: list[Step] = []
+    at_s = rng.expovariate(1 / MEAN_CUTS_GAP_S)
+    while at_s < seconds:
+        for_s = round(rng.uniform(MIN_CUTS_S, MAX_CUTS_S), 3)
+        target = rng.randrange(1_000_000)
+        steps.append(Step(round(at_s, 3), FaultKind.WATCH_CUTS, target, for_s, LinkMode.PASS))
+        at_s += for_s + rng.expovariate(1 / MEAN_CUTS_GAP_S)
+    return steps
+
+
 def chosen_replica(target: int) -> int:
-    """Return the number of the one replica that an `UNDERWAY` step chooses by its target."""
+    """Return the number of the one replica that a step chooses by its target."""
     service, place = target % SERVICE_COUNT, target // SERVICE_COUNT % REPLICAS_PER_SERVICE
     return service + place * SERVICE_COUNT
 
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -15,6 +15,7 @@
 from aiohttp import web
 
 from calicopath_platform import names
+from calicopath_platform.tests.endless import ENDLESS
 from calicopath_platform.tests.soak_replicas import (
     INVALID_RETRY_AFTERS,
     SoakReplica,
@@ -61,6 +62,12 @@
 """How many of the wishes make no sense."""
 
 
+MAX_CUT_INTERVAL_S = 0.12
+"""Longest time between two cuts of a series."""
+
+OVERTIME_S = 1.0
+"""How much longer than it must a replica serves that leaves amid cut watches."""
+
 PARTITIONS = {
     LinkMode.RESET: Partition.REFUSED,
     LinkMode.SILENT: Partition.HANGING,
@@ -101,6 +108,7 @@
         self.incarnations: list[SoakReplica] = []
         self.handles: dict[str, str] = {}
         self.drained_at: dict[str, float] = {}
+        self.removed_at: dict[str, float] = {}
         self.stops: list[BoxStop] = []
         self.evacuations: list[Evacuation] = []
         self.evacuated: set[str] = set()
@@ -293,6 +301,10 @@
                 self.change_config()
             case FaultKind.UNDERWAY:
                 await self.disturb_answers(step)
+            case FaultKind.ENDLESS:
+                await self.send_endless_answers(step)
+            case FaultKind.WATCH_CUTS:
+                await self.cut_watches(step)
 
     def change_config(self) -> None:
         """Put a configuration with another route."""
@@ -313,12 +325,39 @@
                 slot.replica.silent_until = self.now() + step.duration_s
         await asyncio.sleep(step.duration_s)
 
+    async def send_endless_answers(self, step: Step) -> None:
+        """Have one replica answer everything with bytes that do not end."""
+        replica = self.slots[chosen_replica(step.target)].replica
+        if replica is None:
+            return
+        replica.endless = ENDLESS[step.target // REPLICA_COUNT % len(ENDLESS)]
+        await asyncio.sleep(step.duration_s)
+        replica.endless = None
+
+    async def cut_watches(self, step: Step) -> None:
+        """Cut the waiting watches in a series, while a replica leaves without notice."""
+        rng = random.Random(step.target)
+        interval_s = rng.uniform(0.03, MAX_CUT_INTERVAL_S)
+        slot = self.slots[chosen_replica(step.target)]
+        ends_at = self.now() + step.duration_s
+        leaves_at = self.now() + rng.uniform(0.0, step.duration_s)
+        leaving: asyncio.Task[None] | None = None
+        while self.now() < ends_at:
+            self.store.cut_watches()
+            await asyncio.sleep(interval_s)
+            if leaving is None and self.now() >= leaves_at:
+                overtime = step._replace(duration_s=OVERTIME_S)
+                leaving = asyncio.create_task(self.leave_without_notice(overtime, slot))
+        if leaving is not None:
+            await leaving
+
     async def leave_without_notice(self, step: Step, slot: ReplicaSlot) -> None:
         """Have a replica's entry go, and the replica after it has answered all requests."""
         async with slot.lock:
             leaving = slot.replica
             assert leaving is not None
             self.store.delete(names.REPLICA_KIND, leaving.name)
+            self.removed_at[leaving.name] = self.now()
             await asyncio.sleep(DRAIN_S + step.duration_s)
             while not leaving.has_crashed and leaving.runs_in_progress:
                 await asyncio.sleep(0.0)
