--- a/tools/mutants/catalogue.py
+++ b/tools/mutants/catalogue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from tools.mutants.bounds import BOUND_MUTANTS
 from tools.mutants.crash_parts import CRASH_PART_MUTANTS
 from tools.mutants.limits import LIMIT_MUTANTS
 from tools.mutants.mutant import CORE, Mutant
@@ -286,4 +287,5 @@
     *CRASH_PART_MUTANTS,
     *VERSION_MUTANTS,
     *UNDERWAY_MUTANTS,
+    *BOUND_MUTANTS,
 )
