A store call is counted once where a bound in calls is checked

Traced: the fake store counts a watch when it begins and again when it is answered. With a silence of 1.4 s a box made three calls (replicas at 1.680 and 1.681 s, the deployment at 1.700 s), counted as 6; with 1.8 s four (1.68, 1.83, 1.831, 1.84), counted as 7. They are due: the last report of the relays is older than 1.6 s by then.

The check counts lists and watches by their beginning now; its bound, 4 calls, and all other tests' counts stay as they were.

--- a/packages/daemon/calicopathd/gateway/tests/relaying_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/relaying_tests.py
@@ -210,7 +210,7 @@
     def test_history_that_the_store_forgets_is_read_anew_by_relays_alone(self) -> None:
         async def scenario(deaf_s: float) -> None:
             fleet = await started()
-            before = calls(fleet)
+            before = reads(fleet)
             forgetting = asyncio.create_task(fleet.store.compact(deaf_s))
             await asyncio.sleep(0.3)
             fleet.store.write(RecordKind.DEPLOYMENT, 'main', deployment(5))
@@ -219,7 +219,7 @@
             self.assertEqual({5}, versions(fleet))
             await asyncio.sleep(3.0)
             others = [name for name in fleet.boxes if name not in relays(fleet)]
-            spent = [calls(fleet)[name] - before[name] for name in others]
+            spent = [reads(fleet)[name] - before[name] for name in others]
             self.assertLessEqual(max(spent), MAX_CALLS_AFTER_HISTORY_LOSS)
             await fleet.stop()
 
@@ -242,6 +242,11 @@
     return fleet
 
 
+def reads(fleet: GatewayFleet) -> dict[str, int]:
+    """Return how many lists and watches each box has asked for."""
+    return {name: box.store.reads for name, box in fleet.boxes.items()}
+
+
 def calls(fleet: GatewayFleet) -> dict[str, int]:
     """Return the number of store calls of each box."""
     return {name: box.store.calls for name, box in fleet.boxes.items()}
--- a/testkit/gateway_store.py
+++ b/testkit/gateway_store.py
@@ -148,7 +148,8 @@
 
     The next watch of a kind in `silent_watches` receives nothing and times out. `fails` decides for
     each call whether the store answers 429 or 503. The next `outdated_answers` watches are answered
-    from an earlier era.
+    from an earlier era. `reads` counts lists and watches; `calls` counts all calls, and an answered
+    watch twice.
     """
 
     def __init__(self, *, store: FakeStore) -> None:
@@ -162,6 +163,7 @@
         self.watch_cuts = asyncio.Event()
         self.blocked_unreadable = False
         self.calls = 0
+        self.reads = 0
 
     def cut_watches(self) -> None:
         """Cut the waiting watches of this box, as a sound store may."""
@@ -201,6 +203,7 @@
 
     async def list(self, kind: RecordKind) -> Listing:
         """Return every record."""
+        self.reads += 1
         await asyncio.sleep(0.004)
         if self.silent:
             await self.time_out(0.0)
@@ -210,6 +213,7 @@
 
     async def watch(self, kind: RecordKind, revision: int, wait_s: float) -> Changes:
         """Return the changes after a revision, waiting up to `wait_s` for one."""
+        self.reads += 1
         self.check_reachable()
         self.check_served()
         cuts = self.watch_cuts
