--- a/tools/soak/overload.py
+++ b/tools/soak/overload.py
@@ -114,6 +114,9 @@
         elif step.kind is FaultKind.UNDERWAY and step.link_mode is not LinkMode.SILENT:
             # One replica leaves, or is silent; if all are silent, it is for less than two seconds.
             disturbed.add(chosen_replica(step.target))
+        elif step.kind in {FaultKind.ENDLESS, FaultKind.WATCH_CUTS}:
+            # One replica sends bytes without end, or leaves without notice.
+            disturbed.add(chosen_replica(step.target))
     return any(
         disturbed.issuperset(range(service, REPLICA_COUNT, len(SERVICES)))
         for service in range(len(SERVICES))
