--- a/packages/core/calicopath_core/versions/keeping.py
+++ b/packages/core/calicopath_core/versions/keeping.py
@@ -48,6 +48,13 @@
 UNNAMED = frozenset({''})
 """The versions of a service whose replicas name none."""
 
+UNKNOWN_VERSIONS = frozenset({'\x00unknown'})
+"""Stands for the versions of a service whose declaration was unreadable: no replica has it, so that
+no other version counts as the only one until it expires."""
+
+ANY_SERVICE = ''
+"""Declares versions of all services; no service has this name."""
+
 Versions = dict[str, frozenset[str]]
 """The declared versions of each service."""
 
@@ -225,8 +232,11 @@
                 for name in listed.get(service, frozenset()) | declared.get(service, frozenset())
                 if self.is_current(service, name)
             )
-            # The last version of a service without replicas stays: streams may go on at it later.
-            wanted[service] = names or declared.get(service, frozenset())
+            if not names and service != ANY_SERVICE:
+                # The last version of a service without replicas stays: streams may go on at it.
+                names = declared.get(service, frozenset())
+            if names:
+                wanted[service] = names
         if wanted == declared:
             return
         revision = await self.store.write_versions(wanted, self.revision)
@@ -268,7 +278,7 @@
         if version is not None:
             return FoundVersion(version, 'store')
         listed = self.listed().get(service, frozenset())
-        declared = (self.versions or {}).get(service, frozenset())
+        declared = declared_versions(self.versions or {}, service)
         if not declared and listed == UNNAMED:
             declared = UNNAMED
         if len(declared) == 1 and declared <= listed:
@@ -287,9 +297,16 @@
         await asyncio.shield(self.reading)
 
 
+def declared_versions(versions: Mapping[str, frozenset[str]], service: str) -> frozenset[str]:
+    """Return the versions declared for a service, those of all services included."""
+    return versions.get(service, frozenset()) | versions.get(ANY_SERVICE, frozenset())
+
+
 def mixed(versions: Mapping[str, frozenset[str]]) -> frozenset[str]:
     """Return the services that have several versions."""
-    return frozenset(service for service, names in versions.items() if len(names) > 1)
+    return frozenset(
+        service for service in versions if len(declared_versions(versions, service)) > 1
+    )
 
 
 def newest(groups: tuple[BegunStreams, ...], count: int) -> tuple[BegunStreams, ...]:
--- a/packages/core/calicopath_core/versions/tests/keeping_tests.py
+++ b/packages/core/calicopath_core/versions/tests/keeping_tests.py
@@ -10,8 +10,10 @@
 from calicopath_core.exceptions import CalicopathError
 from calicopath_core.versions.directory import FoundVersion
 from calicopath_core.versions.keeping import (
+    ANY_SERVICE,
     MAX_STORED,
     SETTLE_S,
+    UNKNOWN_VERSIONS,
     VERSION_TTL_S,
     StoredStreams,
     StreamKeeper,
@@ -113,6 +115,23 @@
         return asyncio.run(keeper.resolve('engine', key))
 
 
+class Unreadable(KeeperCase):
+    def test_no_version_is_the_only_one_until_unreadable_declarations_expire(self) -> None:
+        for service in (ANY_SERVICE, 'engine'):
+            self.store.versions, self.store.revision = {service: UNKNOWN_VERSIONS}, 1
+            self.listed = {'engine': frozenset({'v2'})}
+            self.steps(self.new_keeper())
+            successor = self.new_keeper()
+            self.steps(successor)
+            self.assertIsNone(self.resolve(successor, 'unknown'))
+            self.assertIn('v2', self.store.versions['engine'])
+            self.clock.now += VERSION_TTL_S
+            self.steps(successor)
+            self.assertEqual({'engine': frozenset({'v2'})}, self.store.versions)
+            found = self.resolve(successor, 'unknown')
+            self.assertEqual('v2', found.version if found else None)
+
+
 class Declared(KeeperCase):
     def test_the_only_declared_version_began_every_stream(self) -> None:
         self.steps(self.new_keeper())
