A configuration object in another form costs itself alone

What callers saw (by a test, not reported): at the callers' own interface, one object below config/ whose value is no mapping ended the feed of every box, and a box that started then never had a configuration. One whose document is no mapping was held, but no other box could decode a message with it.

Cause: the document was taken out of the value without looking at its form.

Change: such a document counts as an empty one, which is rejected by itself when it is parsed and can be exchanged. The command line still expects the form that it writes.

Evidence: ForeignObjects in feed_tests fails on the code before.

--- a/packages/core/calicopath_core/store/records.py
+++ b/packages/core/calicopath_core/store/records.py
@@ -51,6 +51,14 @@
     action: ChangeAction
 
 
+UNREADABLE: dict[str, Any] = {}
+"""Stands for a document that another program has written in another form: it is rejected when it is
+parsed, by itself, and boxes can exchange it."""
+
+
 def view_update(stored: StoredObject) -> ViewUpdate:
     """Return the part of a stored object that boxes exchange."""
-    return ViewUpdate(stored.key, stored.version, stored.value.get('spec'))
+    value: Any = stored.value
+    spec = value.get('spec') if isinstance(value, dict) else UNREADABLE
+    is_document = spec is None or isinstance(spec, dict)
+    return ViewUpdate(stored.key, stored.version, spec if is_document else UNREADABLE)
--- a/packages/core/calicopath_core/store/tests/feed_tests.py
+++ b/packages/core/calicopath_core/store/tests/feed_tests.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from calicopath_core.store.feed import StoreFeed
 from calicopath_core.store.records import view_update
@@ -46,6 +46,28 @@
         await asyncio.gather(task, return_exceptions=True)
 
 
+class ForeignObjects(VirtualCase):
+    def test_an_unreadable_object_does_not_hide_the_others(self) -> None:
+        async def scenario() -> None:
+            values: list[Any] = [None, 4, 'text', [], {}, {'spec': 4}, {'spec': []}]
+            state = StoreState()
+            put(state, 1)
+            for number, value in enumerate(values):
+                state.write(f'config/endpoints/0-{number}', value, 0)
+            async with running_feed(state) as (view, _, feed):
+                self.assertTrue(feed.synced)
+                self.assertEqual({'n': 1}, view.entries[KEY].spec)
+                self.assertEqual({}, view.endpoints)
+                state.write('config/endpoints/later', values[1], 0)
+                put(state, 2)
+                await asyncio.sleep(IN_FORCE_S)
+                self.assertEqual({'n': 2}, view.entries[KEY].spec)
+            for entry in view.entries.values():
+                self.assertTrue(entry.spec is None or isinstance(entry.spec, dict))
+
+        self.run_virtual(scenario())
+
+
 class Restored(VirtualCase):
     def test_a_change_after_the_store_went_back_is_in_force_and_none_before_reverts(self) -> None:
         async def scenario(lost: int) -> None:
