A stream begins only at a version that the store declares

Cause: the declared versions are taken for all that may have begun a stream, but they were not. A scheduler let streams begin anywhere until it had read the store, up to 1.4 s after it began, and at any version if no engine had a declared one. After the restart the version that came was declared alone, and streams of the one that had gone counted as its own. Class of fault: a conclusion from what is recorded, without the duty to record first.

Change: a new stream waits until the version of an engine is declared. The scheduler reads and declares at once then, two calls of the store instead of a look once a second. Streams that have begun never wait. If the store fails the call, or is silent for 1 s, streams begin all the same; then an unknown version is declared as soon as that is possible, so that none counts as the only one while such a stream may be taken up.

--- a/packages/core/calicopath_core/scheduling/engine_pools.py
+++ b/packages/core/calicopath_core/scheduling/engine_pools.py
@@ -18,6 +18,7 @@
     from calicopath_core.fleet.replicas import Replica, ReplicaTable
     from calicopath_core.scheduling.jobs import Job
     from calicopath_core.scheduling.starts import WarmupTerms
+    from calicopath_core.versions.declaring import DeclarationWait
 
 
 class EnginePools(dict[str, EnginePool]):
@@ -39,6 +40,7 @@
         self.warmup = warmup
         self.backoffs = FleetBackoffs()
         self.pool_factory = pool_factory or self.create_pool
+        self.declaration_wait: DeclarationWait | None = None
 
     def create_pool(self, spec: EngineSpec) -> EnginePool:
         """Return a new pool for a service's engines."""
@@ -57,6 +59,7 @@
             return
         if service.name not in self:
             self[service.name] = self.pool_factory(service.engine)
+            self[service.name].declaration_wait = self.declaration_wait
         start_limit = start_limit_of(service.warmup, self.warmup) if service.warmup else None
         self[service.name].start_limit = start_limit
 
@@ -70,7 +73,9 @@
     def set_declared(self, versions: dict[str, frozenset[str]] | None) -> None:
         """Set the software versions at which streams may begin; `None` if they are not known."""
         for name, pool in self.items():
-            pool.declared_versions = versions.get(name, frozenset()) if versions else None
+            pool.declared_versions = None if versions is None else versions.get(name, frozenset())
+        if self.declaration_wait is not None:
+            self.declaration_wait.end()
 
     def on_activated(self, now: float) -> None:
         """Record that another box may place runs a moment longer."""
--- a/packages/core/calicopath_core/scheduling/engines.py
+++ b/packages/core/calicopath_core/scheduling/engines.py
@@ -20,6 +20,7 @@
     from calicopath_core.scheduling.jobs import Job, Result
     from calicopath_core.scheduling.messages import Prompt
     from calicopath_core.scheduling.starts import StartLimit
+    from calicopath_core.versions.declaring import DeclarationWait
 
 DECODE_S_PER_TOKEN = 0.00005
 """Delay that one generated token adds to the other runs on the engine. A decoding step grows by 4
@@ -214,6 +215,7 @@
         self.exclusive_from = 0.0
         self.kv_tokens = kv_tokens
         self.declared_versions: frozenset[str] | None = None
+        self.declaration_wait: DeclarationWait | None = None
         self.engines: dict[str, Engine] = {}
         self.known_engines: dict[str, Engine] = {}
 
@@ -259,15 +261,30 @@
         A stream that has begun may only go on at the software version that began it. A new one
         begins at a declared version, unless there is no engine of any.
         """
-        place, declared = job.place, self.declared_versions
+        place = job.place
         allowed = [item for name, item in self.engines.items() if name not in place.exclude]
         if place.version is not None:
             return [item for item in allowed if item.replica.version == place.version]
-        if declared is None or not any(
-            item.replica.version in declared for item in self.engines.values()
-        ):
+        if not self.has_declared_engine():
             return allowed
-        return [item for item in allowed if item.replica.version in declared]
+        return [item for item in allowed if self.is_declared(item)]
+
+    def is_declared(self, engine: Engine) -> bool:
+        """Tell whether the version of an engine is known to be declared."""
+        return self.declared_versions is not None and (
+            engine.replica.version in self.declared_versions
+        )
+
+    def has_declared_engine(self) -> bool:
+        """Tell whether any engine has a declared version."""
+        return any(self.is_declared(engine) for engine in self.engines.values())
+
+    def must_wait_for_declaration(self, job: Job, now: float) -> bool:
+        """Tell whether a new stream must not begin yet, since no engine's version is declared."""
+        wait = self.declaration_wait
+        if wait is None or job.place.version is not None or self.has_declared_engine():
+            return False
+        return wait.must_wait(now)
 
     def has_engine_for(self, job: Job) -> bool:
         """Tell whether any engine may run a job, even if all are busy now."""
@@ -279,6 +296,8 @@
         The cost is the time to the first event plus the cost of transfers and of recomputation.
         Engines that failed or turned runs away recently are used only if there is no other.
         """
+        if self.must_wait_for_declaration(job, now):
+            return None
         inputs = job.final_results()
         start_limit = self.current_start_limit(now)
         usable = [
--- a/packages/core/calicopath_core/scheduling/tests/engines_tests.py
+++ b/packages/core/calicopath_core/scheduling/tests/engines_tests.py
@@ -16,6 +16,7 @@
 )
 from calicopath_core.scheduling.prompt_speed import PREFILL_S_PER_TOKEN
 from calicopath_core.scheduling.tests.work import job, phase, prompt, replica, result
+from calicopath_core.versions.declaring import MAX_WAIT_S, DeclarationWait
 
 
 class Choice(testtools.TestCase):
@@ -220,3 +221,19 @@
     def test_a_new_stream_begins_anywhere_if_no_engine_has_a_declared_version(self) -> None:
         self.pool.declared_versions = frozenset({'gone'})
         self.assertEqual({'old', 'new', 'newest'}, self.engines_for(job('one')))
+
+    def test_a_new_stream_waits_for_a_declaration_and_one_that_has_begun_does_not(self) -> None:
+        waits = []
+        wait = self.pool.declaration_wait = DeclarationWait(on_wait=lambda: waits.append(1))
+        for declared in (None, frozenset({'gone'})):
+            self.pool.declared_versions = declared
+            self.assertIsNone(self.pool.choose(job('one'), 100.0))
+            self.assertTrue(self.pool.has_engine_for(job('one')))
+            self.assertIsNotNone(self.pool.choose(job('one', version='v2'), 100.0))
+        self.assertEqual([1], waits)
+        self.pool.declared_versions = frozenset({'v2'})
+        found = self.pool.choose(job('one'), 100.0)
+        self.assertEqual('new', found.engine.replica.id if found else None)
+        self.pool.declared_versions = None
+        self.assertIsNotNone(self.pool.choose(job('one'), 100.0 + MAX_WAIT_S))
+        self.assertTrue(wait.expired)
--- a/packages/core/calicopath_core/versions/keeping.py
+++ b/packages/core/calicopath_core/versions/keeping.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from calicopath_core.exceptions import CalicopathError
+from calicopath_core.versions.declaring import DeclarationWait
 from calicopath_core.versions.directory import FoundVersion
 from calicopath_core.versions.ledger import RECORD_TTL_S
 
@@ -28,8 +29,8 @@
 end at once."""
 
 SETTLE_S = 0.4
-"""How long this box must have scheduled before it reads: when all boxes start, each one schedules
-until it hears of the others."""
+"""How long this box must have scheduled before it reads, unless streams wait for it: when all boxes
+start, each one schedules until it hears of the others."""
 
 IDLE_INTERVAL_S = 1.0
 """How often a box that does not schedule checks whether it does."""
@@ -73,7 +74,7 @@
     `group` returns the scheduling group whose records this box writes, `listed` the versions of the
     listed replicas of each service with engines, and `era` the newest era of the store.
     `on_declared` is called with all declared versions when they have changed, and with `None` when
-    this box no longer knows them.
+    this box no longer knows them. New streams wait by `declaration_wait` until then.
     """
 
     def __init__(
@@ -88,10 +89,12 @@
         era: Callable[[], int],
         on_declared: Callable[[Versions | None], None],
         on_failed: Callable[[Exception], None],
+        declaration_wait: DeclarationWait | None = None,
     ) -> None:
         self.clock = clock
         self.ledger = ledger
         self.store = store
+        self.declaration_wait = declaration_wait or DeclarationWait()
         self.group = group
         self.is_due = is_due
         self.listed = listed
@@ -126,6 +129,7 @@
                 await self.step()
             except CalicopathError as error:
                 self.on_failed(error)
+                self.declaration_wait.give_up()
                 delay_s = RETRY_DELAY_S
             await self.wait(delay_s)
 
@@ -150,7 +154,7 @@
             self.known_era = self.era()
             await self.read()
         self.note_listed()
-        if self.undeclared() or self.outdated():
+        if self.undeclared() or self.outdated() or self.declaration_wait.expired:
             await self.declare()
         if self.records_changed and self.mixed_services():
             self.records_changed = False
@@ -166,9 +170,11 @@
             self.due_since = None
         elif self.due_since is None:
             self.due_since = now
-        has_lasted = self.due_since is not None and now - self.due_since >= SETTLE_S
-        is_needed = bool(self.versions is not None or self.ledger.records or mixed(self.listed()))
-        return has_lasted and is_needed
+        is_awaited = self.declaration_wait.is_waiting
+        if self.due_since is None or not (is_awaited or now - self.due_since >= SETTLE_S):
+            return False
+        is_known = self.versions is not None
+        return bool(is_known or is_awaited or self.ledger.records or mixed(self.listed()))
 
     async def read(self) -> None:
         """Read declared versions and records, and keep the records."""
@@ -225,6 +231,12 @@
         declares again.
         """
         listed, declared = self.listed(), self.versions or {}
+        was_unseen = self.declaration_wait.expired
+        if was_unseen:
+            # Streams have begun at versions that nobody had declared, and that may be gone by now.
+            listed = {**listed, ANY_SERVICE: UNKNOWN_VERSIONS}
+            for name in UNKNOWN_VERSIONS:
+                self.last_listed_at[ANY_SERVICE, name] = self.clock.monotonic()
         wanted: Versions = {}
         for service in {*listed, *declared}:
             names = frozenset(
@@ -238,6 +250,7 @@
             if names:
                 wanted[service] = names
         if wanted == declared:
+            self.declaration_wait.expired = False
             return
         revision = await self.store.write_versions(wanted, self.revision)
         if revision is None:
@@ -245,6 +258,7 @@
             self.wake.set()
             return
         self.revision = revision
+        self.declaration_wait.expired = self.declaration_wait.expired and not was_unseen
         self.set_versions(wanted)
 
     def mixed_services(self) -> frozenset[str]:
@@ -277,6 +291,8 @@
         version = self.ledger.find(key, self.clock.monotonic())
         if version is not None:
             return FoundVersion(version, 'store')
+        if self.declaration_wait.expired:
+            return None
         listed = self.listed().get(service, frozenset())
         declared = declared_versions(self.versions or {}, service)
         if not declared and listed == UNNAMED:
--- a/packages/core/calicopath_core/versions/tests/keeping_tests.py
+++ b/packages/core/calicopath_core/versions/tests/keeping_tests.py
@@ -8,6 +8,7 @@
 
 from calicopath_core.clock import Clock
 from calicopath_core.exceptions import CalicopathError
+from calicopath_core.versions.declaring import MAX_WAIT_S
 from calicopath_core.versions.directory import FoundVersion
 from calicopath_core.versions.keeping import (
     ANY_SERVICE,
@@ -132,6 +133,37 @@
             self.assertEqual('v2', found.version if found else None)
 
 
+class Waiting(KeeperCase):
+    def test_versions_are_declared_at_once_while_new_streams_wait(self) -> None:
+        keeper = self.new_keeper()
+        keeper.ledger.records.clear()
+        self.assertTrue(keeper.declaration_wait.must_wait(self.clock.now))
+        asyncio.run(keeper.step())
+        self.assertEqual({'engine': frozenset({'v1'})}, self.store.versions)
+
+    def test_streams_wait_no_longer_than_their_bound_for_a_silent_store(self) -> None:
+        wait = self.new_keeper().declaration_wait
+        self.assertTrue(wait.must_wait(self.clock.now))
+        self.assertTrue(wait.must_wait(self.clock.now + MAX_WAIT_S / 2))
+        self.assertFalse(wait.must_wait(self.clock.now + MAX_WAIT_S))
+
+    def test_no_version_is_the_only_one_after_streams_began_without_a_declaration(self) -> None:
+        keeper = self.new_keeper()
+        keeper.declaration_wait.must_wait(self.clock.now)
+        keeper.declaration_wait.give_up()
+        self.assertFalse(keeper.declaration_wait.must_wait(self.clock.now))
+        self.listed = {'engine': frozenset({'v2'})}
+        self.steps(keeper)
+        self.assertFalse(keeper.declaration_wait.expired)
+        successor = self.new_keeper()
+        self.steps(successor)
+        self.assertIsNone(self.resolve(successor, 'unknown'))
+        self.clock.now += VERSION_TTL_S
+        self.steps(successor)
+        found = self.resolve(successor, 'unknown')
+        self.assertEqual('v2', found.version if found else None)
+
+
 class Declared(KeeperCase):
     def test_the_only_declared_version_began_every_stream(self) -> None:
         self.steps(self.new_keeper())
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -234,6 +234,7 @@
             group=lambda: self.election.group,
             era=self.subscription.era,
             send=self.send,
+            place_waiting_jobs=self.scheduler.place_waiting_jobs,
         )
         self.link.versions = self.versions
         self.link.scheduler, self.link.client = self.scheduler, self.client
--- a/packages/daemon/calicopathd/gateway/tests/versions_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/versions_tests.py
@@ -25,6 +25,10 @@
 BEGUN_S = 0.08
 """Time after which a stream has sent some of its events."""
 
+YOUNG_GAP_S = 0.1
+YOUNG_S = 0.2
+"""Gap between the events of streams, and the most that they take to begin."""
+
 RELEASE_S = 0.5
 """Time from the start of a new version's first replicas until all boxes are killed."""
 
@@ -33,12 +37,15 @@
     """Run scenarios on a fleet before engines of two versions."""
 
     def run_scenario(
-        self, work: Callable[[MixedFleet], Awaitable[None]], count: int = BOXES
+        self,
+        work: Callable[[MixedFleet], Awaitable[None]],
+        count: int = BOXES,
+        versions: tuple[str, ...] = ('v1', 'v2'),
     ) -> None:
         """Run some work on a started fleet."""
 
         async def scenario() -> None:
-            fleet = MixedFleet(count=count)
+            fleet = MixedFleet(count=count, versions=versions)
             await fleet.start()
             await work(fleet)
             await fleet.stop()
@@ -164,6 +171,52 @@
         return [caller for caller in callers if len(caller.attempts) > 1]
 
 
+class UndeclaredVersions(VersionCase):
+    """Test streams that begin as a version comes or goes, just before all boxes are killed."""
+
+    async def resume_after_restart(self, fleet: MixedFleet) -> list[ResumingCaller]:
+        """Begin the first streams at v1, kill all boxes as v2 takes its place, and resume them."""
+        callers = [ResumingCaller(fleet=fleet, number=item) for item in range(2 * BOXES)]
+        fleet.replicas.stream_gap_s = YOUNG_GAP_S
+        for caller in callers:
+            caller.send(f'box-{caller.number % BOXES}')
+        async with asyncio.timeout(YOUNG_S):
+            while not all(caller.last_event_id for caller in callers):
+                await asyncio.sleep(0.01)
+        fleet.add_engines('v2')
+        fleet.remove_engines('v1')
+        await fleet.restart_all()
+        newcomer = ResumingCaller(fleet=fleet, number=len(callers))
+        newcomer.send('box-0')
+        await fleet.settle()
+        await asyncio.gather(*(item.resume(f'box-{item.number % BOXES}') for item in callers))
+        return callers
+
+    def check_not_joined(self, callers: list[ResumingCaller]) -> None:
+        """Check that streams were taken up, and that none has two versions."""
+        self.assertTrue(any(len(item.attempts) > 1 for item in callers))
+        self.assertEqual([], [item.number for item in callers if len(item.versions) > 1])
+
+    def test_the_first_streams_of_a_version_that_leaves_as_all_boxes_end_are_not_joined(
+        self,
+    ) -> None:
+        async def work(fleet: MixedFleet) -> None:
+            self.check_not_joined(await self.resume_after_restart(fleet))
+
+        self.run_scenario(work, versions=('v1',))
+
+    def test_streams_begin_at_a_new_version_while_the_store_is_away(self) -> None:
+        async def work(fleet: MixedFleet) -> None:
+            fleet.store.streams_are_down = True
+            callers = [ResumingCaller(fleet=fleet, number=item) for item in range(BOXES)]
+            for caller in callers:
+                caller.send(f'box-{caller.number}')
+            await fleet.settle()
+            self.assertTrue(all(caller.is_complete for caller in callers))
+
+        self.run_scenario(work)
+
+
 class LostVersions(VersionCase):
     def test_a_stream_whose_version_is_gone_is_refused_at_once(self) -> None:
         async def work(fleet: MixedFleet) -> None:
--- a/packages/daemon/calicopathd/gateway/versions.py
+++ b/packages/daemon/calicopathd/gateway/versions.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from calicopath_core.versions.declaring import DeclarationWait
 from calicopath_core.versions.directory import VersionDirectory, choose_holders
 from calicopath_core.versions.keeping import StreamKeeper
 from calicopath_core.versions.ledger import StreamLedger
@@ -46,6 +47,7 @@
 
     `scheduler_address` returns the address of the scheduler, `is_scheduler` whether this box
     schedules, `group` its scheduling group and `era` the newest era of the store.
+    `place_waiting_jobs` is called when streams may begin at other versions.
     """
 
     def __init__(
@@ -62,12 +64,16 @@
         group: Callable[[], int],
         era: Callable[[], int],
         send: Callable[[str, msgspec.Struct], None],
+        place_waiting_jobs: Callable[[], None],
     ) -> None:
         self.own = own
+        self.place_waiting_jobs = place_waiting_jobs
         self.observer = observer
         self.replicas = replicas
         self.pools = pools
         self.ledger = StreamLedger()
+        self.declaration_wait = DeclarationWait(on_wait=self.on_wait)
+        pools.declaration_wait = self.declaration_wait
         self.keeper = StreamKeeper(
             clock=clock,
             ledger=self.ledger,
@@ -78,6 +84,7 @@
             era=era,
             on_declared=self.on_declared,
             on_failed=observer.on_stream_records_failed,
+            declaration_wait=self.declaration_wait,
         )
         self.directory = VersionDirectory(
             clock=clock,
@@ -121,10 +128,15 @@
             for key in sorted({*replicas, *streams})
         ]
 
+    def on_wait(self) -> None:
+        """Declare versions at once, since new streams wait for it."""
+        self.keeper.wake.set()
+
     def on_declared(self, versions: dict[str, frozenset[str]] | None) -> None:
         """Let streams begin at the declared versions only."""
         self.pools.set_declared(versions)
         if versions is not None:
+            self.place_waiting_jobs()
             self.observer.on_versions_declared(versions)
 
     def on_scheduler_changed(self, address: str) -> None:
--- a/testkit/gateway_store.py
+++ b/testkit/gateway_store.py
@@ -58,6 +58,7 @@
         self.relays: tuple[BoxAddress, ...] | None = None
         self.blocked: tuple[StoredRequest, ...] = ()
         self.streams = StoredStreams({}, None, ())
+        self.streams_are_down = False
         self.stream_groups: dict[int, tuple[BegunStreams, ...]] = {}
         self.changed = asyncio.Event()
         self.era = 0
@@ -277,18 +278,21 @@
 
     async def read_streams(self) -> StoredStreams:
         """Return the declared versions and the records."""
+        await self.wait_for_streams()
+        return self.store.read_streams()
+
+    async def wait_for_streams(self) -> None:
+        """Take as long as a call for streams takes, and fail if the store does not answer."""
         await asyncio.sleep(0.004)
         if self.silent:
             await self.time_out(0.0)
         self.check_reachable()
-        return self.store.read_streams()
+        if self.store.streams_are_down:
+            raise FleetStoreError('the store does not answer calls for streams')
 
     async def write_versions(self, versions: Versions, revision: int | None) -> int | None:
         """Replace the declared versions unless their revision is another one."""
-        await asyncio.sleep(0.004)
-        if self.silent:
-            await self.time_out(0.0)
-        self.check_reachable()
+        await self.wait_for_streams()
         if self.store.streams.revision != revision:
             return None
         self.store.revision += 1
@@ -297,10 +301,7 @@
 
     async def write_streams(self, group: int, groups: tuple[BegunStreams, ...]) -> None:
         """Replace the records of a group."""
-        await asyncio.sleep(0.004)
-        if self.silent:
-            await self.time_out(0.0)
-        self.check_reachable()
+        await self.wait_for_streams()
         self.store.stream_groups[group] = groups
 
     async def register(self, box: BoxAddress) -> None:
--- a/testkit/mixed_fleet.py
+++ b/testkit/mixed_fleet.py
@@ -22,14 +22,14 @@
 
 
 class MixedFleet(GatewayFleet):
-    """Run boxes before engines of two versions."""
+    """Run boxes before engines of some versions, two by default."""
 
-    def __init__(self, *, count: int = BOXES) -> None:
+    def __init__(self, *, count: int = BOXES, versions: tuple[str, ...] = ('v1', 'v2')) -> None:
         super().__init__(count=count)
         for record in list(self.store.records[RecordKind.REPLICA].values()):
             if isinstance(record, Replica) and record.service == 'engine':
                 self.store.write(RecordKind.REPLICA, record.id, None)
-        for version in ('v1', 'v2'):
+        for version in versions:
             self.add_engines(version)
 
     def add_engines(self, version: str, count: int = ENGINES_PER_VERSION) -> None:
