What is no status of an answer is a broken answer at once

What callers saw (reported of other systems, shown here by tests): a replica's status 600 or 999 was passed on to callers as an answer on all kinds of route. 000, 001 and 099 were taken for interim responses: nobody got them, but a request that may not be repeated waited until its deadline and got 504.

Cause: any status from 200 on was final and any below was interim. Class: a value of another program used outside of its range.

Change: one function says what a status is: 200 to 599 final, 100 to 199 but for 101 interim, all else no status. A response without a status fails its call as a wrong answer, on every kind of call that uses the byte-exact client: plain and streamed requests, stages, health, reports and the store. The callers' own interface takes 200 and 429 only and was not affected.

--- a/packages/clients/calicopath_clients/http1/connections.py
+++ b/packages/clients/calicopath_clients/http1/connections.py
@@ -11,7 +11,13 @@
 from calicopath_clients.http1.answers import PAUSE_BYTES, InboundResponse
 from calicopath_clients.http1.bounds import MAX_BODY_BYTES, ResponseBounds
 from calicopath_clients.http1.identities import MAX_IDENTIFIERS, RecentNames
-from calicopath_core.backends.base import AnswerTooLarge, ConnectionBroken, MayHaveRun
+from calicopath_clients.http1.statuses import StatusKind, status_kind
+from calicopath_core.backends.base import (
+    AnswerTooLarge,
+    ConnectionBroken,
+    MayHaveRun,
+    WrongAnswer,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,7 +34,6 @@
 timeout also decides when unanswered keep-alive probes end an idle connection, whatever their
 count."""
 
-FIRST_FINAL_STATUS = 200
 FIRST_ERROR_STATUS = 400
 BODILESS_STATUSES = (204, 304)
 """Statuses of responses that never have a body."""
@@ -161,14 +166,21 @@
             self.has_length = True
 
     def on_headers_complete(self) -> None:
-        """Match the parsed response to the call, or skip it; ignore interim (1xx) responses."""
+        """Match the parsed response to the call, or skip it; ignore interim responses.
+
+        A response whose status is none fails the call, whichever call it belongs to.
+        """
         current, inbound = self.current, self.inbound
         if current is None or inbound is None:
             return
         current.status = self.parser.get_status_code()
-        if current.status < FIRST_FINAL_STATUS:
+        kind = status_kind(current.status)
+        if kind is StatusKind.INTERIM:
             self.current = None
             return
+        if kind is StatusKind.INVALID:
+            self.fail(WrongAnswer(f'{current.status} is not the status of an answer'))
+            return
         current.on_head()
         if not self.accepts(current.head.result()):
             self.skip_response()
--- a/packages/clients/calicopath_clients/tests/http1_tests.py
+++ b/packages/clients/calicopath_clients/tests/http1_tests.py
@@ -10,7 +10,13 @@
 import testtools
 
 from calicopath_clients.http1.pool import HttpPool, RequestHead, parse_keep_alive_s
-from calicopath_core.backends.base import ConnectionBroken, MayHaveRun, NotStarted, ProbeResult
+from calicopath_core.backends.base import (
+    ConnectionBroken,
+    MayHaveRun,
+    NotStarted,
+    ProbeResult,
+    WrongAnswer,
+)
 from testkit.servers import read_request
 
 if TYPE_CHECKING:
@@ -90,6 +96,41 @@
     return [first, await get(pool, address)]
 
 
+class Statuses(HttpCase):
+    def test_what_is_no_status_of_an_answer_breaks_the_call_at_once(self) -> None:
+        for status in ('000', '001', '099', '101', '600', '999'):
+
+            async def script(reader: Any, writer: Any, status: str = status) -> None:
+                await read_request(reader)
+                data = answer(b'one').replace(b'200 OK', f'{status} Odd'.encode())
+                writer.write(data + answer(b'two'))
+                await reader.read()
+
+            async def work(pool: HttpPool, address: str) -> None:
+                async with asyncio.timeout(5):
+                    with testtools.ExpectedException(WrongAnswer):
+                        await get(pool, address)
+
+            self.run_against(script, work)
+
+    def test_interim_responses_are_passed_over_and_all_final_statuses_are_answers(self) -> None:
+        for status in (200, 299, 304, 404, 500, 599):
+
+            async def script(reader: Any, writer: Any, status: int = status) -> None:
+                await read_request(reader)
+                interim = b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n'
+                body = b'' if status == 304 else b'one'
+                writer.write(interim + answer(body).replace(b'200 OK', b'%d Odd' % status))
+
+            async def work(pool: HttpPool, address: str) -> int:
+                call = await pool.call(address, HEAD, b'', accepts=is_own_answer)
+                await call.read_all()
+                call.close()
+                return call.head.status
+
+            self.assertEqual(status, self.run_against(script, work)[0])
+
+
 class Answers(HttpCase):
     def test_a_connection_serves_one_call_after_the_other(self) -> None:
         async def script(reader: Any, writer: Any) -> None:
