--- a/packages/clients/calicopath_clients/http1/pool.py
+++ b/packages/clients/calicopath_clients/http1/pool.py
@@ -313,6 +313,6 @@
     for part in text.split(','):
         name, _, value = part.strip().partition('=')
         digits = value if name.lower() == 'timeout' else name
-        if digits.strip().isdigit():
+        if digits.strip().isascii() and digits.strip().isdigit():
             return float(digits)
     return None
--- a/packages/clients/calicopath_clients/tests/http1_tests.py
+++ b/packages/clients/calicopath_clients/tests/http1_tests.py
@@ -336,6 +336,8 @@
         self.assertEqual(5.0, parse_keep_alive_s('timeout=5, max=100'))
         self.assertEqual(7.0, parse_keep_alive_s('7'))
         self.assertIsNone(parse_keep_alive_s('max=3'))
+        for text in ('timeout=\xb2', '\xb2', 'timeout=', 'timeout=-1', 'timeout=1e3'):
+            self.assertIsNone(parse_keep_alive_s(text))
 
 
 def reset(writer: asyncio.StreamWriter) -> None:
