--- a/packages/core/calicopath_core/fleet/store.py
+++ b/packages/core/calicopath_core/fleet/store.py
@@ -116,3 +116,7 @@
     @abstractmethod
     async def withdraw(self, box: BoxAddress) -> None:
         """Remove this box's own record; raise `FleetStoreError`."""
+
+    def unreadable_objects(self) -> dict[str, str]:
+        """Return why objects of the store are unreadable, by kind and name."""
+        return {}
--- a/packages/daemon/calicopathd/events.py
+++ b/packages/daemon/calicopathd/events.py
@@ -92,6 +92,7 @@
 GATEWAY_LOADED = Event(
     510, 'info', 'gateway loaded', 'Settings and modules are loaded; the box does not listen yet.'
 )
+GATEWAY_WAITS = Event(512, 'info', 'gateway waits', 'The box lacks what is named to be ready.')
 LOOP_FAULT = Event(
     511, 'error', 'loop fault', 'An exception reached the event loop because nothing awaited it.'
 )
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -344,6 +344,21 @@
         """Return whether this box schedules and has all records that this needs."""
         return self.client.scheduler_address == self.own.address and self.is_synced()
 
+    def missing(self) -> list[str]:
+        """Return what this box lacks to be ready."""
+        found = [
+            feed.kind.value
+            for feed in self.feeds.values()
+            if feed.kind is not RecordKind.BOX and not feed.synced
+        ]
+        if self.view.current is None and RecordKind.DEPLOYMENT.value not in found:
+            found.append('valid deployment')
+        if not found and not self.knows_blocked_requests():
+            found.append('blocked requests')
+        if not self.replicas.replicas and RecordKind.REPLICA.value not in found:
+            found.append('any replica')
+        return [*found, 'leaving'] if self.leaving else found
+
     def is_ready(self) -> bool:
         """Return whether load balancers should send callers to this box."""
         return self.may_serve() and bool(self.replicas.replicas) and not self.leaving
--- a/packages/daemon/calicopathd/gateway/run.py
+++ b/packages/daemon/calicopathd/gateway/run.py
@@ -142,6 +142,7 @@
     async def run_ticks(self) -> None:
         """Run the box's periodic work and log changes of readiness, until cancelled."""
         was_ready = False
+        was_missing: list[str] = []
         while True:
             self.box.tick()
             self.log_writer.flush()
@@ -150,7 +151,10 @@
             if ready != was_ready:
                 event = events.GATEWAY_READY if ready else events.GATEWAY_NOT_READY
                 events.emit(log, event, config=self.box.config_version())
-            was_ready = ready
+            missing = self.box.missing()
+            if missing and missing != was_missing:
+                events.emit(log, events.GATEWAY_WAITS, missing=missing)
+            was_ready, was_missing = ready, missing
             await asyncio.sleep(TICK_INTERVAL_S)
 
     def update_gauges(self) -> None:
--- a/packages/daemon/calicopathd/gateway/state.py
+++ b/packages/daemon/calicopathd/gateway/state.py
@@ -46,8 +46,10 @@
 class BoxState(msgspec.Struct, frozen=True):
     """Describe the settings, configuration and evacuations in force; times are since 1970.
 
-    `problem` is the error of the settings file, empty if the file is in force. The box knows the
-    evacuations up to `taken_out_revision` of the store's `taken_out_era`, -1 if it knows none.
+    `problem` is the error of the settings file, empty if the file is in force. `missing` is what
+    the box lacks to be ready, `unreadable` holds the objects of the store that it cannot decode, by
+    kind and name, with the reasons. The box knows the evacuations up to `taken_out_revision` of the
+    store's `taken_out_era`, -1 if it knows none.
     """
 
     box: str
@@ -61,6 +63,8 @@
     taken_out: list[EvacuatedFailureDomain]
     taken_out_revision: int
     taken_out_era: int
+    missing: list[str] = []
+    unreadable: dict[str, str] = {}
 
 
 class ListedBox(msgspec.Struct, frozen=True):
@@ -151,6 +155,8 @@
             taken_out=self.evacuated_failure_domains(),
             taken_out_revision=taken_out_at.revision,
             taken_out_era=taken_out_at.era,
+            missing=self.box.missing(),
+            unreadable=self.box.store.unreadable_objects(),
         )
 
     def evacuated_failure_domains(self) -> list[EvacuatedFailureDomain]:
--- a/tools/mutants/catalogue.py
+++ b/tools/mutants/catalogue.py
@@ -4,6 +4,7 @@
 
 from tools.mutants.bounds import BOUND_MUTANTS
 from tools.mutants.crash_parts import CRASH_PART_MUTANTS
+from tools.mutants.entries import ENTRY_MUTANTS
 from tools.mutants.limits import LIMIT_MUTANTS
 from tools.mutants.mutant import CORE, Mutant
 from tools.mutants.notices import NOTICE_MUTANTS
@@ -288,4 +289,5 @@
     *VERSION_MUTANTS,
     *UNDERWAY_MUTANTS,
     *BOUND_MUTANTS,
+    *ENTRY_MUTANTS,
 )
--- a/tools/mutants/versions.py
+++ b/tools/mutants/versions.py
@@ -18,7 +18,7 @@
     Mutant(
         'versions',
         f'{CORE}/scheduling/engines.py',
-        'return [item for item in allowed if item.replica.version in declared]',
+        'return [item for item in allowed if self.is_declared(item)]',
         'return allowed',
         f'{CORE}/scheduling/tests/engines_tests.py::Versions',
     ),
@@ -99,4 +99,32 @@
         'pass',
         f'{CORE}/execution/tests/answers_tests.py::WholeAnswers',
     ),
+    Mutant(
+        'versions',
+        f'{CORE}/scheduling/engines.py',
+        'return wait.must_wait(now)',
+        'return False',
+        f'{TESTS}::UndeclaredVersions',
+    ),
+    Mutant(
+        'versions',
+        f'{CORE}/versions/declaring.py',
+        'self.expired = True',
+        'pass',
+        f'{KEEPING_TESTS}::Waiting',
+    ),
+    Mutant(
+        'versions',
+        f'{CORE}/versions/keeping.py',
+        'self.declaration_wait.give_up()',
+        'pass',
+        f'{TESTS}::UndeclaredVersions',
+    ),
+    Mutant(
+        'versions',
+        f'{CORE}/versions/keeping.py',
+        'return versions.get(service, frozenset()) | versions.get(ANY_SERVICE, frozenset())',
+        'return versions.get(service, frozenset())',
+        f'{KEEPING_TESTS}::Unreadable',
+    ),
 )
