A stopping box takes no request late in the grace, and answers all at its end

What callers saw (reported by other operators, shown here by tests): in a planned stop a request whose upload ended late in the grace was taken and passed on, and at the end of the grace what was in progress was cut without an answer.

Cause: a stopping box closed idle connections after 3 s, but a request that came on a busy one, or was just being received, was served like any other; and the process ended with the tasks of those that were not done.

Change: once load balancers send nobody any more, a request that begins is refused at once as not run, with a time to come back. At the end of the grace each request in progress is ended: 503 if it was never sent to a replica, 504 if it was, a closed connection only if its answer had begun.

--- a/packages/core/calicopath_core/exchanges/context.py
+++ b/packages/core/calicopath_core/exchanges/context.py
@@ -78,6 +78,13 @@
 """Message with which the task of an exchange is cancelled when its caller disconnects."""
 
 
+BOX_STOPS = 'box-stops'
+"""Message with which the task of an exchange is cancelled when its box can wait no longer."""
+
+LEAVING = 'leaving'
+"""Reason of a box that stops and takes no new requests."""
+
+
 def failure_kind(error: Exception) -> str:
     """Return how an attempt failed, as one word for logs and metrics."""
     if isinstance(error, ConnectionBroken):
@@ -268,6 +275,7 @@
     versions: VersionDirectory
     new_job_id: Callable[[], str]
     may_serve: Callable[[], bool]
+    refuses_new: Callable[[], bool]
     is_partitioned: Callable[[], bool]
     failure_domain: str
     buffers: AnswerBuffers
--- a/packages/core/calicopath_core/exchanges/executor.py
+++ b/packages/core/calicopath_core/exchanges/executor.py
@@ -6,9 +6,12 @@
 from typing import TYPE_CHECKING
 
 from calicopath_core.exchanges.context import (
+    BOX_STOPS,
     CALLER_LEFT,
+    LEAVING,
     SHORT_RETRY_AFTER_S,
     SILENT,
+    STATUS_GATEWAY_TIMEOUT,
     STATUS_NOT_FOUND,
     STATUS_UNAUTHORIZED,
     STATUS_UNAVAILABLE,
@@ -54,7 +57,10 @@
                 has_left = CALLER_LEFT in error.args
                 state.outcome = CALLER_LEFT if has_left else 'stopped'
                 state.ended_by = EndedBy.CALLER if has_left else EndedBy.STOP
-            sink.abort()
+            if state is not None and BOX_STOPS in error.args:
+                send_refusal(state, sink, stop_refusal(state))
+            else:
+                sink.abort()
             raise
         finally:
             if state is not None:
@@ -65,6 +71,8 @@
 
     def admit(self, exchange: Exchange) -> ExchangeState:
         """Return the state of a new exchange; raise `RefusedExchange` if it is not admitted."""
+        if self.context.refuses_new():
+            raise RefusedExchange(STATUS_UNAVAILABLE, LEAVING, retry_after_s=SHORT_RETRY_AFTER_S)
         deployment = self.context.view.current
         if deployment is None or not self.context.may_serve():
             raise RefusedExchange(
@@ -136,6 +144,13 @@
     return route.services[-1].service
 
 
+def stop_refusal(state: ExchangeState) -> RefusedExchange:
+    """Return the answer to an exchange that its box can't wait for any longer."""
+    if state.sends:
+        return RefusedExchange(STATUS_GATEWAY_TIMEOUT, LEAVING)
+    return RefusedExchange(STATUS_UNAVAILABLE, LEAVING, retry_after_s=SHORT_RETRY_AFTER_S)
+
+
 def send_refusal(state: ExchangeState | None, sink: ReplySink, refusal: RefusedExchange) -> None:
     """Send the gateway's own answer, or abort the answer if a stream has already begun."""
     if state is not None:
--- a/packages/daemon/calicopathd/gateway/box.py
+++ b/packages/daemon/calicopathd/gateway/box.py
@@ -90,6 +90,7 @@
         self.incarnation = f'{settings.box}-{os.urandom(4).hex()}'
         self.job_numbers = itertools.count(1)
         self.leaving = False
+        self.refuses_new = False
         self.view = DeploymentView()
         self.notices = BoxNotices(
             clock=self.clock,
@@ -271,6 +272,7 @@
             versions=self.versions.directory,
             new_job_id=self.new_job_id,
             may_serve=self.may_serve,
+            refuses_new=lambda: self.refuses_new,
             is_partitioned=lambda: self.reachability.is_partitioned,
             failure_domain=self.settings.failure_domain,
             buffers=AnswerBuffers(max_bytes=self.settings.max_buffered_bytes),
--- a/packages/daemon/calicopathd/gateway/run.py
+++ b/packages/daemon/calicopathd/gateway/run.py
@@ -37,10 +37,13 @@
 """How long before its end a stopping box refuses requests that still wait for stages or an engine.
 The time lets the refusals reach callers and running streams end."""
 
+FLUSH_MARGIN_S = 0.2
+"""How long the last answers of a stopping box may take to reach callers."""
+
 WITHDRAW_TIMEOUT_S = 0.4
-"""How long a stopping box waits for the store to remove its record. It fits into `EXIT_MARGIN_S`,
-so that the box ends before it is killed. A record that remains is overwritten when a box of the
-same name starts."""
+"""How long a stopping box waits for the store to remove its record. With `FLUSH_MARGIN_S` it fits
+into `EXIT_MARGIN_S`, so that the box ends before it is killed. A record that remains is
+overwritten when a box of the same name starts."""
 
 
 class GatewayRunner:
@@ -204,6 +207,8 @@
         self.exchange_server.start_closing()
         events.emit(log, events.GATEWAY_LEAVING, in_progress=self.exchange_server.in_progress)
         await asyncio.sleep(min(LOAD_BALANCER_DELAY_S, grace_s / 2))
+        # Load balancers send nobody here any more, and what begins now may be cut by the end.
+        self.box.refuses_new = True
         self.exchange_server.close_idle()
         remaining_s = grace_s - (self.box.clock.monotonic() - started_at)
         await self.exchange_server.wait_idle(max(0.0, remaining_s - REFUSE_MARGIN_S))
@@ -212,6 +217,8 @@
             self.box.client.reject_waiting()
             self.box.notices.permits.refuse_pending()
         await self.exchange_server.wait_idle(REFUSE_MARGIN_S)
+        self.exchange_server.stop_exchanges()
+        await self.exchange_server.wait_idle(FLUSH_MARGIN_S)
         remaining_s = grace_s - (self.box.clock.monotonic() - started_at)
         await self.box.forwarding.wait_idle(max(0.0, remaining_s))
         await self.withdraw()
--- a/packages/daemon/calicopathd/gateway/server.py
+++ b/packages/daemon/calicopathd/gateway/server.py
@@ -11,6 +11,7 @@
 import contextlib
 from typing import TYPE_CHECKING
 
+from calicopath_core.exchanges.context import BOX_STOPS
 from calicopathd.gateway.connection import ServerConnection, ServerState
 
 if TYPE_CHECKING:
@@ -55,6 +56,13 @@
             if connection.task is None and connection.incoming is None:
                 connection.close()
 
+    def stop_exchanges(self) -> None:
+        """End the requests in progress, so that each gets its last answer."""
+        for connection in list(self.connections):
+            connection.queued_requests.clear()
+            if connection.task is not None:
+                connection.task.cancel(BOX_STOPS)
+
     async def wait_idle(self, timeout_s: float) -> bool:
         """Wait until no request is in progress and callers have read their answers.
 
