The soak restarts all boxes beside unreadable objects and as a version leaves

New steps: all boxes are killed while an unreadable object of each kind stands, and must serve beside it; the engines of one version leave at the moment when all boxes are killed; a replica answers with statuses that are none. They are drawn apart, so that what else a seed means stays.

--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,9 @@
 	$(PY) -m tools.soak --only answers-underway --seeds 2,3 --seconds 8 $(KNOWN)
 	$(PY) -m tools.soak --only endless-answers --seeds 1,2 --seconds 6 $(KNOWN)
 	$(PY) -m tools.soak --only cut-watches --seeds 1,2 --seconds 6 $(KNOWN)
+	$(PY) -m tools.soak --only restart-beside-entries --seeds 1,2 --seconds 6 $(KNOWN)
+	$(PY) -m tools.soak --only leave-at-restart --seeds 1,2 --seconds 6 $(KNOWN)
+	$(PY) -m tools.soak --only odd-status --seeds 1,2 --seconds 6 $(KNOWN)
 
 mutants: setup
 	$(PY) -m tools.mutants
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -11,7 +11,7 @@
 
 from calicopath_platform import names
 from calicopath_platform.tests.soak_replicas import soak_request
-from tools.soak import checks, crash_parts, crash_requests, overload
+from tools.soak import checks, crash_parts, crash_requests, overload, restarts
 from tools.soak.callers import CallerConnection, CallerRequest, send_request
 from tools.soak.endless import (
     BoxMemory,
@@ -93,6 +93,7 @@
         self.overload_numbers = itertools.count(1)
         self.load_periods: list[LoadPeriod] = []
         self.memory = BoxMemory()
+        self.restart_problems: list[str] = []
 
     async def run(self) -> Verdict:
         """Play it and judge."""
@@ -104,6 +105,8 @@
             replicas=REPLICA_COUNT,
             failure_domains=len(FAILURE_DOMAINS),
         )
+        steps += restarts.draw_restarts(plan.seed, seconds=plan.fault_duration_s)
+        steps += restarts.draw_odd_statuses(plan.seed, seconds=plan.fault_duration_s)
         steps = [step for step in steps if plan.only in (None, step.kind)]
         try:
             await self.world.start()
@@ -139,8 +142,19 @@
                 step, self.send_overload_request, self.plan.boxes, self.world.now
             )
             self.load_periods.append(period)
+        if step.kind is FaultKind.RESTART_BESIDE_ENTRIES:
+            await self.restart_beside_entries(step)
         await self.world.apply(step)
 
+    async def restart_beside_entries(self, step: Step) -> None:
+        """Kill all boxes beside unreadable objects, and check that they serve beside them."""
+        restarts.write_foreign_objects(self.world)
+        await restarts.kill_all_boxes(self.world, step)
+        self.restart_problems += await self.check_boxes_serve(
+            f'{step.at_s:.3f} beside unreadable objects'
+        )
+        restarts.remove_foreign_objects(self.world)
+
     async def send_crash_request(self, step: Step, repeat: Repeat, box: int) -> None:
         """Send one repeat of a request that ends replicas, on a connection of its own."""
         kind, call_id = crash_requests.request_kind(step), f'd-{next(self.crash_request_numbers)}'
@@ -298,6 +312,8 @@
         """Return everything that must not be."""
         world = self.world
         problems = [
+            *self.restart_problems,
+            *restarts.find_odd_statuses(self.records),
             *checks.find_wrong_responses(self.records),
             *checks.find_repeated_runs(self.records, world.runs),
             *overload.find_runs_after_refusal(self.records, world.runs),
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -38,6 +38,9 @@
     UNDERWAY = 'answers-underway'
     ENDLESS = 'endless-answers'
     WATCH_CUTS = 'cut-watches'
+    RESTART_BESIDE_ENTRIES = 'restart-beside-entries'
+    LEAVE_AT_RESTART = 'leave-at-restart'
+    ODD_STATUS = 'odd-status'
 
 
 class LinkMode(enum.Enum):
@@ -84,6 +87,9 @@
         FaultKind.UNDERWAY,
         FaultKind.ENDLESS,
         FaultKind.WATCH_CUTS,
+        FaultKind.RESTART_BESIDE_ENTRIES,
+        FaultKind.LEAVE_AT_RESTART,
+        FaultKind.ODD_STATUS,
     }
 )
 """What is drawn apart, so that what else a seed means stays as it was before these came."""
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -26,6 +26,7 @@
 from calicopath_platform.tests.standins import StoreStandIn
 from testkit.partition import Partition
 from testkit.ports import free_port_block
+from tools.soak import restarts
 from tools.soak.boxes import BoxProcess
 from tools.soak.links import Link
 from tools.soak.partitions import BoxPeriod
@@ -305,6 +306,13 @@
                 await self.send_endless_answers(step)
             case FaultKind.WATCH_CUTS:
                 await self.cut_watches(step)
+            case FaultKind.LEAVE_AT_RESTART:
+                await restarts.leave_at_restart(self, step)
+            case FaultKind.ODD_STATUS:
+                await restarts.send_odd_statuses(self, step)
+            case FaultKind.RESTART_BESIDE_ENTRIES:
+                # Done where callers are sent, which check that boxes serve.
+                pass
 
     def change_config(self) -> None:
         """Put a configuration with another route."""
