--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -13,6 +13,7 @@
 from calicopath_platform.tests.soak_replicas import soak_request
 from tools.soak import checks, crash_parts, crash_requests, overload, restarts
 from tools.soak.callers import CallerConnection, CallerRequest, send_request
+from tools.soak.drawing import draw_all_steps
 from tools.soak.endless import (
     BoxMemory,
     find_arrivals_after_removal,
@@ -27,7 +28,7 @@
     is_broken_stream,
     resume_stream,
 )
-from tools.soak.schedule import FaultKind, Step, draw_steps
+from tools.soak.schedule import FaultKind, Step
 from tools.soak.underway import find_lost_answers
 from tools.soak.world import FAILURE_DOMAINS, REPLICA_COUNT, World
 
@@ -98,15 +99,13 @@
     async def run(self) -> Verdict:
         """Play it and judge."""
         plan = self.plan
-        steps = draw_steps(
+        steps = draw_all_steps(
             plan.seed,
             seconds=plan.fault_duration_s,
             boxes=plan.boxes,
             replicas=REPLICA_COUNT,
             failure_domains=len(FAILURE_DOMAINS),
         )
-        steps += restarts.draw_restarts(plan.seed, seconds=plan.fault_duration_s)
-        steps += restarts.draw_odd_statuses(plan.seed, seconds=plan.fault_duration_s)
         steps = [step for step in steps if plan.only in (None, step.kind)]
         try:
             await self.world.start()
--- a/tools/soak/tests/checks_tests.py
+++ b/tools/soak/tests/checks_tests.py
@@ -8,6 +8,7 @@
 import testtools
 
 from tools.soak import checks
+from tools.soak.drawing import draw_all_steps
 from tools.soak.records import (
     EVENTS_PER_STREAM,
     Arrival,
@@ -18,7 +19,7 @@
     RequestRecord,
     Run,
 )
-from tools.soak.schedule import SEPARATELY_DRAWN, FaultKind, LinkMode, Step, draw_steps, is_calm
+from tools.soak.schedule import SEPARATELY_DRAWN, FaultKind, LinkMode, Step, is_calm
 
 WHOLE = tuple(range(1, EVENTS_PER_STREAM + 1))
 FIRST_OF_57 = [(1.0, 'kill-box', 2), (1.178, 'store-silent', 3), (1.886, 'store-loses-answers', 0)]
@@ -191,7 +192,7 @@
 class Schedule(testtools.TestCase):
     def test_a_seed_always_gives_the_same_steps_and_another_seed_others(self) -> None:
         def steps(seed: int) -> list[Step]:
-            return draw_steps(seed, seconds=20.0, boxes=4, replicas=9, failure_domains=2)
+            return draw_all_steps(seed, seconds=20.0, boxes=4, replicas=9, failure_domains=2)
 
         self.assertEqual(steps(1), steps(1))
         self.assertNotEqual(steps(1), steps(2))
@@ -200,7 +201,7 @@
         steps = [
             item
             for seed in range(20)
-            for item in draw_steps(seed, seconds=20, boxes=4, replicas=9, failure_domains=2)
+            for item in draw_all_steps(seed, seconds=20, boxes=4, replicas=9, failure_domains=2)
         ]
         self.assertEqual(set(FaultKind), {item.kind for item in steps})
         pairs = itertools.pairwise(steps)
@@ -233,7 +234,7 @@
         self.assertEqual(1, self.problems(19.5, steps=(step(FaultKind.STORE_DOWN, 9.0),)))
 
     def test_taking_zones_out_leaves_what_a_seed_meant_as_it_was(self) -> None:
-        steps = draw_steps(57, seconds=20.0, boxes=4, replicas=9, failure_domains=2)
+        steps = draw_all_steps(57, seconds=20.0, boxes=4, replicas=9, failure_domains=2)
         others = [item for item in steps if item.kind not in SEPARATELY_DRAWN]
         first = [(item.at_s, item.kind.value, item.target) for item in others[:3]]
         self.assertEqual(FIRST_OF_57, first)
