--- a/packages/daemon/calicopathd/gateway/tests/versions_tests.py
+++ b/packages/daemon/calicopathd/gateway/tests/versions_tests.py
@@ -219,6 +219,16 @@
 
         self.run_scenario(work, versions=('v1',))
 
+    def test_a_box_that_schedules_again_lets_new_streams_wait_anew(self) -> None:
+        async def work(fleet: MixedFleet) -> None:
+            versions = fleet.boxes['box-1'].box.versions
+            now = asyncio.get_running_loop().time()
+            self.assertTrue(versions.declaration_wait.must_wait(now - 10.0))
+            versions.on_scheduler_changed('box-1:7')
+            self.assertTrue(versions.declaration_wait.must_wait(now))
+
+        self.run_scenario(work)
+
 
 class LostVersions(VersionCase):
     def test_a_stream_whose_version_is_gone_is_refused_at_once(self) -> None:
--- a/packages/daemon/calicopathd/gateway/versions.py
+++ b/packages/daemon/calicopathd/gateway/versions.py
@@ -142,6 +142,7 @@
     def on_scheduler_changed(self, address: str) -> None:
         """Send the records held here to a new scheduler, or begin to keep them as such."""
         self.directory.on_scheduler_changed(address)
+        self.declaration_wait.end()
         self.keeper.wake.set()
 
     def on_listed(self, boxes: Iterable[BoxAddress]) -> None:
