A connection that ends before the request is sent is a call that never started

Cause: between the opening of a connection and the first byte of the request the loop runs, and the replica's reset may be read. `transport.writelines` raises RuntimeError then, which is no failure of a call: nothing retried or refused, and counts of open connections and calls were never lowered. The end of a connection was also missed if it came before the pool listened to it.

Change: sending on an ended connection raises NotStarted, whether the end was read or only the socket is closed; a connection that has ended as it is handed over is counted once and raises the same. A port that accepts and resets still counts as open for a probe.

--- a/packages/clients/calicopath_clients/http1/connections.py
+++ b/packages/clients/calicopath_clients/http1/connections.py
@@ -16,6 +16,7 @@
     AnswerTooLarge,
     ConnectionBroken,
     MayHaveRun,
+    NotStarted,
     WrongAnswer,
 )
 
@@ -62,6 +63,7 @@
         self.used_identifiers = RecentNames(count=MAX_IDENTIFIERS)
         self.is_clean = True
         self.is_closed = False
+        self.is_lost = False
         self.is_kept_alive = True
         self.has_length = False
         self.has_body = False
@@ -94,15 +96,27 @@
         """Send a request and return its response, which is filled as bytes arrive.
 
         A response that `accepts` rejects is skipped; `no_body` tells that none has a body (`HEAD`).
+        Raise `NotStarted` if the connection has ended; nothing is sent then.
         """
         assert self.transport is not None
+        if self.is_closed:
+            raise NotStarted('the connection ended before the request was sent')
         self.inbound = InboundResponse()
         self.accepts = accepts
         self.skipped_responses = 0
         self.no_body = no_body
         self.bounds = ResponseBounds(max_body_bytes=max_body_bytes)
-        self.transport.writelines(chunks)
-        return self.inbound
+        inbound = self.inbound
+        try:
+            self.transport.writelines(chunks)
+        except RuntimeError as error:
+            # The loop has closed the socket, and calls `connection_lost` next.
+            self.inbound = None
+            self.abort()
+            raise NotStarted(
+                f'the connection ended before the request was sent: {error}'
+            ) from error
+        return inbound
 
     @property
     def is_reusable(self) -> bool:
@@ -251,7 +265,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the call that waits for a response."""
-        self.is_closed = True
+        self.is_closed = self.is_lost = True
         self.on_closed()
         self.on_lost(error)
         self.fail(ConnectionBroken(f'the connection was lost: {error!r}'))
--- a/packages/clients/calicopath_clients/http1/pool.py
+++ b/packages/clients/calicopath_clients/http1/pool.py
@@ -64,6 +64,10 @@
     """Allow every call."""
 
 
+class NewConnectionEnded(NotStarted):
+    """Report a connection that the server accepted and ended before it was used."""
+
+
 class RequestHead(NamedTuple):
     """Hold the request line and the ordered headers of a call."""
 
@@ -241,6 +245,11 @@
                 raise NotStarted(f'{address} cannot be reached: {error!r}') from error
             raise
         connection.on_closed = partial(self.on_closed, address)
+        if connection.is_lost:
+            # It ended while this task waited to run, and nobody counted that.
+            self.on_closed(address)
+        if connection.is_closed:
+            raise NewConnectionEnded(f'{address} ended the new connection')
         return connection
 
     async def probe(self, address: str, watch_s: float) -> ProbeResult:
@@ -254,6 +263,10 @@
             try:
                 async with asyncio.timeout(PROBE_TIMEOUT_S):
                     connection = await self.connect(address)
+            except NewConnectionEnded:
+                if loop.time() >= deadline:
+                    return ProbeResult.OPEN
+                continue
             except NotStarted as error:
                 is_refused = isinstance(error.__cause__, ConnectionRefusedError)
                 return ProbeResult.REFUSED if is_refused else ProbeResult.SILENT
