--- a/tools/mutants/entries.py
+++ b/tools/mutants/entries.py
@@ -1,4 +1,4 @@
-"""Break how objects of other writers are read."""
+"""Break how objects of other writers are read, and what odd answers, resets and stops do."""
 
 from __future__ import annotations
 
@@ -8,6 +8,8 @@
 ENTRIES = f'{PLATFORM}/tests/entries_tests.py'
 FOREIGN = f'{PLATFORM}/tests/foreign_entries_tests.py'
 STATUSES = f'{PLATFORM}/tests/statuses_tests.py'
+STOPS = f'{PLATFORM}/tests/planned_stop_tests.py'
+RESETS = 'packages/clients/calicopath_clients/tests/reset_tests.py'
 
 ENTRY_MUTANTS = (
     Mutant(
@@ -66,4 +68,39 @@
         'if status < FIRST_FINAL_STATUS:',
         f'{STATUSES}::InvalidStatuses',
     ),
+    Mutant(
+        'planned stop',
+        'packages/daemon/calicopathd/gateway/run.py',
+        'self.box.refuses_new = True',
+        'pass',
+        f'{STOPS}::PlannedStop',
+    ),
+    Mutant(
+        'planned stop',
+        'packages/daemon/calicopathd/gateway/server.py',
+        'connection.task.cancel(BOX_STOPS)',
+        'pass',
+        f'{STOPS}::PlannedStop',
+    ),
+    Mutant(
+        'planned stop',
+        'packages/core/calicopath_core/exchanges/executor.py',
+        '    if state.sends:\n        return RefusedExchange(STATUS_GATEWAY_TIMEOUT, LEAVING)',
+        '    pass',
+        f'{STOPS}::PlannedStop',
+    ),
+    Mutant(
+        'resets',
+        'packages/clients/calicopath_clients/http1/pool.py',
+        'if connection.is_lost:',
+        'if False:',
+        f'{RESETS}::Resets',
+    ),
+    Mutant(
+        'resets',
+        'packages/clients/calicopath_clients/http1/pool.py',
+        '            except NewConnectionEnded:',
+        '            except ZeroDivisionError:',
+        f'{RESETS}::Resets',
+    ),
 )
